--- /dev/null
+++ b/event/router.go
@@ -0,0 +1,14 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of package router, 1000 to 1099.
+var (
+	RouterStarted  = define(1000, zerolog.InfoLevel, "router-started", "The router listens on all its addresses.")
+	RouterReady    = define(1001, zerolog.InfoLevel, "router-ready", "Settings and members are known; the router takes requests.")
+	RouterDraining = define(1002, zerolog.InfoLevel, "router-draining", "The router stops taking requests and finishes those in flight.")
+	RouterStopped  = define(1003, zerolog.InfoLevel, "router-stopped", "The router has stopped; the fields say what was cut, if anything.")
+	RouterFault    = define(1004, zerolog.ErrorLevel, "router-fault", "A part of the router failed unexpectedly.")
+	RequestDone    = define(1010, zerolog.DebugLevel, "request-done", "A caller's request has its final answer.")
+	RequestRefused = define(1011, zerolog.DebugLevel, "request-refused", "A caller's request was refused; the reason says why.")
+)
--- /dev/null
+++ b/keys/keys_test.go
@@ -0,0 +1,92 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"testing"
+)
+
+func handshake(t *testing.T, server, client *tls.Config) (tls.ConnectionState, error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	type result struct {
+		state tls.ConnectionState
+		err   error
+	}
+	accepted := make(chan result, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			accepted <- result{err: err}
+			return
+		}
+		defer conn.Close()
+		srv := conn.(*tls.Conn)
+		err = srv.Handshake()
+		accepted <- result{srv.ConnectionState(), err}
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	clientErr := tls.Client(raw, client).Handshake()
+	if clientErr != nil {
+		raw.Close()
+	}
+	got := <-accepted
+	return got.state, errors.Join(clientErr, got.err)
+}
+
+func peer(t *testing.T, ca *Authority, name string) *tls.Config {
+	t.Helper()
+	pair, err := ca.Issue(name, []string{"127.0.0.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := PeerTLS(pair, ca.Pair().Cert, "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func TestPeerTLSAcceptsOnlyItsAuthority(t *testing.T) {
+	ca, err := NewAuthority("ca")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := NewAuthority("other")
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := handshake(t, peer(t, ca, "r1"), peer(t, ca, "r2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := state.PeerCertificates[0].Subject.CommonName; got != "r2" {
+		t.Fatalf("peer name %q, want r2", got)
+	}
+	if _, err := handshake(t, peer(t, ca, "r1"), peer(t, other, "r3")); err == nil {
+		t.Fatal("a certificate of another authority was accepted")
+	}
+}
+
+func TestAuthorityRoundTrip(t *testing.T) {
+	ca, err := NewAuthority("ca")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := LoadAuthority(ca.Pair())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := handshake(t, peer(t, ca, "r1"), peer(t, again, "r2")); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,91 @@
+// Package metrics defines the counters, gauges and histograms that every
+// router exports. Each router instance has its own registry, so that several
+// can run in one process.
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ragwortpond.example/ragwortpond/reason"
+)
+
+const namespace = "ragwort"
+
+// Set is the metrics of one router. All methods of its members are safe for
+// concurrent use.
+type Set struct {
+	Registry *prometheus.Registry
+	// Requests counts final answers by service and outcome word.
+	Requests *prometheus.CounterVec
+	// Refusals counts refusals told to callers by reason.
+	Refusals *prometheus.CounterVec
+	// Retries counts further attempts by the reason of the one before.
+	Retries *prometheus.CounterVec
+	// Discards counts answers that were thrown away by reason.
+	Discards *prometheus.CounterVec
+	// ControlBytes counts control traffic in bytes by method and direction.
+	ControlBytes *prometheus.CounterVec
+	// DataBytes counts forwarded request and answer bytes by direction.
+	DataBytes *prometheus.CounterVec
+	// StoreCalls counts calls on the platform's object API by verb and result.
+	StoreCalls *prometheus.CounterVec
+	// QueueSeconds observes the wait before dispatch by service.
+	QueueSeconds *prometheus.HistogramVec
+	// FirstByteSeconds observes the time to the answer's first byte by service.
+	FirstByteSeconds *prometheus.HistogramVec
+	// InFlight is the number of requests in flight by role (entry, home).
+	InFlight *prometheus.GaugeVec
+	// SettingsRevision is the settings revision in force.
+	SettingsRevision prometheus.Gauge
+}
+
+// NewSet returns a set registered in a registry of its own.
+func NewSet() *Set {
+	s := &Set{
+		Registry:         prometheus.NewRegistry(),
+		Requests:         counter("requests_total", "Final answers.", "service", "outcome"),
+		Refusals:         counter("refusals_total", "Refusals told to callers.", "reason"),
+		Retries:          counter("retries_total", "Further attempts.", "reason"),
+		Discards:         counter("discards_total", "Discarded answers.", "reason"),
+		ControlBytes:     counter("control_bytes_total", "Control traffic in bytes.", "method", "direction"),
+		DataBytes:        counter("data_bytes_total", "Forwarded bytes.", "direction"),
+		StoreCalls:       counter("store_calls_total", "Calls on the platform's object API.", "verb", "result"),
+		QueueSeconds:     histogram("queue_seconds", "Wait before dispatch.", "service"),
+		FirstByteSeconds: histogram("first_byte_seconds", "Time to the answer's first byte.", "service"),
+		InFlight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "in_flight", Help: "Requests in flight.",
+		}, []string{"role"}),
+		SettingsRevision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "settings_revision", Help: "Settings revision in force.",
+		}),
+	}
+	s.Registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.Discards, s.ControlBytes, s.DataBytes,
+		s.StoreCalls, s.QueueSeconds, s.FirstByteSeconds, s.InFlight, s.SettingsRevision)
+	return s
+}
+
+// Refused counts one refusal.
+func (s *Set) Refused(c reason.Code) {
+	s.Refusals.WithLabelValues(string(c)).Inc()
+}
+
+// Retried counts one further attempt.
+func (s *Set) Retried(c reason.Code) {
+	s.Retries.WithLabelValues(string(c)).Inc()
+}
+
+// Discarded counts one discarded answer.
+func (s *Set) Discarded(c reason.Code) {
+	s.Discards.WithLabelValues(string(c)).Inc()
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
+	}, labels)
+}
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,4 @@
+package peer
+
+// Stream is one forwarded request's stream.
+type Stream struct{}
--- /dev/null
+++ b/reason/reason.go
@@ -0,0 +1,134 @@
+// Package reason lists every reason for which a request is refused or retried.
+// Each reason is one typed constant, one metric label, one value of the
+// Ragwort-Reason header and one line of docs/REASONS.md.
+package reason
+
+import "sort"
+
+// Code is a stable reason code.
+type Code string
+
+// The reasons.
+const (
+	None               Code = ""
+	UnknownModel       Code = "unknown-model"
+	UnknownService     Code = "unknown-service"
+	UnknownPath        Code = "unknown-path"
+	BodyTooLarge       Code = "body-too-large"
+	MalformedBody      Code = "malformed-body"
+	Unauthenticated    Code = "unauthenticated"
+	Forbidden          Code = "forbidden"
+	Draining           Code = "draining"
+	NotReady           Code = "not-ready"
+	Deadline           Code = "deadline"
+	AccountRate        Code = "account-rate"
+	AccountConcurrency Code = "account-concurrency"
+	ServiceRate        Code = "service-rate"
+	FleetRate          Code = "fleet-rate"
+	Overload           Code = "overload"
+	QueueFull          Code = "queue-full"
+	QueueTimeout       Code = "queue-timeout"
+	Shed               Code = "shed"
+	LoadBound          Code = "load-bound"
+	TargetLeaving      Code = "target-leaving"
+	TargetDown         Code = "target-down"
+	TargetRefused      Code = "target-refused"
+	NoTarget           Code = "no-target"
+	NotHome            Code = "not-home"
+	ContextElsewhere   Code = "context-elsewhere"
+	HomeUnreachable    Code = "home-unreachable"
+	RetryBudget        Code = "retry-budget"
+	StreamBroken       Code = "stream-broken"
+	AnswerTruncated    Code = "answer-truncated"
+	AnswerMismatch     Code = "answer-mismatch"
+	NotRepeatable      Code = "not-repeatable"
+	JournalUnavailable Code = "journal-unavailable"
+	JournalConflict    Code = "journal-conflict"
+	KeyReused          Code = "key-reused"
+	KeyExpired         Code = "key-expired"
+	AttemptRunning     Code = "attempt-running"
+	ResultUnknown      Code = "result-unknown"
+	StoreUnavailable   Code = "store-unavailable"
+	VersionRequired    Code = "version-required"
+	VersionStale       Code = "version-stale"
+	InvalidDocument    Code = "invalid-document"
+	NotFound           Code = "not-found"
+	Internal           Code = "internal"
+)
+
+// Info describes a reason for the caller and the operator.
+type Info struct {
+	// Status is the HTTP status that goes with the reason when it is final.
+	Status int
+	// Retriable says that repeating the request later can succeed, so that
+	// Retry-After is set.
+	Retriable bool
+	// Text is one sentence for people.
+	Text string
+}
+
+var catalogue = map[Code]Info{
+	UnknownModel:       {404, false, "No service of that name takes chat requests."},
+	UnknownService:     {404, false, "No plain service of that name is configured."},
+	UnknownPath:        {404, false, "The path is not served."},
+	BodyTooLarge:       {413, false, "The request body is over the limit."},
+	MalformedBody:      {400, false, "The request body is not the JSON that the path takes."},
+	Unauthenticated:    {401, false, "The key is missing or not known."},
+	Forbidden:          {403, false, "The key is known but may not do this."},
+	Draining:           {503, true, "The router is stopping."},
+	NotReady:           {503, true, "The router has no settings yet."},
+	Deadline:           {504, true, "The deadline passed before the request was dispatched."},
+	AccountRate:        {429, true, "The client account is over its request rate."},
+	AccountConcurrency: {429, true, "The client account has too many requests in flight."},
+	ServiceRate:        {429, true, "The service is over its request rate."},
+	FleetRate:          {429, true, "The fleet is over its request rate."},
+	Overload:           {503, true, "Every target of the service is at its load bound."},
+	QueueFull:          {503, true, "The queue before the target is full."},
+	QueueTimeout:       {503, true, "The request waited for a target as long as it may."},
+	Shed:               {503, true, "The request gave way to requests of higher priority."},
+	LoadBound:          {503, true, "The target is at its load bound."},
+	TargetLeaving:      {503, true, "The target is leaving and takes no new work."},
+	TargetDown:         {503, true, "The target cannot be reached."},
+	TargetRefused:      {503, true, "The target refused the request before running it."},
+	NoTarget:           {503, true, "The service has no live target."},
+	NotHome:            {503, true, "The router asked is not the target's home."},
+	ContextElsewhere:   {503, true, "The chat's context is on another target."},
+	HomeUnreachable:    {503, true, "The target's home router cannot be reached."},
+	RetryBudget:        {503, true, "The retry budget is spent."},
+	StreamBroken:       {502, true, "The answer broke off and could not be resumed."},
+	AnswerTruncated:    {502, true, "The target's answer was not whole."},
+	AnswerMismatch:     {502, true, "The target answered for another attempt."},
+	NotRepeatable:      {502, false, "The request may have run and may not be repeated."},
+	JournalUnavailable: {503, true, "The intent could not be recorded, so nothing was run."},
+	JournalConflict:    {503, true, "Another router is recording the same key."},
+	KeyReused:          {422, false, "The idempotency key was used with another request."},
+	KeyExpired:         {410, false, "The idempotency key is older than its retention."},
+	AttemptRunning:     {409, true, "The first request with this key is still running."},
+	ResultUnknown:      {409, false, "The first request with this key may have run; its result is not known."},
+	StoreUnavailable:   {503, true, "The platform's object API does not answer."},
+	VersionRequired:    {428, false, "A change needs If-Match."},
+	VersionStale:       {412, false, "The object changed since the given version."},
+	InvalidDocument:    {422, false, "The document has findings."},
+	NotFound:           {404, false, "No such object."},
+	Internal:           {500, true, "The router met an unexpected fault."},
+}
+
+// Describe returns what is known of a code; an unlisted code is described as
+// Internal.
+func Describe(c Code) Info {
+	info, ok := catalogue[c]
+	if !ok {
+		return catalogue[Internal]
+	}
+	return info
+}
+
+// All returns every code in alphabetical order.
+func All() []Code {
+	codes := make([]Code, 0, len(catalogue))
+	for c := range catalogue {
+		codes = append(codes, c)
+	}
+	sort.Slice(codes, func(i, j int) bool { return codes[i] < codes[j] })
+	return codes
+}
