peer: streams, control calls and datagrams over QUIC with mutual TLS

Cause: entry and home need one stream a request, and control traffic needs calls and datagrams. Conclusion: an oversized frame or an undecodable call ends its stream only (tests in peer).

--- /dev/null
+++ b/peer/dial.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/quic-go/quic-go"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// Frames of a control call.
+const (
+	frameRequest FrameKind = iota + 1
+	frameReply
+	frameError
+	frameNoHandler
+)
+
+// connect returns the connection to addr, making one if there is none. One
+// goroutine dials; the others wait for it.
+func (n *Node) connect(ctx context.Context, addr string) (*quic.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.conns[addr]
+	if ok && l.dead() {
+		ok = false
+	}
+	if !ok {
+		l = &link{ready: make(chan struct{})}
+		n.conns[addr] = l
+		n.wait.Go(func() { n.dial(addr, l) })
+	}
+	n.mu.Unlock()
+	select {
+	case <-l.ready:
+		return l.conn, l.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, ctx.Err())
+	case <-n.ctx.Done():
+		return nil, fmt.Errorf("%w: %s: node stopped", ErrUnreachable, addr)
+	}
+}
+
+func (l *link) dead() bool {
+	select {
+	case <-l.ready:
+		return l.err != nil || l.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+func (n *Node) dial(addr string, l *link) {
+	defer close(l.ready)
+	target, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		l.err = fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := n.transport.Dial(ctx, target, n.cfg.TLS, quicConfig())
+	if err != nil {
+		l.err = fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+		return
+	}
+	l.conn = conn
+	n.serve(conn)
+}
+
+// Open starts a stream of the method to the router at addr. ErrUnreachable
+// means that the peer has seen nothing of it.
+func (n *Node) Open(ctx context.Context, addr string, method Method) (*Stream, error) {
+	return n.open(ctx, addr, classStream, method)
+}
+
+func (n *Node) open(ctx context.Context, addr string, class streamClass, method Method) (*Stream, error) {
+	conn, err := n.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	q, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+	}
+	s := newStream(q, n, class, method)
+	s.out = append(s.out, byte(class), byte(method))
+	return s, nil
+}
+
+// Call implements Caller.
+func (n *Node) Call(ctx context.Context, addr string, method Method, req, resp any) error {
+	payload, err := Encode(req)
+	if err != nil {
+		return err
+	}
+	s, err := n.open(ctx, addr, classCall, method)
+	if err != nil {
+		return err
+	}
+	s.limit = MaxControlBytes
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	defer s.quic.CancelRead(codeCancelled)
+	if err := s.Send(frameRequest, payload); err != nil {
+		return err
+	}
+	if err := s.Close(); err != nil {
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	return n.readReply(s, resp)
+}
+
+func (n *Node) readReply(s *Stream, resp any) error {
+	kind, payload, err := s.Receive()
+	if errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: no reply", ErrBroken)
+	}
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case frameReply:
+		if resp == nil {
+			return nil
+		}
+		return Decode(payload, resp)
+	case frameError:
+		return fmt.Errorf("%w: %s", ErrRemote, payload)
+	case frameNoHandler:
+		return ErrNoHandler
+	default:
+		return fmt.Errorf("%w: kind %d", ErrBadFrame, kind)
+	}
+}
+
+func (n *Node) serveCall(s *Stream, method Method, from fleet.RouterID) {
+	s.limit = MaxControlBytes
+	_, payload, err := s.Receive()
+	if err != nil {
+		s.Cancel()
+		return
+	}
+	defer s.Close()
+	handler, ok := n.cfg.Mux.calls[method]
+	if !ok {
+		s.Send(frameNoHandler, nil)
+		return
+	}
+	reply, err := handler(s.quic.Context(), from, payload)
+	if errors.Is(err, ErrBadFrame) {
+		n.badFrames.Add(1)
+	}
+	if err != nil {
+		s.Send(frameError, []byte(err.Error()))
+		return
+	}
+	s.SendValue(frameReply, reply)
+}
+
+// Send implements Caller.
+func (n *Node) Send(addr string, method Method, msg any) error {
+	payload, err := Encode(msg)
+	if err != nil {
+		return err
+	}
+	if len(payload)+1 > MaxDatagramBytes {
+		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, len(payload))
+	}
+	raw := append([]byte{byte(method)}, payload...)
+	if conn := n.connected(addr); conn != nil {
+		return n.sendDatagram(conn, method, raw)
+	}
+	n.wait.Go(func() { n.dialAndSend(addr, method, raw) })
+	return nil
+}
+
+// connected returns the open connection to addr, or nil.
+func (n *Node) connected(addr string) *quic.Conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.conns[addr]
+	if !ok || l.dead() {
+		return nil
+	}
+	select {
+	case <-l.ready:
+		return l.conn
+	default:
+		return nil
+	}
+}
+
+func (n *Node) dialAndSend(addr string, method Method, raw []byte) {
+	ctx, cancel := context.WithTimeout(n.ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := n.connect(ctx, addr)
+	if err != nil {
+		return
+	}
+	n.sendDatagram(conn, method, raw)
+}
+
+func (n *Node) sendDatagram(conn *quic.Conn, method Method, raw []byte) error {
+	if err := conn.SendDatagram(raw); err != nil {
+		return fmt.Errorf("%w: %v", ErrUnreachable, err)
+	}
+	n.count(classCall, method, directionSent, len(raw))
+	return nil
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,251 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+// Protocol is the ALPN name of the protocol between routers.
+const Protocol = "ragwort/1"
+
+const (
+	handshakeTimeout   = 2 * time.Second
+	idleTimeout        = 30 * time.Second
+	maxIncomingStreams = 20_000
+	codeStopped        = quic.ApplicationErrorCode(0)
+
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+type streamClass uint8
+
+const (
+	classCall streamClass = iota + 1
+	classStream
+)
+
+// Config says how a node listens.
+type Config struct {
+	// Addr is host:port of the UDP listener; port 0 takes a free one.
+	Addr string
+	// TLS is a configuration of keys.PeerTLS with Protocol.
+	TLS *tls.Config
+	// Mux holds the handlers; it must not change any more.
+	Mux *Mux
+	// Pool runs the handlers; a stream is refused when it is full.
+	Pool    *task.Pool
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Node is one router's end of the protocol. It is safe for concurrent use.
+type Node struct {
+	cfg       Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+	badFrames atomic.Uint64
+
+	mu    sync.Mutex
+	conns map[string]*link
+}
+
+// link is an outgoing connection or the attempt to make one.
+type link struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+}
+
+// Listen starts a node.
+func Listen(cfg Config) (*Node, error) {
+	addr, err := net.ResolveUDPAddr("udp", cfg.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer: address %s: %w", cfg.Addr, err)
+	}
+	socket, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer: listen %s: %w", cfg.Addr, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg: cfg, transport: &quic.Transport{Conn: socket},
+		ctx: ctx, cancel: cancel, conns: map[string]*link{},
+	}
+	n.listener, err = n.transport.Listen(cfg.TLS, quicConfig())
+	if err != nil {
+		cancel()
+		socket.Close()
+		return nil, fmt.Errorf("peer: listen %s: %w", cfg.Addr, err)
+	}
+	n.wait.Go(n.accept)
+	return n, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		MaxIncomingStreams:   maxIncomingStreams,
+		EnableDatagrams:      true,
+	}
+}
+
+// Addr returns host:port of the listener.
+func (n *Node) Addr() string {
+	return n.transport.Conn.LocalAddr().String()
+}
+
+// BadFrames returns how many frames were over their limit or not decodable.
+func (n *Node) BadFrames() uint64 {
+	return n.badFrames.Load()
+}
+
+// Close ends all connections at once and waits for the node's goroutines.
+func (n *Node) Close() error {
+	n.cancel()
+	err := n.listener.Close()
+	n.closeLinks()
+	n.wait.Wait()
+	n.transport.Close()
+	n.transport.Conn.Close()
+	return err
+}
+
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.conns {
+		select {
+		case <-l.ready:
+		default:
+			continue
+		}
+		if l.conn != nil {
+			l.conn.CloseWithError(codeStopped, "stopped")
+		}
+	}
+}
+
+func (n *Node) accept() {
+	for {
+		conn, err := n.listener.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		n.serve(conn)
+	}
+}
+
+// serve starts the goroutines of one connection, incoming or outgoing.
+func (n *Node) serve(conn *quic.Conn) {
+	from := peerName(conn)
+	n.wait.Go(func() { n.acceptStreams(conn, from) })
+	n.wait.Go(func() { n.receiveDatagrams(conn, from) })
+}
+
+func peerName(conn *quic.Conn) fleet.RouterID {
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return ""
+	}
+	return fleet.RouterID(certs[0].Subject.CommonName)
+}
+
+func (n *Node) acceptStreams(conn *quic.Conn, from fleet.RouterID) {
+	defer conn.CloseWithError(codeStopped, "stopped")
+	for {
+		q, err := conn.AcceptStream(n.ctx)
+		if err != nil {
+			return
+		}
+		if err := n.cfg.Pool.Go(func() { n.serveStream(q, from) }); err != nil {
+			q.CancelRead(codeBusy)
+			q.CancelWrite(codeBusy)
+			event.PeerBusy.Log(n.cfg.Log).Str("peer", string(from)).Send()
+		}
+	}
+}
+
+func (n *Node) serveStream(q *quic.Stream, from fleet.RouterID) {
+	var head [2]byte
+	if _, err := io.ReadFull(q, head[:]); err != nil {
+		q.CancelRead(codeCancelled)
+		q.CancelWrite(codeCancelled)
+		return
+	}
+	class, method := streamClass(head[0]), Method(head[1])
+	s := newStream(q, n, class, method)
+	switch class {
+	case classCall:
+		n.serveCall(s, method, from)
+	case classStream:
+		n.serveLong(s, method, from)
+	default:
+		s.reject()
+	}
+}
+
+func (n *Node) serveLong(s *Stream, method Method, from fleet.RouterID) {
+	handler, ok := n.cfg.Mux.streams[method]
+	if !ok {
+		s.reject()
+		return
+	}
+	handler(s.quic.Context(), from, s)
+	s.Close()
+	s.quic.CancelRead(codeCancelled)
+}
+
+func (n *Node) receiveDatagrams(conn *quic.Conn, from fleet.RouterID) {
+	for {
+		raw, err := conn.ReceiveDatagram(n.ctx)
+		if err != nil {
+			return
+		}
+		n.dispatchDatagram(raw, from)
+	}
+}
+
+func (n *Node) dispatchDatagram(raw []byte, from fleet.RouterID) {
+	if len(raw) < 2 {
+		n.badFrames.Add(1)
+		return
+	}
+	method := Method(raw[0])
+	n.count(classCall, method, directionReceived, len(raw))
+	handler, ok := n.cfg.Mux.datagrams[method]
+	if !ok {
+		n.badFrames.Add(1)
+		return
+	}
+	handler(from, raw[1:])
+}
+
+func (n *Node) count(class streamClass, method Method, direction string, bytes int) {
+	if n.cfg.Metrics == nil {
+		return
+	}
+	if class == classStream {
+		n.cfg.Metrics.DataBytes.WithLabelValues(direction).Add(float64(bytes))
+		return
+	}
+	n.cfg.Metrics.ControlBytes.WithLabelValues(method.String(), direction).Add(float64(bytes))
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+const testTimeout = 10 * time.Second
+
+func startNode(t *testing.T, ca *keys.Authority, name string, mux *Mux) *Node {
+	t.Helper()
+	pair, err := ca.Issue(name, []string{"127.0.0.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := keys.PeerTLS(pair, ca.Pair().Cert, Protocol)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool, err := task.NewPool(64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Listen(Config{Addr: "127.0.0.1:0", TLS: cfg, Mux: mux, Pool: pool, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.Close()
+		pool.Release()
+	})
+	return n
+}
+
+type echo struct {
+	Text string         `cbor:"1,keyasint"`
+	From fleet.RouterID `cbor:"2,keyasint"`
+}
+
+func pair(t *testing.T, mux *Mux) (client, server *Node) {
+	t.Helper()
+	ca, err := keys.NewAuthority("ca")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startNode(t, ca, "r1", NewMux()), startNode(t, ca, "r2", mux)
+}
+
+func TestCallTellsWhoCalls(t *testing.T) {
+	mux := NewMux()
+	mux.HandleCall(MethodStatus, func(_ context.Context, from fleet.RouterID, payload []byte) (any, error) {
+		var in echo
+		if err := Decode(payload, &in); err != nil {
+			return nil, err
+		}
+		in.From = from
+		return in, nil
+	})
+	client, server := pair(t, mux)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var out echo
+	if err := client.Call(ctx, server.Addr(), MethodStatus, echo{Text: "a"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	if out.Text != "a" || out.From != "r1" {
+		t.Fatalf("got %+v", out)
+	}
+	if err := client.Call(ctx, server.Addr(), MethodLoad, echo{}, &out); !errors.Is(err, ErrNoHandler) {
+		t.Fatalf("unknown method: %v", err)
+	}
+	if err := client.Call(ctx, server.Addr(), MethodStatus, 7, &out); !errors.Is(err, ErrRemote) {
+		t.Fatalf("undecodable payload: %v", err)
+	}
+	if server.BadFrames() != 1 {
+		t.Fatalf("bad frames %d, want 1", server.BadFrames())
+	}
+}
+
+func TestOversizedFrameHarmsOnlyItsStream(t *testing.T) {
+	mux := NewMux()
+	mux.HandleStream(MethodForward, func(_ context.Context, _ fleet.RouterID, s *Stream) {
+		for {
+			kind, payload, err := s.Receive()
+			if err != nil {
+				return
+			}
+			if s.Send(kind, payload) != nil {
+				return
+			}
+		}
+	})
+	client, server := pair(t, mux)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	good, err := client.Open(ctx, server.Addr(), MethodForward)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad, err := client.Open(ctx, server.Addr(), MethodForward)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad.out = append(bad.out, 1, 0xff, 0xff, 0xff, 0xff)
+	if err := bad.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := bad.Receive(); err == nil {
+		t.Fatal("an oversized frame was answered")
+	}
+	if server.BadFrames() != 1 {
+		t.Fatalf("bad frames %d, want 1", server.BadFrames())
+	}
+	if err := good.Send(3, []byte("whole")); err != nil {
+		t.Fatal(err)
+	}
+	kind, payload, err := good.Receive()
+	if err != nil || kind != 3 || !bytes.Equal(payload, []byte("whole")) {
+		t.Fatalf("got %d %q %v", kind, payload, err)
+	}
+	if err := good.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := good.Receive(); !errors.Is(err, io.EOF) {
+		t.Fatalf("after close: %v, want io.EOF", err)
+	}
+}
+
+func TestDeadPeerIsUnreachable(t *testing.T) {
+	client, server := pair(t, NewMux())
+	addr := server.Addr()
+	server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if _, err := client.Open(ctx, addr, MethodForward); !errors.Is(err, ErrUnreachable) {
+		t.Fatalf("got %v, want ErrUnreachable", err)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -123,7 +123,8 @@
 type Caller interface {
 	// Call sends req as CBOR and decodes the answer into resp.
 	Call(ctx context.Context, addr string, method Method, req, resp any) error
-	// Send sends msg as one datagram; it may be lost. Messages over
+	// Send sends msg as one datagram without blocking; it may be lost. A
+	// connection is made in the background where there is none. Messages over
 	// MaxDatagramBytes return ErrFrameTooLarge.
 	Send(addr string, method Method, msg any) error
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -1,4 +1,193 @@
 package peer
 
-// Stream is one forwarded request's stream.
-type Stream struct{}
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	frameHeaderBytes = 5
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
+
+	codeCancelled quic.StreamErrorCode = 1
+	codeBadFrame  quic.StreamErrorCode = 2
+	codeBusy      quic.StreamErrorCode = 3
+)
+
+// FrameKind tells frames of one stream apart; the kinds belong to the stream's
+// method.
+type FrameKind uint8
+
+// Stream is a bidirectional sequence of frames. One goroutine may send while
+// another receives; Cancel may be called at any time.
+type Stream struct {
+	quic  *quic.Stream
+	in    *bufio.Reader
+	out   []byte
+	frame []byte
+	limit int
+	node  *Node
+	class streamClass
+	label Method
+}
+
+func newStream(q *quic.Stream, n *Node, class streamClass, method Method) *Stream {
+	return &Stream{
+		quic: q, in: bufio.NewReaderSize(q, readBufferBytes), limit: MaxForwardBytes,
+		node: n, class: class, label: method,
+	}
+}
+
+// Queue adds a frame to the send buffer and sends the buffer once it is large.
+func (s *Stream) Queue(kind FrameKind, parts ...[]byte) error {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	if size > s.limit {
+		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+	}
+	s.out = append(s.out, byte(kind))
+	s.out = binary.BigEndian.AppendUint32(s.out, uint32(size))
+	for _, p := range parts {
+		s.out = append(s.out, p...)
+	}
+	if len(s.out) < writeBufferBytes {
+		return nil
+	}
+	return s.Flush()
+}
+
+// Flush sends what is queued.
+func (s *Stream) Flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_, err := s.quic.Write(s.out)
+	s.node.count(s.class, s.label, directionSent, len(s.out))
+	s.out = s.out[:0]
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	return nil
+}
+
+// Send queues one frame and sends all that is queued.
+func (s *Stream) Send(kind FrameKind, payload []byte) error {
+	if err := s.Queue(kind, payload); err != nil {
+		return err
+	}
+	return s.Flush()
+}
+
+// SendValue sends v as the CBOR payload of one frame.
+func (s *Stream) SendValue(kind FrameKind, v any) error {
+	payload, err := Encode(v)
+	if err != nil {
+		return err
+	}
+	return s.Send(kind, payload)
+}
+
+// Receive returns the next frame; its payload is valid until the next call.
+// It returns io.EOF after the peer's last frame, ErrFrameTooLarge for a frame
+// over the limit, and ErrBroken when the stream breaks.
+func (s *Stream) Receive() (FrameKind, []byte, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(s.in, header[:]); err != nil {
+		return 0, nil, receiveError(err, errors.Is(err, io.EOF))
+	}
+	size := int(binary.BigEndian.Uint32(header[1:]))
+	if size > s.limit {
+		s.reject()
+		return 0, nil, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+	}
+	if cap(s.frame) < size {
+		s.frame = make([]byte, size)
+	}
+	payload := s.frame[:size]
+	if _, err := io.ReadFull(s.in, payload); err != nil {
+		return 0, nil, receiveError(err, false)
+	}
+	s.node.count(s.class, s.label, directionReceived, size+frameHeaderBytes)
+	return FrameKind(header[0]), payload, nil
+}
+
+// Buffered reports whether a whole further frame has already arrived.
+func (s *Stream) Buffered() bool {
+	if s.in.Buffered() < frameHeaderBytes {
+		return false
+	}
+	header, err := s.in.Peek(frameHeaderBytes)
+	if err != nil {
+		return false
+	}
+	return s.in.Buffered() >= frameHeaderBytes+int(binary.BigEndian.Uint32(header[1:]))
+}
+
+// Reject closes the stream for a frame that could not be decoded and counts it.
+func (s *Stream) Reject() {
+	s.reject()
+}
+
+func (s *Stream) reject() {
+	s.node.badFrames.Add(1)
+	s.quic.CancelRead(codeBadFrame)
+	s.quic.CancelWrite(codeBadFrame)
+}
+
+// Cancel ends the stream in both directions at once.
+func (s *Stream) Cancel() {
+	s.quic.CancelRead(codeCancelled)
+	s.quic.CancelWrite(codeCancelled)
+}
+
+// Close sends what is queued and ends the sending side; the peer then receives
+// io.EOF.
+func (s *Stream) Close() error {
+	if err := s.Flush(); err != nil {
+		return err
+	}
+	return s.quic.Close()
+}
+
+func receiveError(err error, clean bool) error {
+	if clean {
+		return io.EOF
+	}
+	return fmt.Errorf("%w: %v", ErrBroken, err)
+}
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns v as CBOR.
+func Encode(v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode %T: %w", v, err)
+	}
+	return payload, nil
+}
+
+// Decode reads CBOR into v; it returns ErrBadFrame when payload is not v's.
+func Decode(payload []byte, v any) error {
+	if err := decoder.Unmarshal(payload, v); err != nil {
+		return fmt.Errorf("%w: %v", ErrBadFrame, err)
+	}
+	return nil
+}
