--- /dev/null
+++ b/router/home/dispatch.go
@@ -0,0 +1,118 @@
+package home
+
+import (
+	"context"
+	"errors"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/wire"
+)
+
+func (h *Home) dispatchChat(ctx context.Context, t fleet.Target, fwd *wire.Forward, sink wire.Sink) wire.End {
+	answer, err := h.open(ctx, t, fwd)
+	if err != nil {
+		return chatEnd(ctx, err)
+	}
+	stop := context.AfterFunc(ctx, func() { answer.Close() })
+	defer stop()
+	defer answer.Close()
+	head := wire.Head{Status: answer.Status(), CachedTokens: answer.CachedTokens()}
+	if err := sink.Head(head); err != nil {
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	}
+	return relay(ctx, answer, sink)
+}
+
+func (h *Home) open(ctx context.Context, t fleet.Target, fwd *wire.Forward) (engine.Answer, error) {
+	if fwd.Resume {
+		return h.cfg.Engine.Resume(ctx, t.Addr, fwd.Attempt, fwd.ResumeFrom)
+	}
+	return h.cfg.Engine.Chat(ctx, t.Addr, engine.Request{
+		Attempt: fwd.Attempt, Chat: fwd.Chat, Priority: fwd.Priority, Body: fwd.Body, Stream: fwd.Stream,
+	})
+}
+
+// buffered is implemented by answers that know whether a further event is at
+// hand, so that several can go out in one write.
+type buffered interface {
+	Buffered() bool
+}
+
+func relay(ctx context.Context, answer engine.Answer, sink wire.Sink) wire.End {
+	more, _ := answer.(buffered)
+	for {
+		ev, err := answer.Next()
+		if err != nil {
+			return chatEnd(ctx, err)
+		}
+		if ev.Done {
+			return wire.End{Outcome: outcome.Answered}
+		}
+		if err := sink.Event(ev.Seq, ev.Data); err != nil {
+			return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+		}
+		if more != nil && more.Buffered() {
+			continue
+		}
+		if err := sink.Flush(); err != nil {
+			return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+		}
+	}
+}
+
+func chatEnd(ctx context.Context, err error) wire.End {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return wire.Refused(reason.TargetDown, wire.Hint{})
+	case errors.Is(err, engine.ErrLeaving):
+		return wire.Refused(reason.TargetLeaving, wire.Hint{})
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoStream):
+		return wire.Refused(reason.TargetRefused, wire.Hint{})
+	case ctx.Err() != nil:
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.Deadline}
+	case errors.Is(err, engine.ErrMismatch):
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerMismatch}
+	case errors.Is(err, engine.ErrTruncated):
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
+	default:
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	}
+}
+
+func (h *Home) dispatchPlain(ctx context.Context, t fleet.Target, fwd *wire.Forward, sink wire.Sink) wire.End {
+	answer, err := h.cfg.Plain.Do(ctx, t.Addr, plain.Call{
+		Attempt: fwd.Attempt, Method: fwd.Method, Path: fwd.Path, Header: fwd.Header,
+		Body: fwd.Body, IdempotencyKey: fwd.IdempotencyKey,
+	})
+	if err != nil {
+		return plainEnd(ctx, err)
+	}
+	if err := sink.Head(wire.Head{Status: answer.Status, Header: answer.Header, CachedTokens: -1}); err != nil {
+		return wire.End{Outcome: outcome.Answered, Reason: reason.StreamBroken}
+	}
+	if err := sink.Event(0, answer.Body); err != nil {
+		return wire.End{Outcome: outcome.Answered, Reason: reason.StreamBroken}
+	}
+	return wire.End{Outcome: outcome.Answered}
+}
+
+func plainEnd(ctx context.Context, err error) wire.End {
+	switch {
+	case errors.Is(err, plain.ErrNotSent):
+		return wire.Refused(reason.TargetDown, wire.Hint{})
+	case errors.Is(err, plain.ErrRefused):
+		return wire.Refused(reason.TargetRefused, wire.Hint{})
+	case ctx.Err() != nil:
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.Deadline}
+	case errors.Is(err, plain.ErrMismatch):
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerMismatch}
+	case errors.Is(err, plain.ErrTruncated):
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
+	default:
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	}
+}
--- /dev/null
+++ b/router/home/home.go
@@ -0,0 +1,101 @@
+// Package home is the home role: the single gate before each target that this
+// router is home to. It admits attempts, dispatches them and passes the answers
+// back.
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/wire"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// Gate decides whether an attempt may go to its target now. Implementations are
+// safe for concurrent use.
+type Gate interface {
+	// Acquire waits for room before the target as far as the attempt allows.
+	// It returns a function to call once when the attempt is over, or nil and
+	// the refusal.
+	Acquire(ctx context.Context, t fleet.Target, fwd *wire.Forward) (release func(), refusal wire.End)
+}
+
+// Config is what a home needs.
+type Config struct {
+	Self     fleet.RouterID
+	Snapshot func() *settings.Snapshot
+	Gate     Gate
+	Engine   engine.Client
+	Plain    plain.Client
+	Metrics  *metrics.Set
+	Log      zerolog.Logger
+}
+
+// Home serves attempts. It is safe for concurrent use.
+type Home struct {
+	cfg Config
+}
+
+// New returns a home.
+func New(cfg Config) *Home {
+	return &Home{cfg: cfg}
+}
+
+// HandleStream serves a forwarded attempt from another router; it is the
+// handler of peer.MethodForward.
+func (h *Home) HandleStream(ctx context.Context, _ fleet.RouterID, s *peer.Stream) {
+	kind, payload, err := s.Receive()
+	if err != nil {
+		return
+	}
+	var fwd wire.Forward
+	if kind != wire.FrameForward || peer.Decode(payload, &fwd) != nil {
+		s.Reject()
+		return
+	}
+	sink := wire.NewStreamSink(s)
+	sink.End(h.Serve(ctx, &fwd, sink))
+}
+
+// Serve admits and dispatches one attempt and passes its answer to sink. It
+// returns when the attempt is over; cancelling ctx cancels it at the target.
+func (h *Home) Serve(ctx context.Context, fwd *wire.Forward, sink wire.Sink) wire.End {
+	target, ok := h.target(fwd)
+	if !ok {
+		return wire.Refused(reason.NoTarget, wire.Hint{})
+	}
+	if fwd.DeadlineMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(fwd.DeadlineMS)*time.Millisecond)
+		defer cancel()
+	}
+	release, refusal := h.cfg.Gate.Acquire(ctx, target, fwd)
+	if release == nil {
+		return refusal
+	}
+	defer release()
+	gauge := h.cfg.Metrics.InFlight.WithLabelValues("home")
+	gauge.Inc()
+	defer gauge.Dec()
+	if fwd.Kind == fleet.KindPlain {
+		return h.dispatchPlain(ctx, target, fwd, sink)
+	}
+	return h.dispatchChat(ctx, target, fwd, sink)
+}
+
+func (h *Home) target(fwd *wire.Forward) (fleet.Target, bool) {
+	for _, t := range h.cfg.Snapshot().Targets[fwd.Service] {
+		if t.ID == fwd.Target {
+			return t, true
+		}
+	}
+	return fleet.Target{}, false
+}
