--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+// LoadDir reads the documents below dir: fleet.json and KIND/NAME.json. Files
+// that cannot be read, and files and directories of no known kind, are
+// findings. The documents themselves are checked by Build. Versions count the
+// files from one, so that the objects can be built as they are.
+func LoadDir(dir string) ([]platform.Object, Findings) {
+	return LoadFS(os.DirFS(dir))
+}
+
+// LoadFS is LoadDir for a file system.
+func LoadFS(dir fs.FS) ([]platform.Object, Findings) {
+	var objs []platform.Object
+	var findings Findings
+	err := fs.WalkDir(dir, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			findings = append(findings, Finding{File: path, Message: err.Error()})
+			return nil
+		}
+		if entry.IsDir() {
+			return nil
+		}
+		kind, name, ok := objectOf(path)
+		if !ok {
+			findings = append(findings, Finding{File: path, Message: "not fleet.json or KIND/NAME.json of a known kind"})
+			return nil
+		}
+		data, err := fs.ReadFile(dir, path)
+		if err != nil {
+			findings = append(findings, Finding{File: path, Message: err.Error()})
+			return nil
+		}
+		version := uint64(len(objs) + 1)
+		objs = append(objs, platform.Object{Kind: kind, Name: name, Version: version, Data: data})
+		return nil
+	})
+	if err != nil {
+		findings = append(findings, Finding{File: ".", Message: err.Error()})
+	}
+	return objs, findings.sorted()
+}
+
+func objectOf(path string) (kind, name string, ok bool) {
+	base, isJSON := strings.CutSuffix(path, ".json")
+	if !isJSON {
+		return "", "", false
+	}
+	if base == FleetName {
+		return KindFleet, FleetName, true
+	}
+	kind, name, ok = strings.Cut(base, "/")
+	_, known := shapes[kind]
+	return kind, name, ok && known && kind != KindFleet && !strings.Contains(name, "/")
+}
+
+// readFile reads a file for a document of its own.
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(filepath.Clean(path))
+	var pathError *fs.PathError
+	if errors.As(err, &pathError) {
+		return nil, fmt.Errorf("cannot be read: %w", pathError.Err)
+	}
+	return data, err
+}
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -43,7 +43,12 @@
 	Domains map[fleet.DomainName]fleet.RegionName
 	// Targets are sorted by id within a service.
 	Targets map[fleet.ServiceName][]fleet.Target
-	Rules   []Rule
+	// Rules are sorted by name; the first that matches decides.
+	Rules []Rule
+	// Operators of the administration API.
+	Operators []Operator
+	// ContextKeys authenticate context tokens; the first signs.
+	ContextKeys []ContextKey
 
 	levels    levels
 	effective sync.Map
