--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -82,13 +82,8 @@
 
 func (s *Snapshot) merge(key scope) *Values {
 	v := Defaults()
-	for _, raw := range []json.RawMessage{
-		s.levels.fleet,
-		s.levels.domains[key.domain],
-		s.levels.services[key.service],
-		s.levels.accounts[key.account],
-	} {
-		overlay(&v, raw)
+	for _, l := range s.layers(key) {
+		overlay(&v, l.raw)
 	}
 	return &v
 }
