router, caller, measure/bed: assembly of a router and of a fleet in one process

Change: callers' face on hertz, router assembly, forwarding over peer streams, a bed of stand-ins and routers.

--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/router/wire"
+)
+
+// answer writes an answer to the caller as it comes: as server-sent events
+// where the request asked for a stream, else as one body once it is whole.
+type answer struct {
+	c      *app.RequestContext
+	stream bool
+	writer network.ExtWriter
+	line   []byte
+	status int
+	body   []byte
+}
+
+// Head implements wire.Sink.
+func (a *answer) Head(h wire.Head) error {
+	a.status = h.Status
+	for _, field := range h.Header {
+		a.c.Response.Header.Add(field.Name, field.Value)
+	}
+	if !a.streams() {
+		return nil
+	}
+	a.c.SetStatusCode(h.Status)
+	a.c.Response.Header.Set("Content-Type", "text/event-stream")
+	a.c.Response.Header.Set("Cache-Control", "no-store")
+	a.writer = resp.NewChunkedBodyWriter(&a.c.Response, a.c.GetWriter())
+	a.c.Response.HijackWriter(a.writer)
+	return nil
+}
+
+func (a *answer) streams() bool {
+	return a.stream && a.status == 200
+}
+
+// Event implements wire.Sink.
+func (a *answer) Event(seq uint64, data []byte) error {
+	if !a.streams() {
+		a.body = append(a.body, data...)
+		return nil
+	}
+	a.line = append(a.line[:0], "id: "...)
+	a.line = strconv.AppendUint(a.line, seq, 10)
+	a.line = append(a.line, "\ndata: "...)
+	a.line = append(a.line, data...)
+	a.line = append(a.line, "\n\n"...)
+	_, err := a.writer.Write(a.line)
+	return err
+}
+
+// Flush implements wire.Sink.
+func (a *answer) Flush() error {
+	if a.writer == nil {
+		return nil
+	}
+	return a.writer.Flush()
+}
+
+// serve runs a request and ends its answer.
+func (f *Face) serve(ctx context.Context, c *app.RequestContext, req *entry.Request) {
+	out := &answer{c: c, stream: req.Stream}
+	result := f.cfg.Server.Do(ctx, req, out)
+	switch {
+	case out.writer != nil:
+		f.endStream(out, result)
+	case result.Whole():
+		c.Response.Header.Set(HeaderOutcome, string(outcome.Completed))
+		c.Response.SetStatusCode(out.status)
+		c.Response.SetBodyRaw(out.body)
+	default:
+		f.refuse(c, result.Reason, result.Outcome.Word(), "", result.RetryAfter)
+		event.RequestRefused.Log(f.cfg.Log).Str("request", string(req.ID)).Str("reason", string(result.Reason)).Send()
+		return
+	}
+	event.RequestDone.Log(f.cfg.Log).Str("request", string(req.ID)).Int("attempts", result.Attempts).Send()
+}
+
+// endStream ends a stream with [DONE] only if it is whole.
+func (f *Face) endStream(out *answer, result entry.Result) {
+	last := "data: [DONE]\n\n"
+	if !result.Whole() {
+		code := result.Reason
+		if code == reason.None {
+			code = reason.StreamBroken
+		}
+		f.cfg.Metrics.Refused(code)
+		body, _ := json.Marshal(errorOf(code, result.Outcome.Word(), ""))
+		last = "event: error\ndata: " + string(body) + "\n\n"
+	}
+	out.writer.Write([]byte(last))
+	out.writer.Flush()
+	out.writer.Finalize()
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,148 @@
+// Package caller is the HTTP face towards callers: OpenAI chat completions,
+// plain services, health, readiness and metrics.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/router/wire"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 4 << 20
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 90 * time.Second
+	exitWait       = 50 * time.Millisecond
+)
+
+// Server serves requests; *entry.Entry implements it.
+type Server interface {
+	Do(ctx context.Context, req *entry.Request, out wire.Sink) entry.Result
+}
+
+// Config is what the face needs.
+type Config struct {
+	// Addr is host:port; port 0 takes a free one.
+	Addr string
+	// TLS of the listener; nil serves without.
+	TLS      *tls.Config
+	Server   Server
+	Snapshot func() *settings.Snapshot
+	// Ready reports whether the router takes requests.
+	Ready func() bool
+	// Self says whose settings are in force.
+	Self    fleet.Router
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Face is the running listener.
+type Face struct {
+	cfg      Config
+	listener net.Listener
+	hertz    *server.Hertz
+	index    accountIndex
+	draining atomic.Bool
+	inFlight atomic.Int64
+	done     chan struct{}
+}
+
+// Listen opens the listener; Run serves it.
+func Listen(cfg Config) (*Face, error) {
+	l, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("caller: listen %s: %w", cfg.Addr, err)
+	}
+	hlog.SetSilentMode(true)
+	hlog.SetLevel(hlog.LevelFatal)
+	opts := []config.Option{
+		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithStreamBody(true),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithExitWaitTime(exitWait),
+		server.WithDisablePrintRoute(true),
+		server.WithDisableDefaultDate(true),
+	}
+	if cfg.TLS != nil {
+		opts = append(opts, server.WithTLS(cfg.TLS))
+	}
+	f := &Face{cfg: cfg, listener: l, hertz: server.New(opts...), done: make(chan struct{})}
+	f.routes()
+	return f, nil
+}
+
+func (f *Face) routes() {
+	f.hertz.POST("/v1/chat/completions", f.chat)
+	f.hertz.Any("/s/:service/*path", f.plain)
+	f.hertz.GET("/healthz", f.health)
+	f.hertz.GET("/readyz", f.ready)
+	f.hertz.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(f.cfg.Metrics.Registry, promhttp.HandlerOpts{})))
+	f.hertz.NoRoute(f.unknownPath)
+}
+
+// Addr returns host:port of the listener.
+func (f *Face) Addr() string {
+	return f.listener.Addr().String()
+}
+
+// Run serves until Close.
+func (f *Face) Run() error {
+	defer close(f.done)
+	return f.hertz.Run()
+}
+
+// Drain makes readiness fail.
+func (f *Face) Drain() {
+	f.draining.Store(true)
+}
+
+// InFlight returns the number of requests being served.
+func (f *Face) InFlight() int {
+	return int(f.inFlight.Load())
+}
+
+// Close stops the listener and waits for Run.
+func (f *Face) Close(ctx context.Context) error {
+	err := f.hertz.Shutdown(ctx)
+	f.listener.Close()
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+func (f *Face) health(_ context.Context, c *app.RequestContext) {
+	c.String(200, "ok\n")
+}
+
+func (f *Face) ready(_ context.Context, c *app.RequestContext) {
+	if f.draining.Load() || !f.cfg.Ready() {
+		c.String(503, "not ready\n")
+		return
+	}
+	c.String(200, "ready\n")
+}
--- /dev/null
+++ b/caller/refuse.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+)
+
+// Names of the headers of the callers' contract.
+const (
+	HeaderRequest  = "Ragwort-Request"
+	HeaderOutcome  = "Ragwort-Outcome"
+	HeaderReason   = "Ragwort-Reason"
+	HeaderContext  = "Ragwort-Context"
+	HeaderChat     = "Ragwort-Chat"
+	HeaderDeadline = "Ragwort-Deadline-Ms"
+	HeaderKey      = "Idempotency-Key"
+	headerRetry    = "Retry-After"
+)
+
+const defaultRetryAfter = time.Second
+
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Outcome string `json:"outcome"`
+}
+
+func errorOf(code reason.Code, word outcome.Word, detail string) errorBody {
+	info := reason.Describe(code)
+	message := info.Text
+	if detail != "" {
+		message += " " + detail
+	}
+	kind := "server_error"
+	if info.Status < 500 {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorFields{Code: string(code), Message: message, Type: kind, Outcome: string(word)}}
+}
+
+// refuse answers a request that has no answer of a target.
+func (f *Face) refuse(c *app.RequestContext, code reason.Code, word outcome.Word, detail string, after time.Duration) {
+	info := reason.Describe(code)
+	f.cfg.Metrics.Refused(code)
+	body, _ := json.Marshal(errorOf(code, word, detail))
+	c.Response.Header.Set(HeaderOutcome, string(word))
+	c.Response.Header.Set(HeaderReason, string(code))
+	if info.Retriable {
+		c.Response.Header.Set(headerRetry, retryAfter(after))
+	}
+	c.Data(info.Status, "application/json", body)
+}
+
+// retryAfter rounds up to whole seconds, as the header takes them.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func (f *Face) notRun(c *app.RequestContext, code reason.Code, detail string) {
+	f.refuse(c, code, outcome.NotRun, detail, 0)
+}
+
+func (f *Face) unknownPath(_ context.Context, c *app.RequestContext) {
+	f.notRun(c, reason.UnknownPath, "")
+}
--- /dev/null
+++ b/measure/bed/load.go
@@ -0,0 +1,227 @@
+package bed
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/router"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// load starts the targets' stand-ins and writes the documents.
+func (b *Bed) load(ctx context.Context) error {
+	snapshot, findings := settings.Build(b.cfg.Objects)
+	if len(findings) > 0 {
+		return findings
+	}
+	b.domains = snapshot.Domains
+	for _, o := range b.cfg.Objects {
+		data, err := b.prepare(o, snapshot)
+		if err != nil {
+			return err
+		}
+		if _, err := b.Store.Put(ctx, o.Kind, o.Name, data, 0); err != nil {
+			return fmt.Errorf("bed: put %s/%s: %w", o.Kind, o.Name, err)
+		}
+	}
+	return nil
+}
+
+// prepare gives targets their stand-ins and accounts and operators their keys.
+func (b *Bed) prepare(o platform.Object, s *settings.Snapshot) ([]byte, error) {
+	var doc map[string]any
+	if err := json.Unmarshal(o.Data, &doc); err != nil {
+		return nil, fmt.Errorf("bed: %s/%s: %w", o.Kind, o.Name, err)
+	}
+	var err error
+	switch o.Kind {
+	case settings.KindTargets:
+		service := s.Services[fleet.ServiceName(doc["service"].(string))]
+		doc["addr"], err = b.startTarget(fleet.TargetID(o.Name), service.Kind)
+	case settings.KindClientAccounts:
+		doc["key_hashes"], err = b.accountKey(fleet.AccountName(o.Name))
+	case settings.KindFleet:
+		err = b.operatorTokens(doc)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(doc)
+}
+
+func (b *Bed) accountKey(name fleet.AccountName) ([]string, error) {
+	secret, err := keys.NewSecret("rwk_")
+	if err != nil {
+		return nil, err
+	}
+	b.AccountKeys[name] = secret
+	return []string{keys.Hash(secret)}, nil
+}
+
+func (b *Bed) operatorTokens(doc map[string]any) error {
+	operators, _ := doc["operators"].([]any)
+	for _, raw := range operators {
+		operator := raw.(map[string]any)
+		token, err := keys.NewSecret("rwo_")
+		if err != nil {
+			return err
+		}
+		b.OperatorTokens[operator["name"].(string)] = token
+		operator["token_hash"] = keys.Hash(token)
+	}
+	return nil
+}
+
+func (b *Bed) startTarget(id fleet.TargetID, kind fleet.TargetKind) (string, error) {
+	if kind == fleet.KindPlain {
+		return b.startService(id)
+	}
+	cfg := standin.EngineConfig{Addr: loopback, ID: id, Seed: b.rand.Uint64()}
+	if b.cfg.Engine != nil {
+		b.cfg.Engine(&cfg)
+	}
+	e, err := standin.StartEngine(cfg)
+	if err != nil {
+		return "", fmt.Errorf("bed: engine %s: %w", id, err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines[id] = e
+	return e.Addr(), nil
+}
+
+func (b *Bed) startService(id fleet.TargetID) (string, error) {
+	cfg := standin.ServiceConfig{Addr: loopback, ID: id, Seed: b.rand.Uint64()}
+	if b.cfg.Service != nil {
+		b.cfg.Service(&cfg)
+	}
+	s, err := standin.StartService(cfg)
+	if err != nil {
+		return "", fmt.Errorf("bed: service %s: %w", id, err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.services[id] = s
+	return s.Addr(), nil
+}
+
+// AddEngine starts a further engine and writes its target document.
+func (b *Bed) AddEngine(ctx context.Context, id fleet.TargetID, service fleet.ServiceName, domain fleet.DomainName) error {
+	addr, err := b.startTarget(id, fleet.KindEngine)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(map[string]any{"service": service, "failure_domain": domain, "addr": addr})
+	if err != nil {
+		return err
+	}
+	_, err = b.Store.Put(ctx, settings.KindTargets, string(id), data, 0)
+	return err
+}
+
+// Change merges a JSON merge patch into a document, conditionally on its
+// present version, and returns the new version.
+func (b *Bed) Change(ctx context.Context, kind, name string, change func(doc map[string]any)) (uint64, error) {
+	o, err := b.Store.Get(ctx, kind, name)
+	if err != nil {
+		return 0, err
+	}
+	var doc map[string]any
+	if err := json.Unmarshal(o.Data, &doc); err != nil {
+		return 0, err
+	}
+	change(doc)
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return 0, err
+	}
+	return b.Store.Put(ctx, kind, name, data, o.Version)
+}
+
+// StartRouter starts a router and adds it to the platform's VM list.
+func (b *Bed) StartRouter(id fleet.RouterID, domain fleet.DomainName) (*Member, error) {
+	pair, err := b.authority.Issue(string(id), []string{"127.0.0.1"})
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	store := platform.NewClient(platform.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
+	client := engine.Client(engine.NewClient(engine.ClientConfig{}))
+	if b.cfg.EngineClient != nil {
+		client = b.cfg.EngineClient(client)
+	}
+	deps := router.Deps{
+		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{}),
+		Metrics: set, Log: b.cfg.Log,
+	}
+	if b.cfg.Policy != nil {
+		deps.Policy = b.cfg.Policy()
+	}
+	cfg := router.Config{
+		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
+		CallerAddr: loopback, PeerAddr: loopback, Pair: pair, Authority: b.authority.Pair().Cert, PlainCallers: true,
+	}
+	if b.cfg.Operators {
+		cfg.OperatorAddr = loopback
+	}
+	r, err := router.New(cfg, deps)
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{Router: r, done: make(chan struct{})}
+	b.SetVM(platform.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(m.done)
+		m.err = r.Run(ctx)
+	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = append(b.routers, m)
+	return m, nil
+}
+
+// SetVM adds or changes an entry of the platform's VM list.
+func (b *Bed) SetVM(vm platform.VM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms[vm.Name] = vm
+	b.publishVMs()
+}
+
+// RemoveVM removes an entry of the platform's VM list.
+func (b *Bed) RemoveVM(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.vms, name)
+	b.publishVMs()
+}
+
+func (b *Bed) publishVMs() {
+	list := make([]platform.VM, 0, len(b.vms))
+	for _, name := range sortedKeys(b.vms) {
+		list = append(list, b.vms[name])
+	}
+	b.Platform.SetVMs(list)
+}
+
+// Authority returns the development authority's certificate as PEM.
+func (b *Bed) Authority() []byte {
+	return b.authority.Pair().Cert
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -45,7 +45,7 @@
 	Addr string
 	// TLS is a configuration of keys.PeerTLS with Protocol.
 	TLS *tls.Config
-	// Mux holds the handlers; it must not change any more.
+	// Mux holds the handlers.
 	Mux *Mux
 	// Pool runs the handlers; a stream is refused when it is full.
 	Pool    *task.Pool
@@ -74,8 +74,19 @@
 	err   error
 }
 
-// Listen starts a node.
+// Listen binds and starts a node.
 func Listen(cfg Config) (*Node, error) {
+	n, err := Bind(cfg)
+	if err != nil {
+		return nil, err
+	}
+	n.Start()
+	return n, nil
+}
+
+// Bind opens a node's socket, so that its address is known. Handlers may still
+// be registered until Start.
+func Bind(cfg Config) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp", cfg.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("peer: address %s: %w", cfg.Addr, err)
@@ -95,10 +106,14 @@
 		socket.Close()
 		return nil, fmt.Errorf("peer: listen %s: %w", cfg.Addr, err)
 	}
-	n.wait.Go(n.accept)
 	return n, nil
 }
 
+// Start begins to accept connections; the Mux must not change any more.
+func (n *Node) Start() {
+	n.wait.Go(n.accept)
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,267 @@
+// Package router assembles one router: the callers' face, the entry and home
+// roles, the peer protocol, settings and membership.
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/caller"
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/settings/propagate"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+// poolSize bounds the goroutines that serve peers' streams and tasks.
+const poolSize = 20_000
+
+// Config is what one router needs to know of itself.
+type Config struct {
+	// Self is the router; PeerAddr and Incarnation are filled in by New.
+	Self fleet.Router
+	// CallerAddr, OperatorAddr and PeerAddr are host:port; port 0 takes a free
+	// one. An empty OperatorAddr starts no administration API.
+	CallerAddr   string
+	OperatorAddr string
+	PeerAddr     string
+	// Pair is the router's certificate, Authority the PEM of what signs routers.
+	Pair      keys.Pair
+	Authority []byte
+	// Seeds are routers to ask first, besides the platform's VM list.
+	Seeds []fleet.Router
+	// PlainCallers serves callers without TLS.
+	PlainCallers bool
+}
+
+// Deps are the clients that a router uses, replaceable in tests.
+type Deps struct {
+	Store  platform.Store
+	VMs    platform.VMLister
+	Engine engine.Client
+	Plain  plain.Client
+	// Policy orders targets; nil means the default.
+	Policy  entry.Policy
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Router is one running router.
+type Router struct {
+	cfg     Config
+	deps    Deps
+	log     zerolog.Logger
+	pool    *task.Pool
+	node    *peer.Node
+	members *membership.Service
+	source  *propagate.Service
+	homes   *homes
+	home    *home.Home
+	gate    home.Gate
+	entry   *entry.Entry
+	face    *caller.Face
+	ready   atomic.Bool
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// New binds a router's sockets and wires its parts; Run starts them.
+func New(cfg Config, deps Deps) (*Router, error) {
+	r := &Router{cfg: cfg, deps: deps}
+	r.log = deps.Log.With().Str("router", string(cfg.Self.ID)).Logger()
+	if err := r.build(); err != nil {
+		r.release()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) build() error {
+	pool, err := task.NewPool(poolSize)
+	if err != nil {
+		return fmt.Errorf("router: pool: %w", err)
+	}
+	r.pool = pool
+	mux := peer.NewMux()
+	if err := r.bindPeer(mux); err != nil {
+		return err
+	}
+	r.cfg.Self.PeerAddr = r.node.Addr()
+	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
+	r.buildControl(mux)
+	r.buildRoles(mux)
+	return r.bindCallers()
+}
+
+func (r *Router) bindPeer(mux *peer.Mux) error {
+	tlsConfig, err := keys.PeerTLS(r.cfg.Pair, r.cfg.Authority, peer.Protocol)
+	if err != nil {
+		return err
+	}
+	r.node, err = peer.Bind(peer.Config{
+		Addr: r.cfg.PeerAddr, TLS: tlsConfig, Mux: mux, Pool: r.pool, Metrics: r.deps.Metrics, Log: r.log,
+	})
+	return err
+}
+
+func (r *Router) buildControl(mux *peer.Mux) {
+	r.members = membership.New(membership.Config{
+		Self: r.cfg.Self, VMs: r.deps.VMs, Seeds: r.cfg.Seeds, Caller: r.node,
+		Values: r.membershipValues, Clock: time.Now, Log: r.log, Metrics: r.deps.Metrics,
+	})
+	r.members.Register(mux)
+	r.source = propagate.New(propagate.Config{
+		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Members: r.routers,
+		Log: r.log, Metrics: r.deps.Metrics, Clock: time.Now,
+	})
+	r.source.Register(mux)
+}
+
+func (r *Router) membershipValues() settings.Membership {
+	snapshot := r.source.Snapshot()
+	if snapshot == nil {
+		return settings.Defaults().Membership
+	}
+	return snapshot.Effective(r.cfg.Self.Domain, "", "").Membership
+}
+
+func (r *Router) routers() []fleet.Router {
+	return r.members.View().Routers
+}
+
+func (r *Router) buildRoles(mux *peer.Mux) {
+	r.gate = home.NewCountGate()
+	r.home = home.New(home.Config{
+		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Engine: r.deps.Engine,
+		Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+	})
+	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
+	r.homes = newHomes(r.members.View, r.source.Snapshot)
+	policy := r.deps.Policy
+	if policy == nil {
+		policy = entry.Rendezvous{}
+	}
+	r.entry = entry.New(entry.Config{
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Policy: policy, Homes: r.homes,
+		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
+		Metrics:   r.deps.Metrics, Log: r.log,
+	})
+}
+
+func (r *Router) bindCallers() error {
+	var tlsConfig *tls.Config
+	if !r.cfg.PlainCallers {
+		var err error
+		tlsConfig, err = keys.ServerTLS(r.cfg.Pair)
+		if err != nil {
+			return err
+		}
+	}
+	face, err := caller.Listen(caller.Config{
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry, Snapshot: r.source.Snapshot,
+		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
+	})
+	if err != nil {
+		return err
+	}
+	r.face = face
+	return nil
+}
+
+// Self returns the router's own record with its addresses.
+func (r *Router) Self() fleet.Router {
+	return r.cfg.Self
+}
+
+// CallerAddr returns host:port of the callers' listener.
+func (r *Router) CallerAddr() string {
+	return r.face.Addr()
+}
+
+// Snapshot returns the settings in force, nil before the first.
+func (r *Router) Snapshot() *settings.Snapshot {
+	return r.source.Snapshot()
+}
+
+// Ready reports whether the router takes requests.
+func (r *Router) Ready() bool {
+	return r.ready.Load()
+}
+
+// Run serves until ctx ends, then stops at once; Drain first stops without
+// cutting anything. It returns the first failure of a part.
+func (r *Router) Run(ctx context.Context) error {
+	ctx, r.cancel = context.WithCancel(ctx)
+	defer r.cancel()
+	r.node.Start()
+	failures := make(chan error, 4)
+	r.start(failures, "members", func() error { return r.members.Run(ctx) })
+	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
+	r.start(failures, "callers", r.face.Run)
+	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
+	r.wait.Go(func() { r.becomeReady(ctx) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failures:
+		event.RouterFault.Log(r.log).Err(err).Send()
+	}
+	r.cancel()
+	r.stop()
+	return err
+}
+
+func (r *Router) start(failures chan<- error, part string, run func() error) {
+	r.wait.Go(func() {
+		err := run()
+		if err != nil && !errors.Is(err, context.Canceled) {
+			failures <- fmt.Errorf("router: %s: %w", part, err)
+		}
+	})
+}
+
+func (r *Router) becomeReady(ctx context.Context) {
+	select {
+	case <-r.source.Ready():
+	case <-ctx.Done():
+		return
+	}
+	r.ready.Store(true)
+	event.RouterReady.Log(r.log).Uint64("revision", r.source.Snapshot().Revision).Send()
+}
+
+const stopTimeout = 2 * time.Second
+
+func (r *Router) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	r.face.Close(ctx)
+	r.node.Close()
+	r.wait.Wait()
+	r.release()
+	event.RouterStopped.Log(r.log).Send()
+}
+
+func (r *Router) release() {
+	if r.pool != nil {
+		r.pool.Release()
+	}
+}
