platform, standin: object API client and stand-in

Change: standin.Objects holds versions, conditional writes, watches, the lagging VM list, rate limits and fault knobs; standin.Platform serves it over HTTP; platform.Client speaks to it and classifies errors. Writes go by POST, since the HTTP client repeats a PUT over a broken pooled connection and would then report its own effect as a conflict.

--- /dev/null
+++ b/standin/main_test.go
@@ -0,0 +1,16 @@
+package standin_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// The HTTP library keeps one clock goroutine for the process, and one cleaner
+// for each client until its idle time has passed.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol/http1.(*HostClient).connsCleaner"),
+	)
+}
--- /dev/null
+++ b/standin/objects.go
@@ -0,0 +1,222 @@
+// Package standin holds small stand-ins for what the system talks to: the
+// platform, model engines, plain services and the weight store. Each has fault
+// knobs that can be set while it runs. They are for tests, measurements and the
+// demo; they keep everything in memory.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+const (
+	maxLogEntries   = 20_000
+	maxLogBytes     = 32 << 20
+	rateBurstShare  = 20
+	seedStreamFault = 0x6f626a65
+)
+
+// ObjectsConfig sets the limits of the object API.
+type ObjectsConfig struct {
+	// WritesPerSecond and ReadsPerSecond bound the calls granted; zero means no
+	// limit. A watch and a VM list count as one read each.
+	WritesPerSecond int
+	ReadsPerSecond  int
+	// Seed drives the spread of delays.
+	Seed uint64
+}
+
+// Objects is the platform's object API and VM list in memory. It implements
+// platform.Store and platform.VMLister and is safe for concurrent use.
+type Objects struct {
+	writes *rate.Limiter
+	reads  *rate.Limiter
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	revision uint64
+	kinds    map[string]*kindState
+	changed  chan struct{}
+	vmLists  []vmList
+	counts   map[Verb]uint64
+}
+
+// kindState is the state of one kind: its objects and the log of its changes.
+type kindState struct {
+	objects   map[string]platform.Object
+	log       []platform.Change
+	logBytes  int
+	compacted uint64
+}
+
+var (
+	_ platform.Store    = (*Objects)(nil)
+	_ platform.VMLister = (*Objects)(nil)
+)
+
+// NewObjects returns an empty object API.
+func NewObjects(config ObjectsConfig) *Objects {
+	return &Objects{
+		writes:  limiter(config.WritesPerSecond),
+		reads:   limiter(config.ReadsPerSecond),
+		random:  rand.New(rand.NewPCG(config.Seed, seedStreamFault)),
+		kinds:   map[string]*kindState{},
+		changed: make(chan struct{}),
+		counts:  map[Verb]uint64{},
+	}
+}
+
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, perSecond/rateBurstShare))
+}
+
+// Get implements platform.Store.
+func (o *Objects) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := o.admit(ctx, VerbGet); err != nil {
+		return platform.Object{}, err
+	}
+	o.mu.Lock()
+	object, ok := o.kind(kind).objects[name]
+	o.mu.Unlock()
+	if err := o.answer(ctx, VerbGet); err != nil {
+		return platform.Object{}, err
+	}
+	if !ok {
+		return platform.Object{}, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrNotFound)
+	}
+	return object, nil
+}
+
+// List implements platform.Store.
+func (o *Objects) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	if err := o.admit(ctx, VerbList); err != nil {
+		return nil, 0, err
+	}
+	o.mu.Lock()
+	objects := make([]platform.Object, 0, len(o.kind(kind).objects))
+	for _, object := range o.kind(kind).objects {
+		objects = append(objects, object)
+	}
+	revision := o.revision
+	o.mu.Unlock()
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
+	return objects, revision, o.answer(ctx, VerbList)
+}
+
+// Put implements platform.Store.
+func (o *Objects) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
+	if len(data) > platform.MaxValueBytes {
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrTooLarge)
+	}
+	if err := o.admit(ctx, VerbPut); err != nil {
+		return 0, err
+	}
+	version, err := o.put(kind, name, data, ifVersion)
+	if lost := o.answer(ctx, VerbPut); lost != nil {
+		return 0, lost
+	}
+	return version, err
+}
+
+func (o *Objects) put(kind, name string, data []byte, ifVersion uint64) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.kind(kind).objects[name].Version != ifVersion {
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrConflict)
+	}
+	o.revision++
+	object := platform.Object{Kind: kind, Name: name, Version: o.revision, Data: append([]byte(nil), data...)}
+	o.kind(kind).objects[name] = object
+	o.record(platform.Change{Object: object})
+	return o.revision, nil
+}
+
+// Delete implements platform.Store.
+func (o *Objects) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
+	if err := o.admit(ctx, VerbDelete); err != nil {
+		return 0, err
+	}
+	version, err := o.remove(kind, name, ifVersion)
+	if lost := o.answer(ctx, VerbDelete); lost != nil {
+		return 0, lost
+	}
+	return version, err
+}
+
+func (o *Objects) remove(kind, name string, ifVersion uint64) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	object, ok := o.kind(kind).objects[name]
+	if !ok {
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrNotFound)
+	}
+	if object.Version != ifVersion {
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrConflict)
+	}
+	o.revision++
+	delete(o.kind(kind).objects, name)
+	removed := platform.Object{Kind: kind, Name: name, Version: o.revision}
+	o.record(platform.Change{Object: removed, Deleted: true})
+	return o.revision, nil
+}
+
+// kind returns the state of a kind, made at first use. The lock is held.
+func (o *Objects) kind(name string) *kindState {
+	state, ok := o.kinds[name]
+	if !ok {
+		state = &kindState{objects: map[string]platform.Object{}}
+		o.kinds[name] = state
+	}
+	return state
+}
+
+// record appends a change to its kind's log and wakes the watches. The lock is
+// held.
+func (o *Objects) record(change platform.Change) {
+	state := o.kind(change.Object.Kind)
+	state.log = append(state.log, change)
+	state.logBytes += len(change.Object.Data)
+	for len(state.log) > maxLogEntries || state.logBytes > maxLogBytes {
+		state.compactFirst()
+	}
+	o.wake()
+}
+
+func (k *kindState) compactFirst() {
+	first := k.log[0].Object
+	k.compacted = first.Version
+	k.logBytes -= len(first.Data)
+	k.log[0] = platform.Change{}
+	k.log = k.log[1:]
+}
+
+func (o *Objects) wake() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/objects_vms.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+const maxVMLists = 1_000
+
+// vmList is one state of the VM list and when it was set.
+type vmList struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// SetVMs replaces the VM list. Readers see it once it is older than the lag;
+// the first list is seen at once.
+func (o *Objects) SetVMs(vms []platform.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.vmLists = append(o.vmLists, vmList{at: time.Now(), vms: append([]platform.VM(nil), vms...)})
+	if len(o.vmLists) > maxVMLists {
+		o.vmLists = o.vmLists[1:]
+	}
+}
+
+// VMs implements platform.VMLister.
+func (o *Objects) VMs(ctx context.Context) ([]platform.VM, error) {
+	if err := o.admit(ctx, VerbVMs); err != nil {
+		return nil, err
+	}
+	vms := o.visibleVMs(time.Now())
+	return vms, o.answer(ctx, VerbVMs)
+}
+
+func (o *Objects) visibleVMs(now time.Time) []platform.VM {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.vmLists) == 0 {
+		return nil
+	}
+	lag := time.Duration(o.faults.VMLagMS) * time.Millisecond
+	shown := o.vmLists[0]
+	for _, list := range o.vmLists[1:] {
+		if now.Sub(list.at) < lag {
+			break
+		}
+		shown = list
+	}
+	return append([]platform.VM(nil), shown.vms...)
+}
--- /dev/null
+++ b/standin/platform_http.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+const contentBytes = "application/octet-stream"
+
+// faultsBody is the body of a change of the knobs: those left out stay as they
+// are, and compact drops the log of changes.
+type faultsBody struct {
+	Faults
+	Compact bool `json:"compact"`
+}
+
+var errorStatuses = []struct {
+	err    error
+	status int
+}{
+	{platform.ErrNotFound, 404},
+	{platform.ErrConflict, 409},
+	{platform.ErrCompacted, 410},
+	{platform.ErrTooLarge, 413},
+	{platform.ErrRateLimited, 429},
+	{platform.ErrUnavailable, 503},
+}
+
+func (p *Platform) get(_ context.Context, c *app.RequestContext) {
+	object, err := p.Get(p.context, param(c, "kind"), param(c, "name"))
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	setVersion(c, object.Version)
+	c.Data(200, contentBytes, object.Data)
+}
+
+func (p *Platform) write(_ context.Context, c *app.RequestContext) {
+	ifVersion, err := strconv.ParseUint(c.Query(platform.IfVersionParam), 10, 64)
+	if err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	kind, name := param(c, "kind"), param(c, "name")
+	var version uint64
+	if c.Query(platform.DeleteParam) != "" {
+		version, err = p.Delete(p.context, kind, name, ifVersion)
+	} else {
+		version, err = p.Put(p.context, kind, name, c.Request.Body(), ifVersion)
+	}
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	setVersion(c, version)
+	c.SetStatusCode(200)
+}
+
+func (p *Platform) list(_ context.Context, c *app.RequestContext) {
+	objects, revision, err := p.List(p.context, param(c, "kind"))
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(200, platform.ListAnswer{Objects: objects, Revision: revision})
+}
+
+func (p *Platform) watch(_ context.Context, c *app.RequestContext) {
+	from, err := strconv.ParseUint(c.Query(platform.FromParam), 10, 64)
+	if err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	waitMS, err := strconv.ParseInt(c.Query(platform.WaitParam), 10, 64)
+	if err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	kinds := strings.Split(c.Query(platform.KindsParam), ",")
+	changes, revision, err := p.Watch(p.context, kinds, from, time.Duration(waitMS)*time.Millisecond)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(200, platform.WatchAnswer{Changes: changes, Revision: revision})
+}
+
+func (p *Platform) vms(_ context.Context, c *app.RequestContext) {
+	vms, err := p.VMs(p.context)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(200, vms)
+}
+
+func (p *Platform) setVMs(_ context.Context, c *app.RequestContext) {
+	var vms []platform.VM
+	if err := json.Unmarshal(c.Request.Body(), &vms); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	p.SetVMs(vms)
+	c.SetStatusCode(204)
+}
+
+func (p *Platform) getFaults(_ context.Context, c *app.RequestContext) {
+	c.JSON(200, p.Faults())
+}
+
+func (p *Platform) setFaults(_ context.Context, c *app.RequestContext) {
+	body := faultsBody{Faults: p.Faults()}
+	if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	p.SetFaults(body.Faults)
+	if body.Compact {
+		p.Compact()
+	}
+	c.JSON(200, p.Faults())
+}
+
+func (p *Platform) getCounts(_ context.Context, c *app.RequestContext) {
+	c.JSON(200, p.Counts())
+}
+
+// param copies a path parameter, since the server reuses its buffers.
+func param(c *app.RequestContext, name string) string {
+	return strings.Clone(c.Param(name))
+}
+
+func setVersion(c *app.RequestContext, version uint64) {
+	c.Response.Header.Set(platform.VersionHeader, strconv.FormatUint(version, 10))
+}
+
+// fail answers with the error's status; a lost answer breaks the connection.
+func fail(c *app.RequestContext, err error) {
+	for _, known := range errorStatuses {
+		if errors.Is(err, known.err) {
+			c.String(known.status, err.Error())
+			return
+		}
+	}
+	_ = c.GetConn().Close()
+}
