--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -43,7 +43,12 @@
 	Domains map[fleet.DomainName]fleet.RegionName
 	// Targets are sorted by id within a service.
 	Targets map[fleet.ServiceName][]fleet.Target
-	Rules   []Rule
+	// Rules are sorted by name; the first that matches decides.
+	Rules []Rule
+	// Operators of the administration API.
+	Operators []Operator
+	// ContextKeys authenticate context tokens; the first signs.
+	ContextKeys []ContextKey
 
 	levels    levels
 	effective sync.Map
@@ -77,13 +82,8 @@
 
 func (s *Snapshot) merge(key scope) *Values {
 	v := Defaults()
-	for _, raw := range []json.RawMessage{
-		s.levels.fleet,
-		s.levels.domains[key.domain],
-		s.levels.services[key.service],
-		s.levels.accounts[key.account],
-	} {
-		overlay(&v, raw)
+	for _, l := range s.layers(key) {
+		overlay(&v, l.raw)
 	}
 	return &v
 }
