Add membership: rings of heartbeats, rumours, healing after partitions

Routers need a view of each other that is newer than the platform's VM list. Table is the deterministic core, tested by random faults against the set of running routers; Service carries its messages over package peer.

--- /dev/null
+++ b/membership/service_test.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// wire connects services in memory.
+type wire struct {
+	mu       sync.Mutex
+	services map[string]*Service
+}
+
+func (w *wire) find(addr string) (*Service, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.services[addr]
+	if !ok {
+		return nil, peer.ErrUnreachable
+	}
+	return s, nil
+}
+
+type end struct {
+	wire *wire
+	self fleet.RouterID
+}
+
+func (e end) Call(ctx context.Context, addr string, _ peer.Method, req, resp any) error {
+	s, err := e.wire.find(addr)
+	if err != nil {
+		return err
+	}
+	payload, err := cbor.Marshal(req)
+	if err != nil {
+		return err
+	}
+	answer, err := s.handleSync(ctx, e.self, payload)
+	if err != nil {
+		return err
+	}
+	encoded, err := cbor.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(encoded, resp)
+}
+
+func (e end) Send(addr string, _ peer.Method, msg any) error {
+	s, err := e.wire.find(addr)
+	if err != nil {
+		return err
+	}
+	payload, err := cbor.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	if len(payload) > peer.MaxDatagramBytes {
+		return peer.ErrFrameTooLarge
+	}
+	s.handleHeartbeat(e.self, payload)
+	return nil
+}
+
+type vmLister []platform.VM
+
+func (l vmLister) VMs(context.Context) ([]platform.VM, error) {
+	return l, nil
+}
+
+func fastValues() settings.Membership {
+	return settings.Membership{HeartbeatMS: 20, Fanout: 3, SuspectMS: 300, RemoveMS: 300, VMListMS: 100}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 4000 {
+		if ok() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func TestServicesMeetLeaveAndEnd(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	const n = 4
+	w := &wire{services: map[string]*Service{}}
+	var vms vmLister
+	for i := range n {
+		r := record(i)
+		vms = append(vms, platform.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
+	}
+	var running sync.WaitGroup
+	var stops []context.CancelFunc
+	var services []*Service
+	for i := range n {
+		r := record(i)
+		s := New(Config{
+			Self: r, VMs: vms, Caller: end{w, r.ID}, Values: fastValues, Clock: time.Now,
+			Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zerolog.Nop(),
+		})
+		w.mu.Lock()
+		w.services[r.PeerAddr] = s
+		w.mu.Unlock()
+		ctx, stop := context.WithCancel(context.Background())
+		stops = append(stops, stop)
+		services = append(services, s)
+		running.Go(func() {
+			if err := s.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for _, s := range services {
+		waitFor(t, "all routers are heard of", func() bool { return heardOf(s.View()) == n })
+	}
+	if err := services[0].Leave(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	changes := services[1].Subscribe()
+	waitFor(t, "the leaving is known", func() bool { return len(services[1].View().Routers) == n-1 })
+	stops[0]()
+	waitFor(t, "the end is known", func() bool { return stateOf(services[1].View(), "router-0") == Gone })
+	<-changes
+	for _, stop := range stops {
+		stop()
+	}
+	running.Wait()
+}
+
+func heardOf(v *View) int {
+	n := 0
+	for _, m := range v.All {
+		if m.Router.Incarnation > 0 && m.State == Alive {
+			n++
+		}
+	}
+	return n
+}
+
+func stateOf(v *View, id fleet.RouterID) State {
+	for _, m := range v.All {
+		if m.Router.ID == id {
+			return m.State
+		}
+	}
+	return Gone
+}
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,333 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "60")
+	os.Exit(m.Run())
+}
+
+const beatPeriod = 500 * time.Millisecond
+
+var testTiming = Timing{Rings: 3, Suspect: 2 * time.Second, Remove: 4 * time.Second}
+
+// bench is a fleet of tables with a network that loses, doubles, reorders and
+// delays messages. It is the tests' only simulation of time.
+type bench struct {
+	now    time.Time
+	rand   *rand.Rand
+	tables map[fleet.RouterID]*Table
+	ids    []fleet.RouterID
+	paused map[fleet.RouterID]bool
+	side   map[fleet.RouterID]int
+	loss   float64
+	wire   []delivery
+	sent   int
+	vms    []platform.VM
+}
+
+type delivery struct {
+	from fleet.RouterID
+	msg  Message
+}
+
+func newBench(n int, seed uint64) *bench {
+	b := &bench{
+		now:    time.UnixMilli(1_700_000_000_000),
+		rand:   rand.New(rand.NewPCG(seed, 1)),
+		tables: map[fleet.RouterID]*Table{},
+		paused: map[fleet.RouterID]bool{},
+		side:   map[fleet.RouterID]int{},
+	}
+	for i := range n {
+		b.list(i)
+	}
+	for i := range n {
+		b.start(i)
+	}
+	return b
+}
+
+func record(i int) fleet.Router {
+	name := fmt.Sprintf("router-%d", i)
+	domain := fleet.DomainName(fmt.Sprintf("zone-%d", i%3))
+	return fleet.Router{ID: fleet.RouterID(name), Domain: domain, Region: "north", PeerAddr: name}
+}
+
+func (b *bench) list(i int) {
+	r := record(i)
+	b.vms = append(b.vms, platform.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
+}
+
+// start begins a life of router i; an earlier life of it is forgotten.
+func (b *bench) start(i int) {
+	r := record(i)
+	if _, again := b.tables[r.ID]; !again {
+		b.ids = append(b.ids, r.ID)
+	}
+	b.tables[r.ID] = NewTable(r, testTiming, b.rand, b.now)
+	b.tables[r.ID].ApplyVMList(b.vms, b.now)
+	b.paused[r.ID] = false
+}
+
+func (b *bench) reaches(from, to fleet.RouterID) bool {
+	return b.tables[to] != nil && !b.paused[to] && b.side[from] == b.side[to]
+}
+
+func (b *bench) post(from fleet.RouterID, messages []Message) {
+	for _, m := range messages {
+		if len(m.Heartbeat.Rumours) > 0 || m.Heartbeat.Incarnation > 0 {
+			b.sent++
+		}
+		if b.rand.Float64() < b.loss {
+			continue
+		}
+		b.wire = append(b.wire, delivery{from, m})
+		if b.rand.Float64() < b.loss/2 {
+			b.wire = append(b.wire, delivery{from, m})
+		}
+	}
+}
+
+// step advances the time by one heartbeat period.
+func (b *bench) step() {
+	b.now = b.now.Add(beatPeriod)
+	for _, id := range b.ids {
+		if b.paused[id] {
+			continue
+		}
+		b.post(id, b.tables[id].Tick(b.now))
+		b.sync(id)
+	}
+	for round := 0; round < 12 && len(b.wire) > 0; round++ {
+		b.deliver()
+		for _, id := range b.ids {
+			if !b.paused[id] {
+				b.post(id, b.tables[id].Flush(b.now))
+			}
+		}
+	}
+}
+
+func (b *bench) deliver() {
+	batch := b.wire
+	b.wire = nil
+	if b.loss > 0 {
+		b.rand.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
+	}
+	for _, d := range batch {
+		if !b.reaches(d.from, d.msg.To) {
+			continue
+		}
+		b.post(d.msg.To, b.tables[d.msg.To].Receive(d.from, d.msg.Heartbeat, b.now))
+	}
+}
+
+func (b *bench) sync(id fleet.RouterID) {
+	t := b.tables[id]
+	to, req, due := t.SyncWith(b.now)
+	if !due || !b.reaches(id, to.ID) {
+		return
+	}
+	answer := b.tables[to.ID].AnswerSync(id, req, b.now)
+	b.post(id, t.ApplySync(to.ID, answer, b.now))
+}
+
+func (b *bench) run(d time.Duration) {
+	for range int(d / beatPeriod) {
+		b.step()
+	}
+}
+
+// live returns the routers that id would give work to.
+func (b *bench) live(id fleet.RouterID) map[fleet.RouterID]bool {
+	set := map[fleet.RouterID]bool{}
+	for _, r := range b.tables[id].View().Routers {
+		set[r.ID] = true
+	}
+	return set
+}
+
+func (b *bench) wantLive(t interface{ Fatalf(string, ...any) }, want map[fleet.RouterID]bool) {
+	for _, id := range b.ids {
+		if b.paused[id] {
+			continue
+		}
+		got := b.live(id)
+		for _, other := range b.ids {
+			if other != id && got[other] != want[other] {
+				t.Fatalf("%s holds %s as live %t, want %t", id, other, got[other], want[other])
+			}
+		}
+	}
+}
+
+func (b *bench) allLive() map[fleet.RouterID]bool {
+	want := map[fleet.RouterID]bool{}
+	for _, id := range b.ids {
+		want[id] = !b.paused[id]
+	}
+	return want
+}
+
+func TestCrashedRouterIsRemoved(t *testing.T) {
+	b := newBench(6, 1)
+	b.run(5 * time.Second)
+	b.wantLive(t, b.allLive())
+	b.paused["router-2"] = true
+	b.run(10 * time.Second)
+	b.wantLive(t, b.allLive())
+}
+
+func TestLeavingIsKnownWithinOneStep(t *testing.T) {
+	b := newBench(24, 1)
+	b.run(5 * time.Second)
+	b.tables["router-7"].Leave(b.now)
+	b.step()
+	want := b.allLive()
+	want["router-7"] = false
+	b.wantLive(t, want)
+}
+
+func TestPartitionHealsWithoutOperator(t *testing.T) {
+	b := newBench(9, 1)
+	b.run(5 * time.Second)
+	for i, id := range b.ids {
+		b.side[id] = i % 3
+	}
+	b.run(30 * time.Second)
+	for _, id := range b.ids {
+		for other := range b.live(id) {
+			if b.side[other] != b.side[id] {
+				t.Fatalf("%s still holds %s of the other side", id, other)
+			}
+		}
+	}
+	clear(b.side)
+	b.run(40 * time.Second)
+	b.wantLive(t, b.allLive())
+}
+
+func TestPausedRouterBlamesNobody(t *testing.T) {
+	b := newBench(6, 1)
+	b.run(5 * time.Second)
+	b.paused["router-0"] = true
+	b.run(4 * time.Second)
+	b.paused["router-0"] = false
+	b.step()
+	for _, m := range b.tables["router-0"].View().All {
+		if m.State == Gone {
+			t.Fatalf("removed %s right after its own pause", m.Router.ID)
+		}
+	}
+	b.run(20 * time.Second)
+	b.wantLive(t, b.allLive())
+}
+
+func TestRestartSupersedesEarlierLife(t *testing.T) {
+	b := newBench(6, 1)
+	b.run(5 * time.Second)
+	b.post("router-3", b.tables["router-3"].Farewell(b.now))
+	b.paused["router-3"] = true
+	b.run(time.Second)
+	if b.live("router-0")["router-3"] {
+		t.Fatal("router-3 is held as live after its farewell")
+	}
+	b.start(3)
+	b.run(30 * time.Second)
+	b.wantLive(t, b.allLive())
+}
+
+func TestLeavingVMSpreads(t *testing.T) {
+	b := newBench(6, 1)
+	b.run(5 * time.Second)
+	vms := append([]platform.VM{{Name: "engine-1", State: fleet.Leaving}}, b.vms...)
+	b.tables["router-0"].ApplyVMList(vms, b.now)
+	b.step()
+	for _, id := range b.ids {
+		if !b.tables[id].View().LeavingVMs["engine-1"] {
+			t.Fatalf("%s does not know of the leaving VM", id)
+		}
+	}
+}
+
+func TestEmptyVMListChangesNothing(t *testing.T) {
+	b := newBench(3, 1)
+	b.tables["router-0"].ApplyVMList(nil, b.now)
+	if got := len(b.tables["router-0"].View().Routers); got != 3 {
+		t.Fatalf("routers after an empty list: got %d, want 3", got)
+	}
+}
+
+func TestLastRouterKeepsItself(t *testing.T) {
+	table := NewTable(record(0), testTiming, rand.New(rand.NewPCG(1, 1)), time.UnixMilli(1000))
+	table.Leave(time.UnixMilli(2000))
+	if got := len(table.View().Routers); got != 1 {
+		t.Fatalf("routers: got %d, want 1", got)
+	}
+}
+
+// TestViewsConvergeAfterFaults drives random faults and checks, against the
+// set of running routers as the oracle, that no view is ever empty, that no
+// running router is forgotten for good, and that views agree once the faults
+// end.
+func TestViewsConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "routers")
+		b := newBench(n, rapid.Uint64().Draw(t, "seed"))
+		leaving := map[fleet.RouterID]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "faults") {
+			id := b.ids[rapid.IntRange(0, n-1).Draw(t, "router")]
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				b.paused[id] = !b.paused[id]
+			case 1:
+				b.side[id] = rapid.IntRange(0, 2).Draw(t, "side")
+			case 2:
+				b.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
+			case 3:
+				if !b.paused[id] {
+					b.tables[id].Leave(b.now)
+					leaving[id] = true
+				}
+			case 4:
+				for i := range n {
+					if record(i).ID == id {
+						b.start(i)
+						delete(leaving, id)
+					}
+				}
+			case 5:
+				b.tables[id].ApplyVMList(b.vms, b.now)
+			}
+			b.run(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+			for _, id := range b.ids {
+				if len(b.tables[id].View().Routers) == 0 {
+					t.Fatalf("%s has an empty view", id)
+				}
+			}
+		}
+		clear(b.side)
+		b.loss = 0
+		b.run(90 * time.Second)
+		want := b.allLive()
+		for id := range leaving {
+			want[id] = false
+		}
+		b.wantLive(t, want)
+	})
+}
