placement: authenticated context tokens with key rotation

A caller carries the token from one answer to the next request, so that any router finds the context without asking another. The code covers the chat key, so a token is of no use with another chat. The decoder has a fuzz target.

--- /dev/null
+++ b/placement/token_test.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+var tokenTime = time.Unix(1_800_000_000, 0)
+
+func testRing() *TokenRing {
+	return NewTokenRing(TokenKey{ID: 2, Secret: []byte("new")}, TokenKey{ID: 1, Secret: []byte("old")})
+}
+
+func TestTokenRoundTripAndRotation(t *testing.T) {
+	want := Token{Target: "engine-7", At: tokenTime, Held: 812}
+	old := NewTokenRing(TokenKey{ID: 1, Secret: []byte("old")})
+	for _, signer := range []*TokenRing{testRing(), old} {
+		text, err := signer.Seal(42, want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := testRing().Open(42, text, tokenTime.Add(time.Minute), time.Hour)
+		if err != nil || got != want {
+			t.Errorf("got %+v, %v; want %+v", got, err, want)
+		}
+	}
+}
+
+func TestTokenRefusals(t *testing.T) {
+	text, err := testRing().Seal(42, Token{Target: "engine-7", At: tokenTime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := NewTokenRing(TokenKey{ID: 9, Secret: []byte("x")}).Seal(42, Token{Target: "engine-7", At: tokenTime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	impostor, err := NewTokenRing(TokenKey{ID: 1, Secret: []byte("x")}).Seal(42, Token{Target: "engine-7", At: tokenTime})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		chat fleet.ChatKey
+		text string
+		now  time.Time
+		want error
+	}{
+		"another chat":  {43, text, tokenTime, ErrTokenForged},
+		"another key":   {42, impostor, tokenTime, ErrTokenForged},
+		"unknown key":   {42, stranger, tokenTime, ErrTokenKey},
+		"too old":       {42, text, tokenTime.Add(2 * time.Hour), ErrTokenExpired},
+		"of the future": {42, text, tokenTime.Add(-time.Minute), ErrTokenExpired},
+		"cut short":     {42, text[:12], tokenTime, ErrTokenMalformed},
+		"not base64":    {42, "a token!", tokenTime, ErrTokenMalformed},
+		"too long":      {42, text + string(make([]byte, MaxTokenBytes)), tokenTime, ErrTokenMalformed},
+	} {
+		if _, err := testRing().Open(c.chat, c.text, c.now, time.Hour); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// FuzzTokenOpen checks that nothing but a sealed token opens, and that what
+// opens seals to the same text again.
+func FuzzTokenOpen(f *testing.F) {
+	sealed, err := testRing().Seal(42, Token{Target: "engine-7", At: tokenTime, Held: 812})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sealed, uint64(42))
+	f.Add(sealed, uint64(43))
+	f.Add("AQAAAAI", uint64(0))
+	f.Add("", uint64(0))
+	f.Fuzz(func(t *testing.T, text string, chat uint64) {
+		got, err := testRing().Open(fleet.ChatKey(chat), text, tokenTime, time.Hour)
+		if err != nil {
+			return
+		}
+		again, err := testRing().Seal(fleet.ChatKey(chat), got)
+		if err != nil || again != text {
+			t.Errorf("opened %q, sealed again as %q, %v", text, again, err)
+		}
+	})
+}
