--- a/caller/caller.go
+++ b/caller/caller.go
@@ -61,7 +61,8 @@
 	listener net.Listener
 	hertz    *server.Hertz
 	index    accountIndex
-	draining atomic.Bool
+	unready  atomic.Bool
+	refusing atomic.Bool
 	inFlight atomic.Int64
 	done     chan struct{}
 }
@@ -114,9 +115,15 @@
 	return f.hertz.Run()
 }
 
-// Drain makes readiness fail.
-func (f *Face) Drain() {
-	f.draining.Store(true)
+// FailReadiness makes readiness fail while requests are still taken, so that
+// the platform's balancer turns away first.
+func (f *Face) FailReadiness() {
+	f.unready.Store(true)
+}
+
+// Refuse makes the face refuse new requests with reason.Draining.
+func (f *Face) Refuse() {
+	f.refusing.Store(true)
 }
 
 // InFlight returns the number of requests being served.
@@ -140,7 +147,7 @@
 }
 
 func (f *Face) ready(_ context.Context, c *app.RequestContext) {
-	if f.draining.Load() || !f.cfg.Ready() {
+	if f.unready.Load() || !f.cfg.Ready() {
 		c.String(503, "not ready\n")
 		return
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -28,7 +28,7 @@
 // admit checks what all requests have in common: the router takes requests and
 // the key is known.
 func (f *Face) admit(c *app.RequestContext) (*settings.Snapshot, fleet.AccountName, *refusal) {
-	if f.draining.Load() {
+	if f.refusing.Load() {
 		return nil, "", &refusal{code: reason.Draining}
 	}
 	snapshot := f.cfg.Snapshot()
--- /dev/null
+++ b/router/drain.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"ragwortpond.example/ragwortpond/event"
+)
+
+const drainPoll = 10 * time.Millisecond
+
+// Drain stops the router without cutting anything: readiness fails first, then
+// leaving is announced and new requests are refused, then it waits until
+// nothing is in flight. It returns an error that says what was still in flight
+// when the limit of the settings or ctx ended.
+func (r *Router) Drain(ctx context.Context) error {
+	stop := r.source.Snapshot().Effective(r.cfg.Self.Domain, "", "").Stop
+	event.RouterDraining.Log(r.log).Send()
+	r.face.FailReadiness()
+	r.members.Leave(ctx)
+	pause(ctx, stop.ReadyDelayMS.Duration())
+	r.face.Refuse()
+	ctx, cancel := context.WithTimeout(ctx, stop.LimitMS.Duration())
+	defer cancel()
+	for r.InFlight() > 0 {
+		if ctx.Err() != nil {
+			return fmt.Errorf("router: stopped with %d requests in flight: %w", r.InFlight(), ctx.Err())
+		}
+		pause(ctx, drainPoll)
+	}
+	return nil
+}
+
+// InFlight returns the number of requests that this router serves as entry or
+// as home.
+func (r *Router) InFlight() int {
+	return r.face.InFlight() + r.home.InFlight()
+}
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,7 +42,8 @@
 
 // Home serves attempts. It is safe for concurrent use.
 type Home struct {
-	cfg Config
+	cfg      Config
+	inFlight atomic.Int64
 }
 
 // New returns a home.
@@ -82,6 +84,8 @@
 		return refusal
 	}
 	defer release()
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
 	gauge := h.cfg.Metrics.InFlight.WithLabelValues("home")
 	gauge.Inc()
 	defer gauge.Dec()
@@ -91,6 +95,11 @@
 	return h.dispatchChat(ctx, target, fwd, sink)
 }
 
+// InFlight returns the number of attempts dispatched and not yet over.
+func (h *Home) InFlight() int {
+	return int(h.inFlight.Load())
+}
+
 func (h *Home) target(fwd *wire.Forward) (fleet.Target, bool) {
 	for _, t := range h.cfg.Snapshot().Targets[fwd.Service] {
 		if t.ID == fwd.Target {
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,6 @@
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
 	"ragwortpond.example/ragwortpond/settings"
-	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -71,7 +71,7 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
-	source  *propagate.Service
+	source  *source
 	homes   *homes
 	home    *home.Home
 	gate    home.Gate
@@ -123,16 +123,12 @@
 }
 
 func (r *Router) buildControl(mux *peer.Mux) {
+	r.source = newSource(r.deps.Store)
 	r.members = membership.New(membership.Config{
 		Self: r.cfg.Self, VMs: r.deps.VMs, Seeds: r.cfg.Seeds, Caller: r.node,
-		Values: r.membershipValues, Clock: time.Now, Log: r.log, Metrics: r.deps.Metrics,
+		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
-	r.source = propagate.New(propagate.Config{
-		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Members: r.routers,
-		Log: r.log, Metrics: r.deps.Metrics, Clock: time.Now,
-	})
-	r.source.Register(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
@@ -143,6 +139,10 @@
 	return snapshot.Effective(r.cfg.Self.Domain, "", "").Membership
 }
 
+func seeded() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 func (r *Router) routers() []fleet.Router {
 	return r.members.View().Routers
 }
@@ -201,6 +201,11 @@
 	return r.source.Snapshot()
 }
 
+// View returns the routers as this one knows them.
+func (r *Router) View() *membership.View {
+	return r.members.View()
+}
+
 // Ready reports whether the router takes requests.
 func (r *Router) Ready() bool {
 	return r.ready.Load()
