standin, engine, plain, weights: stand-in targets and the clients of them

The path from caller to target needs something to answer and a client that tells exactly how far a request got. One connection an attempt makes that exact: a failed dial is the only ErrNotSent, everything after it is ErrBroken unless the target's refusal carries the attempt's own id. An answer of another attempt is ErrMismatch, one without its end is ErrTruncated, and events that come twice are dropped and counted.

The engine's text is a function of the prompt (standin.Answer), so that a test can tell a whole answer. Its cache works by message prefix, so that both a growing chat and a shared beginning are found.

--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,356 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"go.uber.org/goleak"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/weights"
+)
+
+// serverDate is hertz's clock, which lives as long as the process.
+const serverDate = "github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1"
+
+func TestMain(m *testing.M) {
+	hlog.SetOutput(io.Discard)
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(serverDate))
+}
+
+var chat = []standin.Message{{Role: "system", Content: "be brief"}, {Role: "user", Content: "how deep is the pond"}}
+
+func request(id string, messages []standin.Message, maxTokens int, stream bool) engine.Request {
+	body, _ := json.Marshal(map[string]any{
+		"model": "m", "messages": messages, "max_tokens": maxTokens, "stream": stream,
+	})
+	return engine.Request{Attempt: fleet.AttemptID(id), Chat: 7, Body: body, Stream: stream}
+}
+
+func startEngine(t *testing.T, c standin.EngineConfig) *standin.Engine {
+	t.Helper()
+	if c.TokensPerSecond == 0 {
+		c.TokensPerSecond = 2000
+	}
+	e, err := standin.StartEngine(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Kill)
+	return e
+}
+
+// read returns the text of an answer and how it ended: nil after [DONE].
+func read(a engine.Answer) (string, error) {
+	defer a.Close()
+	text := ""
+	for {
+		ev, err := a.Next()
+		if err != nil {
+			return text, err
+		}
+		if ev.Done {
+			return text, nil
+		}
+		var body struct {
+			Choices []struct {
+				Delta   struct{ Content string }
+				Message struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal(ev.Data, &body); err != nil {
+			return text, err
+		}
+		text += body.Choices[0].Delta.Content + body.Choices[0].Message.Content
+	}
+}
+
+func TestChatIsWholeAndCached(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{})
+	c := engine.NewClient(engine.ClientConfig{})
+	want := strings.Join(standin.Answer(chat, 0), "")
+	for i, stream := range []bool{true, false} {
+		a, err := c.Chat(t.Context(), e.Addr(), request(fmt.Sprint("a", i), chat, 0, stream))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cached := a.CachedTokens()
+		got, err := read(a)
+		if err != nil || got != want {
+			t.Fatalf("stream %v: got %q, %v; want %q", stream, got, err, want)
+		}
+		if (cached > 0) != (i > 0) {
+			t.Errorf("request %d found %d cached tokens", i, cached)
+		}
+	}
+}
+
+func TestAnswerContinues(t *testing.T) {
+	all := standin.Answer(chat, 0)
+	for k := range all {
+		partial := append(chat[:2:2], standin.Message{Role: "assistant", Content: strings.Join(all[:k], "")})
+		rest := standin.Answer(partial, len(all)-k)
+		if got := strings.Join(append(all[:k:k], rest...), ""); got != strings.Join(all, "") {
+			t.Fatalf("after %d tokens: %q", k, got)
+		}
+	}
+}
+
+func TestFaultsAreTold(t *testing.T) {
+	cases := map[string]struct {
+		faults standin.EngineFaults
+		want   error
+	}{
+		"crossed":   {standin.EngineFaults{CrossedRate: 1}, engine.ErrMismatch},
+		"truncated": {standin.EngineFaults{TruncatedRate: 1}, engine.ErrTruncated},
+		"broken":    {standin.EngineFaults{BrokenRate: 1}, engine.ErrBroken},
+		"lost":      {standin.EngineFaults{LostRate: 1}, engine.ErrBroken},
+		"refused":   {standin.EngineFaults{RefuseRate: 1}, engine.ErrRefused},
+	}
+	for name, tc := range cases {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " stream ", stream), func(t *testing.T) {
+				want := tc.want
+				if name == "broken" && !stream {
+					want = engine.ErrTruncated
+				}
+				e := startEngine(t, standin.EngineConfig{Faults: tc.faults})
+				a, err := engine.NewClient(engine.ClientConfig{}).Chat(t.Context(), e.Addr(), request("a", chat, 0, stream))
+				if err == nil {
+					_, err = read(a)
+				}
+				if !errors.Is(err, want) {
+					t.Fatalf("got %v, want %v", err, want)
+				}
+				if errors.Is(err, engine.ErrNotSent) {
+					t.Error("told as not sent")
+				}
+			})
+		}
+	}
+}
+
+func TestDoubledEventsAreDropped(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{Faults: standin.EngineFaults{DoubledRate: 1}})
+	discards := 0
+	c := engine.NewClient(engine.ClientConfig{Discarded: func(reason.Code) { discards++ }})
+	a, err := c.Chat(t.Context(), e.Addr(), request("a", chat, 0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := read(a)
+	if err != nil || got != strings.Join(standin.Answer(chat, 0), "") {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if discards == 0 {
+		t.Error("no discard was counted")
+	}
+}
+
+func TestResumeAfterBreak(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{Faults: standin.EngineFaults{BrokenRate: 1}})
+	c := engine.NewClient(engine.ClientConfig{})
+	a, err := c.Chat(t.Context(), e.Addr(), request("a", chat, 0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := read(a)
+	if !errors.Is(err, engine.ErrBroken) {
+		t.Fatal(err)
+	}
+	rest, err := c.Resume(t.Context(), e.Addr(), "a", uint64(len(strings.Fields(first))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := read(rest)
+	if err != nil || first+second != strings.Join(standin.Answer(chat, 0), "") {
+		t.Fatalf("got %q + %q, %v", first, second, err)
+	}
+	if _, err := c.Resume(t.Context(), e.Addr(), "b", 0); !errors.Is(err, engine.ErrNoStream) {
+		t.Errorf("unknown stream: %v", err)
+	}
+	if n := e.Executions()["a"]; n != 1 {
+		t.Errorf("executed %d times", n)
+	}
+}
+
+func TestNotSentOnlyWhenNothingLeft(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := ln.Addr().String()
+	c := engine.NewClient(engine.ClientConfig{})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = c.Chat(ctx, silent, request("a", chat, 0, true))
+	if !errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrNotSent) {
+		t.Errorf("silent engine: %v", err)
+	}
+	_ = ln.Close()
+	for _, call := range []context.Context{t.Context(), ctx} {
+		if _, err := c.Chat(call, silent, request("a", chat, 0, true)); !errors.Is(err, engine.ErrNotSent) {
+			t.Errorf("closed port: %v", err)
+		}
+	}
+	_, err = plain.NewClient(plain.ClientConfig{}).Do(t.Context(), silent, plain.Call{Method: "POST", Path: "/x"})
+	if !errors.Is(err, plain.ErrNotSent) {
+		t.Errorf("plain: %v", err)
+	}
+}
+
+func TestLeavingRefusesAndFinishes(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{})
+	c := engine.NewClient(engine.ClientConfig{})
+	a, err := c.Chat(t.Context(), e.Addr(), request("a", chat, 0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.SetLeaving(true)
+	if _, err := c.Chat(t.Context(), e.Addr(), request("b", chat, 0, true)); !errors.Is(err, engine.ErrLeaving) {
+		t.Errorf("got %v", err)
+	}
+	closed := make(chan error)
+	go func() { closed <- e.Close() }()
+	if got, err := read(a); err != nil || got != strings.Join(standin.Answer(chat, 0), "") {
+		t.Errorf("cut: %q, %v", got, err)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCloseAbortsAndCancelEnds(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{TokensPerSecond: 1})
+	c := engine.NewClient(engine.ClientConfig{})
+	ctx, cancel := context.WithCancel(t.Context())
+	a, err := c.Chat(ctx, e.Addr(), request("a", chat, 0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := read(a); !errors.Is(err, context.Canceled) {
+		t.Errorf("after cancel: %v", err)
+	}
+	if _, err := c.Chat(t.Context(), e.Addr(), request("b", chat, 0, true)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Cancel(t.Context(), e.Addr(), "b"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Resume(t.Context(), e.Addr(), "b", 0); !errors.Is(err, engine.ErrNoStream) {
+		t.Errorf("a cancelled stream resumed: %v", err)
+	}
+}
+
+func TestKVMovesAChat(t *testing.T) {
+	from, to := startEngine(t, standin.EngineConfig{}), startEngine(t, standin.EngineConfig{})
+	c := engine.NewClient(engine.ClientConfig{})
+	a, err := c.Chat(t.Context(), from.Addr(), request("a", chat, 0, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := read(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kv, err := c.Export(t.Context(), from.Addr(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Import(t.Context(), to.Addr(), 7, kv); err != nil {
+		t.Fatal(err)
+	}
+	next := append(chat[:2:2], standin.Message{Role: "assistant", Content: text}, standin.Message{Role: "user", Content: "and wide"})
+	b, err := c.Chat(t.Context(), to.Addr(), request("b", next, 0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if want := 3 + 6 + len(strings.Fields(text)) + 1; b.CachedTokens() != want {
+		t.Errorf("cached %d tokens, want %d", b.CachedTokens(), want)
+	}
+	events, err := c.CacheEvents(t.Context(), to.Addr(), 0)
+	if err != nil || len(events) == 0 || events[0].Chat != 7 || !events[0].Stored {
+		t.Errorf("events %v, %v", events, err)
+	}
+}
+
+func TestOldFenceIsRefused(t *testing.T) {
+	e := startEngine(t, standin.EngineConfig{ChecksFencing: true})
+	c := engine.NewClient(engine.ClientConfig{})
+	if err := c.Order(t.Context(), e.Addr(), engine.Order{Kind: engine.LoadModel, Value: "new", Fence: 5}); err != nil {
+		t.Fatal(err)
+	}
+	err := c.Order(t.Context(), e.Addr(), engine.Order{Kind: engine.LoadModel, Value: "old", Fence: 4})
+	if !errors.Is(err, engine.ErrOldFence) {
+		t.Errorf("got %v", err)
+	}
+	s, err := c.State(t.Context(), e.Addr())
+	if err != nil || s.Model != "new" || s.Fence != 5 {
+		t.Errorf("state %+v, %v", s, err)
+	}
+}
+
+func TestServiceCountsExecutions(t *testing.T) {
+	cases := map[string]struct {
+		faults standin.ServiceFaults
+		want   error
+		runs   int
+	}{
+		"whole":     {standin.ServiceFaults{}, nil, 1},
+		"lost":      {standin.ServiceFaults{LostRate: 1}, plain.ErrBroken, 1},
+		"crossed":   {standin.ServiceFaults{CrossedRate: 1}, plain.ErrMismatch, 1},
+		"truncated": {standin.ServiceFaults{TruncatedRate: 1}, plain.ErrTruncated, 1},
+		"refused":   {standin.ServiceFaults{RefuseRate: 1}, plain.ErrRefused, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, err := standin.StartService(standin.ServiceConfig{Faults: tc.faults})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(s.Kill)
+			call := plain.Call{Attempt: "a", Method: "PUT", Path: "/orders/1?x=2", Body: []byte(`{"key":"k"}`)}
+			_, err = plain.NewClient(plain.ClientConfig{}).Do(t.Context(), s.Addr(), call)
+			if !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+			if n := s.Executions()["k"]; n != tc.runs {
+				t.Errorf("executed %d times, want %d", n, tc.runs)
+			}
+		})
+	}
+}
+
+func TestWeightsTellTheWait(t *testing.T) {
+	w, err := standin.StartWeights(standin.WeightsConfig{LoadsPerMinute: 60, Artifacts: []string{"m"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Kill)
+	c := weights.NewClient(weights.ClientConfig{Addr: w.Addr()})
+	first, err := c.Reserve(t.Context(), "m")
+	if err != nil || first.Wait != 0 {
+		t.Fatalf("first %v, %v", first, err)
+	}
+	second, err := c.Reserve(t.Context(), "m")
+	if err != nil || second.Wait <= 0 {
+		t.Errorf("second %v, %v", second, err)
+	}
+	if _, err := c.Reserve(t.Context(), "x"); !errors.Is(err, weights.ErrNotFound) {
+		t.Errorf("unknown artifact: %v", err)
+	}
+}
--- /dev/null
+++ b/standin/weights.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"ragwortpond.example/ragwortpond/weights"
+)
+
+// WeightsConfig configures a stand-in weight store.
+type WeightsConfig struct {
+	// Addr is host:port to listen on; empty picks a port on loopback.
+	Addr string
+	// LoadsPerMinute is the rate of grants; zero means no limit.
+	LoadsPerMinute int
+	// Artifacts names what the store holds; empty means everything.
+	Artifacts []string
+}
+
+// Weights is a stand-in weight store: it grants loads at a rate and tells those
+// over it how long to wait. It is safe for concurrent use.
+type Weights struct {
+	config WeightsConfig
+	host   *host
+
+	mu      sync.Mutex
+	next    time.Time
+	granted int
+}
+
+// StartWeights starts a weight store.
+func StartWeights(c WeightsConfig) (*Weights, error) {
+	if c.Addr == "" {
+		c.Addr = "127.0.0.1:0"
+	}
+	w := &Weights{config: c}
+	h, err := startHost(c.Addr, func(h *server.Hertz) { h.POST("/v1/loads/:artifact", w.serve) })
+	if err != nil {
+		return nil, err
+	}
+	w.host = h
+	return w, nil
+}
+
+// Addr is host:port of the store's listener.
+func (w *Weights) Addr() string {
+	return w.host.addr()
+}
+
+// Granted is the number of loads granted so far.
+func (w *Weights) Granted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.granted
+}
+
+// Close stops the store.
+func (w *Weights) Close() error {
+	w.host.kill()
+	return nil
+}
+
+// Kill stops the store.
+func (w *Weights) Kill() {
+	w.host.kill()
+}
+
+func (w *Weights) serve(_ context.Context, c *app.RequestContext) {
+	artifact := c.Param("artifact")
+	if !w.holds(artifact) {
+		c.SetStatusCode(http.StatusNotFound)
+		return
+	}
+	c.JSON(http.StatusOK, weights.Ticket{Artifact: artifact, Wait: w.reserve(time.Now())})
+}
+
+func (w *Weights) holds(artifact string) bool {
+	for _, a := range w.config.Artifacts {
+		if a == artifact {
+			return true
+		}
+	}
+	return len(w.config.Artifacts) == 0
+}
+
+// reserve books the next free place and returns the wait until then.
+func (w *Weights) reserve(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.granted++
+	if w.config.LoadsPerMinute <= 0 {
+		return 0
+	}
+	start := now
+	if w.next.After(now) {
+		start = w.next
+	}
+	w.next = start.Add(time.Minute / time.Duration(w.config.LoadsPerMinute))
+	return start.Sub(now)
+}
