--- a/settings/build.go
+++ b/settings/build.go
@@ -20,8 +20,8 @@
 }
 
 // Build checks all documents and returns a snapshot of the sound ones with the
-// findings of the others, all at once. Objects of other kinds are findings.
-// The snapshot is complete only if there are no findings.
+// findings of the others, all at once. Objects of other kinds are findings. A
+// document whose only findings are unknown keys is used without them.
 func Build(objs []platform.Object) (*Snapshot, Findings) {
 	b := &builder{
 		snapshot: newSnapshot(),
@@ -82,8 +82,8 @@
 func (b *builder) document(o platform.Object) {
 	b.snapshot.Revision = max(b.snapshot.Revision, o.Version)
 	found := CheckDocument(o)
-	if len(found) > 0 {
-		b.findings = append(b.findings, found...)
+	b.findings = append(b.findings, found...)
+	if !found.harmless() {
 		return
 	}
 	if err := b.decode(o); err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -81,6 +81,7 @@
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		if !known[name] {
 			c.add(child(at, name), "unknown key")
+			c.findings[len(c.findings)-1].harmless = true
 		}
 	}
 }
--- a/settings/findings.go
+++ b/settings/findings.go
@@ -15,6 +15,10 @@
 	// the whole document.
 	Pointer string `json:"pointer"`
 	Message string `json:"message"`
+
+	// harmless findings do not keep a stored document from being used: a key
+	// written by a later release must not undo the rest of its document.
+	harmless bool
 }
 
 // String returns the finding as "file: /json/pointer: message".
@@ -57,6 +61,15 @@
 	return own
 }
 
+func (f Findings) harmless() bool {
+	for _, one := range f {
+		if !one.harmless {
+			return false
+		}
+	}
+	return true
+}
+
 func (f Findings) sorted() Findings {
 	slices.SortStableFunc(f, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Pointer, b.Pointer))
--- /dev/null
+++ b/settings/propagate/load.go
@@ -0,0 +1,70 @@
+package propagate
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+const (
+	// nearSources and farSources are the routers that a new one asks for the
+	// settings, in its own failure domain and in others.
+	nearSources = 2
+	farSources  = 2
+)
+
+// load takes the settings from peers and the platform, whichever is further,
+// and retries until it has some. It returns an error only when ctx ends.
+func (p *Service) load(ctx context.Context) error {
+	for {
+		err := p.loadOnce(ctx)
+		if err == nil {
+			return p.markReady(ctx)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
+		if !pause(ctx, jitter(p.config.Timing.Retry)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// loadOnce asks several peers, then the platform for what they lack. A router
+// that has heard from a peer does without the platform; one that has not lists
+// everything.
+func (p *Service) loadOnce(ctx context.Context) error {
+	heard := false
+	for _, from := range p.sources() {
+		if p.fetchAll(ctx, from) == nil {
+			heard = true
+		}
+	}
+	if heard && p.Revision() > 0 {
+		_ = p.platformOnce(ctx, func(ctx context.Context) error { return p.watchOnce(ctx, 0) })
+		return nil
+	}
+	if err := p.platformOnce(ctx, p.list); err != nil {
+		return errors.Join(ErrNoSource, err)
+	}
+	return nil
+}
+
+// platformOnce bounds a read of the platform by the time of one peer call.
+func (p *Service) platformOnce(ctx context.Context, read func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timing.Call)
+	defer cancel()
+	return read(ctx)
+}
+
+// sources picks routers to ask for the settings.
+func (p *Service) sources() []fleet.Router {
+	near, far := others(p.config.Self, p.config.Members())
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near[:min(len(near), nearSources)], far[:min(len(far), farSources)]...)
+}
