--- a/placement/pick.go
+++ b/placement/pick.go
@@ -28,20 +28,27 @@
 	return int(slot)
 }
 
-// score ranks an entry for a key.
-func (t *serviceTable) score(e *entry, key uint64) float64 {
+// offer offers an entry to a ranking by its score for a key. The score is only
+// worked out where a bound on it, which costs no logarithm, exceeds the floor.
+func (t *serviceTable) offer(r *ranking, i int, key uint64) {
+	e := &t.entries[i]
 	hash := mix(e.seed, key)
 	if t.uniform {
-		return float64(hash >> 11)
+		if s := float64(hash >> 12); s > r.floor {
+			r.offer(s, int32(i))
+		}
+		return
+	}
+	if mayExceed(hash, e.weight, r.floor) {
+		r.offer(score(hash, e.weight), int32(i))
 	}
-	return score(hash, e.weight)
 }
 
 // rank ranks all targets for a key.
 func (t *serviceTable) rank(key uint64) *ranking {
 	var r ranking
 	for i := range t.entries {
-		r.offer(t.score(&t.entries[i], key), int32(i))
+		t.offer(&r, i, key)
 	}
 	return &r
 }
@@ -99,7 +106,7 @@
 	key := placementKey(r)
 	for i := range t.entries {
 		e := &t.entries[i]
-		ranks[e.standing(r.Now)].offer(t.score(e, key), int32(i))
+		t.offer(&ranks[e.standing(r.Now)], i, key)
 	}
 }
 
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -20,7 +20,15 @@
 }
 
 func TestPickFollowsOrder(t *testing.T) {
-	v := testView(20)
+	for _, weight := range []float64{1, 3} {
+		v := testView(20)
+		v.Targets["chat"][4].Weight = weight
+		checkAgainstOrder(t, v)
+	}
+}
+
+func checkAgainstOrder(t *testing.T, v View) {
+	t.Helper()
 	p := NewPicker(v)
 	for chat := range fleet.ChatKey(500) {
 		plan := p.Pick(Request{Service: "chat", Chat: chat})
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -14,11 +14,13 @@
 type ranking struct {
 	top [rankLimit]ranked
 	n   int
+	// floor is the score that a target must exceed to be ranked.
+	floor float64
 }
 
 // offer puts a target in the ranking if it is among the highest.
 func (r *ranking) offer(score float64, index int32) {
-	if r.n == rankLimit && score <= r.top[rankLimit-1].score {
+	if r.n == rankLimit && score <= r.floor {
 		return
 	}
 	if r.n < rankLimit {
@@ -30,6 +32,9 @@
 		i--
 	}
 	r.top[i] = ranked{score, index}
+	if r.n == rankLimit {
+		r.floor = r.top[rankLimit-1].score
+	}
 }
 
 // merge calls f for the targets of a and b together in falling order.
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -25,11 +25,21 @@
 	return h ^ h>>31
 }
 
+// unit maps a uniform hash into the open interval from 0 to 1.
+func unit(hash uint64) float64 {
+	return (float64(hash>>12) + 0.5) / (1 << 52)
+}
+
 // score turns a uniform hash into a weighted rendezvous score; the member with
 // the highest score wins with a probability proportional to its weight.
 func score(hash uint64, weight float64) float64 {
-	unit := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
+	return -weight / math.Log(unit(hash))
+}
+
+// mayExceed reports whether score(hash, weight) may exceed floor. It rests on
+// -log(u) >= 1-u and errs to true only.
+func mayExceed(hash uint64, weight, floor float64) bool {
+	return floor*(1-unit(hash)) < weight
 }
 
 // normalWeight returns the weight to reckon with: 1 where none is set.
--- a/placement/rendezvous_test.go
+++ b/placement/rendezvous_test.go
@@ -125,3 +125,20 @@
 		}
 	}
 }
+
+func TestMayExceedNeverRulesOutAHigherScore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hash := rapid.Uint64().Draw(t, "hash")
+		weight := rapid.Float64Range(0.01, 100).Draw(t, "weight")
+		floor := score(hash, weight) * rapid.Float64Range(0, 0.9999).Draw(t, "part")
+		if !mayExceed(hash, weight, floor) {
+			t.Fatalf("a score of %v is said not to exceed %v", score(hash, weight), floor)
+		}
+	})
+}
+
+func TestScoreOfTheHighestHashIsFinite(t *testing.T) {
+	if s := score(^uint64(0), 1); math.IsInf(s, 0) || s < score(0, 1) {
+		t.Errorf("the highest hash scores %v", s)
+	}
+}
