--- /dev/null
+++ b/measure/bed/bed_test.go
@@ -0,0 +1,94 @@
+package bed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/examples"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+const testLimit = 30 * time.Second
+
+func startBed(t *testing.T, cfg Config) (*Bed, *Client, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	dir, err := examples.Deployment(examples.TochaViva)
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects, findings := settings.LoadFS(dir)
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	cfg.Objects = objects
+	if cfg.RoutersPerDomain == 0 {
+		cfg.RoutersPerDomain = 1
+	}
+	cfg.Log = zerolog.Nop()
+	b, err := Start(ctx, cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	client := b.NewClient()
+	t.Cleanup(client.Close)
+	return b, client, ctx
+}
+
+func TestChatThroughEveryRouter(t *testing.T) {
+	b, client, ctx := startBed(t, Config{})
+	for _, m := range b.Members() {
+		chat := &Chat{ID: string(m.Router.Self().ID), Account: "balcao-natal", Service: "assistente"}
+		for range 3 {
+			answer, err := client.Say(ctx, m, chat, "how much citronella", 20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !answer.Right {
+				t.Fatalf("answer not right: %+v", answer)
+			}
+		}
+	}
+}
+
+func TestPlainCall(t *testing.T) {
+	b, client, ctx := startBed(t, Config{})
+	answer, err := client.Call(ctx, b.Members()[0], "balcao-natal", "pedidos", "GET", "/estoque/7?q=1", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer.Status != 200 || answer.Outcome != outcome.Completed {
+		t.Fatalf("got %+v", answer)
+	}
+}
+
+func TestRefusalsAreToldNotRun(t *testing.T) {
+	b, client, ctx := startBed(t, Config{})
+	m := b.Members()[0]
+	check := func(name string, answer Answer, err error, status int, code reason.Code) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Status != status || answer.Reason != code || answer.Outcome != outcome.NotRun {
+			t.Errorf("%s: got %d %s %s", name, answer.Status, answer.Reason, answer.Outcome)
+		}
+	}
+	answer, err := client.Say(ctx, m, &Chat{ID: "x", Account: "balcao-natal", Service: "nobody"}, "hi", 5)
+	check("unknown model", answer, err, 404, reason.UnknownModel)
+	answer, err = client.Say(ctx, m, &Chat{ID: "x", Account: "no-such-account", Service: "assistente"}, "hi", 5)
+	check("wrong key", answer, err, 401, reason.Unauthenticated)
+	answer, err = client.Call(ctx, m, "balcao-natal", "nobody", "GET", "/", "", nil)
+	check("unknown service", answer, err, 404, reason.UnknownService)
+	answer, err = client.Call(ctx, m, "balcao-natal", "pedidos", "POST", "/pedidos", "", make([]byte, 3<<20))
+	check("large body", answer, err, 413, reason.BodyTooLarge)
+	answer, err = client.raw(ctx, m, "balcao-natal", `{"model": "assistente", "messages": [`)
+	check("malformed", answer, err, 400, reason.MalformedBody)
+}
--- a/measure/bed/client.go
+++ b/measure/bed/client.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	clientConns    = 512
-	clientTimeout  = 60 * time.Second
-	sseDataPrefix  = "data: "
-	sseDone        = "[DONE]"
+	clientConns   = 512
+	clientTimeout = 60 * time.Second
+	sseDataPrefix = "data: "
+	sseDone       = "[DONE]"
 )
 
 // Client is a caller of the bed's routers that checks every answer against
@@ -194,3 +194,13 @@
 	a.Text = text.String()
 	return scanner.Err()
 }
+
+// raw posts a body as a chat request.
+func (c *Client) raw(ctx context.Context, m *Member, account fleet.AccountName, body string) (Answer, error) {
+	resp, err := c.send(ctx, m, account, http.MethodPost, "/v1/chat/completions", http.Header{}, []byte(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	return head(resp), nil
+}
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -53,7 +53,7 @@
 	case settings.KindTargets:
 		service := s.Services[fleet.ServiceName(doc["service"].(string))]
 		doc["addr"], err = b.startTarget(fleet.TargetID(o.Name), service.Kind)
-	case settings.KindClientAccounts:
+	case settings.KindAccounts:
 		doc["key_hashes"], err = b.accountKey(fleet.AccountName(o.Name))
 	case settings.KindFleet:
 		err = b.operatorTokens(doc)
