--- /dev/null
+++ b/cmd/ragwortd/main.go
@@ -0,0 +1,148 @@
+// Command ragwortd is the router daemon. It reads a start file, runs one router
+// and stops as planned on SIGTERM.
+//
+// Exit codes: 0 stopped without cutting anything, 1 failed or cut requests, 2
+// the start file has findings.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/router"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+const (
+	exitFailed   = 1
+	exitFindings = 2
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		var coded cli.ExitCoder
+		if errors.As(err, &coded) {
+			os.Exit(coded.ExitCode())
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "ragwortd",
+		Usage: "run one router of a ragwortpond fleet",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "start `FILE` of the router", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the start file and exit"},
+			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error; overrides the start file"},
+			&cli.StringFlag{Name: "log-format", Value: "json", Usage: "json or console"},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action:         run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	start, findings := settings.LoadStart(cmd.String("config"))
+	if len(findings) > 0 {
+		return cli.Exit(findings.Error(), exitFindings)
+	}
+	if level := cmd.String("log-level"); level != "" {
+		start.LogLevel = level
+	}
+	log, err := logger(os.Stderr, start.LogLevel, cmd.String("log-format"))
+	if err != nil {
+		return cli.Exit(err.Error(), exitFindings)
+	}
+	cfg, err := configOf(start)
+	if err != nil {
+		return cli.Exit(err.Error(), exitFindings)
+	}
+	if cmd.Bool("check") {
+		fmt.Println("ok")
+		return nil
+	}
+	return serve(ctx, cfg, start.PlatformAddr, log)
+}
+
+func logger(w io.Writer, level, format string) (zerolog.Logger, error) {
+	parsed := zerolog.InfoLevel
+	if level != "" {
+		var err error
+		parsed, err = zerolog.ParseLevel(level)
+		if err != nil {
+			return zerolog.Nop(), fmt.Errorf("ragwortd: log level %q: %w", level, err)
+		}
+	}
+	switch format {
+	case "json":
+	case "console":
+		w = zerolog.ConsoleWriter{Out: w}
+	default:
+		return zerolog.Nop(), fmt.Errorf("ragwortd: log format %q is neither json nor console", format)
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
+}
+
+// configOf reads the files that a start file names.
+func configOf(s settings.Start) (router.Config, error) {
+	cert, err1 := os.ReadFile(s.TLS.Cert)
+	key, err2 := os.ReadFile(s.TLS.Key)
+	authority, err3 := os.ReadFile(s.TLS.Authority)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return router.Config{}, fmt.Errorf("ragwortd: TLS files: %w", err)
+	}
+	cfg := router.Config{
+		Self:       fleet.Router{ID: s.ID, Domain: s.Domain, Region: s.Region},
+		CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr, PeerAddr: s.PeerAddr,
+		Pair: keys.Pair{Cert: cert, Key: key}, Authority: authority,
+	}
+	for _, addr := range s.Seeds {
+		cfg.Seeds = append(cfg.Seeds, fleet.Router{ID: fleet.RouterID(addr), PeerAddr: addr})
+	}
+	return cfg, nil
+}
+
+// serve runs a router until SIGTERM or SIGINT, then stops it as planned.
+func serve(ctx context.Context, cfg router.Config, platformAddr string, log zerolog.Logger) error {
+	set := metrics.NewSet()
+	store := platform.NewClient(platform.ClientConfig{Addr: platformAddr, Metrics: set})
+	r, err := router.New(cfg, router.Deps{
+		Store: store, VMs: store, Metrics: set, Log: log,
+		Engine: engine.NewClient(engine.ClientConfig{Discarded: set.Discarded}),
+		Plain:  plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- r.Run(runCtx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+	}
+	cut := r.Drain(ctx)
+	cancel()
+	return errors.Join(cut, <-done)
+}
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -16,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/entry"
@@ -186,9 +187,11 @@
 
 // Close ends everything at once.
 func (b *Bed) Close() {
+	var wait sync.WaitGroup
 	for _, m := range b.Members() {
-		m.Kill()
+		wait.Go(m.Kill)
 	}
+	wait.Wait()
 	for _, e := range b.Engines() {
 		e.Kill()
 	}
@@ -203,9 +206,11 @@
 // Member is one router of the bed.
 type Member struct {
 	Router *router.Router
-	cancel context.CancelFunc
-	done   chan struct{}
-	err    error
+	// Metrics are the router's own.
+	Metrics *metrics.Set
+	cancel  context.CancelFunc
+	done    chan struct{}
+	err     error
 }
 
 // Running reports whether the router has not been stopped.
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -175,6 +175,7 @@
 	cfg := router.Config{
 		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
 		CallerAddr: loopback, PeerAddr: loopback, Pair: pair, Authority: b.authority.Pair().Cert, PlainCallers: true,
+		Seeds: b.seeds(),
 	}
 	if b.cfg.Operators {
 		cfg.OperatorAddr = loopback
@@ -183,7 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{Router: r, done: make(chan struct{})}
+	m := &Member{Router: r, Metrics: set, done: make(chan struct{})}
 	b.SetVM(platform.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
@@ -197,6 +198,17 @@
 	return m, nil
 }
 
+// seeds returns the routers that run already.
+func (b *Bed) seeds() []fleet.Router {
+	var running []fleet.Router
+	for _, m := range b.Members() {
+		if m.Running() {
+			running = append(running, m.Router.Self())
+		}
+	}
+	return running
+}
+
 // SetVM adds or changes an entry of the platform's VM list.
 func (b *Bed) SetVM(vm platform.VM) {
 	b.mu.Lock()
--- /dev/null
+++ b/measure/demo/demo.go
@@ -0,0 +1,170 @@
+// Package demo is the embedded default: a small fleet that serves returning
+// chats and orders for a few seconds while one engine is withdrawn and another
+// crashes.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+const (
+	defaultDuration  = 6 * time.Second
+	routersPerDomain = 2
+	sampleInterval   = 10 * time.Millisecond
+	minMeanRequests  = 1
+	skewQuantile     = 0.99
+	tokensPerSecond  = 400
+	prefillPerSecond = 20_000
+)
+
+// Options say what the demo runs.
+type Options struct {
+	// Objects are the settings of a deployment.
+	Objects []platform.Object
+	// Duration of the workload; zero means six seconds.
+	Duration time.Duration
+	Seed     uint64
+	// Progress takes a line for each step; never nil.
+	Progress io.Writer
+	Log      zerolog.Logger
+}
+
+// Figures are what the demo counted.
+type Figures struct {
+	Requests     int `json:"requests"`
+	WholeAnswers int `json:"whole_answers"`
+	// Refused requests were told not-run.
+	Refused int `json:"refused"`
+	// Lost requests were told neither a whole answer nor not-run, or were given
+	// an answer that is not theirs.
+	Lost     int `json:"lost"`
+	RanTwice int `json:"ran_twice"`
+	// CacheReuse is the share of the tokens of earlier turns that engines found
+	// in their caches.
+	CacheReuse float64 `json:"cache_reuse"`
+	// Skew is the 99th percentile of the busiest engine's requests over the
+	// mean, while the mean is at least one request.
+	Skew                        float64 `json:"skew"`
+	ControlBytesPerRouterSecond float64 `json:"control_bytes_per_router_second"`
+	Routers                     int     `json:"routers"`
+	Engines                     int     `json:"engines"`
+	Withdrawn                   string  `json:"withdrawn"`
+	Crashed                     string  `json:"crashed"`
+}
+
+// Start starts the demo's fleet.
+func Start(ctx context.Context, o Options) (*bed.Bed, error) {
+	return bed.Start(ctx, bed.Config{
+		Objects: o.Objects, RoutersPerDomain: routersPerDomain, Seed: o.Seed, Log: o.Log, Operators: true,
+		Engine: func(c *standin.EngineConfig) {
+			c.TokensPerSecond = tokensPerSecond
+			c.PrefillPerSecond = prefillPerSecond
+		},
+	})
+}
+
+// Run drives the workload through a started fleet and returns the figures.
+func Run(ctx context.Context, b *bed.Bed, o Options) (Figures, error) {
+	duration := o.Duration
+	if duration <= 0 {
+		duration = defaultDuration
+	}
+	w, err := newWorkload(b, o.Seed)
+	if err != nil {
+		return Figures{}, err
+	}
+	defer w.client.Close()
+	before := b.ControlBytes()
+	sampler := b.SampleSkew(sampleInterval)
+	start := time.Now()
+	workCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wait sync.WaitGroup
+	w.start(workCtx, &wait)
+	figures, err := disturb(ctx, b, w, duration, o.Progress)
+	cancel()
+	wait.Wait()
+	elapsed := time.Since(start).Seconds()
+	samples := sampler.Stop()
+	if err != nil {
+		return Figures{}, err
+	}
+	w.fill(&figures)
+	_, cached := b.CacheTokens()
+	figures.CacheReuse = ratio(float64(cached), float64(w.reusable.Load()))
+	figures.Skew = bed.SkewQuantile(samples, skewQuantile, minMeanRequests)
+	figures.RanTwice = b.RanTwice()
+	figures.Routers = len(b.Members())
+	figures.Engines = len(b.Engines())
+	figures.ControlBytesPerRouterSecond = (b.ControlBytes() - before) / elapsed / float64(figures.Routers)
+	return figures, nil
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// disturb lets the workload run, withdraws one engine after a third of the
+// time and crashes another after two thirds.
+func disturb(ctx context.Context, b *bed.Bed, w *workload, total time.Duration, progress io.Writer) (Figures, error) {
+	engines := b.Engines()
+	withdrawn, crashed := engines[0], engines[len(engines)/2]
+	step := total / 3
+	fmt.Fprintf(progress, "%d routers, %d engines, %d plain services; %d callers\n",
+		len(b.Members()), len(engines), len(b.Services()), chatCallers+orderCallers)
+	sleep(ctx, step)
+	fmt.Fprintf(progress, "%s: withdrawing %s\n", w.progress(), withdrawn.ID())
+	if err := withdraw(ctx, b, withdrawn.ID()); err != nil {
+		return Figures{}, err
+	}
+	sleep(ctx, step)
+	fmt.Fprintf(progress, "%s: crashing %s\n", w.progress(), crashed.ID())
+	crashed.Kill()
+	sleep(ctx, step)
+	fmt.Fprintf(progress, "%s: finishing\n", w.progress())
+	return Figures{Withdrawn: string(withdrawn.ID()), Crashed: string(crashed.ID())}, ctx.Err()
+}
+
+func withdraw(ctx context.Context, b *bed.Bed, id fleet.TargetID) error {
+	_, err := b.Change(ctx, settings.KindTargets, string(id), func(doc map[string]any) {
+		doc["state"] = string(fleet.Leaving)
+	})
+	if err != nil {
+		return fmt.Errorf("demo: withdraw %s: %w", id, err)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// WriteTable prints figures for people.
+func WriteTable(w io.Writer, f Figures) {
+	fmt.Fprintf(w, "\n%-32s %d\n", "requests", f.Requests)
+	fmt.Fprintf(w, "%-32s %d\n", "whole answers", f.WholeAnswers)
+	fmt.Fprintf(w, "%-32s %d\n", "refused, told not-run", f.Refused)
+	fmt.Fprintf(w, "%-32s %d\n", "lost", f.Lost)
+	fmt.Fprintf(w, "%-32s %d\n", "orders run twice", f.RanTwice)
+	fmt.Fprintf(w, "%-32s %.3f\n", "cache reuse", f.CacheReuse)
+	fmt.Fprintf(w, "%-32s %.2f\n", "skew (p99, busiest over mean)", f.Skew)
+	fmt.Fprintf(w, "%-32s %.0f\n", "control bytes a router second", f.ControlBytesPerRouterSecond)
+}
--- /dev/null
+++ b/measure/demo/workload.go
@@ -0,0 +1,167 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+const (
+	chatCallers   = 36
+	orderCallers  = 6
+	chatsPerAgent = 4
+	turnsPerChat  = 6
+	answerTokens  = 24
+	sheetWords    = 300
+	maxPause      = 60 * time.Millisecond
+	orderPause    = 20 * time.Millisecond
+)
+
+// errNoService is returned for settings without one service of each kind.
+var errNoService = errors.New("demo: the settings need an engine service, a plain service and a client account")
+
+// workload is the callers and what they counted.
+type workload struct {
+	bed      *bed.Bed
+	client   *bed.Client
+	seed     uint64
+	engine   fleet.ServiceName
+	plain    fleet.ServiceName
+	accounts []fleet.AccountName
+	reusable atomic.Int64
+
+	mu     sync.Mutex
+	counts Figures
+}
+
+func newWorkload(b *bed.Bed, seed uint64) (*workload, error) {
+	w := &workload{bed: b, client: b.NewClient(), seed: seed}
+	snapshot := b.Snapshot()
+	for name, s := range snapshot.Services {
+		if s.Kind == fleet.KindEngine {
+			w.engine = name
+		} else {
+			w.plain = name
+		}
+	}
+	for name := range snapshot.Accounts {
+		w.accounts = append(w.accounts, name)
+	}
+	slices.Sort(w.accounts)
+	if w.engine == "" || w.plain == "" || len(w.accounts) == 0 {
+		return nil, errNoService
+	}
+	return w, nil
+}
+
+func (w *workload) start(ctx context.Context, wait *sync.WaitGroup) {
+	for i := range chatCallers {
+		wait.Go(func() { w.chats(ctx, i) })
+	}
+	for i := range orderCallers {
+		wait.Go(func() { w.orders(ctx, i) })
+	}
+}
+
+// chats keeps several chats going that each go quiet and come back, through any
+// router. A request under way when ctx ends is finished.
+func (w *workload) chats(ctx context.Context, caller int) {
+	random := rand.New(rand.NewPCG(w.seed, uint64(caller)))
+	open := make([]*bed.Chat, chatsPerAgent)
+	for n := 0; ctx.Err() == nil; n++ {
+		slot := random.IntN(chatsPerAgent)
+		if open[slot] == nil || len(open[slot].Messages) >= 2*turnsPerChat {
+			open[slot] = w.newChat(caller, n)
+		}
+		w.turn(random, open[slot], n)
+		sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
+	}
+}
+
+func (w *workload) newChat(caller, n int) *bed.Chat {
+	return &bed.Chat{
+		ID: fmt.Sprintf("chat-%d-%d", caller, n), Service: w.engine,
+		Account: w.accounts[caller%len(w.accounts)],
+	}
+}
+
+func (w *workload) turn(random *rand.Rand, chat *bed.Chat, n int) {
+	text := fmt.Sprintf("turn %d of %s", n, chat.ID)
+	if len(chat.Messages) == 0 {
+		text += strings.Repeat(" sheet", sheetWords)
+	}
+	for _, m := range chat.Messages {
+		w.reusable.Add(int64(len(strings.Fields(m.Content))))
+	}
+	answer, err := w.client.Say(context.Background(), w.router(random), chat, text, answerTokens)
+	w.count(answer, err)
+}
+
+func (w *workload) orders(ctx context.Context, caller int) {
+	random := rand.New(rand.NewPCG(w.seed, uint64(chatCallers+caller)))
+	account := w.accounts[caller%len(w.accounts)]
+	for n := 0; ctx.Err() == nil; n++ {
+		key := fmt.Sprintf("order-%d-%d", caller, n)
+		answer, err := w.client.Call(context.Background(), w.router(random), account, w.plain,
+			http.MethodPost, w.orderPath(), key, []byte(`{"drums":1}`))
+		w.count(answer, err)
+		sleep(ctx, orderPause)
+	}
+}
+
+// orderPath is a path whose calls may not be repeated.
+func (w *workload) orderPath() string {
+	return orderPath(w.bed.Snapshot(), w.plain)
+}
+
+func orderPath(s *settings.Snapshot, service fleet.ServiceName) string {
+	for _, r := range s.Rules {
+		if r.Service == service && !r.Repeatable {
+			return r.PathPrefix
+		}
+	}
+	return "/"
+}
+
+func (w *workload) router(random *rand.Rand) *bed.Member {
+	members := w.bed.Members()
+	return members[random.IntN(len(members))]
+}
+
+func (w *workload) count(a bed.Answer, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts.Requests++
+	switch {
+	case err == nil && a.Right:
+		w.counts.WholeAnswers++
+	case err == nil && a.Refused():
+		w.counts.Refused++
+	default:
+		w.counts.Lost++
+	}
+}
+
+func (w *workload) fill(f *Figures) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f.Requests, f.WholeAnswers = w.counts.Requests, w.counts.WholeAnswers
+	f.Refused, f.Lost = w.counts.Refused, w.counts.Lost
+}
+
+func (w *workload) progress() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf("%d requests, %d whole", w.counts.Requests, w.counts.WholeAnswers)
+}
