retry: the life cycle of a request through its attempts

Which step follows an attempt was decided in the entry by two conditions, with no budget, no deadline between attempts and no way to go on with a broken stream. It is now a state machine without I/O: join what is known, then finish, give up, send anew, take the stream up again, or go on elsewhere from the text so far.

Going on after a home's refusal is free, since no target was touched. Taking a stream up again costs no budget, since nothing runs twice, and is tried once for each advance.

--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,238 @@
+// Package retry decides what follows an attempt: nothing more, another target,
+// or going on with the broken stream. It is deterministic and does no I/O: time
+// and randomness are passed in.
+package retry
+
+import (
+	"time"
+
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// Action says what follows an attempt.
+type Action uint8
+
+// The actions.
+const (
+	// Finish means that the caller has its whole answer.
+	Finish Action = iota
+	// GiveUp means that no further attempt is made.
+	GiveUp
+	// Elsewhere means that the request is sent anew to the next candidate;
+	// the caller has no byte of an answer yet.
+	Elsewhere
+	// ResumeSame means that the attempt's stream is taken up again at its
+	// offset, on the same target.
+	ResumeSame
+	// ResumeOther means that another target goes on from the text so far.
+	ResumeOther
+)
+
+// String returns the action's name for logs.
+func (a Action) String() string {
+	names := [...]string{"finish", "give-up", "elsewhere", "resume-same", "resume-other"}
+	if int(a) >= len(names) {
+		return "invalid"
+	}
+	return names[a]
+}
+
+// End is how an attempt, or the resumption of one, ended.
+type End struct {
+	Outcome outcome.State
+	Reason  reason.Code
+	// Whole says that the target's whole answer reached the caller.
+	Whole bool
+	// Events is how many events of the attempt's stream have arrived so far.
+	Events uint64
+	// CallerGone says that the caller no longer waits.
+	CallerGone bool
+}
+
+// Step is a decision.
+type Step struct {
+	Action Action
+	// Wait is to be waited before the action.
+	Wait time.Duration
+	// Outcome and Reason are what is known of the request so far; with Finish
+	// and GiveUp they are final.
+	Outcome outcome.State
+	Reason  reason.Code
+	// Charged says that the step took from the retry budget.
+	Charged bool
+}
+
+// Config describes a request.
+type Config struct {
+	// Repeatable says that running the request twice does no harm.
+	Repeatable bool
+	// Stream says that the answer comes as numbered events that can be resumed.
+	Stream bool
+	// Deadline is zero where there is none.
+	Deadline time.Time
+	Limits   settings.Retry
+}
+
+// Request is the life cycle of one request through its attempts. It is used by
+// one goroutine.
+type Request struct {
+	config  Config
+	budget  *Budget
+	outcome outcome.State
+	reason  reason.Code
+	// failures counts attempts given up at or behind a target; attempts that a
+	// home refused are not among them.
+	failures int
+	// resuming says that the present attempt was taken up again at events and
+	// has not advanced since.
+	resuming bool
+	events   uint64
+	// begun says that the caller has a part of the answer.
+	begun bool
+}
+
+// New returns the life cycle of a request. It deposits the request's share in
+// the budget.
+func New(c Config, b *Budget) *Request {
+	b.Deposit(c.Limits.BudgetRatio)
+	return &Request{config: c, budget: b, reason: reason.NoTarget}
+}
+
+// Next takes the end of an attempt and says what follows. Jitter is uniform in
+// [0, 1).
+func (r *Request) Next(now time.Time, e End, jitter float64) Step {
+	r.note(e)
+	switch {
+	case e.Whole:
+		r.outcome = outcome.Answered
+		return r.step(Finish, reason.None)
+	case e.CallerGone:
+		return r.step(GiveUp, r.reason)
+	case r.expired(now):
+		return r.step(GiveUp, reason.Deadline)
+	}
+	switch action := r.action(e); action {
+	case GiveUp:
+		return r.step(GiveUp, r.reason)
+	case ResumeSame:
+		r.resuming = true
+		return r.step(ResumeSame, e.Reason)
+	default:
+		return r.leave(now, action, e, jitter)
+	}
+}
+
+// Exhausted is the final step when Elsewhere or ResumeOther finds no further
+// candidate.
+func (r *Request) Exhausted() Step {
+	return r.step(GiveUp, r.reason)
+}
+
+// Expired is the final step when the deadline passed, or the caller went,
+// between attempts.
+func (r *Request) Expired() Step {
+	return r.step(GiveUp, reason.Deadline)
+}
+
+func (r *Request) step(a Action, why reason.Code) Step {
+	return Step{Action: a, Outcome: r.outcome, Reason: why}
+}
+
+// note joins an end into what is known. The reason kept is that of the latest
+// attempt which got furthest.
+func (r *Request) note(e End) {
+	if e.Outcome >= r.outcome {
+		r.reason = e.Reason
+	}
+	r.outcome = outcome.Join(r.outcome, e.Outcome)
+	if e.Events > r.events {
+		r.events = e.Events
+		r.resuming = false
+	}
+	r.begun = r.begun || e.Events > 0
+}
+
+func (r *Request) expired(now time.Time) bool {
+	return !r.config.Deadline.IsZero() && !now.Before(r.config.Deadline)
+}
+
+// action chooses what would follow, were there budget and time.
+func (r *Request) action(e End) Action {
+	if !r.config.Repeatable {
+		return r.onceOnly(e)
+	}
+	if !r.config.Stream {
+		return Elsewhere
+	}
+	if e.Outcome != outcome.NotDispatched && !r.resuming && e.Reason != reason.AnswerMismatch {
+		return ResumeSame
+	}
+	if r.begun {
+		return ResumeOther
+	}
+	return Elsewhere
+}
+
+// onceOnly goes on with a request that must not run twice: only as long as no
+// byte of it left for a target.
+func (r *Request) onceOnly(e End) Action {
+	if r.outcome != outcome.NotDispatched || e.Reason == reason.TargetRefused {
+		return GiveUp
+	}
+	return Elsewhere
+}
+
+// leave gives up the present attempt for another and pays for it. Going on to
+// the next candidate after a home's refusal costs nothing, since no target was
+// touched.
+func (r *Request) leave(now time.Time, a Action, e End, jitter float64) Step {
+	free := redirect(e) && !r.resuming
+	r.resuming = false
+	r.events = 0
+	if free {
+		return r.step(a, e.Reason)
+	}
+	r.failures++
+	if r.failures >= r.config.Limits.Attempts {
+		return r.step(GiveUp, r.reason)
+	}
+	wait := Backoff(r.config.Limits, r.failures, jitter)
+	if r.expired(now.Add(wait)) {
+		return r.step(GiveUp, reason.Deadline)
+	}
+	if !r.budget.Take() {
+		return r.step(GiveUp, reason.RetryBudget)
+	}
+	s := r.step(a, e.Reason)
+	s.Wait = wait
+	s.Charged = true
+	return s
+}
+
+// redirect reports whether an attempt ended before it touched a target.
+func redirect(e End) bool {
+	if e.Outcome != outcome.NotDispatched {
+		return false
+	}
+	switch e.Reason {
+	case reason.TargetDown, reason.TargetRefused, reason.HomeUnreachable:
+		return false
+	default:
+		return true
+	}
+}
+
+// Backoff returns the wait before the attempt after the given number of
+// failures, 1 or more: its mean doubles with each failure up to the limit, and
+// jitter in [0, 1) spreads it from half the mean to one and a half times it.
+func Backoff(l settings.Retry, failures int, jitter float64) time.Duration {
+	mean := l.BackoffMS.Duration()
+	longest := l.BackoffMaxMS.Duration()
+	for i := 1; i < failures && mean < longest; i++ {
+		mean *= 2
+	}
+	mean = min(mean, longest)
+	return time.Duration(float64(mean) * (0.5 + jitter))
+}
--- /dev/null
+++ b/retry/rules.go
@@ -0,0 +1,31 @@
+package retry
+
+import (
+	"slices"
+	"strings"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// Repeatable reports whether a plain call may run twice: the first rule that
+// matches decides, and where none does, GET and HEAD may. Path is the call's
+// path below /s/{service}, with its leading slash.
+func Repeatable(rules []settings.Rule, service fleet.ServiceName, method, path string) bool {
+	for _, r := range rules {
+		if matches(r, service, method, path) {
+			return r.Repeatable
+		}
+	}
+	return method == "GET" || method == "HEAD"
+}
+
+func matches(r settings.Rule, service fleet.ServiceName, method, path string) bool {
+	if r.Service != "" && r.Service != service {
+		return false
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	return strings.HasPrefix(path, r.PathPrefix)
+}
