--- a/placement/cacheevent.go
+++ b/placement/cacheevent.go
@@ -61,7 +61,7 @@
 }
 
 func (t *ChatTable) apply(target fleet.TargetID, e engine.CacheEvent, now time.Time) {
-	if !e.Stored {
+	if !e.Stored && e.Tokens <= 0 {
 		t.Forget(e.Chat, target)
 		return
 	}
--- a/placement/rendezvous_test.go
+++ b/placement/rendezvous_test.go
@@ -119,6 +119,7 @@
 		{1.25, 95, 12, 1, 10},
 		{1.25, 95, 12, 2, 20},
 		{2, 10, 0, 1, 1},
+		{1.25, 12, 12, 1, 2},
 	} {
 		if got := Bound(c.multiple, c.total, c.n, c.weight); got != c.want {
 			t.Errorf("Bound(%v, %v, %d, %v) = %v, want %v", c.multiple, c.total, c.n, c.weight, got, c.want)
