--- a/placement/home.go
+++ b/placement/home.go
@@ -7,40 +7,64 @@
 // its region, else among all. It returns false when routers is empty. The
 // result does not depend on the order of routers.
 func Home(target fleet.Target, routers []fleet.Router, region func(fleet.DomainName) fleet.RegionName) (fleet.Router, bool) {
-	key := seed(string(target.ID))
-	if r, ok := highest(key, routers, inDomain(target.Domain)); ok {
-		return r, true
-	}
-	if r, ok := highest(key, routers, inRegion(region(target.Domain))); ok {
-		return r, true
+	home := newHomeIndex(routers, region).home(&target)
+	if home == nil {
+		return fleet.Router{}, false
 	}
-	return highest(key, routers, func(*fleet.Router) bool { return true })
+	return *home, true
 }
 
-func inDomain(d fleet.DomainName) func(*fleet.Router) bool {
-	return func(r *fleet.Router) bool { return r.Domain == d }
+// seeded is a router with the fixed hash of its id.
+type seeded struct {
+	router *fleet.Router
+	seed   uint64
 }
 
-func inRegion(g fleet.RegionName) func(*fleet.Router) bool {
-	return func(r *fleet.Router) bool { return g != "" && r.Region == g }
+// homeIndex holds the routers by failure domain and by region, so that many
+// homes can be found from one view.
+type homeIndex struct {
+	region  func(fleet.DomainName) fleet.RegionName
+	domains map[fleet.DomainName][]seeded
+	regions map[fleet.RegionName][]seeded
+	all     []seeded
 }
 
-// highest returns the router with the highest hash among those accepted; ties
-// go to the lower id.
-func highest(key uint64, routers []fleet.Router, accept func(*fleet.Router) bool) (fleet.Router, bool) {
-	best := -1
-	var bestHash uint64
+func newHomeIndex(routers []fleet.Router, region func(fleet.DomainName) fleet.RegionName) *homeIndex {
+	x := &homeIndex{region: region, domains: map[fleet.DomainName][]seeded{}, regions: map[fleet.RegionName][]seeded{}}
 	for i := range routers {
-		if !accept(&routers[i]) {
-			continue
-		}
-		h := mix(seed(string(routers[i].ID)), key)
-		if best < 0 || h > bestHash || (h == bestHash && routers[i].ID < routers[best].ID) {
-			best, bestHash = i, h
+		r := &routers[i]
+		s := seeded{r, seed(string(r.ID))}
+		x.domains[r.Domain] = append(x.domains[r.Domain], s)
+		x.regions[r.Region] = append(x.regions[r.Region], s)
+		x.all = append(x.all, s)
+	}
+	return x
+}
+
+// home returns the target's home, nil when there is no router.
+func (x *homeIndex) home(t *fleet.Target) *fleet.Router {
+	key := seed(string(t.ID))
+	if r := highest(key, x.domains[t.Domain]); r != nil {
+		return r
+	}
+	if region := x.region(t.Domain); region != "" {
+		if r := highest(key, x.regions[region]); r != nil {
+			return r
 		}
 	}
-	if best < 0 {
-		return fleet.Router{}, false
+	return highest(key, x.all)
+}
+
+// highest returns the router with the highest hash for a key, nil when there
+// is none; ties go to the lower id.
+func highest(key uint64, routers []seeded) *fleet.Router {
+	var best *fleet.Router
+	var bestHash uint64
+	for _, s := range routers {
+		h := mix(s.seed, key)
+		if best == nil || h > bestHash || (h == bestHash && s.router.ID < best.ID) {
+			best, bestHash = s.router, h
+		}
 	}
-	return routers[best], true
+	return best
 }
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -76,13 +76,14 @@
 // NewPicker builds the tables of a view.
 func NewPicker(v View) *Picker {
 	p := &Picker{policy: v.Policy, tables: map[fleet.ServiceName]*serviceTable{}}
+	homes := newHomeIndex(v.Routers, v.Region)
 	for service, targets := range v.Targets {
-		p.tables[service] = newServiceTable(v, targets)
+		p.tables[service] = newServiceTable(v, homes, targets)
 	}
 	return p
 }
 
-func newServiceTable(v View, targets []fleet.Target) *serviceTable {
+func newServiceTable(v View, homes *homeIndex, targets []fleet.Target) *serviceTable {
 	table := &serviceTable{uniform: true, indexes: map[fleet.TargetID]int32{}}
 	for i := range targets {
 		t := &targets[i]
@@ -90,9 +91,7 @@
 			continue
 		}
 		e := entry{target: t, seed: seed(string(t.ID)), weight: normalWeight(t.Weight)}
-		if home, ok := Home(*t, v.Routers, v.Region); ok {
-			e.home = &home
-		}
+		e.home = homes.home(t)
 		if v.Phase != nil {
 			e.phase = v.Phase(t.ID)
 		}
