--- a/router/router.go
+++ b/router/router.go
@@ -143,10 +143,6 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-func (r *Router) routers() []fleet.Router {
-	return r.members.View().Routers
-}
-
 func (r *Router) buildRoles(mux *peer.Mux) {
 	r.gate = home.NewCountGate()
 	r.home = home.New(home.Config{
