--- /dev/null
+++ b/reason/reason_test.go
@@ -0,0 +1,18 @@
+package reason
+
+import (
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestCataloguePage(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "REASONS", []byte(Markdown()))
+}
+
+func TestUnlistedCodeIsInternal(t *testing.T) {
+	if got := Describe("no-such-code"); got != Describe(Internal) {
+		t.Fatalf("got %+v", got)
+	}
+}
