router/entry, router/home: walk along a plan, gate with the load bound, chat table

The entry follows a picker's plan: token, redirect by a home, candidates, overflow, and a queue at the target with most room. The home decides on exact in-flight requests plus what other homes report, and queues a chat whose context is there for as long as reading it anew would take. A home that took a chat elsewhere tells the home that is asked first when the chat returns. Policies are names now: random, least-loaded, rendezvous, ragwortpond. The means of other homes are not wired yet, so the bound is that of the router's own targets.

--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -16,9 +16,9 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
-	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -36,8 +36,8 @@
 	Objects []platform.Object
 	// RoutersPerDomain is the number of routers in each failure domain.
 	RoutersPerDomain int
-	// Policy makes the placement policy of each router; nil is the default.
-	Policy func() entry.Policy
+	// Policy is the placement policy of the routers; empty is the default.
+	Policy placement.Policy
 	// Engine changes the configuration of each stand-in engine; nil keeps it.
 	Engine func(*standin.EngineConfig)
 	// Service changes the configuration of each stand-in plain service.
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -167,10 +167,7 @@
 	}
 	deps := router.Deps{
 		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{}),
-		Metrics: set, Log: b.cfg.Log,
-	}
-	if b.cfg.Policy != nil {
-		deps.Policy = b.cfg.Policy()
+		Metrics: set, Log: b.cfg.Log, Policy: b.cfg.Policy,
 	}
 	cfg := router.Config{
 		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -88,6 +88,10 @@
 		t.addProbes(plan, &ranks)
 	}
 	settled, joining := ranks[Settled].slice(), ranks[Joining].slice()
+	if len(settled) > 0 {
+		e := &t.entries[settled[0].index]
+		plan.anchor = Step{Target: e.target, Home: e.home, Why: ByHash}
+	}
 	if r.Returning && len(settled) > 0 {
 		t.add(plan, settled[0].index, ByHash, false)
 		settled = settled[1:]
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -64,6 +64,9 @@
 	// uniform says that all weights are equal, so that hashes rank alone.
 	uniform bool
 	indexes map[fleet.TargetID]int32
+	// weights sums the targets' weights by home router.
+	weights map[fleet.RouterID]float64
+	weight  float64
 }
 
 // Picker makes plans from one view. It is immutable and safe for concurrent
@@ -84,7 +87,7 @@
 }
 
 func newServiceTable(v View, homes *homeIndex, targets []fleet.Target) *serviceTable {
-	table := &serviceTable{uniform: true, indexes: map[fleet.TargetID]int32{}}
+	table := &serviceTable{uniform: true, indexes: map[fleet.TargetID]int32{}, weights: map[fleet.RouterID]float64{}}
 	for i := range targets {
 		t := &targets[i]
 		if t.State != fleet.Live && t.State != "" {
@@ -95,6 +98,10 @@
 		if v.Phase != nil {
 			e.phase = v.Phase(t.ID)
 		}
+		if e.home != nil {
+			table.weights[e.home.ID] += e.weight
+		}
+		table.weight += e.weight
 		table.indexes[t.ID] = int32(len(table.entries))
 		table.entries = append(table.entries, e)
 		table.uniform = table.uniform && e.weight == table.entries[0].weight
@@ -110,6 +117,32 @@
 	return 0
 }
 
+// HomedWeight returns the sum of the weights of a service's live targets whose
+// home is the router.
+func (p *Picker) HomedWeight(service fleet.ServiceName, router fleet.RouterID) float64 {
+	if table := p.tables[service]; table != nil {
+		return table.weights[router]
+	}
+	return 0
+}
+
+// Weight returns the sum of the weights of a service's live targets.
+func (p *Picker) Weight(service fleet.ServiceName) float64 {
+	if table := p.tables[service]; table != nil {
+		return table.weight
+	}
+	return 0
+}
+
+// Services calls f for every service that has a live target.
+func (p *Picker) Services(f func(fleet.ServiceName)) {
+	for service, table := range p.tables {
+		if len(table.entries) > 0 {
+			f(service)
+		}
+	}
+}
+
 // Target returns a live target of a service and its home, which is nil when no
 // router is known.
 func (p *Picker) Target(service fleet.ServiceName, id fleet.TargetID) (*fleet.Target, *fleet.Router, bool) {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -45,8 +45,9 @@
 // Plan is the order in which an entry router tries targets. The steps point
 // into the picker's tables and must not be changed.
 type Plan struct {
-	steps [MaxSteps]Step
-	n     int
+	steps  [MaxSteps]Step
+	n      int
+	anchor Step
 }
 
 // Len returns the number of steps.
@@ -59,6 +60,13 @@
 	return p.steps[i]
 }
 
+// Anchor returns the step whose home is asked first when the chat returns
+// without a token, so that a home which takes the chat elsewhere can tell it;
+// false under baseline policies and when no target is settled.
+func (p *Plan) Anchor() (Step, bool) {
+	return p.anchor, p.anchor.Target != nil
+}
+
 // add appends a step unless the plan is full.
 func (p *Plan) add(s Step) {
 	if p.n == MaxSteps {
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -41,19 +40,20 @@
 func (e *Entry) run(ctx context.Context, req *Request, out wire.Sink) Result {
 	p := &progress{out: out}
 	result := Result{Reason: reason.NoTarget}
-	candidates := e.cfg.Policy.Candidates(req, e.cfg.Snapshot().Targets[req.Service])
-	for i, target := range candidates {
+	w := e.newWalk(req)
+	for step, ok := w.next(); ok; step, ok = w.next() {
 		if ctx.Err() != nil {
 			return e.finish(result, p, reason.Deadline)
 		}
-		if i > 0 {
+		if result.Attempts > 0 {
 			e.cfg.Metrics.Retried(result.Reason)
 		}
-		end := e.attempt(ctx, req, target, p)
+		end := e.attempt(ctx, req, step, p)
+		w.ended(step, end)
 		result.Outcome = outcome.Join(result.Outcome, end.Outcome)
 		result.Reason = end.Reason
 		result.RetryAfter = time.Duration(end.Hint.RetryAfterMS) * time.Millisecond
-		result.Target = target.ID
+		result.Target = step.Target.ID
 		result.Attempts++
 		if !e.another(req, p, end) {
 			break
@@ -76,19 +76,21 @@
 	return r
 }
 
-func (e *Entry) attempt(ctx context.Context, req *Request, t fleet.Target, sink wire.Sink) wire.End {
-	home, ok := e.cfg.Homes.Home(t)
-	if !ok {
+func (e *Entry) attempt(ctx context.Context, req *Request, s step, sink wire.Sink) wire.End {
+	if s.Home == nil {
 		return wire.Refused(reason.HomeUnreachable, wire.Hint{})
 	}
-	return e.cfg.Forwarder.Forward(ctx, home, forwardOf(ctx, req, t), sink)
+	done := e.loads.begin(s.Target.ID)
+	defer done()
+	return e.cfg.Forwarder.Forward(ctx, *s.Home, forwardOf(ctx, req, s), e.withToken(req, s, sink))
 }
 
-func forwardOf(ctx context.Context, req *Request, t fleet.Target) *wire.Forward {
+func forwardOf(ctx context.Context, req *Request, s step) *wire.Forward {
 	fwd := &wire.Forward{
-		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: t.ID, Kind: req.Kind,
+		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: s.Target.ID, Kind: req.Kind,
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
+		ContextOnly: s.ContextOnly, Redirected: s.redirected, Wait: s.wait,
 		Body: req.Body, Stream: req.Stream,
 		Method: req.Method, Path: req.Path, Header: req.Header, IdempotencyKey: req.IdempotencyKey,
 	}
--- /dev/null
+++ b/router/entry/context.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/placement"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/router/wire"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// contextHeader is the answer header that carries the context token.
+const contextHeader = "Ragwort-Context"
+
+// tokenRing keeps the keys for context tokens in step with the settings.
+type tokenRing struct {
+	current atomic.Pointer[builtRing]
+}
+
+type builtRing struct {
+	snapshot *settings.Snapshot
+	ring     *placement.TokenRing
+}
+
+func (t *tokenRing) of(s *settings.Snapshot) *placement.TokenRing {
+	if b := t.current.Load(); b != nil && b.snapshot == s {
+		return b.ring
+	}
+	keys := make([]placement.TokenKey, 0, len(s.ContextKeys))
+	for _, k := range s.ContextKeys {
+		keys = append(keys, placement.TokenKey{ID: uint32(xxhash.Sum64String(k.ID)), Secret: []byte(k.Secret)})
+	}
+	b := &builtRing{snapshot: s, ring: placement.NewTokenRing(keys...)}
+	t.current.Store(b)
+	return b.ring
+}
+
+// contextOf returns the target that the request's token names; empty when
+// there is none to be believed.
+func (e *Entry) contextOf(req *Request, now time.Time) fleet.TargetID {
+	if req.Context == "" {
+		return ""
+	}
+	ring := e.ring.of(e.cfg.Snapshot())
+	token, err := ring.Open(req.Chat, req.Context, now, req.Values.Placement.ContextTTLMS.Duration())
+	if err != nil {
+		return ""
+	}
+	return token.Target
+}
+
+// tokenSink adds the context token to the head of an answer.
+type tokenSink struct {
+	wire.Sink
+	entry  *Entry
+	req    *Request
+	target fleet.TargetID
+}
+
+func (e *Entry) withToken(req *Request, s step, sink wire.Sink) wire.Sink {
+	if req.Kind != fleet.KindEngine || req.Chat == 0 {
+		return sink
+	}
+	return &tokenSink{Sink: sink, entry: e, req: req, target: s.Target.ID}
+}
+
+// Head implements wire.Sink.
+func (t *tokenSink) Head(h wire.Head) error {
+	ring := t.entry.ring.of(t.entry.cfg.Snapshot())
+	held := uint32(t.req.PromptTokens + t.req.AnswerTokens)
+	token, err := ring.Seal(t.req.Chat, placement.Token{Target: t.target, At: t.entry.cfg.Clock(), Held: held})
+	if err == nil {
+		h.Header = append(h.Header, plain.Field{Name: contextHeader, Value: token})
+	}
+	return t.Sink.Head(h)
+}
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -13,8 +13,10 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -71,25 +73,31 @@
 	Forward(ctx context.Context, to fleet.Router, fwd *wire.Forward, sink wire.Sink) wire.End
 }
 
-// Router finds the home of a target. It is safe for concurrent use.
-type Router interface {
-	Home(t fleet.Target) (fleet.Router, bool)
+// Notifier tells a home where a chat went instead of to its target. It must not
+// block and is safe for concurrent use.
+type Notifier interface {
+	Notify(home fleet.Router, note placement.ChatNote)
 }
 
 // Config is what an entry needs.
 type Config struct {
 	Self      fleet.Router
 	Snapshot  func() *settings.Snapshot
-	Policy    Policy
-	Homes     Router
+	Targets   *targets.Tracker
 	Forwarder Forwarder
+	Notifier  Notifier
+	Clock     func() time.Time
+	Random    func() uint64
 	Metrics   *metrics.Set
 	Log       zerolog.Logger
 }
 
 // Entry serves requests. It is safe for concurrent use.
 type Entry struct {
-	cfg Config
+	cfg    Config
+	groups groups
+	loads  loads
+	ring   tokenRing
 }
 
 // New returns an entry.
--- /dev/null
+++ b/router/entry/walk.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/placement"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/wire"
+)
+
+// step is one attempt of a walk.
+type step struct {
+	placement.Step
+	// redirected says that a token or a home named the target.
+	redirected bool
+	// wait says that the attempt may queue.
+	wait bool
+}
+
+// walk follows a request's plan: token, redirect by a home, candidates,
+// overflow, and at last a queue.
+type walk struct {
+	entry  *Entry
+	req    *Request
+	picker *placement.Picker
+	plan   placement.Plan
+	index  int
+	// redirect is the step that a home's hint asks for next.
+	redirect *step
+	// hinted says that a hint was followed; only one is.
+	hinted bool
+	// refused are the targets that refused unconditionally.
+	refused []fleet.TargetID
+	// queue is the step to queue at: the fullest target never, the one with
+	// most room first.
+	queue     *step
+	queueFill float64
+	queued    bool
+}
+
+func (e *Entry) newWalk(req *Request) *walk {
+	now := e.cfg.Clock()
+	picker := e.cfg.Targets.Picker()
+	r := placement.Request{
+		Service: req.Service, Chat: chatOf(req), Prefix: req.Prefix, Returning: req.Returning,
+		Now: now, Random: e.cfg.Random(), Load: e.loads.of,
+	}
+	if req.Kind == fleet.KindEngine {
+		r.Spread = placement.Spread(e.groups.observe(req, now), picker.Size(req.Service))
+		r.Context = e.contextOf(req, now)
+	}
+	return &walk{entry: e, req: req, picker: picker, plan: picker.Pick(r)}
+}
+
+// next returns the next step, and false when none is left.
+func (w *walk) next() (step, bool) {
+	if w.redirect != nil {
+		s := *w.redirect
+		w.redirect = nil
+		return s, true
+	}
+	for w.index < w.plan.Len() {
+		s := step{Step: w.plan.Step(w.index)}
+		w.index++
+		if w.hasRefused(s.Target.ID) {
+			continue
+		}
+		s.redirected = s.Why == placement.ByToken
+		return s, true
+	}
+	if w.queue == nil || w.queued {
+		return step{}, false
+	}
+	w.queued = true
+	s := *w.queue
+	s.wait, s.ContextOnly = true, false
+	return s, true
+}
+
+// ended takes what became of a step.
+func (w *walk) ended(s step, end wire.End) {
+	switch {
+	case end.Whole():
+		w.note(s)
+	case end.Reason == reason.ContextElsewhere:
+		w.follow(end.Hint.Target)
+	case end.Reason == reason.LoadBound:
+		w.refused = append(w.refused, s.Target.ID)
+		w.offerQueue(s, end.Hint)
+	case end.Reason == reason.TargetDown:
+		w.entry.cfg.Targets.Down(s.Target.ID)
+		w.refused = append(w.refused, s.Target.ID)
+	default:
+		w.refused = append(w.refused, s.Target.ID)
+	}
+}
+
+// follow makes the target that a home named the next step, once in a walk.
+func (w *walk) follow(target fleet.TargetID) {
+	if target == "" || w.hinted || w.hasRefused(target) {
+		return
+	}
+	found, ok := w.picker.Redirect(w.req.Service, target)
+	if !ok {
+		return
+	}
+	w.hinted = true
+	w.redirect = &step{Step: found, redirected: true}
+}
+
+// offerQueue keeps the step at which the request queues if nobody has room:
+// the target with the context, else the one that is least full.
+func (w *walk) offerQueue(s step, hint wire.Hint) {
+	fill := hint.Load / max(hint.Bound, 1)
+	if s.redirected || s.ContextOnly {
+		fill = 0
+	}
+	if w.queue == nil || fill < w.queueFill {
+		w.queue, w.queueFill = &s, fill
+	}
+}
+
+// note tells the home that is asked first when the chat returns where its
+// context is now, unless it knows.
+func (w *walk) note(s step) {
+	anchor, ok := w.plan.Anchor()
+	if !ok || w.req.Kind != fleet.KindEngine || w.req.Chat == 0 || s.Why == placement.ByToken {
+		return
+	}
+	if anchor.Target == s.Target || anchor.Home == nil || s.Home == nil || anchor.Home.ID == s.Home.ID {
+		return
+	}
+	w.entry.cfg.Notifier.Notify(*anchor.Home, placement.ChatNote{
+		Chat: w.req.Chat, Target: s.Target.ID, Held: uint32(w.req.PromptTokens + w.req.AnswerTokens),
+		Seen: uint32(w.entry.cfg.Clock().Unix()), Sure: true,
+	})
+}
+
+func (w *walk) hasRefused(id fleet.TargetID) bool {
+	for _, r := range w.refused {
+		if r == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/home/chats.go
@@ -0,0 +1,72 @@
+package home
+
+import (
+	"sync"
+	"time"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/placement"
+)
+
+// Chats is a home's table of chats. It is safe for concurrent use.
+type Chats struct {
+	mu    sync.Mutex
+	table *placement.ChatTable
+	clock func() time.Time
+}
+
+// NewChats returns a table for the given number of chats.
+func NewChats(entries int, clock func() time.Time) *Chats {
+	return &Chats{table: placement.NewChatTable(entries), clock: clock}
+}
+
+// Lookup returns where a chat's context is believed to be.
+func (c *Chats) Lookup(chat fleet.ChatKey) (placement.Context, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Lookup(chat)
+}
+
+// Record notes that a target has a chat's context now.
+func (c *Chats) Record(chat fleet.ChatKey, target fleet.TargetID, held int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Record(chat, placement.Context{Target: target, Held: uint32(max(held, 0)), Seen: c.clock(), Sure: true})
+}
+
+// Import takes notes of another router.
+func (c *Chats) Import(notes []placement.ChatNote) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Import(notes)
+}
+
+// Export returns the notes of the chats on targets that accept names.
+func (c *Chats) Export(accept func(fleet.TargetID) bool) []placement.ChatNote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Export(func(n placement.ChatNote) bool { return accept(n.Target) })
+}
+
+// ForgetTarget drops the chats on a target that lost its cache.
+func (c *Chats) ForgetTarget(target fleet.TargetID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ForgetTarget(target)
+}
+
+// Apply corrects the table by a target's cache events and returns the number
+// of events missed.
+func (c *Chats) Apply(target fleet.TargetID, events []engine.CacheEvent) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Apply(target, events, c.clock())
+}
+
+// Len returns the number of chats in the table.
+func (c *Chats) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Len()
+}
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -13,9 +13,11 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -34,6 +36,8 @@
 	Self     fleet.RouterID
 	Snapshot func() *settings.Snapshot
 	Gate     Gate
+	Targets  *targets.Tracker
+	Chats    *Chats
 	Engine   engine.Client
 	Plain    plain.Client
 	Metrics  *metrics.Set
@@ -74,6 +78,9 @@
 	if !ok {
 		return wire.Refused(reason.NoTarget, wire.Hint{})
 	}
+	if !fwd.Resume && h.cfg.Targets.IsDown(target.ID) {
+		return wire.Refused(reason.TargetDown, wire.Hint{})
+	}
 	if fwd.DeadlineMS > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(fwd.DeadlineMS)*time.Millisecond)
@@ -92,7 +99,20 @@
 	if fwd.Kind == fleet.KindPlain {
 		return h.dispatchPlain(ctx, target, fwd, sink)
 	}
-	return h.dispatchChat(ctx, target, fwd, sink)
+	end := h.dispatchChat(ctx, target, fwd, sink)
+	h.learn(target, fwd, end)
+	return end
+}
+
+// learn notes what an attempt tells of its target and its chat.
+func (h *Home) learn(t fleet.Target, fwd *wire.Forward, end wire.End) {
+	switch {
+	case end.Reason == reason.TargetDown:
+		h.cfg.Targets.Down(t.ID)
+		h.cfg.Chats.ForgetTarget(t.ID)
+	case end.Outcome != outcome.NotDispatched && fwd.Chat != 0:
+		h.cfg.Chats.Record(fwd.Chat, t.ID, fwd.PromptTokens+fwd.AnswerTokens)
+	}
 }
 
 // InFlight returns the number of attempts dispatched and not yet over.
--- /dev/null
+++ b/router/home/loadgate_test.go
@@ -0,0 +1,178 @@
+package home
+
+import (
+	"context"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/placement"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/router/wire"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit), goleak.IgnoreCurrent())
+}
+
+// reported is what other homes carry, set by a test.
+type reported struct {
+	mu   sync.Mutex
+	load placement.ServiceLoad
+}
+
+func (r *reported) Others(fleet.ServiceName) placement.ServiceLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.load
+}
+
+func (r *reported) set(l placement.ServiceLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.load = l
+}
+
+// testGate is a gate before targets e1 and e2, which one router is home to,
+// beside ten that others are home to.
+type testGate struct {
+	*LoadGate
+	others  *reported
+	chats   *Chats
+	targets map[fleet.TargetID]fleet.Target
+}
+
+func newTestGate(others float64) *testGate {
+	self := fleet.Router{ID: "r1", Domain: "a"}
+	e1 := fleet.Target{ID: "e1", Service: "chat", Domain: "a", Weight: 1}
+	e2 := fleet.Target{ID: "e2", Service: "chat", Domain: "a", Weight: 1}
+	snapshot := &settings.Snapshot{Targets: map[fleet.ServiceName][]fleet.Target{"chat": {e1, e2}}}
+	view := &membership.View{Routers: []fleet.Router{self}}
+	tracker := targets.New(targets.Config{
+		Self: self, Clock: time.Now,
+		Snapshot: func() *settings.Snapshot { return snapshot },
+		View:     func() *membership.View { return view },
+	})
+	g := &testGate{
+		others:  &reported{load: placement.ServiceLoad{Requests: others, Weight: 10}},
+		chats:   NewChats(100, time.Now),
+		targets: map[fleet.TargetID]fleet.Target{"e1": e1, "e2": e2},
+	}
+	g.LoadGate = NewLoadGate(GateConfig{
+		Self: self, Snapshot: func() *settings.Snapshot { return snapshot }, Targets: tracker,
+		Means: g.others, Chats: g.chats, Clock: time.Now,
+	})
+	return g
+}
+
+func (g *testGate) acquire(id fleet.TargetID, fwd wire.Forward) (func(), wire.End) {
+	fwd.Service = "chat"
+	return g.Acquire(context.Background(), g.targets[id], &fwd)
+}
+
+// fill admits attempts until the target is full and returns their releases.
+func (g *testGate) fill(t *testing.T, id fleet.TargetID) []func() {
+	t.Helper()
+	var releases []func()
+	for {
+		release, refusal := g.acquire(id, wire.Forward{})
+		if release == nil {
+			if refusal.Reason != reason.LoadBound {
+				t.Fatalf("refused with %q", refusal.Reason)
+			}
+			return releases
+		}
+		releases = append(releases, release)
+	}
+}
+
+func TestGateHoldsTheBound(t *testing.T) {
+	g := newTestGate(80)
+	n := len(g.fill(t, "e1"))
+	limit := placement.ServiceLoad{Requests: 80 + float64(n), Weight: 12}.Limit(1.25, 1)
+	if float64(n) > limit || n < 6 {
+		t.Errorf("%d admitted, the limit is %v", n, limit)
+	}
+}
+
+func TestGateQueuesUntilOneEnds(t *testing.T) {
+	g := newTestGate(80)
+	releases := g.fill(t, "e1")
+	admitted := make(chan func())
+	go func() {
+		release, _ := g.acquire("e1", wire.Forward{Wait: true})
+		admitted <- release
+	}()
+	for g.queued("e1") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case <-admitted:
+		t.Fatal("admitted over the bound")
+	default:
+	}
+	releases[0]()
+	if release := <-admitted; release == nil {
+		t.Error("the queued attempt was refused")
+	}
+}
+
+func TestGateLetsTheQueueFollowTheMean(t *testing.T) {
+	g := newTestGate(80)
+	g.fill(t, "e1")
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	wait.Go(func() { _ = g.Run(ctx) })
+	g.others.set(placement.ServiceLoad{Requests: 200, Weight: 10})
+	if release, end := g.acquire("e1", wire.Forward{Wait: true}); release == nil {
+		t.Errorf("refused with %q although the mean grew", end.Reason)
+	}
+}
+
+func TestGateSendsAChatToItsContext(t *testing.T) {
+	g := newTestGate(80)
+	g.chats.Record(7, "e2", 100)
+	_, refusal := g.acquire("e1", wire.Forward{Chat: 7, Returning: true})
+	if refusal.Reason != reason.ContextElsewhere || refusal.Hint.Target != "e2" {
+		t.Errorf("%q to %q", refusal.Reason, refusal.Hint.Target)
+	}
+	g.chats.Record(8, "gone", 100)
+	if release, refusal := g.acquire("e1", wire.Forward{Chat: 8, Returning: true}); release == nil {
+		t.Errorf("a chat whose target is gone is refused with %q", refusal.Reason)
+	}
+}
+
+func TestGateGoesByPriorityAndArrival(t *testing.T) {
+	var q waitQueue
+	low, first, second := &waiter{priority: 1}, &waiter{priority: 5}, &waiter{priority: 5}
+	q.push(low)
+	q.push(first)
+	q.push(second)
+	for _, want := range []*waiter{first, second, low} {
+		if q.head() != want {
+			t.Fatalf("out of order: %+v", q.head())
+		}
+		q.remove(want)
+	}
+}
+
+// queued returns the number of attempts that wait before a target.
+func (g *LoadGate) queued(id fleet.TargetID) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if gate := g.gates[id]; gate != nil {
+		return gate.queue.len()
+	}
+	return 0
+}
--- a/router/router.go
+++ b/router/router.go
@@ -22,10 +22,12 @@
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -57,8 +59,8 @@
 	VMs    platform.VMLister
 	Engine engine.Client
 	Plain  plain.Client
-	// Policy orders targets; nil means the default.
-	Policy  entry.Policy
+	// Policy chooses targets; empty means the default.
+	Policy  placement.Policy
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -72,7 +74,8 @@
 	node    *peer.Node
 	members *membership.Service
 	source  *source
-	homes   *homes
+	targets *targets.Tracker
+	chats   *home.Chats
 	home    *home.Home
 	gate    home.Gate
 	entry   *entry.Entry
@@ -143,26 +146,22 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-func (r *Router) routers() []fleet.Router {
-	return r.members.View().Routers
-}
-
 func (r *Router) buildRoles(mux *peer.Mux) {
-	r.gate = home.NewCountGate()
+	r.targets = targets.New(targets.Config{
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Policy: r.deps.Policy, Clock: time.Now,
+	})
+	r.chats = home.NewChats(settings.Defaults().Placement.ChatTableEntries, time.Now)
+	r.gate = r.newGate()
 	r.home = home.New(home.Config{
-		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Engine: r.deps.Engine,
-		Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Targets: r.targets, Chats: r.chats,
+		Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
-	r.homes = newHomes(r.members.View, r.source.Snapshot)
-	policy := r.deps.Policy
-	if policy == nil {
-		policy = entry.Rendezvous{}
-	}
+	r.registerChats(mux)
 	r.entry = entry.New(entry.Config{
-		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Policy: policy, Homes: r.homes,
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
 		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log,
+		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
 	})
 }
 
@@ -221,6 +220,7 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.startHome(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
--- a/router/targets/targets.go
+++ b/router/targets/targets.go
@@ -78,6 +78,14 @@
 	t.downs.Add(1)
 }
 
+// IsDown reports whether a target is left out because it could not be reached.
+func (t *Tracker) IsDown(id fleet.TargetID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, ok := t.down[id]
+	return ok && t.cfg.Clock().Before(until)
+}
+
 func (t *Tracker) valid(b *built, now time.Time) bool {
 	return b.snapshot == t.cfg.Snapshot() && b.view == t.cfg.View() && b.downs == t.downs.Load() && now.Before(b.expires)
 }
--- a/router/wire/wire.go
+++ b/router/wire/wire.go
@@ -6,6 +6,7 @@
 import (
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
 )
@@ -34,6 +35,9 @@
 	// Redirected says that the target was chosen from a home's hint, so that
 	// its home does not redirect again.
 	Redirected bool `cbor:"15,keyasint,omitempty"`
+	// ContextOnly says that the home is to take the attempt only if it knows
+	// that the target holds the chat's context.
+	ContextOnly bool `cbor:"16,keyasint,omitempty"`
 
 	// Body is the chat request, or the body of a plain call.
 	Body   []byte `cbor:"20,keyasint,omitempty"`
@@ -97,3 +101,9 @@
 	// Flush says that no more is at hand for the moment.
 	Flush() error
 }
+
+// ChatNotes tells a home where chats have their context; it goes as a datagram
+// or, in a hand-over, as a call.
+type ChatNotes struct {
+	Notes []placement.ChatNote `cbor:"1,keyasint"`
+}
