--- a/cmd/ragwort-standin/main.go
+++ b/cmd/ragwort-standin/main.go
@@ -66,12 +66,15 @@
 		Usage: "a model engine",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "tokens-per-second", Usage: "speed of one request alone; 0 is the default"},
+			&cli.IntFlag{Name: "slots", Usage: "requests that run at once; 0 is the default"},
+			&cli.FloatFlag{Name: "load-slope", Usage: "share by which each running request lengthens a step; 0 is the default"},
 			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse orders with an old fencing number"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			e, err := standin.StartEngine(standin.EngineConfig{
 				Addr: cmd.String("addr"), ID: fleet.TargetID(cmd.String("id")), Seed: cmd.Uint64("seed"),
-				TokensPerSecond: cmd.Int("tokens-per-second"), ChecksFencing: cmd.Bool("checks-fencing"),
+				TokensPerSecond: cmd.Int("tokens-per-second"), Slots: cmd.Int("slots"), LoadSlope: cmd.Float("load-slope"),
+				ChecksFencing: cmd.Bool("checks-fencing"),
 			})
 			if err != nil {
 				return err
--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -34,7 +34,7 @@
 
 // processes runs a fleet as separate processes: platform, targets and routers.
 type processes struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	authority *keys.Authority
 	store     *platform.Client
@@ -42,7 +42,7 @@
 	client    *http.Client
 }
 
-func build(t *testing.T, dir, name string) string {
+func build(t testing.TB, dir, name string) string {
 	t.Helper()
 	out := filepath.Join(dir, name)
 	cmd := exec.Command("go", "build", "-o", out, "../"+name)
@@ -91,7 +91,20 @@
 	}
 }
 
-func freeAddr(t *testing.T) string {
+func (p *processes) remove(kind, name string) {
+	p.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), processLimit)
+	defer cancel()
+	o, err := p.store.Get(ctx, kind, name)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if _, err := p.store.Delete(ctx, kind, name, o.Version); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -110,6 +123,11 @@
 }
 
 func (p *processes) startRouter(id string, seeds []string) *routerProcess {
+	p.t.Helper()
+	return p.startRouterIn("recife-a", id, seeds)
+}
+
+func (p *processes) startRouterIn(domain fleet.DomainName, id string, seeds []string) *routerProcess {
 	p.t.Helper()
 	pair, err := p.authority.Issue(id, []string{"127.0.0.1"})
 	if err != nil {
@@ -117,7 +135,7 @@
 	}
 	r := &routerProcess{caller: freeAddr(p.t), peer: freeAddr(p.t), log: &bytes.Buffer{}}
 	start := settings.Start{
-		ID: fleet.RouterID(id), Domain: "recife-a", Region: "nordeste",
+		ID: fleet.RouterID(id), Domain: domain, Region: "nordeste",
 		CallerAddr: r.caller, PeerAddr: r.peer, OperatorAddr: freeAddr(p.t), PlatformAddr: p.platform,
 		TLS: settings.TLSFiles{
 			Cert: p.file(id+".crt", pair.Cert), Key: p.file(id+".key", pair.Key),
@@ -181,7 +199,7 @@
 	return string(raw), err
 }
 
-func startProcesses(t *testing.T) *processes {
+func startProcesses(t testing.TB) *processes {
 	t.Helper()
 	p := &processes{t: t, dir: t.TempDir()}
 	build(t, p.dir, "ragwortd")
--- a/standin/engine_answer.go
+++ b/standin/engine_answer.go
@@ -12,6 +12,7 @@
 const (
 	shortestAnswer = 16
 	answerSpread   = 48
+	longestAnswer  = 4096
 )
 
 // Message is one message of a chat.
@@ -31,7 +32,7 @@
 		messages = messages[:n-1]
 	}
 	seed := promptHash(messages)
-	length := shortestAnswer + int(seed%answerSpread)
+	length := naturalLength(messages, seed)
 	end := length
 	if maxTokens > 0 {
 		end = min(length, done+maxTokens)
@@ -49,7 +50,19 @@
 	if n := len(messages); n > 0 && messages[n-1].Role == "assistant" {
 		messages = messages[:n-1]
 	}
-	return done >= shortestAnswer+int(promptHash(messages)%answerSpread)
+	return done >= naturalLength(messages, promptHash(messages))
+}
+
+// naturalLength is the length of a whole answer in tokens: what the last
+// message asks for with "write N tokens", else a function of the prompt.
+func naturalLength(messages []Message, seed uint64) int {
+	var asked int
+	if n := len(messages); n > 0 {
+		if _, err := fmt.Sscanf(messages[n-1].Content, "write %d tokens", &asked); err == nil && asked > 0 {
+			return min(asked, longestAnswer)
+		}
+	}
+	return shortestAnswer + int(seed%answerSpread)
 }
 
 func countTokens(text string) int {
