--- a/cmd/ragwortd/main.go
+++ b/cmd/ragwortd/main.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the start file and exit"},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error; overrides the start file"},
 			&cli.StringFlag{Name: "log-format", Value: "json", Usage: "json or console"},
+			&cli.StringFlag{Name: "cpu-profile", Usage: "write a processor profile of the whole run to `FILE`"},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         run,
@@ -78,9 +80,34 @@
 		fmt.Println("ok")
 		return nil
 	}
+	stop, err := profile(cmd.String("cpu-profile"))
+	if err != nil {
+		return err
+	}
+	defer stop()
 	return serve(ctx, cfg, start.PlatformAddr, log)
 }
 
+// profile starts a processor profile where a file is named; the function that
+// it returns ends it.
+func profile(file string) (func(), error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, fmt.Errorf("ragwortd: profile: %w", err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("ragwortd: profile: %w", err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	}, nil
+}
+
 func logger(w io.Writer, level, format string) (zerolog.Logger, error) {
 	parsed := zerolog.InfoLevel
 	if level != "" {
--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -147,9 +147,14 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	r.cmd = exec.Command(filepath.Join(p.dir, "ragwortd"), "--config", p.file(id+".json", raw))
+	args := []string{"--config", p.file(id+".json", raw)}
+	if dir := os.Getenv("RAGWORT_PROFILE_DIR"); dir != "" {
+		args = append(args, "--cpu-profile", filepath.Join(dir, id+".prof"))
+	}
+	r.cmd = exec.Command(filepath.Join(p.dir, "ragwortd"), args...)
 	r.cmd.Stderr = r.log
 	p.run(r.cmd)
+	p.t.Cleanup(func() { r.cmd.Process.Signal(syscall.SIGTERM); r.cmd.Wait() })
 	return r
 }
 
--- a/cmd/ragwortd/stream_bench_test.go
+++ b/cmd/ragwortd/stream_bench_test.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	benchStreams = 600
-	benchTokens  = 450
+	benchStreams = 1000
+	benchTokens  = 200
 	// benchSpeed is the two-year pace of one stream: 69 ms between tokens.
 	benchSpeed = 15
 	clockTicks = 100
@@ -42,6 +42,7 @@
 
 // BenchmarkStreams measures the processor time of both hops, entry and home in
 // processes of their own, for many streams at the pace of the two-year size.
+// RAGWORT_PROFILE_DIR names a directory for their processor profiles.
 func BenchmarkStreams(b *testing.B) {
 	p := startProcesses(b)
 	addr := p.startStandin("--id", "fast", "engine", "--tokens-per-second", strconv.Itoa(benchSpeed),
