--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
 )
 
-// farShare is the share of digest exchanges that go to another failure domain.
-const farShare = 0.25
+// One digest exchange in farEvery goes to another failure domain.
+const farEvery = 4
 
 func (p *Service) call(ctx context.Context, to fleet.Router, method peer.Method, request, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timing.Call)
@@ -52,7 +50,7 @@
 	if err := p.call(ctx, to, peer.MethodSettingsPush, page, &answer); err != nil {
 		return err
 	}
-	if answer.Complete >= page.To {
+	if answer.Complete >= page.To && !page.More {
 		return nil
 	}
 	return p.pushFrom(ctx, to, answer.Complete)
@@ -78,28 +76,23 @@
 
 // digestLoop exchanges digests with random routers.
 func (p *Service) digestLoop(ctx context.Context) {
-	for pause(ctx, jitter(p.config.Timing.Digest)) {
+	for pause(ctx, p.jitter(p.config.Timing.Digest)) {
 		if to, ok := p.pick(); ok {
 			_ = p.exchange(ctx, to)
 		}
 	}
 }
 
-// jitter spreads a period over half to one and a half of it.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
 // pick chooses a router for a digest exchange.
 func (p *Service) pick() (fleet.Router, bool) {
 	near, far := others(p.config.Self, p.config.Members())
-	if len(near) == 0 || (len(far) > 0 && rand.Float64() < farShare) {
+	if len(near) == 0 || (len(far) > 0 && p.config.IntN(farEvery) == 0) {
 		near = far
 	}
 	if len(near) == 0 {
 		return fleet.Router{}, false
 	}
-	return near[rand.N(len(near))], true
+	return near[p.config.IntN(len(near))], true
 }
 
 // exchange compares digests with a router, takes what it has and gives what it
@@ -152,14 +145,14 @@
 // once. It starts again if the sender forgets deletions meanwhile.
 func (p *Service) fetchAll(ctx context.Context, from fleet.Router) error {
 	full := NewState()
-	request := fetchRequest{}
+	request := fetchRequest{Whole: true}
 	for {
 		var answer fetchAnswer
 		if err := p.call(ctx, from, peer.MethodSettingsFetch, request, &answer); err != nil {
 			return err
 		}
 		if answer.Full {
-			full, request = NewState(), fetchRequest{}
+			full, request = NewState(), fetchRequest{Whole: true}
 			continue
 		}
 		full.Apply(answer.Page)
--- a/settings/propagate/handlers.go
+++ b/settings/propagate/handlers.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if theirs.Probe {
+		return digestAnswer{Digest: own}, nil
+	}
 	p.compare(from, own, theirs)
 	if own.Complete <= theirs.Complete {
 		return digestAnswer{Digest: own}, nil
--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
@@ -28,7 +27,7 @@
 			return ctx.Err()
 		}
 		event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
-		if !pause(ctx, jitter(p.config.Timing.Retry)) {
+		if !pause(ctx, p.jitter(p.config.Timing.Retry)) {
 			return ctx.Err()
 		}
 	}
@@ -64,7 +63,14 @@
 // sources picks routers to ask for the settings.
 func (p *Service) sources() []fleet.Router {
 	near, far := others(p.config.Self, p.config.Members())
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near[:min(len(near), nearSources)], far[:min(len(far), farSources)]...)
+	return append(p.choose(near, nearSources), p.choose(far, farSources)...)
+}
+
+// choose draws up to n of the routers.
+func (p *Service) choose(from []fleet.Router, n int) []fleet.Router {
+	for i := range from {
+		j := i + p.config.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+	}
+	return from[:min(n, len(from))]
 }
--- a/settings/propagate/messages.go
+++ b/settings/propagate/messages.go
@@ -33,6 +33,8 @@
 	Sum      uint64 `cbor:"2,keyasint"`
 	// Ahead says that entries above the complete revision are held.
 	Ahead bool `cbor:"3,keyasint,omitempty"`
+	// Probe asks only for the receiver's digest.
+	Probe bool `cbor:"4,keyasint,omitempty"`
 }
 
 // agrees reports whether two digests can be of the same history.
@@ -56,10 +58,11 @@
 }
 
 // fetchRequest asks for what changed after a revision. A transfer of the whole
-// state starts at zero and repeats the floor of its first answer.
+// state starts with Whole and repeats the floor of its first answer.
 type fetchRequest struct {
 	Since uint64 `cbor:"1,keyasint"`
 	Floor uint64 `cbor:"2,keyasint,omitempty"`
+	Whole bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // fetchAnswer is one page; Full says that deletions after the revision asked
--- a/settings/propagate/owner.go
+++ b/settings/propagate/owner.go
@@ -29,6 +29,9 @@
 type result struct {
 	before, after uint64
 	changed       []Entry
+	// delta is what the routers below must hear of, entries that were held ahead
+	// of the complete revision included.
+	delta Page
 }
 
 // owner is the task that owns the state.
@@ -54,6 +57,9 @@
 		r.changed = m.update(o.state)
 	}
 	r.after = o.state.Complete()
+	if len(r.changed) > 0 {
+		r.delta = o.state.Changes(r.before, pageBytes)
+	}
 	o.settle(r)
 	m.done <- r
 }
@@ -69,7 +75,8 @@
 	}
 }
 
-// do sends a message and waits until it has been handled.
+// do sends a message and waits until it has been handled; ctx bounds only the
+// wait for room in the mailbox, so that no read outlives its caller.
 func (p *Service) do(ctx context.Context, m message) (result, error) {
 	o := p.owner.Load()
 	if o == nil {
@@ -84,8 +91,6 @@
 		return r, nil
 	case <-o.task.Done():
 		return result{}, task.ErrStopped
-	case <-ctx.Done():
-		return result{}, ctx.Err()
 	}
 }
 
@@ -105,9 +110,8 @@
 	if !p.loaded.Load() {
 		return
 	}
-	page := Page{From: r.before, To: r.after, Entries: r.changed}
 	select {
-	case p.outbox <- page:
+	case p.outbox <- r.delta:
 	default:
 		p.counters.PushDrops.Inc()
 	}
@@ -127,7 +131,11 @@
 func (p *Service) fetchPage(ctx context.Context, request fetchRequest) (fetchAnswer, error) {
 	var answer fetchAnswer
 	_, err := p.do(ctx, message{read: func(s *State) {
-		page, ok := s.Delta(request.Since, request.Floor, pageBytes)
+		floor := request.Floor
+		if request.Whole {
+			floor = s.floor
+		}
+		page, ok := s.Delta(request.Since, floor, pageBytes)
 		answer = fetchAnswer{Page: page, Floor: s.floor, Full: !ok}
 	}})
 	return answer, err
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,10 @@
 	Log     zerolog.Logger
 	Metrics *metrics.Set
 	// Clock returns the time; nil means time.Now.
-	Clock  func() time.Time
+	Clock func() time.Time
+	// IntN returns a random number from 0 to below n and is safe for concurrent
+	// use; nil means that of math/rand.
+	IntN   func(n int) int
 	Timing Timing
 }
 
@@ -95,6 +99,9 @@
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
+	if config.IntN == nil {
+		config.IntN = rand.IntN
+	}
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewSet()
 	}
@@ -220,6 +227,11 @@
 	return nil
 }
 
+// jitter spreads a period over half to one and a half of it.
+func (p *Service) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.config.IntN(int(d)))
+}
+
 // pause waits for d and reports whether ctx is still running.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/settings/propagate/state.go
+++ b/settings/propagate/state.go
@@ -151,8 +151,9 @@
 	}
 	var changed []Entry
 	for id, e := range s.entries {
-		_, known := full.entries[id]
-		if known || e.Deleted || e.Version > full.complete {
+		theirs, known := full.entries[id]
+		current := known && theirs.Version >= e.Version
+		if current || e.Deleted || e.Version > full.complete {
 			continue
 		}
 		gone := Entry{Kind: id.Kind, Name: id.Name, Version: full.complete, Deleted: true}
@@ -174,23 +175,34 @@
 // Delta returns what changed after revision since, oldest first, in a page of
 // about maxBytes of data. It returns false if deletions after since have been
 // forgotten, so that only the whole state helps. A transfer of the whole state
-// starts at zero and goes on while the floor is the one it started with.
+// gives the floor that it started with and goes on while that holds.
 func (s *State) Delta(since, floor uint64, maxBytes int) (Page, bool) {
-	if since != 0 && since < s.floor && floor != s.floor {
+	if since < s.floor && floor != s.floor {
 		return Page{}, false
 	}
-	page := Page{From: since, To: max(since, s.complete)}
+	return s.page(since, since, maxBytes), true
+}
+
+// Changes returns what changed after revision since as far as it is known. The
+// page joins on only to states that are complete at the floor.
+func (s *State) Changes(since uint64, maxBytes int) Page {
+	return s.page(since, max(since, s.floor), maxBytes)
+}
+
+// page returns the entries above revision since in a page that starts at from.
+func (s *State) page(since, from uint64, maxBytes int) Page {
+	page := Page{From: from, To: max(from, s.complete)}
 	for _, e := range s.newer(since) {
 		last := len(page.Entries) - 1
 		if maxBytes <= 0 && page.Entries[last].Version < e.Version {
-			page.To = min(page.To, page.Entries[last].Version)
+			page.To = max(from, min(page.To, page.Entries[last].Version))
 			page.More = true
 			break
 		}
 		page.Entries = append(page.Entries, e)
 		maxBytes -= len(e.Data) + len(e.Name) + entryOverheadBytes
 	}
-	return page, true
+	return page
 }
 
 // newer returns the entries above a version, oldest first.
--- a/settings/propagate/watch.go
+++ b/settings/propagate/watch.go
@@ -20,7 +20,7 @@
 		err := p.watchAsWatcher(ctx)
 		if err != nil && ctx.Err() == nil {
 			event.SettingsWatch.Log(p.config.Log).Err(err).Send()
-			pause(ctx, jitter(p.config.Timing.Retry))
+			pause(ctx, p.jitter(p.config.Timing.Retry))
 		}
 	}
 }
