--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -53,7 +53,7 @@
 	case settings.KindTargets:
 		service := s.Services[fleet.ServiceName(doc["service"].(string))]
 		doc["addr"], err = b.startTarget(fleet.TargetID(o.Name), service.Kind)
-	case settings.KindClientAccounts:
+	case settings.KindAccounts:
 		doc["key_hashes"], err = b.accountKey(fleet.AccountName(o.Name))
 	case settings.KindFleet:
 		err = b.operatorTokens(doc)
@@ -167,14 +167,12 @@
 	}
 	deps := router.Deps{
 		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{}),
-		Metrics: set, Log: b.cfg.Log,
-	}
-	if b.cfg.Policy != nil {
-		deps.Policy = b.cfg.Policy()
+		Metrics: set, Log: b.cfg.Log, Policy: b.cfg.Policy,
 	}
 	cfg := router.Config{
 		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
 		CallerAddr: loopback, PeerAddr: loopback, Pair: pair, Authority: b.authority.Pair().Cert, PlainCallers: true,
+		Seeds: b.seeds(),
 	}
 	if b.cfg.Operators {
 		cfg.OperatorAddr = loopback
@@ -183,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{Router: r, done: make(chan struct{})}
+	m := &Member{Router: r, Metrics: set, done: make(chan struct{})}
 	b.SetVM(platform.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
@@ -197,6 +195,17 @@
 	return m, nil
 }
 
+// seeds returns the routers that run already.
+func (b *Bed) seeds() []fleet.Router {
+	var running []fleet.Router
+	for _, m := range b.Members() {
+		if m.Running() {
+			running = append(running, m.Router.Self())
+		}
+	}
+	return running
+}
+
 // SetVM adds or changes an entry of the platform's VM list.
 func (b *Bed) SetVM(vm platform.VM) {
 	b.mu.Lock()
--- a/placement/rendezvous_test.go
+++ b/placement/rendezvous_test.go
@@ -119,9 +119,27 @@
 		{1.25, 95, 12, 1, 10},
 		{1.25, 95, 12, 2, 20},
 		{2, 10, 0, 1, 1},
+		{1.25, 12, 12, 1, 2},
 	} {
 		if got := Bound(c.multiple, c.total, c.n, c.weight); got != c.want {
 			t.Errorf("Bound(%v, %v, %d, %v) = %v, want %v", c.multiple, c.total, c.n, c.weight, got, c.want)
 		}
 	}
 }
+
+func TestMayExceedNeverRulesOutAHigherScore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hash := rapid.Uint64().Draw(t, "hash")
+		weight := rapid.Float64Range(0.01, 100).Draw(t, "weight")
+		floor := score(hash, weight) * rapid.Float64Range(0, 0.9999).Draw(t, "part")
+		if !mayExceed(hash, weight, floor) {
+			t.Fatalf("a score of %v is said not to exceed %v", score(hash, weight), floor)
+		}
+	})
+}
+
+func TestScoreOfTheHighestHashIsFinite(t *testing.T) {
+	if s := score(^uint64(0), 1); math.IsInf(s, 0) || s < score(0, 1) {
+		t.Errorf("the highest hash scores %v", s)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,12 +22,13 @@
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
-	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -57,8 +59,8 @@
 	VMs    platform.VMLister
 	Engine engine.Client
 	Plain  plain.Client
-	// Policy orders targets; nil means the default.
-	Policy  entry.Policy
+	// Policy chooses targets; empty means the default.
+	Policy  placement.Policy
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -71,8 +73,9 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
-	source  *propagate.Service
-	homes   *homes
+	source  *source
+	targets *targets.Tracker
+	chats   *home.Chats
 	home    *home.Home
 	gate    home.Gate
 	entry   *entry.Entry
@@ -123,16 +126,12 @@
 }
 
 func (r *Router) buildControl(mux *peer.Mux) {
+	r.source = newSource(r.deps.Store)
 	r.members = membership.New(membership.Config{
 		Self: r.cfg.Self, VMs: r.deps.VMs, Seeds: r.cfg.Seeds, Caller: r.node,
-		Values: r.membershipValues, Clock: time.Now, Log: r.log, Metrics: r.deps.Metrics,
+		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
-	r.source = propagate.New(propagate.Config{
-		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Members: r.routers,
-		Log: r.log, Metrics: r.deps.Metrics, Clock: time.Now,
-	})
-	r.source.Register(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
@@ -143,26 +142,26 @@
 	return snapshot.Effective(r.cfg.Self.Domain, "", "").Membership
 }
 
-func (r *Router) routers() []fleet.Router {
-	return r.members.View().Routers
+func seeded() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
 func (r *Router) buildRoles(mux *peer.Mux) {
-	r.gate = home.NewCountGate()
+	r.targets = targets.New(targets.Config{
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Policy: r.deps.Policy, Clock: time.Now,
+	})
+	r.chats = home.NewChats(settings.Defaults().Placement.ChatTableEntries, time.Now)
+	r.gate = r.newGate()
 	r.home = home.New(home.Config{
-		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Engine: r.deps.Engine,
-		Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Targets: r.targets, Chats: r.chats,
+		Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
-	r.homes = newHomes(r.members.View, r.source.Snapshot)
-	policy := r.deps.Policy
-	if policy == nil {
-		policy = entry.Rendezvous{}
-	}
+	r.registerChats(mux)
 	r.entry = entry.New(entry.Config{
-		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Policy: policy, Homes: r.homes,
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
 		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log,
+		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
 	})
 }
 
@@ -201,6 +200,11 @@
 	return r.source.Snapshot()
 }
 
+// View returns the routers as this one knows them.
+func (r *Router) View() *membership.View {
+	return r.members.View()
+}
+
 // Ready reports whether the router takes requests.
 func (r *Router) Ready() bool {
 	return r.ready.Load()
@@ -216,6 +220,7 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.startHome(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
