membership: ask before suspecting, keep leaving in heartbeats, follow up syncs

Random faults found that a heartbeat at a higher incarnation made a leaving router look alive, and that a neighbour with an equal digest hid a lasting difference to another.

--- a/membership/beat.go
+++ b/membership/beat.go
@@ -1,7 +1,7 @@
 package membership
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -18,7 +18,8 @@
 	t.refreshRings(now)
 	t.beats++
 	messages := t.address(t.next, t.queue.take(now, len(t.next)))
-	return append(messages, t.probe(now)...)
+	messages = append(messages, t.ask(t.silent(now))...)
+	return append(messages, t.ask(t.probe(now))...)
 }
 
 // Flush returns messages with rumours that have not been sent yet, so that
@@ -41,7 +42,7 @@
 		return nil
 	}
 	if hb.Self != nil && hb.Self.ID == from {
-		t.meet(*hb.Self, hb.Incarnation, now)
+		t.meet(*hb.Self, hb.state(), now)
 	}
 	for _, r := range hb.Rumours {
 		t.Merge(r, now)
@@ -50,28 +51,43 @@
 	if !known {
 		return nil
 	}
+	var answers []Message
+	if hb.Ask {
+		answers = t.address([]fleet.RouterID{from}, nil)
+	}
 	if _, watched := t.heard[from]; watched {
 		t.heard[from] = now
 	}
 	t.compare(from, hb.Digest, now)
 	if hb.Incarnation > e.router.Incarnation {
-		t.Merge(Rumour{ID: from, Incarnation: hb.Incarnation, State: Alive}, now)
-		return nil
+		t.Merge(Rumour{ID: from, Incarnation: hb.Incarnation, State: hb.state()}, now)
+		return answers
 	}
 	if e.state < Suspect {
-		return nil
+		return answers
 	}
-	t.sync.want(from)
-	return t.address([]fleet.RouterID{from}, []Rumour{t.doubt(e)})
+	t.sync.wanted = from
+	return append(answers, t.address([]fleet.RouterID{from}, []Rumour{t.doubt(e)})...)
 }
 
-// meet takes in a sender's own record.
-func (t *Table) meet(r fleet.Router, incarnation uint64, now time.Time) {
-	if _, known := t.entries[r.ID]; known && t.entries[r.ID].router.Incarnation >= incarnation {
+// state is what a heartbeat says of its sender.
+func (hb *Heartbeat) state() State {
+	if hb.Leaving {
+		return Leaving
+	}
+	return Alive
+}
+
+// meet takes in a sender's own record, also where only the record is new.
+func (t *Table) meet(r fleet.Router, state State, now time.Time) {
+	old, known := t.entries[r.ID]
+	if known && old.router.Incarnation == r.Incarnation && old.router != r {
+		e := *old
+		e.router = r
+		t.put(&e)
 		return
 	}
-	r.Incarnation = incarnation
-	t.Merge(Rumour{ID: r.ID, Incarnation: incarnation, State: Alive, Router: &r}, now)
+	t.Merge(Rumour{ID: r.ID, Incarnation: r.Incarnation, State: state, Router: &r}, now)
 }
 
 // doubt is the rumour that makes a router refute what the table holds of it.
@@ -112,6 +128,7 @@
 	}
 	t.heard = heard
 	t.beats = 0
+	clear(t.sync.differs)
 }
 
 // watch suspects predecessors that have been silent for too long.
@@ -125,6 +142,18 @@
 	}
 }
 
+// silent returns the predecessors to ask for a heartbeat: they are half way to
+// being suspected, perhaps because they do not know this router yet.
+func (t *Table) silent(now time.Time) []fleet.RouterID {
+	var ids []fleet.RouterID
+	for _, id := range t.prev {
+		if t.entries[id].state != Gone && now.Sub(t.heard[id]) >= t.timing.Suspect/2 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // age removes suspects that did not refute, and old tombstones.
 func (t *Table) age(now time.Time) {
 	for id, e := range t.entries {
@@ -153,9 +182,9 @@
 	return unheard && silent >= t.timing.Suspect+t.timing.Remove
 }
 
-// probe greets one listed router that is not present, so that partitions heal
-// and newcomers meet the fleet.
-func (t *Table) probe(now time.Time) []Message {
+// probe picks one listed router that is not present to ask, so that
+// partitions heal and newcomers meet the fleet.
+func (t *Table) probe(now time.Time) []fleet.RouterID {
 	if now.Sub(t.lastProbe) < probeInterval {
 		return nil
 	}
@@ -169,11 +198,18 @@
 		return nil
 	}
 	t.lastProbe = now
-	sort.Slice(absent, func(i, j int) bool { return absent[i] < absent[j] })
-	id := absent[t.rand.IntN(len(absent))]
-	messages := t.address([]fleet.RouterID{id}, nil)
+	slices.Sort(absent)
+	return []fleet.RouterID{absent[t.rand.IntN(len(absent))]}
+}
+
+// ask makes heartbeats that want an answer.
+func (t *Table) ask(ids []fleet.RouterID) []Message {
+	messages := t.address(ids, nil)
 	self := t.Self()
-	messages[0].Heartbeat.Self = &self
+	for i := range messages {
+		messages[i].Heartbeat.Self = &self
+		messages[i].Heartbeat.Ask = true
+	}
 	return messages
 }
 
@@ -181,8 +217,9 @@
 func (t *Table) address(to []fleet.RouterID, rumours []Rumour) []Message {
 	messages := make([]Message, 0, len(to))
 	self := t.Self()
+	leaving := t.entries[t.self].leaving
 	for _, id := range to {
-		hb := Heartbeat{Incarnation: self.Incarnation, Digest: t.sum(), Rumours: rumours}
+		hb := Heartbeat{Incarnation: self.Incarnation, Digest: t.sum(), Rumours: rumours, Leaving: leaving}
 		if t.beats%recordEvery == 1 {
 			hb.Self = &self
 		}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
@@ -80,16 +79,12 @@
 	return period * vmListStretch
 }
 
-// exchange compares tables with another router when that is due: at the start
-// with any known router, later where a difference lasts.
+// exchange compares tables with another router when that is due.
 func (s *Service) exchange(ctx context.Context, now time.Time) {
 	if s.syncing {
 		return
 	}
 	to, req, due := s.table.SyncWith(now)
-	if !due && !s.synced {
-		to, req, due = s.firstContact()
-	}
 	if !due {
 		return
 	}
@@ -112,20 +107,5 @@
 		event.MembershipSyncFailed.Log(s.cfg.Log).Str("router", string(from)).Err(err).Send()
 		return
 	}
-	s.synced = true
 	s.send(s.table.ApplySync(from, answer, s.cfg.Clock()))
 }
-
-// firstContact picks any router of the base.
-func (s *Service) firstContact() (fleet.Router, SyncRequest, bool) {
-	ids := make([]fleet.RouterID, 0, len(s.table.base))
-	for id := range s.table.base {
-		ids = append(ids, id)
-	}
-	if len(ids) == 0 {
-		return fleet.Router{}, SyncRequest{}, false
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	id := ids[s.cfg.Rand.IntN(len(ids))]
-	return s.table.base[id], s.table.SyncRequest(), true
-}
--- a/membership/message.go
+++ b/membership/message.go
@@ -33,6 +33,10 @@
 	// Self is the sender's record, sent now and then.
 	Self    *fleet.Router `cbor:"3,keyasint,omitempty"`
 	Rumours []Rumour      `cbor:"4,keyasint,omitempty"`
+	// Leaving says that the sender has announced its leaving.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Ask wants a heartbeat in return; Self is then set.
+	Ask bool `cbor:"6,keyasint,omitempty"`
 }
 
 // SyncRequest is the call of peer.MethodMembershipSync. It carries the
--- a/membership/rumours.go
+++ b/membership/rumours.go
@@ -3,9 +3,10 @@
 import "time"
 
 // queue holds rumours that are still to be sent, at most one a subject, within
-// a budget of bytes.
+// a budget of bytes. Announcements of new routers give way to the others.
 type queue struct {
-	order  []string
+	urgent []string
+	others []string
 	items  map[string]*pending
 	tokens float64
 	filled time.Time
@@ -14,6 +15,7 @@
 type pending struct {
 	rumour Rumour
 	sends  int
+	urgent bool
 }
 
 func newQueue(now time.Time) *queue {
@@ -30,20 +32,29 @@
 // add queues a rumour; it supersedes an older one of the same subject.
 func (q *queue) add(r Rumour) {
 	key := subject(r)
-	if p, ok := q.items[key]; ok {
-		p.rumour = r
-		p.sends = rumourSends
+	p := &pending{rumour: r, sends: rumourSends, urgent: r.Router == nil}
+	old, waits := q.items[key]
+	q.items[key] = p
+	if waits && old.urgent == p.urgent {
 		return
 	}
-	q.items[key] = &pending{rumour: r, sends: rumourSends}
-	q.order = append(q.order, key)
+	if p.urgent {
+		q.urgent = append(q.urgent, key)
+		return
+	}
+	q.others = append(q.others, key)
 }
 
 // fresh reports whether a rumour waits that has not been sent yet.
 func (q *queue) fresh() bool {
-	for _, p := range q.items {
-		if p.sends == rumourSends {
-			return true
+	return q.anyFresh(q.urgent) || q.anyFresh(q.others)
+}
+
+// anyFresh looks at the head of a line: rumours sent once stand at its end.
+func (q *queue) anyFresh(line []string) bool {
+	for _, key := range line {
+		if p, waits := q.items[key]; waits {
+			return p.sends == rumourSends
 		}
 	}
 	return false
@@ -53,32 +64,41 @@
 // charges the budget for it.
 func (q *queue) take(now time.Time, copies int) []Rumour {
 	q.refill(now)
-	if copies == 0 || len(q.order) == 0 {
+	if copies == 0 {
 		return nil
 	}
+	room := maxEventBytes
 	var taken []Rumour
-	var bytes int
+	q.urgent, taken = q.takeLine(q.urgent, true, &room, copies, nil)
+	q.others, taken = q.takeLine(q.others, false, &room, copies, taken)
+	return taken
+}
+
+// takeLine takes from one line while room in bytes and the budget last, and
+// returns what stays in it.
+func (q *queue) takeLine(line []string, urgent bool, room *int, copies int, taken []Rumour) ([]string, []Rumour) {
 	var again []string
-	i := 0
-	for ; i < len(q.order); i++ {
-		p := q.items[q.order[i]]
+	for i, key := range line {
+		p, waits := q.items[key]
+		if !waits || p.urgent != urgent {
+			continue
+		}
 		size := p.rumour.size()
 		cost := float64(size * copies)
-		if bytes+size > maxEventBytes || cost > q.tokens {
-			break
+		if size > *room || cost > q.tokens {
+			return append(line[i:len(line):len(line)], again...), taken
 		}
-		bytes += size
+		*room -= size
 		q.tokens -= cost
 		taken = append(taken, p.rumour)
 		p.sends--
-		if p.sends > 0 {
-			again = append(again, q.order[i])
+		if p.sends == 0 {
+			delete(q.items, key)
 			continue
 		}
-		delete(q.items, q.order[i])
+		again = append(again, key)
 	}
-	q.order = append(q.order[i:len(q.order):len(q.order)], again...)
-	return taken
+	return again, taken
 }
 
 func (q *queue) refill(now time.Time) {
--- a/membership/service.go
+++ b/membership/service.go
@@ -59,7 +59,6 @@
 	pool     *task.Pool
 	flush    *time.Timer
 	flushing bool
-	synced   bool
 	syncing  bool
 	reading  bool
 	lastRead time.Time
--- a/membership/state.go
+++ b/membership/state.go
@@ -64,7 +64,8 @@
 	probeInterval     = 2 * time.Second
 	tombstoneLife     = 5 * time.Minute
 	syncDelay         = 3 * time.Second
-	syncInterval      = 10 * time.Second
+	syncInterval      = 5 * time.Second
+	syncFollowUp      = time.Second
 	leavingVMLife     = 90 * time.Second
 	longestTick       = time.Second
 	maxEntries        = 16384
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -1,7 +1,7 @@
 package membership
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -9,15 +9,14 @@
 
 // syncState decides when and with whom tables are compared in full.
 type syncState struct {
-	differsSince time.Time
-	last         time.Time
-	peer         fleet.RouterID
-	wanted       bool
-}
-
-func (s *syncState) want(peer fleet.RouterID) {
-	s.peer = peer
-	s.wanted = true
+	// differs is since when a neighbour's digest differs from the own one.
+	differs map[fleet.RouterID]time.Time
+	// wanted is the router to compare with next, if any.
+	wanted fleet.RouterID
+	// done says that a first comparison has succeeded.
+	done     bool
+	last     time.Time
+	interval time.Duration
 }
 
 // sum folds the digests of all buckets into one.
@@ -32,26 +31,34 @@
 // compare notices a difference to a neighbour's table that lasts.
 func (t *Table) compare(from fleet.RouterID, digest uint32, now time.Time) {
 	if digest == t.sum() {
-		t.sync.differsSince = time.Time{}
+		delete(t.sync.differs, from)
 		return
 	}
-	if t.sync.differsSince.IsZero() {
-		t.sync.differsSince = now
+	since, differs := t.sync.differs[from]
+	if !differs {
+		if _, watched := t.heard[from]; watched {
+			t.sync.differs[from] = now
+		}
 		return
 	}
-	if now.Sub(t.sync.differsSince) >= syncDelay {
-		t.sync.want(from)
+	if now.Sub(since) >= syncDelay {
+		t.sync.wanted = from
 	}
 }
 
-// SyncWith returns a router to exchange tables with, if one is due.
+// SyncWith returns a router to exchange tables with, if one is due: any listed
+// one at the start, later a neighbour whose table differs for long.
 func (t *Table) SyncWith(now time.Time) (fleet.Router, SyncRequest, bool) {
-	if !t.sync.wanted || now.Sub(t.sync.last) < syncInterval {
+	if !t.sync.done {
+		r, ok := t.anyListed()
+		return r, t.SyncRequest(), ok
+	}
+	if t.sync.wanted == "" || now.Sub(t.sync.last) < t.sync.interval {
 		return fleet.Router{}, SyncRequest{}, false
 	}
-	e, known := t.entries[t.sync.peer]
-	t.sync.wanted = false
-	t.sync.differsSince = time.Time{}
+	e, known := t.entries[t.sync.wanted]
+	t.sync.wanted = ""
+	clear(t.sync.differs)
 	if !known {
 		return fleet.Router{}, SyncRequest{}, false
 	}
@@ -59,6 +66,18 @@
 	return e.router, t.SyncRequest(), true
 }
 
+func (t *Table) anyListed() (fleet.Router, bool) {
+	if len(t.base) == 0 {
+		return fleet.Router{}, false
+	}
+	ids := make([]fleet.RouterID, 0, len(t.base))
+	for id := range t.base {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return t.base[ids[t.rand.IntN(len(ids))]], true
+}
+
 // SyncRequest returns the request that describes the table.
 func (t *Table) SyncRequest() SyncRequest {
 	return SyncRequest{Self: t.Self(), Digests: append([]uint32(nil), t.digest[:]...)}
@@ -68,7 +87,7 @@
 // and takes in the caller's record.
 func (t *Table) AnswerSync(from fleet.RouterID, req SyncRequest, now time.Time) SyncAnswer {
 	if req.Self.ID == from {
-		t.meet(req.Self, req.Self.Incarnation, now)
+		t.meet(req.Self, Alive, now)
 	}
 	var answer SyncAnswer
 	var bytes int
@@ -105,8 +124,10 @@
 // refute.
 func (t *Table) ApplySync(from fleet.RouterID, answer SyncAnswer, now time.Time) []Message {
 	var doubts []Rumour
+	changes := 0
 	for _, r := range answer.Rumours {
-		if t.Merge(r, now) {
+		if t.merge(r, now) {
+			changes++
 			continue
 		}
 		e := t.entries[r.ID]
@@ -117,6 +138,11 @@
 	for _, vm := range answer.LeavingVMs {
 		t.mergeVM(Rumour{VM: vm}, now)
 	}
+	t.sync.done = true
+	t.sync.interval = syncInterval
+	if changes > 0 {
+		t.sync.interval = syncFollowUp
+	}
 	if _, known := t.entries[from]; !known {
 		return nil
 	}
@@ -144,6 +170,6 @@
 	for id := range t.entries {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	slices.Sort(ids)
 	return ids
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -49,9 +49,10 @@
 		vms:      newVMList(),
 		queue:    newQueue(now),
 		lastTick: now,
+		sync:     syncState{differs: map[fleet.RouterID]time.Time{}},
 	}
 	t.put(&entry{router: self, since: now})
-	t.announce()
+	t.announce(true)
 	return t
 }
 
@@ -79,7 +80,7 @@
 	e.since = now
 	e.router.Incarnation++
 	t.put(&e)
-	t.announce()
+	t.announce(false)
 }
 
 // Farewell returns the messages that tell the neighbours that self has ended.
@@ -111,15 +112,30 @@
 	t.changed = true
 }
 
-// announce queues a rumour of self with its full record.
-func (t *Table) announce() {
+// announce queues a rumour of self, with its full record if it is new to the
+// others.
+func (t *Table) announce(full bool) {
 	e := t.entries[t.self]
-	record := e.router
-	t.queue.add(Rumour{ID: record.ID, Incarnation: record.Incarnation, State: e.state, Router: &record})
+	r := Rumour{ID: t.self, Incarnation: e.router.Incarnation, State: e.state}
+	if full {
+		record := e.router
+		r.Router = &record
+	}
+	t.queue.add(r)
 }
 
-// Merge takes in one rumour. It returns true if the table changed.
+// Merge takes in one rumour and passes it on if it changed the table, which
+// it reports.
 func (t *Table) Merge(r Rumour, now time.Time) bool {
+	changed := t.merge(r, now)
+	if changed && r.ID != t.self {
+		t.queue.add(r)
+	}
+	return changed
+}
+
+// merge takes in one rumour.
+func (t *Table) merge(r Rumour, now time.Time) bool {
 	if r.VM != "" {
 		return t.mergeVM(r, now)
 	}
@@ -137,7 +153,6 @@
 		return false
 	}
 	t.put(updated(old, r, now))
-	t.queue.add(r)
 	return true
 }
 
@@ -170,7 +185,6 @@
 	e := &entry{router: *r.Router, state: r.State, leaving: r.Leaving || r.State == Leaving, since: now}
 	e.router.Incarnation = r.Incarnation
 	t.put(e)
-	t.queue.add(r)
 	return true
 }
 
@@ -184,6 +198,6 @@
 	e.router.Incarnation = r.Incarnation + 1
 	e.since = now
 	t.put(&e)
-	t.announce()
+	t.announce(false)
 	return true
 }
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -17,7 +17,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "60")
+	_ = flag.Set("rapid.checks", "500")
 	os.Exit(m.Run())
 }
 
@@ -281,6 +281,38 @@
 	}
 }
 
+// TestHeartbeatKeepsLeaving: a router that announced its leaving during a
+// partition is not taken for live by those that only hear its heartbeats.
+func TestHeartbeatKeepsLeaving(t *testing.T) {
+	b := newBench(7, 1)
+	b.run(2 * time.Second)
+	b.side["router-6"] = 1
+	b.run(3 * time.Second)
+	b.tables["router-6"].Leave(b.now)
+	b.run(time.Second)
+	clear(b.side)
+	b.run(30 * time.Second)
+	want := b.allLive()
+	want["router-6"] = false
+	b.wantLive(t, want)
+}
+
+// TestColdStartSuspectsNobody: views that differ while a whole fleet starts
+// are no ground for suspicion.
+func TestColdStartSuspectsNobody(t *testing.T) {
+	b := newBench(100, 1)
+	for range 40 {
+		b.step()
+		for _, id := range b.ids {
+			for _, m := range b.tables[id].View().All {
+				if m.Router.Incarnation > 0 && m.State != Alive {
+					t.Fatalf("%s holds %s as %s", id, m.Router.ID, m.State)
+				}
+			}
+		}
+	}
+}
+
 // TestViewsConvergeAfterFaults drives random faults and checks, against the
 // set of running routers as the oracle, that no view is ever empty, that no
 // running router is forgotten for good, and that views agree once the faults
--- a/membership/vms.go
+++ b/membership/vms.go
@@ -1,7 +1,7 @@
 package membership
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -37,7 +37,7 @@
 	for name := range l.set() {
 		names = append(names, name)
 	}
-	sort.Strings(names)
+	slices.Sort(names)
 	return names
 }
 
@@ -59,7 +59,6 @@
 	}
 	t.vms.told[r.VM] = now
 	t.changed = true
-	t.queue.add(r)
 	return true
 }
 
