--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -19,19 +19,10 @@
 	s.exchange(ctx, now)
 }
 
-// send hands messages to the pool; those that find it busy are dropped.
+// send hands messages to the network, which may lose them.
 func (s *Service) send(messages []Message) {
 	for _, m := range messages {
-		_ = s.pool.Go(func() { _ = s.cfg.Caller.Send(m.Addr, peer.MethodHeartbeat, m.Heartbeat) })
-	}
-}
-
-// farewell tells the neighbours that this router ends, within a time limit.
-func (s *Service) farewell() {
-	s.send(s.table.Farewell(s.cfg.Clock()))
-	deadline := time.Now().Add(leaveTimeout)
-	for s.pool.Running() > 0 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
+		_ = s.cfg.Caller.Send(m.Addr, peer.MethodHeartbeat, m.Heartbeat)
 	}
 }
 
--- a/membership/service.go
+++ b/membership/service.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/event"
@@ -20,10 +19,9 @@
 
 const (
 	mailboxLength = 1024
-	senders       = 16
+	callers       = 4
 	flushDelay    = 20 * time.Millisecond
 	callTimeout   = 3 * time.Second
-	leaveTimeout  = time.Second
 	// vmListReaders routers of a failure domain read the VM list at its period;
 	// the others read it vmListStretch times more seldom.
 	vmListReaders = 2
@@ -36,7 +34,8 @@
 	Self fleet.Router
 	VMs  platform.VMLister
 	// Seeds are greeted while the VM list cannot be read.
-	Seeds   []fleet.Router
+	Seeds []fleet.Router
+	// Caller sends datagrams without blocking.
 	Caller  peer.Caller
 	Values  func() settings.Membership
 	Clock   func() time.Time
@@ -103,7 +102,7 @@
 // Run exchanges messages until ctx ends, then tells the neighbours that this
 // router is gone. It is called once.
 func (s *Service) Run(ctx context.Context) error {
-	pool, err := task.NewPool(senders)
+	pool, err := task.NewPool(callers)
 	if err != nil {
 		return err
 	}
@@ -119,7 +118,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			s.farewell()
+			s.send(s.table.Farewell(s.cfg.Clock()))
 			return nil
 		case f := <-s.mailbox:
 			f()
@@ -175,7 +174,7 @@
 
 func (s *Service) handleHeartbeat(from fleet.RouterID, payload []byte) {
 	var hb Heartbeat
-	if err := cbor.Unmarshal(payload, &hb); err != nil {
+	if err := peer.Decode(payload, &hb); err != nil {
 		event.MembershipBadMessage.Log(s.cfg.Log).Str("from", string(from)).Err(err).Send()
 		return
 	}
@@ -188,7 +187,7 @@
 
 func (s *Service) handleSync(ctx context.Context, from fleet.RouterID, payload []byte) (any, error) {
 	var req SyncRequest
-	if err := cbor.Unmarshal(payload, &req); err != nil {
+	if err := peer.Decode(payload, &req); err != nil {
 		return nil, err
 	}
 	answers := make(chan SyncAnswer, 1)
