--- /dev/null
+++ b/journal/prefer.go
@@ -0,0 +1,33 @@
+package journal
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// Preferred returns the router that gathers the writes of a shard: the one with
+// the highest rendezvous hash. Routers that see different members may differ;
+// that costs writes refused for their condition and nothing else.
+func Preferred(shard int, routers []fleet.Router) (fleet.Router, bool) {
+	var best fleet.Router
+	var bestScore uint64
+	for _, r := range routers {
+		score := preference(shard, r.ID)
+		if best.ID == "" || score > bestScore || score == bestScore && r.ID < best.ID {
+			best, bestScore = r, score
+		}
+	}
+	return best, best.ID != ""
+}
+
+func preference(shard int, id fleet.RouterID) uint64 {
+	var input [8]byte
+	binary.BigEndian.PutUint64(input[:], uint64(shard))
+	d := xxhash.New()
+	d.Write(input[:])
+	d.WriteString(string(id))
+	return d.Sum64()
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -37,6 +37,8 @@
 	InFlight *prometheus.GaugeVec
 	// SettingsRevision is the settings revision in force.
 	SettingsRevision prometheus.Gauge
+	// Journal is the metrics of the journal.
+	Journal *Journal
 }
 
 // NewSet returns a set registered in a registry of its own.
@@ -59,6 +61,8 @@
 			Namespace: namespace, Name: "settings_revision", Help: "Settings revision in force.",
 		}),
 	}
+	s.Journal = newJournal()
+	s.Journal.register(s.Registry)
 	s.Registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.Discards, s.ControlBytes, s.DataBytes,
 		s.StoreCalls, s.QueueSeconds, s.FirstByteSeconds, s.InFlight, s.SettingsRevision)
 	return s
