router/entry, router/home: the attempt life cycle from entry to target

A stream that broke was given up and a request was tried on every candidate without a budget. The entry now follows package retry: it drops events that came before, refuses gaps, takes a broken stream up again at its offset through whichever router is home now, and else lets another engine go on from the text so far. The answer's head goes out with its first event, so that an attempt which brings none leaves no trace. An attempt whose entry gave it up is cancelled at its engine; one whose entry was lost goes on, to be taken up again.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -86,6 +86,7 @@
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 		server.WithDisableDefaultDate(true),
+		server.WithSenseClientDisconnection(true),
 	}
 	if cfg.TLS != nil {
 		opts = append(opts, server.WithTLS(cfg.TLS))
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -16,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/entry"
@@ -202,10 +203,11 @@
 
 // Member is one router of the bed.
 type Member struct {
-	Router *router.Router
-	cancel context.CancelFunc
-	done   chan struct{}
-	err    error
+	Router  *router.Router
+	Metrics *metrics.Set
+	cancel  context.CancelFunc
+	done    chan struct{}
+	err     error
 }
 
 // Running reports whether the router has not been stopped.
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -161,12 +161,12 @@
 	}
 	set := metrics.NewSet()
 	store := platform.NewClient(platform.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
-	client := engine.Client(engine.NewClient(engine.ClientConfig{}))
+	client := engine.Client(engine.NewClient(engine.ClientConfig{Discarded: set.Discarded}))
 	if b.cfg.EngineClient != nil {
 		client = b.cfg.EngineClient(client)
 	}
 	deps := router.Deps{
-		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{}),
+		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
 		Metrics: set, Log: b.cfg.Log,
 	}
 	if b.cfg.Policy != nil {
@@ -183,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{Router: r, done: make(chan struct{})}
+	m := &Member{Router: r, Metrics: set, done: make(chan struct{})}
 	b.SetVM(platform.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -229,6 +230,17 @@
 	s.quic.CancelRead(codeCancelled)
 }
 
+// Lost reports whether the context of a stream's handler ended because the
+// connection was lost, and not because the peer cancelled the stream.
+func Lost(ctx context.Context) bool {
+	var cancelled *quic.StreamError
+	cause := context.Cause(ctx)
+	if cause == nil || errors.As(cause, &cancelled) {
+		return false
+	}
+	return cause != context.Canceled && cause != context.DeadlineExceeded
+}
+
 func (n *Node) receiveDatagrams(conn *quic.Conn, from fleet.RouterID) {
 	for {
 		raw, err := conn.ReceiveDatagram(n.ctx)
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -2,98 +2,170 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/wire"
 )
 
-// progress wraps the caller's sink and remembers how far the answer got.
-type progress struct {
-	out     wire.Sink
-	started bool
-	next    uint64
+// serving is one request on its way through its attempts. It belongs to one
+// goroutine.
+type serving struct {
+	entry    *Entry
+	req      *Request
+	cycle    *retry.Request
+	delivery *delivery
+	walk     walk
+	// target and fwd are of the present attempt.
+	target fleet.Target
+	fwd    *wire.Forward
+	hint   wire.Hint
+	// attempts counts those sent to a home, resumptions not included.
+	attempts int
 }
 
-func (p *progress) Head(h wire.Head) error {
-	if p.started {
-		return nil
+// run takes a request through its attempts until it has its whole answer or
+// none follows.
+func (e *Entry) run(ctx context.Context, req *Request, out wire.Sink) Result {
+	s := &serving{
+		entry: e, req: req, walk: e.newWalk(req),
+		delivery: newDelivery(out, req.Stream, func() { e.cfg.Metrics.Discarded(reason.AnswerMismatch) }),
+		cycle: retry.New(retry.Config{
+			Repeatable: req.Repeatable, Stream: req.Stream && req.Kind == fleet.KindEngine,
+			Deadline: req.Deadline, Limits: req.Values.Retry,
+		}, e.budget),
 	}
-	p.started = true
-	return p.out.Head(h)
-}
-
-func (p *progress) Event(seq uint64, data []byte) error {
-	if seq < p.next {
-		return nil
+	step := retry.Step{Action: retry.Elsewhere}
+	for {
+		if !s.wait(ctx, step.Wait) {
+			return s.result(s.cycle.Expired())
+		}
+		end, ok := s.act(ctx, step)
+		if !ok {
+			return s.result(s.cycle.Exhausted())
+		}
+		step = s.next(ctx, end)
+		if step.Action == retry.Finish || step.Action == retry.GiveUp {
+			return s.result(step)
+		}
+		e.cfg.Metrics.Retried(step.Reason)
 	}
-	p.next = seq + 1
-	return p.out.Event(seq, data)
 }
 
-func (p *progress) Flush() error {
-	return p.out.Flush()
+func (s *serving) wait(ctx context.Context, d time.Duration) bool {
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err() == nil
 }
 
-// run walks the candidates until one answers or none is left.
-func (e *Entry) run(ctx context.Context, req *Request, out wire.Sink) Result {
-	p := &progress{out: out}
-	result := Result{Reason: reason.NoTarget}
-	candidates := e.cfg.Policy.Candidates(req, e.cfg.Snapshot().Targets[req.Service])
-	for i, target := range candidates {
-		if ctx.Err() != nil {
-			return e.finish(result, p, reason.Deadline)
-		}
-		if i > 0 {
-			e.cfg.Metrics.Retried(result.Reason)
+// act carries a step out; false means that there is no further candidate, or
+// that no target can go on from the text so far.
+func (s *serving) act(ctx context.Context, step retry.Step) (wire.End, bool) {
+	if step.Action == retry.ResumeSame {
+		return s.resume(ctx), true
+	}
+	body := s.req.Body
+	if step.Action == retry.ResumeOther {
+		s.delivery.text.limit = tokenLimit(body)
+		if s.delivery.text.over() {
+			return s.finishText(), true
 		}
-		end := e.attempt(ctx, req, target, p)
-		result.Outcome = outcome.Join(result.Outcome, end.Outcome)
-		result.Reason = end.Reason
-		result.RetryAfter = time.Duration(end.Hint.RetryAfterMS) * time.Millisecond
-		result.Target = target.ID
-		result.Attempts++
-		if !e.another(req, p, end) {
-			break
+		var ok bool
+		if body, ok = continued(s.req.Body, &s.delivery.text); !ok {
+			return wire.End{}, false
 		}
 	}
-	return e.finish(result, p, result.Reason)
+	next, ok := s.walk.next(s.hint)
+	if !ok {
+		return wire.End{}, false
+	}
+	return s.send(ctx, next, body), true
 }
 
-// another says whether a further candidate may be tried after end.
-func (e *Entry) another(req *Request, p *progress, end wire.End) bool {
-	if end.Whole() || p.started {
-		return false
-	}
-	return end.Outcome == outcome.NotDispatched || req.Repeatable
+// send makes a new attempt at a candidate.
+func (s *serving) send(ctx context.Context, c candidate, body []byte) wire.End {
+	s.target = c.target
+	s.fwd = s.entry.forwardOf(s.req, c)
+	s.fwd.Body = body
+	s.attempts++
+	s.delivery.attempt()
+	return s.forward(ctx)
 }
 
-func (e *Entry) finish(r Result, p *progress, code reason.Code) Result {
-	r.Reason = code
-	r.Started = p.started
-	return r
+// resume takes the present attempt's stream up again where it broke.
+func (s *serving) resume(ctx context.Context) wire.End {
+	s.fwd.Resume = true
+	s.fwd.ResumeFrom = s.delivery.next
+	s.fwd.Body = nil
+	return s.forward(ctx)
 }
 
-func (e *Entry) attempt(ctx context.Context, req *Request, t fleet.Target, sink wire.Sink) wire.End {
-	home, ok := e.cfg.Homes.Home(t)
+func (s *serving) forward(ctx context.Context) wire.End {
+	home, ok := s.entry.cfg.Homes.Home(s.target)
 	if !ok {
 		return wire.Refused(reason.HomeUnreachable, wire.Hint{})
 	}
-	return e.cfg.Forwarder.Forward(ctx, home, forwardOf(ctx, req, t), sink)
+	if deadline, ok := ctx.Deadline(); ok {
+		s.fwd.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	return s.entry.cfg.Forwarder.Forward(ctx, home, s.fwd, s.delivery)
+}
+
+// finishText ends an answer whose text is all there and of which only the end
+// was lost.
+func (s *serving) finishText() wire.End {
+	if err := s.delivery.finish(); err != nil {
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	}
+	return wire.End{Outcome: outcome.Answered}
+}
+
+// next lets the life cycle decide what follows an end.
+func (s *serving) next(ctx context.Context, end wire.End) retry.Step {
+	s.hint = end.Hint
+	d := s.delivery
+	whole := end.Whole() && d.received()
+	if end.Whole() && !whole {
+		end = wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
+	}
+	if end.Reason == reason.AnswerMismatch || end.Reason == reason.AnswerTruncated {
+		s.entry.cfg.Metrics.Discarded(end.Reason)
+	}
+	return s.cycle.Next(time.Now(), retry.End{
+		Outcome: end.Outcome, Reason: end.Reason, Whole: whole || d.complete(), Events: d.next,
+		CallerGone: d.gone || errors.Is(ctx.Err(), context.Canceled),
+	}, rand.Float64())
 }
 
-func forwardOf(ctx context.Context, req *Request, t fleet.Target) *wire.Forward {
-	fwd := &wire.Forward{
-		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: t.ID, Kind: req.Kind,
+func (s *serving) result(step retry.Step) Result {
+	if step.Action == retry.Finish {
+		if err := s.delivery.begin(); err != nil {
+			step.Reason = reason.StreamBroken
+		}
+	}
+	return Result{
+		Outcome: step.Outcome, Reason: step.Reason, Started: s.delivery.started, Target: s.target.ID,
+		RetryAfter: time.Duration(s.hint.RetryAfterMS) * time.Millisecond, Attempts: s.attempts,
+	}
+}
+
+func (e *Entry) forwardOf(req *Request, c candidate) *wire.Forward {
+	return &wire.Forward{
+		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: c.target.ID, Kind: req.Kind,
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
-		Body: req.Body, Stream: req.Stream,
+		Wait: c.wait, Redirected: c.redirected, Stream: req.Stream,
 		Method: req.Method, Path: req.Path, Header: req.Header, IdempotencyKey: req.IdempotencyKey,
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		fwd.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
-	}
-	return fwd
 }
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -15,6 +15,7 @@
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -89,12 +90,13 @@
 
 // Entry serves requests. It is safe for concurrent use.
 type Entry struct {
-	cfg Config
+	cfg    Config
+	budget *retry.Budget
 }
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg}
+	return &Entry{cfg: cfg, budget: retry.NewBudget()}
 }
 
 // Do serves one request and passes the answer to out. It returns when the
--- a/router/home/dispatch.go
+++ b/router/home/dispatch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -27,6 +29,21 @@
 	return relay(ctx, answer, sink)
 }
 
+// cancelTimeout bounds the cancelling of an attempt at its engine.
+const cancelTimeout = 2 * time.Second
+
+// cancelUnwanted cancels an attempt at its engine when the entry does not want
+// it any more. An attempt whose entry was lost goes on for a while, so that its
+// stream can be taken up again through another router.
+func (h *Home) cancelUnwanted(ctx context.Context, t fleet.Target, fwd *wire.Forward, end wire.End) {
+	if end.Outcome != outcome.Dispatched || ctx.Err() == nil || peer.Lost(ctx) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	_ = h.cfg.Engine.Cancel(ctx, t.Addr, fwd.Attempt)
+}
+
 func (h *Home) open(ctx context.Context, t fleet.Target, fwd *wire.Forward) (engine.Answer, error) {
 	if fwd.Resume {
 		return h.cfg.Engine.Resume(ctx, t.Addr, fwd.Attempt, fwd.ResumeFrom)
--- a/router/home/gate.go
+++ b/router/home/gate.go
@@ -22,8 +22,8 @@
 }
 
 // Acquire implements Gate.
-func (g *CountGate) Acquire(_ context.Context, t fleet.Target, _ *wire.Forward) (func(), wire.End) {
-	if t.State == fleet.Leaving {
+func (g *CountGate) Acquire(_ context.Context, t fleet.Target, fwd *wire.Forward) (func(), wire.End) {
+	if t.State == fleet.Leaving && !fwd.Resume {
 		return nil, wire.Refused(reason.TargetLeaving, wire.Hint{})
 	}
 	g.add(t.ID, 1)
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -23,7 +23,8 @@
 // Gate decides whether an attempt may go to its target now. Implementations are
 // safe for concurrent use.
 type Gate interface {
-	// Acquire waits for room before the target as far as the attempt allows.
+	// Acquire waits for room before the target as far as the attempt allows. A
+	// resumption is always admitted: its work is at the target already.
 	// It returns a function to call once when the attempt is over, or nil and
 	// the refusal.
 	Acquire(ctx context.Context, t fleet.Target, fwd *wire.Forward) (release func(), refusal wire.End)
@@ -92,7 +93,9 @@
 	if fwd.Kind == fleet.KindPlain {
 		return h.dispatchPlain(ctx, target, fwd, sink)
 	}
-	return h.dispatchChat(ctx, target, fwd, sink)
+	end := h.dispatchChat(ctx, target, fwd, sink)
+	h.cancelUnwanted(ctx, target, fwd, end)
+	return end
 }
 
 // InFlight returns the number of attempts dispatched and not yet over.
