--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -16,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
@@ -95,6 +96,7 @@
 // Entry serves requests. It is safe for concurrent use.
 type Entry struct {
 	cfg    Config
+	budget *retry.Budget
 	groups groups
 	loads  loads
 	ring   tokenRing
@@ -102,7 +104,7 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg}
+	return &Entry{cfg: cfg, budget: retry.NewBudget()}
 }
 
 // Do serves one request and passes the answer to out. It returns when the
