router: settings through propagation instead of a watch in each router

Cause: a watch in every router makes the platform's calls grow with the routers. Change: router runs settings/propagate; its own source is gone.

--- a/router/drain.go
+++ b/router/drain.go
@@ -37,3 +37,11 @@
 func (r *Router) InFlight() int {
 	return r.face.InFlight() + r.home.InFlight()
 }
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -29,6 +29,7 @@
 	"ragwortpond.example/ragwortpond/router/home"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -73,7 +74,7 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
-	source  *source
+	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
 	home    *home.Home
@@ -126,7 +127,11 @@
 }
 
 func (r *Router) buildControl(mux *peer.Mux) {
-	r.source = newSource(r.deps.Store)
+	r.source = propagate.New(propagate.Config{
+		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Log: r.log, Metrics: r.deps.Metrics,
+		Members: func() []fleet.Router { return r.members.View().Routers },
+	})
+	r.source.Register(mux)
 	r.members = membership.New(membership.Config{
 		Self: r.cfg.Self, VMs: r.deps.VMs, Seeds: r.cfg.Seeds, Caller: r.node,
 		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
@@ -135,11 +140,7 @@
 }
 
 func (r *Router) membershipValues() settings.Membership {
-	snapshot := r.source.Snapshot()
-	if snapshot == nil {
-		return settings.Defaults().Membership
-	}
-	return snapshot.Effective(r.cfg.Self.Domain, "", "").Membership
+	return r.source.Snapshot().Effective(r.cfg.Self.Domain, "", "").Membership
 }
 
 func seeded() *rand.Rand {
@@ -195,7 +196,7 @@
 	return r.face.Addr()
 }
 
-// Snapshot returns the settings in force, nil before the first.
+// Snapshot returns the settings in force, empty before the router is ready.
 func (r *Router) Snapshot() *settings.Snapshot {
 	return r.source.Snapshot()
 }
