router: a home that freezes or dies under a stream is given up in time

Cause: a stopped or killed home leaves its streams silent until the connection's idle timeout of 30 s, and new attempts go on being sent to it. Change: a home says at once that it has an attempt; without that within 1 s the entry goes elsewhere and leaves the router out for 2 s. Streams to routers that membership removed are cut, and a resumption goes through the target's present home. Ruled out: pings on each connection, which at 2,500 routers would go over the control budget.

--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -184,7 +184,7 @@
 // say sends one streamed chat and returns what the caller read.
 func (p *processes) say(r *routerProcess, text string) (string, error) {
 	body, err := json.Marshal(map[string]any{
-		"model": "assistente", "stream": true, "max_tokens": 30,
+		"model": "assistente", "stream": true, "max_tokens": 400,
 		"messages": []standin.Message{{Role: "user", Content: text}},
 	})
 	if err != nil {
@@ -301,3 +301,58 @@
 	}
 	p.t.Errorf("the survivor does not serve\n%s", r.log)
 }
+
+// A home that freezes under a stream is found out by the other routers, and the
+// stream goes on through another home without a gap.
+func TestStreamSurvivesAFrozenHome(t *testing.T) {
+	p := startProcesses(t)
+	home := p.startRouterIn("recife-a", "home", nil)
+	p.awaitReady(home)
+	entry := p.startRouterIn("recife-b", "entry", []string{home.peer})
+	p.awaitReady(entry)
+	p.expectEventually(entry)
+	answers := make(chan string, 1)
+	go func() {
+		text, err := p.say(entry, "write 400 tokens")
+		if err != nil {
+			text = err.Error()
+		}
+		answers <- text
+	}()
+	time.Sleep(500 * time.Millisecond)
+	if err := home.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	defer home.cmd.Process.Signal(syscall.SIGCONT)
+	p.expectEventually(entry)
+	text := <-answers
+	want := standin.Answer([]standin.Message{{Role: "user", Content: "write 400 tokens"}}, 400)
+	if got := contents(text); got != strings.Join(want, "") {
+		t.Errorf("the stream was not whole: %d of %d tokens\n%s", len(strings.Fields(got)), len(want), entry.log)
+	}
+}
+
+// contents joins the text of a stream's chunks.
+func contents(stream string) string {
+	var text strings.Builder
+	for line := range strings.Lines(stream) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: {")
+		if !ok {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte("{"+data), &chunk) != nil {
+			continue
+		}
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	return text.String()
+}
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -103,8 +103,12 @@
 	return s.forward(ctx)
 }
 
-// resume takes the present attempt's stream up again where it broke.
+// resume takes the present attempt's stream up again where it broke, through
+// the home that the target has by now.
 func (s *serving) resume(ctx context.Context) wire.End {
+	if now, ok := s.entry.cfg.Targets.Picker().Redirect(s.req.Service, s.step.Target.ID); ok {
+		s.step.Home = now.Home
+	}
 	s.fwd.Resume = true
 	s.fwd.ResumeFrom = s.delivery.next
 	s.fwd.Body = nil
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -69,6 +69,9 @@
 		return
 	}
 	sink := wire.NewStreamSink(s)
+	if sink.Accepted() != nil {
+		return
+	}
 	sink.End(h.Serve(ctx, &fwd, sink))
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -81,6 +81,7 @@
 	gate    home.Gate
 	entry   *entry.Entry
 	face    *caller.Face
+	open    *openStreams
 	ready   atomic.Bool
 
 	cancel context.CancelFunc
@@ -159,10 +160,13 @@
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
-		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
+		Forwarder: &forwarder{
+			self: r.cfg.Self.ID, node: r.node, home: r.home, targets: r.targets, open: r.open, log: r.log,
+		},
+		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
 	})
 }
 
@@ -222,6 +226,7 @@
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
 	r.startHome(ctx, failures)
+	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
--- a/router/targets/targets.go
+++ b/router/targets/targets.go
@@ -13,8 +13,12 @@
 	"ragwortpond.example/ragwortpond/settings"
 )
 
-// downTime is how long a target that could not be reached is left out.
-const downTime = time.Second
+// downTime is how long a target that could not be reached is left out, and
+// routerDownTime how long a router.
+const (
+	downTime       = time.Second
+	routerDownTime = 2 * time.Second
+)
 
 // idleLife is how long a picker is used at most before it is built anew.
 const idleLife = 10 * time.Second
@@ -37,6 +41,7 @@
 	mu      sync.Mutex
 	history *placement.History
 	down    map[fleet.TargetID]time.Time
+	routers map[fleet.RouterID]time.Time
 }
 
 // built is a picker with what it was built from.
@@ -50,7 +55,7 @@
 
 // New returns a tracker.
 func New(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, down: map[fleet.TargetID]time.Time{}}
+	return &Tracker{cfg: cfg, down: map[fleet.TargetID]time.Time{}, routers: map[fleet.RouterID]time.Time{}}
 }
 
 // Picker returns the picker of the present settings and view.
@@ -78,6 +83,15 @@
 	t.downs.Add(1)
 }
 
+// RouterDown leaves a router that did not answer out of the choice of homes for
+// a while. Other routers may choose otherwise meanwhile.
+func (t *Tracker) RouterDown(id fleet.RouterID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routers[id] = t.cfg.Clock().Add(routerDownTime)
+	t.downs.Add(1)
+}
+
 // IsDown reports whether a target is left out because it could not be reached.
 func (t *Tracker) IsDown(id fleet.TargetID) bool {
 	t.mu.Lock()
@@ -95,7 +109,7 @@
 	live := t.live(b, now)
 	t.observe(b.snapshot, live, now)
 	b.picker = placement.NewPicker(placement.View{
-		Targets: live, Routers: b.view.Routers, Policy: t.cfg.Policy,
+		Targets: live, Routers: t.answering(b, now), Policy: t.cfg.Policy,
 		Region: func(d fleet.DomainName) fleet.RegionName { return b.snapshot.Domains[d] },
 		Phase:  func(id fleet.TargetID) placement.Phase { return t.history.Phase(id, now) },
 	})
@@ -123,6 +137,25 @@
 	return live
 }
 
+// answering returns the routers that are not left out; all of them where none
+// would remain.
+func (t *Tracker) answering(b *built, now time.Time) []fleet.Router {
+	var routers []fleet.Router
+	for _, r := range b.view.Routers {
+		until, down := t.routers[r.ID]
+		if down && now.Before(until) {
+			b.expires = earlier(b.expires, until)
+			continue
+		}
+		delete(t.routers, r.ID)
+		routers = append(routers, r)
+	}
+	if len(routers) == 0 {
+		return b.view.Routers
+	}
+	return routers
+}
+
 func (t *Tracker) observe(s *settings.Snapshot, live map[fleet.ServiceName][]fleet.Target, now time.Time) {
 	values := s.Effective(t.cfg.Self.Domain, "", "").Placement
 	churn := placement.Churn{Ramp: values.JoinRampMS.Duration(), FlapWindow: values.FlapWindowMS.Duration()}
--- a/router/wire/stream.go
+++ b/router/wire/stream.go
@@ -17,7 +17,7 @@
 	FrameForward peer.FrameKind = iota + 1
 	FrameHead
 	FrameEvent
-	FramePing
+	FrameAccepted
 	FrameEnd
 )
 
@@ -34,6 +34,11 @@
 	return &StreamSink{stream: s}
 }
 
+// Accepted tells the entry that the home is alive and has the attempt.
+func (k *StreamSink) Accepted() error {
+	return k.stream.Send(FrameAccepted, nil)
+}
+
 // Head implements Sink.
 func (k *StreamSink) Head(h Head) error {
 	payload, err := peer.Encode(h)
@@ -60,13 +65,18 @@
 }
 
 // Relay reads an answer from a peer stream into sink until its end. An answer
-// that breaks off is returned as dispatched, since the home may have sent it on.
-func Relay(ctx context.Context, s *peer.Stream, sink Sink) End {
+// that breaks off is returned as dispatched, since the home may have sent it
+// on. Accepted is called when the home says that it has the attempt.
+func Relay(ctx context.Context, s *peer.Stream, sink Sink, accepted func()) End {
 	for {
 		kind, payload, err := s.Receive()
 		if err != nil {
 			return broken(ctx, err)
 		}
+		if kind == FrameAccepted {
+			accepted()
+			continue
+		}
 		end, done, err := relayFrame(kind, payload, sink)
 		if errors.Is(err, peer.ErrBadFrame) {
 			s.Reject()
@@ -99,8 +109,6 @@
 			return End{}, false, fmt.Errorf("%w: short event", peer.ErrBadFrame)
 		}
 		return End{}, false, sink.Event(binary.BigEndian.Uint64(payload), payload[seqBytes:])
-	case FramePing:
-		return End{}, false, nil
 	case FrameEnd:
 		var e End
 		if err := peer.Decode(payload, &e); err != nil {
