--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -167,14 +167,12 @@
 	}
 	deps := router.Deps{
 		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
-		Metrics: set, Log: b.cfg.Log,
-	}
-	if b.cfg.Policy != nil {
-		deps.Policy = b.cfg.Policy()
+		Metrics: set, Log: b.cfg.Log, Policy: b.cfg.Policy,
 	}
 	cfg := router.Config{
 		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
 		CallerAddr: loopback, PeerAddr: loopback, Pair: pair, Authority: b.authority.Pair().Cert, PlainCallers: true,
+		Seeds: b.seeds(),
 	}
 	if b.cfg.Operators {
 		cfg.OperatorAddr = loopback
@@ -197,6 +195,17 @@
 	return m, nil
 }
 
+// seeds returns the routers that run already.
+func (b *Bed) seeds() []fleet.Router {
+	var running []fleet.Router
+	for _, m := range b.Members() {
+		if m.Running() {
+			running = append(running, m.Router.Self())
+		}
+	}
+	return running
+}
+
 // SetVM adds or changes an entry of the platform's VM list.
 func (b *Bed) SetVM(vm platform.VM) {
 	b.mu.Lock()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"ragwortpond.example/ragwortpond/platform"
@@ -74,11 +72,7 @@
 	return p, nil
 }
 
-// silenceServerLog turns off the HTTP library's own log lines.
-var silenceServerLog = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
-
 func (p *Platform) newServer() *server.Hertz {
-	silenceServerLog()
 	h := server.New(
 		server.WithListener(p.listener),
 		server.WithTransport(standard.NewTransporter),
