--- a/router/home/home.go
+++ b/router/home/home.go
@@ -101,8 +101,8 @@
 		return h.dispatchPlain(ctx, target, fwd, sink)
 	}
 	end := h.dispatchChat(ctx, target, fwd, sink)
-	h.cancelUnwanted(ctx, target, fwd, end)
 	h.learn(target, fwd, end)
+	h.cancelUnwanted(ctx, target, fwd, end)
 	return end
 }
 
