--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -107,11 +107,14 @@
 	_ = sink.Head(wire.Head{Status: 200})
 	events := len(tokens) + 1
 	stop := rapid.IntRange(0, 2*events).Draw(f.t, "stop")
-	for seq := int(fwd.ResumeFrom); seq < events; seq++ {
+	for seq := int(fwd.ResumeFrom); seq <= events; seq++ {
 		if seq == stop {
 			code := rapid.SampledFrom([]reason.Code{reason.StreamBroken, reason.AnswerTruncated, reason.HomeUnreachable})
 			return wire.End{Outcome: outcome.Dispatched, Reason: code.Draw(f.t, "end")}
 		}
+		if seq == events {
+			break
+		}
 		data := []byte(lengthChunk)
 		if seq < len(tokens) {
 			data = []byte(fmt.Sprintf(`{"choices":[{"index":0,"delta":{"content":%q}}]}`, tokens[seq]))
