--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,12 +14,12 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	_ "ragwortpond.example/ragwortpond/httpconn" // quiets hertz
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -73,8 +73,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("caller: listen %s: %w", cfg.Addr, err)
 	}
-	hlog.SetSilentMode(true)
-	hlog.SetLevel(hlog.LevelFatal)
 	opts := []config.Option{
 		server.WithListener(l),
 		server.WithTransport(standard.NewTransporter),
