operator: administration API with conditional changes, roles, subtrees and withdrawals

Cause: operators need one place to change settings that tells them truthfully what was accepted. Change: package operator on hertz with TLS: documents with ETag and If-Match, JSON merge patch, effective values with their level, status, withdrawals, audit events. A lost answer of the platform is resolved from its log before the change is repeated, so that a retry never undoes a deletion. Package settings gains References, CheckDelete, CheckKeys, MergePatch and Diff.

--- /dev/null
+++ b/operator/main_test.go
@@ -0,0 +1,25 @@
+package operator
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	// The libraries start a few goroutines for the process.
+	before := goleak.IgnoreCurrent()
+	clock := goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1")
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+	code := m.Run()
+	if err := goleak.Find(before, clock); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
--- a/settings/build.go
+++ b/settings/build.go
@@ -181,17 +181,10 @@
 }
 
 func (b *builder) target(name string, d targetDocument) {
-	service, known := b.snapshot.Services[d.Service]
-	if !known {
-		b.add(KindTargets, name, "/service", "no service %q", d.Service)
-	}
-	_, inDomain := b.snapshot.Domains[d.Domain]
-	if !inDomain {
-		b.add(KindTargets, name, "/failure_domain", "no failure domain %q", d.Domain)
-	}
-	if !known || !inDomain {
+	if !b.resolve(KindTargets, name, d.references()) {
 		return
 	}
+	service := b.snapshot.Services[d.Service]
 	b.snapshot.Targets[d.Service] = append(b.snapshot.Targets[d.Service], fleet.Target{
 		ID: fleet.TargetID(name), Service: d.Service, Kind: service.Kind, Domain: d.Domain,
 		Addr: d.Addr, VM: d.VM, Weight: cmp.Or(d.Weight, 1), ChecksFencing: d.ChecksFencing,
@@ -200,8 +193,7 @@
 }
 
 func (b *builder) rule(name string, d ruleDocument) {
-	if _, known := b.snapshot.Services[d.Service]; !known {
-		b.add(KindRules, name, "/service", "no service %q", d.Service)
+	if !b.resolve(KindRules, name, d.references()) {
 		return
 	}
 	b.snapshot.Rules = append(b.snapshot.Rules, Rule{
@@ -209,6 +201,17 @@
 	})
 }
 
+// resolve reports mentions of documents that are not there.
+func (b *builder) resolve(kind, name string, references []Reference) bool {
+	found := len(b.findings)
+	for _, r := range references {
+		if !b.snapshot.Has(r.Kind, r.Name) {
+			b.findings = append(b.findings, r.Missing(kind, name))
+		}
+	}
+	return len(b.findings) == found
+}
+
 // uniqueKeys reports a key that two client accounts share.
 func (b *builder) uniqueKeys() {
 	owner := map[string]fleet.AccountName{}
