--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -168,7 +168,7 @@
 		{"target to another team", "team", "PATCH", "targets/p-1", `"5"`, `{"service":"assistente"}`, 403, "subtree"},
 		{"withdraw another team's", "team", "POST", "withdrawals", "", `{"scope":"target","name":"a-1"}`, 403, "subtree"},
 		{"withdraw nothing", "owner", "POST", "withdrawals", "", `{"scope":"vm","name":"x"}`, 404, "not-found"},
-		{"body over the limit", "owner", "PUT", "services/x", `"0"`, strings.Repeat(" ", maxBodyBytes+1), 413, ""},
+		{"body over the limit", "owner", "PUT", "services/x", `"0"`, strings.Repeat(" ", maxBodyBytes+1), 413, "body-too-large"},
 	}
 	for _, c := range cases {
 		got := a.call(c.who, c.method, c.path, c.ifMatch, c.body)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -30,6 +30,9 @@
 const (
 	maxHeaderBytes = 16 << 10
 	maxBodyBytes   = platform.MaxValueBytes
+	// cutBodyBytes is the size from which a request is cut off without reading
+	// it, so that its sender may see a broken connection rather than 413.
+	cutBodyBytes = 4 << 20
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	exitWait       = 50 * time.Millisecond
@@ -91,7 +94,7 @@
 		server.WithListener(l),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
-		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxRequestBodySize(cutBodyBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(exitWait),
@@ -157,6 +160,11 @@
 		return
 	}
 	c.Set(operatorKey, o)
+	if len(c.Request.Body()) > maxBodyBytes {
+		s.respondRefusal(c, refuse(reason.BodyTooLarge, ""))
+		c.Abort()
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	c.Next(ctx)
