--- a/operator/operator.go
+++ b/operator/operator.go
@@ -33,9 +33,9 @@
 	// cutBodyBytes is the size from which a request is cut off without reading
 	// it, so that its sender may see a broken connection rather than 413.
 	cutBodyBytes = 4 << 20
-	readTimeout    = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	exitWait       = 50 * time.Millisecond
+	readTimeout  = 10 * time.Second
+	idleTimeout  = 60 * time.Second
+	exitWait     = 50 * time.Millisecond
 	// requestTimeout bounds the platform calls of one request.
 	requestTimeout = 5 * time.Second
 	// inForceTimeout bounds the wait of ?wait=in-force.
