ragwort: settings, status, withdraw and keys on the command line

Cause: operators work by command line and scripts, which need stable exit codes. Change: settings check, explain, effective, get, put, patch, delete and diff; status; withdraw; keys; a client of the administration API in package operator. Exit codes: 2 bad input or findings, 3 the object changed meanwhile, 4 not reachable. Conclusion: a test runs the commands against an API over a stand-in platform; settings check passes on both examples and finds five planted faults in a document.

--- /dev/null
+++ b/cmd/ragwort/admin.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"ragwortpond.example/ragwortpond/operator"
+)
+
+func adminCommands() []*cli.Command {
+	return []*cli.Command{statusCommand(), withdrawCommand()}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show every live router with the settings revision in force",
+		Flags: serverFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var status operator.Status
+			if err := do(ctx, cmd, operator.Call{Method: "GET", Path: "status"}, &status); err != nil {
+				return err
+			}
+			return show(cmd, status, func(w io.Writer) {
+				fmt.Fprintln(w, "ROUTER\tFAILURE DOMAIN\tREVISION\tFAULT")
+				for _, r := range status.Routers {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", r.Router, r.Domain, r.Revision, r.Fault)
+				}
+			})
+		},
+	}
+}
+
+func withdrawCommand() *cli.Command {
+	return &cli.Command{
+		Name: "withdraw", Usage: "withdraw a target, a VM or a failure domain", ArgsUsage: "[SCOPE NAME]",
+		Description: "SCOPE is target, vm or failure-domain. Without arguments, lists the targets that are leaving.",
+		Flags:       serverFlags(&cli.BoolFlag{Name: "call-off", Usage: "set the targets back to live"}),
+		Action:      withdrawTargets,
+	}
+}
+
+func withdrawTargets(ctx context.Context, cmd *cli.Command) error {
+	call := operator.Call{Method: "GET", Path: "withdrawals"}
+	if cmd.Args().Len() > 0 {
+		args, err := arguments(cmd, "SCOPE", "NAME")
+		if err != nil {
+			return err
+		}
+		call = withdrawalCall(args[0], args[1], cmd.Bool("call-off"))
+	}
+	var targets []operator.WithdrawnTarget
+	if err := do(ctx, cmd, call, &targets); err != nil {
+		return err
+	}
+	err := show(cmd, targets, func(w io.Writer) {
+		fmt.Fprintln(w, "TARGET\tSERVICE\tFAILURE DOMAIN\tSTATE\tFAULT")
+		for _, t := range targets {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", t.Target, t.For, t.Domain, t.State, t.Fault)
+		}
+	})
+	faulty := func(t operator.WithdrawnTarget) bool { return t.Fault != "" }
+	if err == nil && slices.ContainsFunc(targets, faulty) {
+		return cli.Exit("not every target was changed", exitFailed)
+	}
+	return err
+}
+
+func withdrawalCall(scope, name string, callOff bool) operator.Call {
+	if callOff {
+		return operator.Call{Method: "DELETE", Path: "withdrawals/" + scope + "/" + name}
+	}
+	body, _ := json.Marshal(operator.Withdrawal{Scope: operator.Scope(scope), Name: name})
+	return operator.Call{Method: "POST", Path: "withdrawals", Body: body}
+}
+
+// unionNames returns the keys of both maps, sorted.
+func unionNames(a, b map[string][]byte) []string {
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	return slices.Sorted(maps.Keys(all))
+}
--- a/cmd/ragwort/main.go
+++ b/cmd/ragwort/main.go
@@ -18,8 +18,10 @@
 
 // Exit codes.
 const (
-	exitFailed   = 1
-	exitBadInput = 2
+	exitFailed      = 1
+	exitBadInput    = 2
+	exitChanged     = 3
+	exitUnreachable = 4
 )
 
 func main() {
@@ -31,7 +33,8 @@
 }
 
 func root() *cli.Command {
-	commands := []*cli.Command{demoCommand(), measureCommand()}
+	commands := []*cli.Command{demoCommand(), measureCommand(), settingsCommand(), keysCommand()}
+	commands = append(commands, adminCommands()...)
 	return &cli.Command{
 		Name:                  "ragwort",
 		Usage:                 "run, measure and administer a ragwortpond router fleet",
--- a/settings/load.go
+++ b/settings/load.go
@@ -51,6 +51,16 @@
 	return objs, findings.sorted()
 }
 
+// ObjectOf returns the kind and name of a document by the end of its path,
+// fleet.json or KIND/NAME.json.
+func ObjectOf(path string) (kind, name string, ok bool) {
+	dir, file := filepath.Split(filepath.Clean(path))
+	if kind, name, ok = objectOf(file); ok {
+		return kind, name, true
+	}
+	return objectOf(filepath.Base(dir) + "/" + file)
+}
+
 func objectOf(path string) (kind, name string, ok bool) {
 	base, isJSON := strings.CutSuffix(path, ".json")
 	if !isJSON {
