router: load means and limits in the entry, fair queue in the home's gate

The gate knew only its own targets' load, so its bound followed its own mean; it now reads what other homes report. The entry holds its share of the limits of account, service and fleet. The queue before a target was ordered by priority and arrival; within a priority it is now fair between accounts, and a full queue gives way to quiet ones (reason shed).

The bound on the queue's length moved into the queue: the test of its order sets the length that was implied before, and checks that nothing is refused.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -22,7 +22,7 @@
 // Queue is a bounded queue of waiting requests. Higher priorities go first.
 // Within a priority, accounts share the service by their weights (start-time
 // fair queueing over virtual time), and each account's requests keep their
-// order.
+// order. The zero value is an empty queue.
 type Queue[T comparable] struct {
 	flows map[flowKey]*flow[T]
 	// virtual is each priority's virtual time.
@@ -44,11 +44,6 @@
 	arrived uint64
 }
 
-// NewQueue returns an empty queue.
-func NewQueue[T comparable]() *Queue[T] {
-	return &Queue[T]{flows: map[flowKey]*flow[T]{}, virtual: map[int]float64{}}
-}
-
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int {
 	return q.length
@@ -77,6 +72,10 @@
 }
 
 func (q *Queue[T]) add(w Waiting[T]) {
+	if q.flows == nil {
+		q.flows = map[flowKey]*flow[T]{}
+		q.virtual = map[int]float64{}
+	}
 	key := flowKey{w.Priority, w.Account}
 	f := q.flows[key]
 	if f == nil {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -15,7 +15,7 @@
 func TestQueueAgainstList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 12).Draw(t, "limit")
-		q := NewQueue[int]()
+		q := &Queue[int]{}
 		var list []Waiting[int]
 		drop := func(v int) Waiting[int] {
 			for i, w := range list {
@@ -90,7 +90,7 @@
 func TestBackloggedAccountsShareByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 5).Draw(t, "accounts")
-		q := NewQueue[int]()
+		q := &Queue[int]{}
 		weights := make([]float64, n)
 		largest := make([]float64, n)
 		done := make([]float64, n)
@@ -136,7 +136,7 @@
 // TestSurgeDoesNotDelayTheQuiet: a quiet account's request waits for at most
 // one request of each other account, however many those have queued.
 func TestSurgeDoesNotDelayTheQuiet(t *testing.T) {
-	q := NewQueue[int]()
+	q := &Queue[int]{}
 	for i := range 200 {
 		if _, refusal := q.Push(Waiting[int]{Account: "loud", Value: i}, 256); refusal != nil {
 			t.Fatal(refusal)
@@ -162,7 +162,7 @@
 // TestFullQueueMakesRoomForTheQuiet: the account that waits with most work
 // gives way.
 func TestFullQueueMakesRoomForTheQuiet(t *testing.T) {
-	q := NewQueue[int]()
+	q := &Queue[int]{}
 	for i := range 10 {
 		if _, refusal := q.Push(Waiting[int]{Account: "loud", Value: i}, 10); refusal != nil {
 			t.Fatal(refusal)
--- a/loadmean/service.go
+++ b/loadmean/service.go
@@ -71,7 +71,7 @@
 // ReportSum sets this router's part of a quantity.
 func (s *Service) ReportSum(key Key, part Sum) {
 	old, known := s.own.Load(key)
-	if known && old.(Sum) == part {
+	if known && old.(Sum) == part || !known && part == (Sum{}) {
 		return
 	}
 	s.own.Store(key, part)
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -89,6 +89,7 @@
 	fwd := &wire.Forward{
 		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: s.Target.ID, Kind: req.Kind,
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
+		Weight:       req.Values.Limits.Weight,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
 		ContextOnly: s.ContextOnly, Redirected: s.redirected, Wait: s.wait,
 		Body: req.Body, Stream: req.Stream,
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/outcome"
@@ -88,8 +89,11 @@
 	Notifier  Notifier
 	Clock     func() time.Time
 	Random    func() uint64
-	Metrics   *metrics.Set
-	Log       zerolog.Logger
+	// Peers tells what other routers use of a limit; nil means that there are
+	// none.
+	Peers   func(admission.Scope) admission.Peers
+	Metrics *metrics.Set
+	Log     zerolog.Logger
 }
 
 // Entry serves requests. It is safe for concurrent use.
@@ -97,12 +101,13 @@
 	cfg    Config
 	groups groups
 	loads  loads
+	limits *limits
 	ring   tokenRing
 }
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg}
+	return &Entry{cfg: cfg, limits: newLimits(cfg.Peers)}
 }
 
 // Do serves one request and passes the answer to out. It returns when the
@@ -116,11 +121,21 @@
 	gauge := e.cfg.Metrics.InFlight.WithLabelValues("entry")
 	gauge.Inc()
 	defer gauge.Dec()
-	result := e.run(ctx, req, out)
+	result := e.limited(ctx, req, out)
 	e.cfg.Metrics.Requests.WithLabelValues(string(req.Service), string(result.Outcome.Word())).Inc()
 	return result
 }
 
+// limited serves a request within the limits.
+func (e *Entry) limited(ctx context.Context, req *Request, out wire.Sink) Result {
+	release, refusal := e.limits.admit(e.cfg.Snapshot(), req, e.cfg.Clock)
+	if refusal != nil {
+		return Result{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	}
+	defer release()
+	return e.run(ctx, req, out)
+}
+
 // NewAttemptID returns a random attempt id.
 func NewAttemptID() fleet.AttemptID {
 	return fleet.AttemptID(randomHex())
--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -67,7 +67,7 @@
 	g.mu.Lock()
 	gate := g.gate(t)
 	d := g.decide(gate, w)
-	if d.Verdict == placement.Queue && gate.queue.len() >= w.queueLength {
+	if d.Verdict == placement.Queue && !g.enqueue(gate, w) {
 		d.Verdict, d.Reason = placement.Refuse, reason.QueueFull
 	}
 	switch d.Verdict {
@@ -79,17 +79,32 @@
 		g.mu.Unlock()
 		return nil, refusal(d)
 	}
-	gate.queue.push(w)
-	g.waiting++
 	g.mu.Unlock()
 	return g.wait(ctx, gate, w, d)
 }
 
+// enqueue lets an attempt wait and tells those that give way to it. It must be
+// called with the lock held.
+func (g *LoadGate) enqueue(gate *targetGate, w *waiter) bool {
+	displaced, refusal := gate.queue.push(w)
+	for _, old := range displaced {
+		g.waiting--
+		close(old.displaced)
+	}
+	if refusal != nil {
+		return false
+	}
+	g.waiting++
+	return true
+}
+
 // waiter describes an attempt to the decision.
 func (g *LoadGate) waiter(t fleet.Target, fwd *wire.Forward) *waiter {
 	values := g.cfg.Snapshot().Effective(g.cfg.Self.Domain, fwd.Service, "")
 	w := &waiter{
-		priority: fwd.Priority, queueLength: values.Queue.Length, admitted: make(chan struct{}),
+		account: fwd.Account, weight: fwd.Weight, work: float64(fwd.PromptTokens + fwd.AnswerTokens),
+		priority: fwd.Priority, queueLength: values.Queue.Length,
+		admitted: make(chan struct{}), displaced: make(chan struct{}),
 		limits: placement.Limits{Multiple: values.Placement.LoadMultiple, ReuseWeight: values.Placement.ReuseWeight},
 		attempt: placement.Attempt{
 			Returning: fwd.Returning, PromptTokens: fwd.PromptTokens, ContextOnly: fwd.ContextOnly,
@@ -177,7 +192,7 @@
 		if w == nil || g.decide(gate, w).Verdict != placement.Admit {
 			return
 		}
-		gate.queue.remove(w)
+		gate.queue.pop()
 		g.waiting--
 		g.admit(gate)
 		close(w.admitted)
@@ -194,6 +209,8 @@
 		return g.releaser(gate), wire.End{}
 	case <-timer.C:
 		code = timeoutReason(w)
+	case <-w.displaced:
+		code = reason.Shed
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -203,8 +220,9 @@
 		return g.releaser(gate), wire.End{}
 	default:
 	}
-	gate.queue.remove(w)
-	g.waiting--
+	if gate.queue.remove(w) {
+		g.waiting--
+	}
 	d.Reason = code
 	return nil, refusal(d)
 }
--- a/router/home/loadgate_test.go
+++ b/router/home/loadgate_test.go
@@ -155,10 +155,13 @@
 
 func TestGateGoesByPriorityAndArrival(t *testing.T) {
 	var q waitQueue
-	low, first, second := &waiter{priority: 1}, &waiter{priority: 5}, &waiter{priority: 5}
-	q.push(low)
-	q.push(first)
-	q.push(second)
+	low := &waiter{priority: 1, queueLength: 3}
+	first, second := &waiter{priority: 5, queueLength: 3}, &waiter{priority: 5, queueLength: 3}
+	for _, w := range []*waiter{low, first, second} {
+		if _, refusal := q.push(w); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
 	for _, want := range []*waiter{first, second, low} {
 		if q.head() != want {
 			t.Fatalf("out of order: %+v", q.head())
@@ -167,6 +170,58 @@
 	}
 }
 
+func TestGateTakesTurnsBetweenAccounts(t *testing.T) {
+	var q waitQueue
+	for range 4 {
+		if _, refusal := q.push(&waiter{account: "loud", queueLength: 8}); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	quiet := &waiter{account: "quiet", queueLength: 8}
+	if _, refusal := q.push(quiet); refusal != nil {
+		t.Fatal(refusal)
+	}
+	q.pop()
+	if q.head() != quiet {
+		t.Error("the quiet account waits for more than one of the other")
+	}
+}
+
+func TestFullQueueGivesWayToAnotherAccount(t *testing.T) {
+	g := newTestGate(80)
+	releases := g.fill(t, "e1")
+	ends := make(chan wire.End)
+	length := settings.Defaults().Queue.Length
+	for range length {
+		go func() {
+			release, end := g.acquire("e1", wire.Forward{Account: "loud", Wait: true})
+			if release != nil {
+				release()
+			}
+			ends <- end
+		}()
+	}
+	for g.queued("e1") < length {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		release, end := g.acquire("e1", wire.Forward{Account: "quiet", Wait: true})
+		if release != nil {
+			release()
+		}
+		ends <- end
+	}()
+	if end := <-ends; end.Reason != reason.Shed {
+		t.Errorf("one of a full queue ends with %q, want %q", end.Reason, reason.Shed)
+	}
+	for _, release := range releases {
+		release()
+	}
+	for range length {
+		<-ends
+	}
+}
+
 // queued returns the number of attempts that wait before a target.
 func (g *LoadGate) queued(id fleet.TargetID) int {
 	g.mu.Lock()
--- a/router/home/queue.go
+++ b/router/home/queue.go
@@ -1,8 +1,8 @@
 package home
 
 import (
-	"slices"
-
+	"ragwortpond.example/ragwortpond/admission"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/placement"
 )
 
@@ -10,41 +10,49 @@
 type waiter struct {
 	attempt     placement.Attempt
 	limits      placement.Limits
+	account     fleet.AccountName
+	weight      float64
+	work        float64
 	priority    int
 	queueLength int
 	resume      bool
 	// admitted is closed when the attempt may go.
 	admitted chan struct{}
+	// displaced is closed when the attempt gave way to another in a full queue.
+	displaced chan struct{}
 }
 
-// waitQueue orders waiting attempts by falling priority, then by arrival.
+// waitQueue orders waiting attempts by falling priority, and within a priority
+// fairly between client accounts.
 type waitQueue struct {
-	waiters []*waiter
+	fair admission.Queue[*waiter]
 }
 
 func (q *waitQueue) len() int {
-	return len(q.waiters)
+	return q.fair.Len()
 }
 
-func (q *waitQueue) push(w *waiter) {
-	i := len(q.waiters)
-	for i > 0 && q.waiters[i-1].priority < w.priority {
-		i--
-	}
-	q.waiters = slices.Insert(q.waiters, i, w)
+// push adds a waiter. It returns those that give way, which are not told, or
+// the refusal of a full queue.
+func (q *waitQueue) push(w *waiter) ([]*waiter, *admission.Refusal) {
+	return q.fair.Push(admission.Waiting[*waiter]{
+		Account: w.account, Weight: w.weight, Priority: w.priority, Cost: w.work, Value: w,
+	}, w.queueLength)
 }
 
 func (q *waitQueue) head() *waiter {
-	if len(q.waiters) == 0 {
-		return nil
-	}
-	return q.waiters[0]
+	w, _ := q.fair.Head()
+	return w.Value
+}
+
+// pop takes the head.
+func (q *waitQueue) pop() {
+	q.fair.Pop()
 }
 
-func (q *waitQueue) remove(w *waiter) {
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
-	}
+// remove takes out a waiter that gave up and reports whether it waited.
+func (q *waitQueue) remove(w *waiter) bool {
+	return q.fair.Remove(w)
 }
 
 // precedes reports whether an attempt waits that goes before w.
--- a/router/homerole.go
+++ b/router/homerole.go
@@ -18,18 +18,10 @@
 	}
 	return home.NewLoadGate(home.GateConfig{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets,
-		Means: ownMeans{}, Chats: r.chats, Clock: time.Now,
+		Means: r.means, Chats: r.chats, Clock: time.Now,
 	})
 }
 
-// ownMeans knows nothing of other homes.
-type ownMeans struct{}
-
-// Others implements home.Means.
-func (ownMeans) Others(fleet.ServiceName) placement.ServiceLoad {
-	return placement.ServiceLoad{}
-}
-
 // startHome starts what the home role runs besides its attempts.
 func (r *Router) startHome(ctx context.Context, failures chan<- error) {
 	if gate, ok := r.gate.(*home.LoadGate); ok {
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/peer"
@@ -73,6 +74,7 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
+	means   *loadmean.Service
 	source  *source
 	targets *targets.Tracker
 	chats   *home.Chats
@@ -132,6 +134,7 @@
 		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
+	r.buildMeans(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
@@ -161,7 +164,7 @@
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
 		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
+		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
 	})
 }
 
@@ -221,6 +224,7 @@
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
 	r.startHome(ctx, failures)
+	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
--- a/router/wire/wire.go
+++ b/router/wire/wire.go
@@ -38,6 +38,8 @@
 	// ContextOnly says that the home is to take the attempt only if it knows
 	// that the target holds the chat's context.
 	ContextOnly bool `cbor:"16,keyasint,omitempty"`
+	// Weight is the client account's share in fair queueing.
+	Weight float64 `cbor:"17,keyasint,omitempty"`
 
 	// Body is the chat request, or the body of a plain call.
 	Body   []byte `cbor:"20,keyasint,omitempty"`
