--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -17,6 +17,7 @@
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
@@ -99,6 +100,7 @@
 // Entry serves requests. It is safe for concurrent use.
 type Entry struct {
 	cfg    Config
+	budget *retry.Budget
 	groups groups
 	loads  loads
 	limits *limits
@@ -107,7 +109,7 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, limits: newLimits(cfg.Peers)}
+	return &Entry{cfg: cfg, budget: retry.NewBudget(), limits: newLimits(cfg.Peers)}
 }
 
 // Do serves one request and passes the answer to out. It returns when the
