admission: small concurrency limits are usable across routers

A router now goes beyond its share while the fleet uses less than half of the limit. A sudden surge can exceed the limit for the time that reports take.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,6 +14,8 @@
 	maxScopes         = 16384
 	sweepInterval     = 10 * time.Second
 	leastDepth        = 2
+	freeShare         = 0.5
+	reportTime        = time.Second
 )
 
 // Level tells what a limit is for.
@@ -70,6 +72,7 @@
 	bucket   bucket
 	demand   meter
 	inFlight int
+	created  time.Time
 	used     time.Time
 }
 
@@ -132,7 +135,7 @@
 func (l *Limiter) check(limit Limit, now time.Time) *Refusal {
 	s := l.scope(limit, now)
 	peers := l.peers(limit.Scope)
-	if limit.Concurrency > 0 && s.inFlight >= concurrencyHere(limit, s, peers) {
+	if limit.Concurrency > 0 && s.inFlight >= concurrencyHere(limit, s, peers, now) {
 		return &Refusal{Reason: concurrencyReason(limit.Scope.Level), RetryAfter: busyRetryAfter}
 	}
 	if limit.PerSecond <= 0 {
@@ -153,22 +156,29 @@
 	return limit.PerSecond * part, max(float64(limit.Burst)*part, min(float64(limit.Burst), leastDepth), 1)
 }
 
-// concurrencyHere returns how many requests may be in flight here: what the
-// others leave where that is known, else an even part.
-func concurrencyHere(limit Limit, s *scopeState, peers Peers) int {
+// concurrencyHere returns how many requests may be in flight here: this
+// router's share, and beyond it as long as the fleet uses less than freeShare
+// of the limit. A scope that is new here counts as unused elsewhere until the
+// others had time to report.
+func concurrencyHere(limit Limit, s *scopeState, peers Peers, now time.Time) int {
+	free := float64(limit.Concurrency) * freeShare
 	if !peers.Fresh {
-		return max(limit.Concurrency/max(peers.Routers, 1), 1)
+		fair := max(limit.Concurrency/max(peers.Routers, 1), 1)
+		if now.Sub(s.created) < reportTime {
+			return max(fair, int(free))
+		}
+		return fair
 	}
 	part := share(s.demand.perSecond, float64(limit.Concurrency), peers)
 	fair := max(int(float64(limit.Concurrency)*part), 1)
 	left := limit.Concurrency - int(peers.InFlight+0.5)
-	return min(fair, max(left, 0))
+	return max(min(fair, left), int(free-peers.InFlight), 0)
 }
 
 func (l *Limiter) scope(limit Limit, now time.Time) *scopeState {
 	s := l.scopes[limit.Scope]
 	if s == nil {
-		s = &scopeState{demand: meter{at: now}}
+		s = &scopeState{demand: meter{at: now}, created: now}
 		_, depth := here(limit, s, l.peers(limit.Scope))
 		s.bucket = newBucket(depth, now)
 		l.scopes[limit.Scope] = s
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// TestSmallConcurrencyIsUsable: a limit smaller than the number of routers is
+// not refused while the fleet uses less than half of it.
+func TestSmallConcurrencyIsUsable(t *testing.T) {
+	limits := []Limit{{Scope: AccountScope("a"), Concurrency: 10}}
+	for _, known := range []bool{false, true} {
+		s := newShared(6)
+		for i := range 4 {
+			if known {
+				s.exchange()
+			}
+			if r := s.limiters[2].Admit(s.now, limits); r != nil {
+				t.Errorf("request %d of 10, demand known %t: %v", i+1, known, r)
+			}
+		}
+	}
+}
+
 func TestUnusedScopesAreForgotten(t *testing.T) {
 	l := NewLimiter(func(Scope) Peers { return Peers{Routers: 1} })
 	old := []Limit{{Scope: AccountScope("old"), PerSecond: 1, Burst: 1}}
--- a/router/control.go
+++ b/router/control.go
@@ -15,7 +15,7 @@
 	// loadPeriod is how often a home's load is looked at for reports.
 	loadPeriod = 20 * time.Millisecond
 	// demandPeriod is how often the demand on limits is reported.
-	demandPeriod = 250 * time.Millisecond
+	demandPeriod = 100 * time.Millisecond
 )
 
 func (r *Router) buildMeans(mux *peer.Mux) {
