--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/peer"
@@ -36,6 +37,10 @@
 // poolSize bounds the goroutines that serve peers' streams and tasks.
 const poolSize = 20_000
 
+// maxParts is more than the parts that Run starts, so that none blocks when it
+// reports its failure.
+const maxParts = 16
+
 // Config is what one router needs to know of itself.
 type Config struct {
 	// Self is the router; PeerAddr and Incarnation are filled in by New.
@@ -74,6 +79,7 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
+	means   *loadmean.Service
 	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
@@ -138,6 +144,7 @@
 		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
+	r.buildMeans(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
@@ -166,7 +173,7 @@
 		Forwarder: &forwarder{
 			self: r.cfg.Self.ID, node: r.node, home: r.home, targets: r.targets, open: r.open, log: r.log,
 		},
-		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
+		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
 	})
 }
 
@@ -221,12 +228,13 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	defer r.cancel()
 	r.node.Start()
-	failures := make(chan error, 4)
+	failures := make(chan error, maxParts)
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
 	r.startHome(ctx, failures)
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
+	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
