router/orders: orders run at most once, with recorded answers and GET /v1/requests/{key}

Cause: a call of a plain service that may not be repeated has to run at most once on whichever routers its repeats arrive. Change: a call with Idempotency-Key gets its intent recorded before dispatch; a repeat gets the recorded answer, waits for the running call, or is told that the result is not known; another body is 422, an expired key 410 with outcome unknown.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -46,6 +46,7 @@
 	// TLS of the listener; nil serves without.
 	TLS      *tls.Config
 	Server   Server
+	Requests Requests
 	Snapshot func() *settings.Snapshot
 	// Ready reports whether the router takes requests.
 	Ready func() bool
@@ -98,6 +99,7 @@
 func (f *Face) routes() {
 	f.hertz.POST("/v1/chat/completions", f.chat)
 	f.hertz.Any("/s/:service/*path", f.plain)
+	f.hertz.GET("/v1/requests/:key", f.request)
 	f.hertz.GET("/healthz", f.health)
 	f.hertz.GET("/readyz", f.ready)
 	f.hertz.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(f.cfg.Metrics.Registry, promhttp.HandlerOpts{})))
--- a/caller/request.go
+++ b/caller/request.go
@@ -88,9 +88,13 @@
 	if bad != nil {
 		return nil, bad
 	}
+	key := string(c.GetHeader(HeaderKey))
+	if bad := checkKey(key); bad != nil {
+		return nil, bad
+	}
 	req := &entry.Request{
 		ID: entry.NewRequestID(), Account: account, Service: s.Name, Kind: s.Kind, Values: v, Deadline: due,
-		IdempotencyKey: string(c.GetHeader(HeaderKey)),
+		IdempotencyKey: key,
 	}
 	c.Response.Header.Set(HeaderRequest, string(req.ID))
 	return req, nil
--- a/journal/log.go
+++ b/journal/log.go
@@ -32,6 +32,9 @@
 	Self   fleet.RouterID
 	// Members returns the live routers, this one included.
 	Members func() []fleet.Router
+	// Find returns a router by its id, leaving ones included; nil looks among
+	// the members.
+	Find func(fleet.RouterID) (fleet.Router, bool)
 	// Values returns the settings of the fleet level.
 	Values func() settings.Journal
 	// Clock returns the time of day; nil means time.Now.
@@ -63,6 +66,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.Find == nil {
+		cfg.Find = memberFinder(cfg.Members)
+	}
 	pool, err := task.NewPool(poolSize)
 	if err != nil {
 		return nil, err
@@ -80,6 +86,17 @@
 	return l, nil
 }
 
+func memberFinder(members func() []fleet.Router) func(fleet.RouterID) (fleet.Router, bool) {
+	return func(id fleet.RouterID) (fleet.Router, bool) {
+		for _, r := range members() {
+			if r.ID == id {
+				return r, true
+			}
+		}
+		return fleet.Router{}, false
+	}
+}
+
 func newBoot() uint64 {
 	var raw [8]byte
 	rand.Read(raw[:])
@@ -117,6 +134,12 @@
 	if l.Flush(ctx) != nil {
 		event.JournalStoppedUnsaid.Log(l.cfg.Log).Int("results", l.backlog.size()).Send()
 	}
+	l.Close()
+}
+
+// Close stops the journal at once; intents are refused from then on. Run does
+// it at its end. It may be called more than once.
+func (l *Log) Close() {
 	l.mu.Lock()
 	lanes := l.lanes
 	l.lanes = nil
--- a/journal/submit.go
+++ b/journal/submit.go
@@ -160,16 +160,14 @@
 	if record.Owner == l.owner {
 		return l.watch(ctx, record.Nonce), nil
 	}
-	for _, r := range l.cfg.Members() {
-		if r.ID != record.Owner.Router {
-			continue
-		}
-		var answer reply
-		question := &call{Nonce: record.Nonce, Boot: record.Owner.Boot, WaitMS: waitOf(ctx)}
-		err := l.cfg.Caller.Call(ctx, r.PeerAddr, peer.MethodJournal, question, &answer)
-		return answer.Attempt, err
+	owner, ok := l.cfg.Find(record.Owner.Router)
+	if !ok {
+		return progress{}, peer.ErrUnreachable
 	}
-	return progress{}, peer.ErrUnreachable
+	var answer reply
+	question := &call{Nonce: record.Nonce, Boot: record.Owner.Boot, WaitMS: waitOf(ctx)}
+	err := l.cfg.Caller.Call(ctx, owner.PeerAddr, peer.MethodJournal, question, &answer)
+	return answer.Attempt, err
 }
 
 func waitOf(ctx context.Context) int64 {
--- a/router/drain.go
+++ b/router/drain.go
@@ -29,6 +29,9 @@
 		}
 		pause(ctx, drainPoll)
 	}
+	if err := r.journal.Flush(ctx); err != nil {
+		return fmt.Errorf("router: stopped with results that are not recorded: %w", err)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/router/orders/find.go
@@ -0,0 +1,70 @@
+package orders
+
+import (
+	"context"
+	"errors"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+)
+
+// State says what became of the request of a key.
+type State string
+
+// The states.
+const (
+	Running   State = "running"
+	Completed State = "completed"
+	Unknown   State = "unknown"
+)
+
+// Status is what is known of the request of a key.
+type Status struct {
+	State State
+	// Answer is set for Completed.
+	Answer *journal.Answer
+}
+
+// Outcome is the word for the caller.
+func (s Status) Outcome() outcome.Word {
+	if s.State == Completed {
+		return outcome.Completed
+	}
+	return outcome.Unknown
+}
+
+// Find returns what became of the request of a client account's key, or the
+// reason why that cannot be said. A key without a record may still be on its
+// way, so it is not reported as not run.
+func (s *Server) Find(ctx context.Context, account fleet.AccountName, key string) (Status, reason.Code) {
+	record, err := s.cfg.Journal.Lookup(ctx, account, key)
+	if err != nil {
+		return Status{}, findReason(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, findWait)
+	defer cancel()
+	record, err = s.cfg.Journal.Join(ctx, record)
+	switch {
+	case errors.Is(err, journal.ErrNotRun):
+		return Status{}, reason.NotFound
+	case record.State == journal.StateIntent:
+		return Status{State: Running}, reason.None
+	case record.State == journal.StateCompleted:
+		return Status{State: Completed, Answer: record.Answer}, reason.None
+	default:
+		return Status{State: Unknown}, reason.None
+	}
+}
+
+func findReason(err error) reason.Code {
+	switch {
+	case errors.Is(err, journal.ErrNotFound):
+		return reason.NotFound
+	case errors.Is(err, journal.ErrExpired):
+		return reason.KeyExpired
+	default:
+		return reason.JournalUnavailable
+	}
+}
--- /dev/null
+++ b/router/orders/orders.go
@@ -0,0 +1,204 @@
+// Package orders serves calls of plain services that may not be repeated and
+// carry an idempotency key: each runs at most once, on whichever routers its
+// repeats arrive. All other requests pass through unchanged.
+//
+// The package records the intent in the journal before the call is dispatched,
+// gives repeats the recorded answer, lets them wait for a running call, and
+// tells them when a result is not known.
+package orders
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/router/wire"
+)
+
+const (
+	// MaxKeyBytes is the longest idempotency key.
+	MaxKeyBytes = 255
+	// OmittedHeader is set on a recorded answer whose body was too large to
+	// record; its value is OmittedValue.
+	OmittedHeader = "Ragwort-Body"
+	OmittedValue  = "omitted"
+
+	joinLimit  = 30 * time.Second
+	findWait   = 100 * time.Millisecond
+	maxReplace = 3
+)
+
+// Next serves a request that may be dispatched; *entry.Entry implements it.
+type Next interface {
+	Do(ctx context.Context, req *entry.Request, out wire.Sink) entry.Result
+}
+
+// Journal is the part of *journal.Log that is used.
+type Journal interface {
+	Begin(ctx context.Context, intent journal.Intent) (journal.Grant, error)
+	FinishLater(grant journal.Grant, result journal.Result)
+	Abandon(ctx context.Context, grant journal.Grant)
+	Join(ctx context.Context, record journal.Record) (journal.Record, error)
+	Lookup(ctx context.Context, account fleet.AccountName, key string) (journal.Record, error)
+}
+
+// Config is what a Server needs.
+type Config struct {
+	Next    Next
+	Journal Journal
+	Metrics *metrics.Set
+}
+
+// Server is the path of orders before the entry role. It is safe for concurrent
+// use.
+type Server struct {
+	cfg Config
+}
+
+// New returns a Server.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg}
+}
+
+// Do serves one request and passes the answer to out.
+func (s *Server) Do(ctx context.Context, req *entry.Request, out wire.Sink) entry.Result {
+	if req.Kind != fleet.KindPlain || req.Repeatable || req.IdempotencyKey == "" {
+		return s.cfg.Next.Do(ctx, req, out)
+	}
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	grant, record, err := s.admit(ctx, req)
+	switch {
+	case err != nil:
+		return s.count(req, refused(err))
+	case record != nil:
+		return s.count(req, replay(record, out))
+	default:
+		return s.run(ctx, grant, req, out)
+	}
+}
+
+// admit returns leave to run the request, or the record of an earlier sending.
+func (s *Server) admit(ctx context.Context, req *entry.Request) (journal.Grant, *journal.Record, error) {
+	intent := journal.Intent{
+		Account: req.Account, Key: req.IdempotencyKey,
+		Fingerprint: journal.FingerprintOf(string(req.Service), req.Method, req.Path, string(req.Body)),
+	}
+	for range maxReplace {
+		grant, err := s.cfg.Journal.Begin(ctx, intent)
+		var exists *journal.ExistsError
+		if !errors.As(err, &exists) {
+			return grant, nil, err
+		}
+		joining, cancel := context.WithTimeout(ctx, joinLimit)
+		record, err := s.cfg.Journal.Join(joining, exists.Record)
+		cancel()
+		if !errors.Is(err, journal.ErrNotRun) {
+			return journal.Grant{}, &record, err
+		}
+		intent.Replaces = record.Nonce
+	}
+	return journal.Grant{}, nil, journal.ErrUnavailable
+}
+
+// run dispatches a request that has leave and records how it ended. The caller
+// does not wait for the end to be recorded.
+func (s *Server) run(ctx context.Context, grant journal.Grant, req *entry.Request, out wire.Sink) entry.Result {
+	tee := &recorder{Sink: out, limit: req.Values.Journal.ResultBytes}
+	result := s.cfg.Next.Do(ctx, req, tee)
+	switch {
+	case result.Outcome == outcome.NotDispatched:
+		s.cfg.Journal.Abandon(ctx, grant)
+	case result.Outcome == outcome.Answered && tee.answer != nil:
+		s.cfg.Journal.FinishLater(grant, journal.Result{State: journal.StateCompleted, Answer: tee.answer})
+	default:
+		s.cfg.Journal.FinishLater(grant, journal.Result{State: journal.StateUnknown})
+	}
+	return result
+}
+
+func (s *Server) count(req *entry.Request, r entry.Result) entry.Result {
+	s.cfg.Metrics.Requests.WithLabelValues(string(req.Service), string(r.Outcome.Word())).Inc()
+	return r
+}
+
+// refused maps the journal's errors. An expired key may have run long ago, so
+// its outcome is not known; the others were not run under this sending.
+func refused(err error) entry.Result {
+	switch {
+	case errors.Is(err, journal.ErrKeyReused):
+		return entry.Result{Reason: reason.KeyReused}
+	case errors.Is(err, journal.ErrExpired):
+		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.KeyExpired}
+	default:
+		return entry.Result{Reason: reason.JournalUnavailable}
+	}
+}
+
+// replay gives a repeat what is recorded.
+func replay(record *journal.Record, out wire.Sink) entry.Result {
+	switch {
+	case record.State == journal.StateIntent:
+		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.AttemptRunning}
+	case record.State != journal.StateCompleted || record.Answer == nil:
+		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.ResultUnknown}
+	}
+	answer := record.Answer
+	head := wire.Head{Status: answer.Status, CachedTokens: -1}
+	for _, f := range answer.Header {
+		head.Header = append(head.Header, plain.Field{Name: f.Name, Value: f.Value})
+	}
+	if answer.BodyOmitted {
+		head.Header = append(head.Header, plain.Field{Name: OmittedHeader, Value: OmittedValue})
+	}
+	result := entry.Result{Outcome: outcome.Answered}
+	if out.Head(head) != nil || out.Event(0, answer.Body) != nil {
+		result.Reason = reason.StreamBroken
+		return result
+	}
+	result.Started = true
+	return result
+}
+
+// recorder keeps a copy of an answer that passes through.
+type recorder struct {
+	wire.Sink
+	limit  int
+	answer *journal.Answer
+}
+
+// Head implements wire.Sink.
+func (r *recorder) Head(h wire.Head) error {
+	r.answer = &journal.Answer{Status: h.Status}
+	size := 0
+	for _, f := range h.Header {
+		size += len(f.Name) + len(f.Value)
+		r.answer.Header = append(r.answer.Header, journal.Field{Name: f.Name, Value: f.Value})
+	}
+	if size > r.limit {
+		r.answer.Header = nil
+	}
+	return r.Sink.Head(h)
+}
+
+// Event implements wire.Sink.
+func (r *recorder) Event(seq uint64, data []byte) error {
+	if !r.answer.BodyOmitted {
+		r.answer.Body = append(r.answer.Body, data...)
+	}
+	if len(r.answer.Body) > r.limit {
+		r.answer.Body = nil
+		r.answer.BodyOmitted = true
+	}
+	return r.Sink.Event(seq, data)
+}
--- /dev/null
+++ b/router/orders/orders_test.go
@@ -0,0 +1,249 @@
+package orders_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/examples"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+const (
+	testLimit = 30 * time.Second
+	account   = "balcao-natal"
+	service   = "pedidos"
+)
+
+// fixture is three real routers with stand-ins.
+type fixture struct {
+	*bed.Bed
+	t      *testing.T
+	client *bed.Client
+	ctx    context.Context
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	dir, err := examples.Deployment(examples.TochaViva)
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects, findings := settings.LoadFS(dir)
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	b, err := bed.Start(ctx, bed.Config{Objects: objects, RoutersPerDomain: 1, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	client := b.NewClient()
+	t.Cleanup(client.Close)
+	return &fixture{Bed: b, t: t, client: client, ctx: ctx}
+}
+
+func (f *fixture) order(router int, key, body string) bed.Answer {
+	answer, err := f.client.Call(f.ctx, f.Members()[router], account, service, "POST", "/pedidos", key, []byte(body))
+	if err != nil {
+		f.t.Error(err)
+	}
+	return answer
+}
+
+func (f *fixture) expect(a bed.Answer, status int, word outcome.Word, code reason.Code) {
+	f.t.Helper()
+	if a.Status != status || a.Outcome != word || a.Reason != code {
+		f.t.Fatalf("got %d %s %q, want %d %s %q", a.Status, a.Outcome, a.Reason, status, word, code)
+	}
+}
+
+// ran is how often a key was executed by all services together.
+func (f *fixture) ran(key string) int {
+	total := 0
+	for _, s := range f.Services() {
+		total += s.Executions()[key]
+	}
+	return total
+}
+
+func (f *fixture) faults(faults standin.ServiceFaults) {
+	for _, s := range f.Services() {
+		s.SetFaults(faults)
+	}
+}
+
+type status struct {
+	State  string `json:"state"`
+	Answer struct {
+		Status int    `json:"status"`
+		Body   string `json:"body"`
+	} `json:"answer"`
+}
+
+// find asks what became of a key.
+func (f *fixture) find(router int, key string) (int, status) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, "GET", f.Members()[router].CallerURL()+"/v1/requests/"+key, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+f.AccountKeys[account])
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var s status
+	if err := json.Unmarshal(raw, &s); err != nil {
+		f.t.Fatalf("%s: %v", raw, err)
+	}
+	return resp.StatusCode, s
+}
+
+func (f *fixture) waitRecorded(router int, key string) {
+	f.t.Helper()
+	for f.ctx.Err() == nil {
+		if code, s := f.find(router, key); code == 200 && s.State != "running" {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatal("not recorded")
+}
+
+func TestRepeatsGetTheRecordedAnswer(t *testing.T) {
+	f := start(t)
+	first := f.order(0, "order-1", "two drums")
+	f.expect(first, 200, outcome.Completed, reason.None)
+	for router := range f.Members() {
+		again := f.order(router, "order-1", "two drums")
+		f.expect(again, 200, outcome.Completed, reason.None)
+		if string(again.Body) != string(first.Body) {
+			t.Fatalf("answer %s, then %s", first.Body, again.Body)
+		}
+	}
+	f.expect(f.order(1, "order-1", "three drums"), 422, outcome.NotRun, reason.KeyReused)
+	if n := f.ran("order-1"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+	f.waitRecorded(2, "order-1")
+	if code, s := f.find(2, "order-1"); code != 200 || s.State != "completed" || s.Answer.Body != string(first.Body) {
+		t.Fatalf("status %d %+v", code, s)
+	}
+	if code, _ := f.find(0, "never-sent"); code != 404 {
+		t.Fatalf("status %d of a key that was never sent", code)
+	}
+	old := "01000000-0000-7000-8000-000000000001"
+	f.expect(f.order(0, old, "two drums"), 410, outcome.Unknown, reason.KeyExpired)
+	if n := f.ran(old); n != 0 {
+		t.Fatalf("expired key ran %d times", n)
+	}
+}
+
+func TestRepeatsJoinTheRunningCall(t *testing.T) {
+	f := start(t)
+	f.faults(standin.ServiceFaults{Delay: 400 * time.Millisecond})
+	answers := make(chan bed.Answer, 6)
+	for i := range cap(answers) {
+		go func() { answers <- f.order(i%len(f.Members()), "order-2", "two drums") }()
+	}
+	var body string
+	for range cap(answers) {
+		a := <-answers
+		f.expect(a, 200, outcome.Completed, reason.None)
+		if body != "" && body != string(a.Body) {
+			t.Fatalf("answers %s and %s", body, a.Body)
+		}
+		body = string(a.Body)
+	}
+	if n := f.ran("order-2"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestLostAnswerIsUnknownAndNeverRunsAgain(t *testing.T) {
+	f := start(t)
+	f.faults(standin.ServiceFaults{LostRate: 1})
+	f.expect(f.order(0, "order-3", "two drums"), 502, outcome.Unknown, reason.StreamBroken)
+	f.faults(standin.ServiceFaults{})
+	for router := range f.Members() {
+		f.expect(f.order(router, "order-3", "two drums"), 409, outcome.Unknown, reason.ResultUnknown)
+	}
+	if n := f.ran("order-3"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+	f.faults(standin.ServiceFaults{RefuseRate: 1})
+	refused := f.order(0, "order-4", "two drums")
+	if refused.Outcome != outcome.NotRun {
+		t.Fatalf("refused by every target: %+v", refused)
+	}
+	f.faults(standin.ServiceFaults{})
+	f.expect(f.order(1, "order-4", "two drums"), 200, outcome.Completed, reason.None)
+}
+
+func TestOutageRefusesOrdersOnly(t *testing.T) {
+	f := start(t)
+	f.Platform.SetFaults(standin.Faults{Outage: true})
+	f.expect(f.order(0, "order-5", "two drums"), 503, outcome.NotRun, reason.JournalUnavailable)
+	lookup, err := f.client.Call(f.ctx, f.Members()[0], account, service, "GET", "/estoque/7", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.expect(lookup, 200, outcome.Completed, reason.None)
+	f.Platform.SetFaults(standin.Faults{LoseAfter: 3, SlowMS: 20})
+	f.expect(f.order(1, "order-5", "two drums"), 200, outcome.Completed, reason.None)
+	if n := f.ran("order-5"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+// The router that took an order goes while the order runs: its repeat is never
+// run again, whatever it is told.
+func TestCrashOfTheRouterThatTookTheOrder(t *testing.T) {
+	f := start(t)
+	f.faults(standin.ServiceFaults{Delay: 600 * time.Millisecond})
+	const key = "order-6"
+	go func() {
+		body := []byte("two drums")
+		_, _ = f.client.Call(f.ctx, f.Members()[0], account, service, "POST", "/pedidos", key, body)
+	}()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, s := f.find(1, key); s.State == "running" {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("not running")
+		}
+	}
+	f.Members()[0].Kill()
+	a := f.order(1, key, "two drums")
+	if a.Outcome == outcome.NotRun {
+		t.Fatalf("told %+v", a)
+	}
+	time.Sleep(700 * time.Millisecond)
+	if n := f.ran(key); n > 1 {
+		t.Fatalf("ran %d times", n)
+	}
+	if a.Outcome == outcome.Completed && f.ran(key) != 1 {
+		t.Fatal("told completed and did not run")
+	}
+	if a.Status != 409 && a.Status != 200 {
+		t.Fatalf("status %d", a.Status)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
@@ -27,6 +28,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
@@ -79,6 +81,8 @@
 	home    *home.Home
 	gate    home.Gate
 	entry   *entry.Entry
+	journal *journal.Log
+	orders  *orders.Server
 	face    *caller.Face
 	ready   atomic.Bool
 
@@ -111,6 +115,9 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
+	if err := r.buildOrders(mux); err != nil {
+		return err
+	}
 	return r.bindCallers()
 }
 
@@ -175,7 +182,7 @@
 		}
 	}
 	face, err := caller.Listen(caller.Config{
-		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry, Snapshot: r.source.Snapshot,
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.orders, Requests: r.orders, Snapshot: r.source.Snapshot,
 		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	if err != nil {
@@ -220,6 +227,7 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startHome(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
@@ -266,6 +274,9 @@
 }
 
 func (r *Router) release() {
+	if r.journal != nil {
+		r.journal.Close()
+	}
 	if r.pool != nil {
 		r.pool.Release()
 	}
