--- a/journal/lane.go
+++ b/journal/lane.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	laneMailbox  = 4096
-	laneIdle     = 30 * time.Second
-	settleFactor = 10
+	laneMailbox = 4096
+	laneIdle    = 30 * time.Second
+	settleWait  = 500 * time.Millisecond
 )
 
 // request is an operation that waits for its verdict.
@@ -44,7 +44,7 @@
 
 	waiting []*request
 	held    held
-	pace    Pace
+	pacer   *pacer
 	writing bool
 	// timer is the number of the armed timer, due its time; zero for none.
 	timer  uint64
@@ -64,7 +64,7 @@
 		return ln, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ln := &lane{log: l, cell: cell, ctx: ctx, cancel: cancel, used: time.Now()}
+	ln := &lane{log: l, cell: cell, ctx: ctx, cancel: cancel, used: time.Now(), pacer: l.pacer(cell.Shard)}
 	t, err := task.Start(l.pool, laneMailbox, ln.handle)
 	if err != nil {
 		cancel()
@@ -118,11 +118,10 @@
 // patience is how long an operation may wait for others to share its write.
 // Nobody waits for a result or a release to be recorded.
 func (ln *lane) patience(op *Op) time.Duration {
-	batch := ln.log.cfg.Values().BatchMS.Duration()
 	if op.Kind == OpBegin {
-		return ln.pace.Wait(batch)
+		return ln.pacer.wait(ln.log.cfg.Values().BatchMS.Duration())
 	}
-	return settleFactor * ln.pace.Wait(batch)
+	return ln.pacer.wait(settleWait)
 }
 
 // arm sees to a flush after wait at the latest.
@@ -149,6 +148,7 @@
 	batch := ln.waiting
 	ln.waiting = nil
 	ln.writing = true
+	ln.pacer.started()
 	start := ln.held
 	err := ln.log.pool.Go(func() {
 		done := ln.write(start, batch)
@@ -164,13 +164,7 @@
 func (ln *lane) finishWrite(done *writeDone) {
 	ln.writing = false
 	ln.held = done.held
-	batch := ln.log.cfg.Values().BatchMS.Duration()
-	for range done.result.rateRefusals {
-		ln.pace.Refused(batch)
-	}
-	if done.result.taken {
-		ln.pace.Taken()
-	}
+	ln.pacer.ended(done.result)
 	for _, r := range ln.waiting {
 		ln.arm(ln.patience(r.op))
 	}
--- a/journal/layout.go
+++ b/journal/layout.go
@@ -11,8 +11,8 @@
 	// SkewLimit bounds the difference between two routers' clocks, and the time
 	// from looking at an intent's key to seeing the intent in place.
 	SkewLimit = time.Minute
-	// BucketLength is the span of key times that share a cell.
-	BucketLength = 10 * time.Minute
+	// BucketLength is the span of key times that share a cell in a new layout.
+	BucketLength = 10 * time.Second
 	// UntimedRetentions is for how many retentions, after its first, an expired
 	// key that carries no time is remembered as such.
 	UntimedRetentions = 7
@@ -23,9 +23,11 @@
 
 // Layout says where records are. It is one object of the API, made by the
 // first router, because two routers that disagree on it could both record the
-// same key. Shards never change afterwards.
+// same key. Shards and BucketMS never change afterwards.
 type Layout struct {
 	Shards int `json:"shards"`
+	// BucketMS is the span of key times that share a cell, in milliseconds.
+	BucketMS int64 `json:"bucket_ms"`
 	// KeepMS is the longest retention that was ever in force, in milliseconds.
 	KeepMS int64 `json:"keep_ms"`
 	// FloorMS is the Unix time in milliseconds before which keys have expired
@@ -37,7 +39,7 @@
 // the same bucket, or all its keys that carry no time.
 type Cell struct {
 	Shard int `cbor:"1,keyasint"`
-	// Bucket is the key's Unix time divided by BucketLength, or -1.
+	// Bucket is the key's Unix time divided by the layout's span, or -1.
 	Bucket int64 `cbor:"2,keyasint"`
 }
 
@@ -66,7 +68,7 @@
 	if at.Before(l.oldest(now, retention)) {
 		return Cell{}, ErrExpired
 	}
-	cell.Bucket = at.UnixMilli() / BucketLength.Milliseconds()
+	cell.Bucket = at.UnixMilli() / l.BucketMS
 	return cell, nil
 }
 
@@ -98,5 +100,5 @@
 // now, on any router's clock.
 func (l Layout) Dead(now time.Time) int64 {
 	horizon := now.Add(-l.keep() - 2*SkewLimit)
-	return horizon.UnixMilli()/BucketLength.Milliseconds() - 1
+	return horizon.UnixMilli()/l.BucketMS - 1
 }
--- a/journal/layout_io.go
+++ b/journal/layout_io.go
@@ -13,8 +13,10 @@
 
 const (
 	layoutName = "layout"
-	// sweepBuckets is how many buckets back dead cells are looked for.
-	sweepBuckets = 3
+	// maxSweep is how many buckets back dead cells are looked for at once.
+	maxSweep = 64
+	// sweepSlack is how many dead buckets gather before a sweep.
+	sweepSlack = 6
 )
 
 // currentLayout returns the layout, read from the platform at first use.
@@ -41,8 +43,8 @@
 	if err := json.Unmarshal(object.Data, &layout); err != nil {
 		return Layout{}, 0, err
 	}
-	if layout.Shards < 1 {
-		return Layout{}, 0, errors.New("no shards")
+	if layout.Shards < 1 || layout.BucketMS < 1 {
+		return Layout{}, 0, errors.New("no shards or no buckets")
 	}
 	l.layout.Store(&layout)
 	return layout, object.Version, nil
@@ -52,7 +54,9 @@
 // may be another router's.
 func (l *Log) makeLayout(ctx context.Context) (Layout, error) {
 	values := l.cfg.Values()
-	data, err := json.Marshal(Layout{Shards: values.Shards, KeepMS: int64(values.RetentionMS)})
+	data, err := json.Marshal(Layout{
+		Shards: values.Shards, BucketMS: BucketLength.Milliseconds(), KeepMS: int64(values.RetentionMS),
+	})
 	if err != nil {
 		return Layout{}, err
 	}
@@ -123,7 +127,7 @@
 	var shards []int
 	for shard := range layout.Shards {
 		_, here := l.preferred(Cell{Shard: shard})
-		if here && l.sweptUpTo[shard] < dead {
+		if here && l.sweptUpTo[shard]+sweepSlack < dead {
 			shards = append(shards, shard)
 		}
 	}
@@ -135,8 +139,9 @@
 func (l *Log) sweep(ctx context.Context, shards []int, dead int64) {
 	dropped := 0
 	for _, shard := range shards {
+		first := max(l.sweptUpTo[shard]+1, dead-maxSweep+1)
 		l.sweptUpTo[shard] = dead
-		for bucket := dead; bucket > dead-sweepBuckets && bucket >= 0; bucket-- {
+		for bucket := first; bucket <= dead; bucket++ {
 			if l.drop(ctx, Cell{Shard: shard, Bucket: bucket}) {
 				dropped++
 			}
--- a/journal/log.go
+++ b/journal/log.go
@@ -58,6 +58,8 @@
 
 	mu    sync.Mutex
 	lanes map[Cell]*lane
+	// pacers are the pacers of the shards written here.
+	pacers map[int]*pacer
 }
 
 // New returns a Log. Run must be running for results to be recorded again
@@ -80,6 +82,7 @@
 		attempts: newAttempts(),
 		backlog:  newBacklog(),
 		lanes:    map[Cell]*lane{},
+		pacers:   map[int]*pacer{},
 
 		sweptUpTo: map[int]int64{},
 	}
--- a/journal/submit.go
+++ b/journal/submit.go
@@ -16,6 +16,7 @@
 
 const (
 	remoteTimeout = 800 * time.Millisecond
+	settleTimeout = 3 * time.Second
 	joinMargin    = 50 * time.Millisecond
 )
 
@@ -84,7 +85,11 @@
 }
 
 func (l *Log) submitTo(ctx context.Context, writer fleet.Router, cell Cell, op *Op) Verdict {
-	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	timeout := remoteTimeout
+	if op.Kind != OpBegin {
+		timeout = settleTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var r reply
 	err := l.cfg.Caller.Call(ctx, writer.PeerAddr, peer.MethodJournal, &call{Cell: cell, Op: op}, &r)
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -20,6 +20,7 @@
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -49,8 +50,10 @@
 	Operators bool
 	// EngineClient wraps the engine client, for experiments on it.
 	EngineClient func(engine.Client) engine.Client
-	Seed         uint64
-	Log          zerolog.Logger
+	// Journal replaces the journal that orders use, for experiments on it.
+	Journal func(own orders.Journal, store platform.Store) orders.Journal
+	Seed    uint64
+	Log     zerolog.Logger
 }
 
 // Bed is a running fleet. Its methods are safe for concurrent use.
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -15,6 +15,7 @@
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -169,6 +170,9 @@
 		Store: store, VMs: store, Engine: client, Plain: plain.NewClient(plain.ClientConfig{}),
 		Metrics: set, Log: b.cfg.Log, Policy: b.cfg.Policy,
 	}
+	if b.cfg.Journal != nil {
+		deps.Journal = func(own orders.Journal) orders.Journal { return b.cfg.Journal(own, store) }
+	}
 	cfg := router.Config{
 		Self:       fleet.Router{ID: id, Domain: domain, Region: b.domains[domain]},
 		CallerAddr: loopback, PeerAddr: loopback, Pair: pair, Authority: b.authority.Pair().Cert, PlainCallers: true,
--- /dev/null
+++ b/measure/orders.go
@@ -0,0 +1,186 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"ragwortpond.example/ragwortpond/examples"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/router/orders"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+// The ways of recording orders that the scenario compares.
+const (
+	OrdersBatched = "batched"
+	OrdersSingle  = "one-object"
+)
+
+const (
+	ordersWrites     = 300
+	ordersReads      = 2_000
+	ordersPhase      = 4 * time.Second
+	ordersFaultPhase = 5 * time.Second
+	ordersFaultRate  = 50
+	ordersDrain      = 4 * time.Second
+	routersPerDomain = 2
+)
+
+var orderRates = []int{1, 50, 500}
+
+func init() {
+	Register(Scenario{
+		Name: "orders",
+		Summary: "orders with idempotency keys at 1, 50 and 500 a second and under faults, " +
+			"on a platform that grants 300 writes a second",
+		Policies: []string{OrdersBatched, OrdersSingle},
+		Run:      runOrders,
+	})
+}
+
+// OrdersFigures is what the scenario finds of one way.
+type OrdersFigures struct {
+	// RanTwice, FalseNotRun and Lost count orders over all phases: run more than
+	// once; told not-run for every sending and run; told completed and not run,
+	// or left without any answer.
+	RanTwice    int `json:"ran_twice"`
+	FalseNotRun int `json:"false_not_run"`
+	Lost        int `json:"lost"`
+	// WritesPerSecond are the writes that the platform granted, and AddedP50MS
+	// and AddedP99MS the time from an order's arrival to the leave to run it, at
+	// each rate of orders.
+	WritesPerSecond map[string]float64 `json:"writes_per_second"`
+	AddedP50MS      map[string]float64 `json:"added_p50_ms"`
+	AddedP99MS      map[string]float64 `json:"added_p99_ms"`
+	Phases          []OrdersPhase      `json:"phases"`
+}
+
+// OrdersPhase is one phase of constant rate.
+type OrdersPhase struct {
+	Name            string  `json:"name"`
+	OrdersPerSecond int     `json:"orders_per_second"`
+	Orders          int     `json:"orders"`
+	Completed       int     `json:"completed"`
+	NotRun          int     `json:"not_run"`
+	Unknown         int     `json:"unknown"`
+	WritesPerSecond float64 `json:"writes_per_second"`
+	WritesPerOrder  float64 `json:"writes_per_order"`
+	RefusedWrites   uint64  `json:"refused_writes"`
+	AddedP50MS      float64 `json:"added_p50_ms"`
+	AddedP99MS      float64 `json:"added_p99_ms"`
+}
+
+func runOrders(ctx context.Context, o Options) (Report, error) {
+	var report Report
+	for _, way := range []string{OrdersBatched, OrdersSingle} {
+		if !o.Wants(way) {
+			continue
+		}
+		fmt.Fprintf(o.Progress, "orders: %s\n", way)
+		figures, err := measureOrders(ctx, o, way)
+		if err != nil {
+			return report, fmt.Errorf("orders: %s: %w", way, err)
+		}
+		report.Results = append(report.Results, Result{Policy: way, Figures: figures})
+	}
+	report.Chart = ordersChart(report.Results)
+	return report, nil
+}
+
+func measureOrders(ctx context.Context, o Options, way string) (*OrdersFigures, error) {
+	dir, err := examples.Deployment(examples.TochaViva)
+	if err != nil {
+		return nil, err
+	}
+	objects, findings := settings.LoadFS(dir)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	times := &beginTimes{}
+	b, err := bed.Start(ctx, bed.Config{
+		Objects: objects, RoutersPerDomain: routersPerDomain, Seed: o.Seed, Log: o.Log,
+		Platform: standin.PlatformConfig{Seed: o.Seed},
+		Journal: func(own orders.Journal, store platform.Store) orders.Journal {
+			if way == OrdersSingle {
+				own = &singleJournal{store: store}
+			}
+			return &timedJournal{Journal: own, times: times}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	b.Platform.SetRates(ordersWrites, ordersReads)
+	load := newOrderLoad(b, o.Seed, times)
+	defer load.client.Close()
+	return load.phases(ctx, o)
+}
+
+// phases runs all phases and judges what the callers were told.
+func (l *orderLoad) phases(ctx context.Context, o Options) (*OrdersFigures, error) {
+	figures := &OrdersFigures{
+		WritesPerSecond: map[string]float64{}, AddedP50MS: map[string]float64{}, AddedP99MS: map[string]float64{},
+	}
+	for _, rate := range orderRates {
+		phase := l.phase(ctx, "steady", rate, ordersPhase)
+		fmt.Fprintf(o.Progress, "  %d orders a second: %.1f writes a second\n", rate, phase.WritesPerSecond)
+		key := fmt.Sprint(rate)
+		figures.WritesPerSecond[key] = phase.WritesPerSecond
+		figures.AddedP50MS[key] = phase.AddedP50MS
+		figures.AddedP99MS[key] = phase.AddedP99MS
+		figures.Phases = append(figures.Phases, phase)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.faults(ctx)
+	}()
+	figures.Phases = append(figures.Phases, l.phase(ctx, "faults", ordersFaultRate, ordersFaultPhase))
+	<-done
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	figures.RanTwice, figures.FalseNotRun, figures.Lost = l.judge()
+	return figures, nil
+}
+
+// faults troubles the platform and ends a router, for as long as a fault phase
+// lasts.
+func (l *orderLoad) faults(ctx context.Context) {
+	step := ordersFaultPhase / 8
+	script := []func(){
+		func() { l.bed.Platform.SetFaults(standin.Faults{LoseAfter: 20}) },
+		func() { l.bed.Platform.SetFaults(standin.Faults{Outage: true}) },
+		func() { l.bed.Platform.SetFaults(standin.Faults{LoseAfter: 5, LoseBefore: 5, SlowMS: 30}) },
+		func() { l.end(1) },
+		func() { l.bed.Platform.SetFaults(standin.Faults{DelayMS: 60, SlowMS: 60}) },
+		func() { l.bed.Platform.SetFaults(standin.Faults{}) },
+	}
+	for _, fault := range script {
+		if pause(ctx, step) != nil {
+			break
+		}
+		fault()
+	}
+	l.bed.Platform.SetFaults(standin.Faults{})
+}
+
+func ordersChart(results []Result) *Chart {
+	chart := &Chart{Title: "Orders: writes a second, and added latency"}
+	for _, rate := range orderRates {
+		key := fmt.Sprint(rate)
+		writes := Group{Label: key + " orders a second: writes a second"}
+		added := Group{Label: key + " orders a second: added latency, p99 in ms"}
+		for _, r := range results {
+			f := r.Figures.(*OrdersFigures)
+			writes.Bars = append(writes.Bars, Bar{Label: r.Policy, Value: f.WritesPerSecond[key]})
+			added.Bars = append(added.Bars, Bar{Label: r.Policy, Value: f.AddedP99MS[key]})
+		}
+		chart.Groups = append(chart.Groups, writes, added)
+	}
+	return chart
+}
--- a/router/orderpath.go
+++ b/router/orderpath.go
@@ -20,7 +20,11 @@
 	}
 	r.journal = log
 	r.journal.Register(mux)
-	r.orders = orders.New(orders.Config{Next: r.entry, Journal: r.journal, Metrics: r.deps.Metrics})
+	used := orders.Journal(log)
+	if r.deps.Journal != nil {
+		used = r.deps.Journal(log)
+	}
+	r.orders = orders.New(orders.Config{Next: r.entry, Journal: used, Metrics: r.deps.Metrics})
 	return nil
 }
 
@@ -39,5 +43,5 @@
 	if snapshot == nil {
 		return settings.Defaults().Journal
 	}
-	return snapshot.Effective("", "", "").Journal
+	return snapshot.Effective(r.cfg.Self.Domain, "", "").Journal
 }
--- a/router/router.go
+++ b/router/router.go
@@ -62,7 +62,10 @@
 	Engine engine.Client
 	Plain  plain.Client
 	// Policy chooses targets; empty means the default.
-	Policy  placement.Policy
+	Policy placement.Policy
+	// Journal replaces the journal that orders use, for experiments; nil keeps
+	// the router's own.
+	Journal func(own orders.Journal) orders.Journal
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
--- a/settings/values.go
+++ b/settings/values.go
@@ -97,6 +97,9 @@
 	Shards int `json:"shards"`
 	// RetentionMS is how long a key is remembered.
 	RetentionMS Millis `json:"retention_ms"`
+	// WritesPerSecond is how many writes of the platform's the journals of all
+	// routers use together in the steady state.
+	WritesPerSecond int `json:"writes_per_second"`
 	// BatchMS is how long a writer gathers intents for one write.
 	BatchMS Millis `json:"batch_ms"`
 	// ResultBytes is the largest recorded answer.
@@ -155,7 +158,7 @@
 		Limits:     Limits{Burst: 50, Weight: 1, Priority: 5, BodyBytes: 1 << 20, DeadlineMS: 120_000},
 		Queue:      Queue{Length: 256, WaitMS: 5_000},
 		Retry:      Retry{Attempts: 3, BudgetRatio: 0.1, BackoffMS: 20, BackoffMaxMS: 1_000},
-		Journal:    Journal{Shards: 16, RetentionMS: 86_400_000, BatchMS: 5, ResultBytes: 16 << 10},
+		Journal:    Journal{Shards: 4, RetentionMS: 86_400_000, WritesPerSecond: 150, BatchMS: 5, ResultBytes: 16 << 10},
 		Membership: Membership{HeartbeatMS: 500, Fanout: 3, SuspectMS: 2_000, RemoveMS: 4_000, VMListMS: 2_000},
 		Withdrawal: Withdrawal{KVBytesPerSecond: 50 << 20, ReturnWindowMS: 1_800_000, LimitMS: 0},
 		Stop:       Stop{ReadyDelayMS: 500, LimitMS: 120_000},
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -48,6 +48,7 @@
 	changed  chan struct{}
 	vmLists  []vmList
 	counts   map[Verb]uint64
+	granted  map[Verb]uint64
 }
 
 // kindState is the state of one kind: its objects and the log of its changes.
@@ -72,14 +73,29 @@
 		kinds:   map[string]*kindState{},
 		changed: make(chan struct{}),
 		counts:  map[Verb]uint64{},
+		granted: map[Verb]uint64{},
 	}
 }
 
 func limiter(perSecond int) *rate.Limiter {
+	l := rate.NewLimiter(rate.Inf, 1)
+	setRate(l, perSecond)
+	return l
+}
+
+func setRate(l *rate.Limiter, perSecond int) {
 	if perSecond == 0 {
-		return rate.NewLimiter(rate.Inf, 1)
+		l.SetLimit(rate.Inf)
+		return
 	}
-	return rate.NewLimiter(rate.Limit(perSecond), max(1, perSecond/rateBurstShare))
+	l.SetBurst(max(1, perSecond/rateBurstShare))
+	l.SetLimit(rate.Limit(perSecond))
+}
+
+// SetRates changes the calls granted in a second; zero means no limit.
+func (o *Objects) SetRates(writesPerSecond, readsPerSecond int) {
+	setRate(o.writes, writesPerSecond)
+	setRate(o.reads, readsPerSecond)
 }
 
 // Get implements platform.Store.
--- a/standin/objects_faults.go
+++ b/standin/objects_faults.go
@@ -72,6 +72,14 @@
 	return maps.Clone(o.counts)
 }
 
+// Granted returns the number of calls by verb that were neither refused for an
+// outage nor for the rate.
+func (o *Objects) Granted() map[Verb]uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.granted)
+}
+
 // admit counts a call and refuses, loses or holds it before it takes effect.
 func (o *Objects) admit(ctx context.Context, verb Verb) error {
 	delay, refusal := o.admission(verb)
@@ -94,6 +102,7 @@
 	if !o.limit(verb).Allow() {
 		return 0, platform.ErrRateLimited
 	}
+	o.granted[verb]++
 	if verb.writes() && o.faults.LoseBefore > 0 {
 		o.faults.LoseBefore--
 		return 0, platform.ErrUnknown
