--- a/journal/log.go
+++ b/journal/log.go
@@ -32,6 +32,9 @@
 	Self   fleet.RouterID
 	// Members returns the live routers, this one included.
 	Members func() []fleet.Router
+	// Find returns a router by its id, leaving ones included; nil looks among
+	// the members.
+	Find func(fleet.RouterID) (fleet.Router, bool)
 	// Values returns the settings of the fleet level.
 	Values func() settings.Journal
 	// Clock returns the time of day; nil means time.Now.
@@ -55,6 +58,8 @@
 
 	mu    sync.Mutex
 	lanes map[Cell]*lane
+	// pacers are the pacers of the shards written here.
+	pacers map[int]*pacer
 }
 
 // New returns a Log. Run must be running for results to be recorded again
@@ -63,6 +68,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.Find == nil {
+		cfg.Find = memberFinder(cfg.Members)
+	}
 	pool, err := task.NewPool(poolSize)
 	if err != nil {
 		return nil, err
@@ -74,12 +82,24 @@
 		attempts: newAttempts(),
 		backlog:  newBacklog(),
 		lanes:    map[Cell]*lane{},
+		pacers:   map[int]*pacer{},
 
 		sweptUpTo: map[int]int64{},
 	}
 	return l, nil
 }
 
+func memberFinder(members func() []fleet.Router) func(fleet.RouterID) (fleet.Router, bool) {
+	return func(id fleet.RouterID) (fleet.Router, bool) {
+		for _, r := range members() {
+			if r.ID == id {
+				return r, true
+			}
+		}
+		return fleet.Router{}, false
+	}
+}
+
 func newBoot() uint64 {
 	var raw [8]byte
 	rand.Read(raw[:])
@@ -117,6 +137,12 @@
 	if l.Flush(ctx) != nil {
 		event.JournalStoppedUnsaid.Log(l.cfg.Log).Int("results", l.backlog.size()).Send()
 	}
+	l.Close()
+}
+
+// Close stops the journal at once; intents are refused from then on. Run does
+// it at its end. It may be called more than once.
+func (l *Log) Close() {
 	l.mu.Lock()
 	lanes := l.lanes
 	l.lanes = nil
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
@@ -28,6 +29,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
@@ -66,7 +68,10 @@
 	Engine engine.Client
 	Plain  plain.Client
 	// Policy chooses targets; empty means the default.
-	Policy  placement.Policy
+	Policy placement.Policy
+	// Journal replaces the journal that orders use, for experiments; nil keeps
+	// the router's own.
+	Journal func(own orders.Journal) orders.Journal
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -86,6 +91,8 @@
 	home    *home.Home
 	gate    home.Gate
 	entry   *entry.Entry
+	journal *journal.Log
+	orders  *orders.Server
 	face    *caller.Face
 	open    *openStreams
 	ready   atomic.Bool
@@ -119,6 +126,9 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
+	if err := r.buildOrders(mux); err != nil {
+		return err
+	}
 	return r.bindCallers()
 }
 
@@ -187,7 +197,7 @@
 		}
 	}
 	face, err := caller.Listen(caller.Config{
-		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry, Snapshot: r.source.Snapshot,
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.orders, Requests: r.orders, Snapshot: r.source.Snapshot,
 		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	if err != nil {
@@ -232,6 +242,7 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startHome(ctx, failures)
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
@@ -280,6 +291,9 @@
 }
 
 func (r *Router) release() {
+	if r.journal != nil {
+		r.journal.Close()
+	}
 	if r.pool != nil {
 		r.pool.Release()
 	}
