--- a/measure/demo/demo.go
+++ b/measure/demo/demo.go
@@ -17,6 +17,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -127,15 +128,15 @@
 	step := total / 3
 	fmt.Fprintf(progress, "%d routers, %d engines, %d plain services; %d callers\n",
 		len(b.Members()), len(engines), len(b.Services()), chatCallers+orderCallers)
-	sleep(ctx, step)
+	_ = task.Sleep(ctx, step)
 	fmt.Fprintf(progress, "%s: withdrawing %s\n", w.progress(), withdrawn.ID())
 	if err := withdraw(ctx, b, withdrawn.ID()); err != nil {
 		return Figures{}, err
 	}
-	sleep(ctx, step)
+	_ = task.Sleep(ctx, step)
 	fmt.Fprintf(progress, "%s: crashing %s\n", w.progress(), crashed.ID())
 	crashed.Kill()
-	sleep(ctx, step)
+	_ = task.Sleep(ctx, step)
 	fmt.Fprintf(progress, "%s: finishing\n", w.progress())
 	return Figures{Withdrawn: string(withdrawn.ID()), Crashed: string(crashed.ID())}, ctx.Err()
 }
@@ -150,13 +151,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // WriteTable prints figures for people.
 func WriteTable(w io.Writer, f Figures) {
 	fmt.Fprintf(w, "\n%-32s %d\n", "requests", f.Requests)
--- a/measure/demo/workload.go
+++ b/measure/demo/workload.go
@@ -15,6 +15,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -85,7 +86,7 @@
 			open[slot] = w.newChat(caller, n)
 		}
 		w.turn(random, open[slot], n)
-		sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
+		_ = task.Sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
 	}
 }
 
@@ -116,7 +117,7 @@
 		answer, err := w.client.Call(context.Background(), w.router(random), account, w.plain,
 			http.MethodPost, w.orderPath(), key, []byte(`{"drums":1}`))
 		w.count(answer, err)
-		sleep(ctx, orderPause)
+		_ = task.Sleep(ctx, orderPause)
 	}
 }
 
--- a/measure/orders.go
+++ b/measure/orders.go
@@ -11,6 +11,7 @@
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // The ways of recording orders that the scenario compares.
@@ -26,7 +27,6 @@
 	ordersFaultPhase = 5 * time.Second
 	ordersFaultRate  = 50
 	ordersDrain      = 4 * time.Second
-	routersPerDomain = 2
 )
 
 var orderRates = []int{1, 50, 500}
@@ -161,7 +161,7 @@
 		func() { l.bed.Platform.SetFaults(standin.Faults{}) },
 	}
 	for _, fault := range script {
-		if pause(ctx, step) != nil {
+		if task.Sleep(ctx, step) != nil {
 			break
 		}
 		fault()
--- a/measure/reuse.go
+++ b/measure/reuse.go
@@ -9,6 +9,7 @@
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -88,7 +89,7 @@
 	defer e.close()
 	users := startCrowd(ctx, e.bed, e.client, e.tally, reuseCrowd(o.Seed))
 	defer users.stop()
-	pause(ctx, reuseWarm)
+	_ = task.Sleep(ctx, reuseWarm)
 	e.begin()
 	err = e.churn(ctx)
 	users.stop()
@@ -122,7 +123,7 @@
 		if err := step(); err != nil {
 			return err
 		}
-		pause(ctx, reuseStep)
+		_ = task.Sleep(ctx, reuseStep)
 	}
 	return nil
 }
--- a/router/drain.go
+++ b/router/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const drainPoll = 10 * time.Millisecond
@@ -19,7 +20,7 @@
 	event.RouterDraining.Log(r.log).Send()
 	r.face.FailReadiness()
 	r.members.Leave(ctx)
-	pause(ctx, stop.ReadyDelayMS.Duration())
+	_ = task.Sleep(ctx, stop.ReadyDelayMS.Duration())
 	r.face.Refuse()
 	ctx, cancel := context.WithTimeout(ctx, stop.LimitMS.Duration())
 	defer cancel()
@@ -27,7 +28,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("router: stopped with %d requests in flight: %w", r.InFlight(), ctx.Err())
 		}
-		pause(ctx, drainPoll)
+		_ = task.Sleep(ctx, drainPoll)
 	}
 	if err := r.journal.Flush(ctx); err != nil {
 		return fmt.Errorf("router: stopped with results that are not recorded: %w", err)
@@ -40,11 +41,3 @@
 func (r *Router) InFlight() int {
 	return r.face.InFlight() + r.home.InFlight()
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
