--- a/cmd/ragwort/demo.go
+++ b/cmd/ragwort/demo.go
@@ -90,7 +90,7 @@
 	snapshot := b.Snapshot()
 	fmt.Fprintf(w, "\nplatform  http://%s\n", b.Platform.Addr())
 	for _, m := range b.Members() {
-		fmt.Fprintf(w, "router    %s  callers %s\n", m.Router.Self().ID, m.CallerURL())
+		fmt.Fprintf(w, "router    %s  callers %s  operators https://%s\n", m.Router.Self().ID, m.CallerURL(), m.Router.OperatorAddr())
 	}
 	accounts := make([]fleet.AccountName, 0, len(b.AccountKeys))
 	for name := range b.AccountKeys {
--- a/peer/node.go
+++ b/peer/node.go
@@ -266,11 +266,13 @@
 	handler(from, raw[1:])
 }
 
+// count adds to the data bytes for what carries a request, which journal calls
+// do as well as forwarded streams, and to the control bytes for all else.
 func (n *Node) count(class streamClass, method Method, direction string, bytes int) {
 	if n.cfg.Metrics == nil {
 		return
 	}
-	if class == classStream {
+	if class == classStream || method == MethodJournal {
 		n.cfg.Metrics.DataBytes.WithLabelValues(direction).Add(float64(bytes))
 		return
 	}
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -30,6 +30,8 @@
 	// It returns a function to call once when the attempt is over, or nil and
 	// the refusal.
 	Acquire(ctx context.Context, t fleet.Target, fwd *wire.Forward) (release func(), refusal wire.End)
+	// InFlight returns the number of attempts in flight before a target.
+	InFlight(id fleet.TargetID) int
 }
 
 // Config is what a home needs.
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
@@ -94,8 +95,10 @@
 	journal *journal.Log
 	orders  *orders.Server
 	face    *caller.Face
-	open    *openStreams
-	ready   atomic.Bool
+	// operators is nil where no administration API is configured.
+	operators *operator.Server
+	open      *openStreams
+	ready     atomic.Bool
 
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -129,7 +132,10 @@
 	if err := r.buildOrders(mux); err != nil {
 		return err
 	}
-	return r.bindCallers()
+	if err := r.bindCallers(); err != nil {
+		return err
+	}
+	return r.bindOperators()
 }
 
 func (r *Router) bindPeer(mux *peer.Mux) error {
@@ -242,6 +248,9 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	if r.operators != nil {
+		r.start(failures, "operators", r.operators.Run)
+	}
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startHome(ctx, failures)
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
@@ -283,8 +292,11 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	r.face.Close(ctx)
-	r.node.Close()
+	if r.operators != nil {
+		_ = r.operators.Shutdown(ctx)
+	}
+	_ = r.face.Close(ctx)
+	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
 	event.RouterStopped.Log(r.log).Send()
