placement: anchor of a chat that does not depend on its group's spread

The spread of a group differs between routers, so the home that was asked was not the one that had been told.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -2,8 +2,8 @@
 
 import "ragwortpond.example/ragwortpond/fleet"
 
-// contextProbes is how many candidates are asked for the context of a
-// returning chat that brought no token.
+// contextProbes is how many candidates besides the anchor are asked for the
+// context of a returning chat that brought no token.
 const contextProbes = 2
 
 // placementKey is the key by which a request's targets are ranked. The chats
@@ -82,15 +82,16 @@
 func (t *serviceTable) plan(plan *Plan, r *Request) {
 	var ranks standings
 	t.rankStandings(&ranks, r)
+	settled, joining := ranks[Settled].slice(), ranks[Joining].slice()
+	anchor := t.anchor(r, settled)
+	if anchor >= 0 {
+		e := &t.entries[anchor]
+		plan.anchor = Step{Target: e.target, Home: e.home, Why: ByContext}
+	}
 	if i, ok := t.indexes[r.Context]; ok {
 		t.add(plan, i, ByToken, false)
 	} else if r.Returning {
-		t.addProbes(plan, &ranks)
-	}
-	settled, joining := ranks[Settled].slice(), ranks[Joining].slice()
-	if len(settled) > 0 {
-		e := &t.entries[settled[0].index]
-		plan.anchor = Step{Target: e.target, Home: e.home, Why: ByHash}
+		t.addProbes(plan, anchor, settled)
 	}
 	if r.Returning && len(settled) > 0 {
 		t.add(plan, settled[0].index, ByHash, false)
@@ -114,13 +115,41 @@
 	}
 }
 
-// addProbes adds the candidates that may hold the context of a returning chat
-// that brought no token: as they stood before recent joins, and the next one
+// anchor is the settled target that the chat's own hash ranks first, whatever
+// its group, and -1 when no target is settled. The spread of a group differs
+// from router to router and from minute to minute; the anchor does not.
+func (t *serviceTable) anchor(r *Request, settled []ranked) int32 {
+	if len(settled) == 0 {
+		return -1
+	}
+	if r.Prefix == 0 {
+		return settled[0].index
+	}
+	best, top := int32(-1), 0.0
+	for i := range t.entries {
+		e := &t.entries[i]
+		if e.standing(r.Now) != Settled {
+			continue
+		}
+		if s := score(mix(e.seed, uint64(r.Chat)), e.weight); best < 0 || s > top {
+			best, top = int32(i), s
+		}
+	}
+	return best
+}
+
+// addProbes adds the targets that may hold the context of a returning chat
+// that brought no token, or whose home knows where it is: the anchor, and the
+// first candidates as they stood before recent joins. The second of them is
 // for a chat whose first candidate joined longer ago.
-func (t *serviceTable) addProbes(plan *Plan, ranks *standings) {
-	settled := ranks[Settled].slice()
+func (t *serviceTable) addProbes(plan *Plan, anchor int32, settled []ranked) {
+	if anchor >= 0 {
+		t.add(plan, anchor, ByContext, true)
+	}
 	for i := range min(contextProbes, len(settled)) {
-		t.add(plan, settled[i].index, ByContext, true)
+		if settled[i].index != anchor {
+			t.add(plan, settled[i].index, ByContext, true)
+		}
 	}
 }
 
--- a/placement/picker_test.go
+++ b/placement/picker_test.go
@@ -221,3 +221,20 @@
 		t.Errorf("%v allocations", allocs)
 	}
 }
+
+// TestAnchorOfAGroupedChatDoesNotDependOnTheSpread checks that routers which
+// measure different spreads ask the same home for a returning chat.
+func TestAnchorOfAGroupedChatDoesNotDependOnTheSpread(t *testing.T) {
+	p := NewPicker(testView(12))
+	for chat := range fleet.ChatKey(200) {
+		r := Request{Service: "chat", Chat: chat, Prefix: 5, Spread: 2, Returning: true}
+		first := p.Pick(r)
+		r.Spread = 3
+		second := p.Pick(r)
+		a, _ := first.Anchor()
+		b, _ := second.Anchor()
+		if a.Target != b.Target || second.Step(0).Target != a.Target || !second.Step(0).ContextOnly {
+			t.Fatalf("chat %d: asked at %s and at %s", chat, a.Target.ID, b.Target.ID)
+		}
+	}
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -3,7 +3,7 @@
 import "ragwortpond.example/ragwortpond/fleet"
 
 // MaxSteps bounds the steps of a plan.
-const MaxSteps = 10
+const MaxSteps = 12
 
 // Why says for what reason a target stands in a plan.
 type Why uint8
@@ -61,8 +61,8 @@
 }
 
 // Anchor returns the step whose home is asked first when the chat returns
-// without a token, so that a home which takes the chat elsewhere can tell it;
-// false under baseline policies and when no target is settled.
+// without a token, so that it can be told where else the chat went; false under
+// baseline policies and when no target is settled.
 func (p *Plan) Anchor() (Step, bool) {
 	return p.anchor, p.anchor.Target != nil
 }
