--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -18,9 +18,12 @@
 	client   *bed.Client
 	tally    *tally
 	balance  *balance
+	trace    *contextTrace
 	multiple float64
 
 	started         time.Time
+	seconds         float64
+	watched         balanceFigures
 	control         float64
 	prompts, cached int
 	reusable, asked int64
@@ -28,7 +31,9 @@
 
 // startExperiment starts the chat fleet; close ends it.
 func startExperiment(ctx context.Context, o Options, policy placement.Policy, values document, engine func(*standin.EngineConfig)) (*experiment, error) {
+	trace := newContextTrace()
 	b, err := bed.Start(ctx, bed.Config{
+		EngineClient: trace.wrap,
 		Objects: chatFleet(values), RoutersPerDomain: routersPerDomain, Policy: policy,
 		Engine: engine, Seed: o.Seed, Log: o.Log,
 	})
@@ -36,7 +41,7 @@
 		return nil, err
 	}
 	multiple := values["placement"].(document)["load_multiple"].(float64)
-	return &experiment{bed: b, client: b.NewClient(), tally: newTally(), multiple: multiple}, nil
+	return &experiment{bed: b, client: b.NewClient(), tally: newTally(), trace: trace, multiple: multiple}, nil
 }
 
 func (e *experiment) close() {
@@ -53,21 +58,28 @@
 	e.balance = watchBalance(e.bed, e.multiple)
 }
 
-// figures ends the measured part. Counts of requests are those of the whole
+// end ends the part of the run in which balance and control traffic are
+// measured.
+func (e *experiment) end() {
+	e.watched = e.balance.stop()
+	e.seconds = time.Since(e.started).Seconds()
+	e.control = e.bed.ControlBytes() - e.control
+}
+
+// figures returns what was measured. Counts of requests are those of the whole
 // run.
 func (e *experiment) figures() chatFigures {
-	seconds := time.Since(e.started).Seconds()
 	prompts, cached := e.bed.CacheTokens()
 	t := e.tally
 	f := chatFigures{
 		CacheReuse:      ratio(float64(cached-e.cached), float64(prompts-e.prompts)),
 		CacheReuseBound: ratio(float64(t.reusable.Load()-e.reusable), float64(t.promptTokens.Load()-e.asked)),
-		balanceFigures:  e.balance.stop(),
-		ControlBytes:    (e.bed.ControlBytes() - e.control) / seconds / float64(len(e.bed.Members())),
+		balanceFigures:  e.watched,
+		ControlBytes:    e.control / e.seconds / float64(len(e.bed.Members())),
 		Requests:        t.requests.Load(), Whole: t.whole.Load(), Wrong: t.wrong.Load(),
 		Refused: t.refused.Load(), Lost: t.lost.Load(), RanTwice: e.ranTwice(),
 		FirstByteP50: quantile(t.firstMS, 0.5), FirstByteP95: quantile(t.firstMS, 0.95),
-		Reasons: map[string]int{},
+		lostFigures: e.trace.figures(), Reasons: map[string]int{},
 	}
 	f.ReuseOfBound = ratio(f.CacheReuse, f.CacheReuseBound)
 	for code, n := range t.reasons {
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -24,6 +24,8 @@
 	picker *placement.Picker
 	plan   placement.Plan
 	index  int
+	// token says that the caller brought an authentic context token.
+	token bool
 	// redirect is the step that a home's hint asks for next.
 	redirect *step
 	// hinted says that a hint was followed; only one is.
@@ -48,7 +50,7 @@
 		r.Spread = placement.Spread(e.groups.observe(req, now), picker.Size(req.Service))
 		r.Context = e.contextOf(req, now)
 	}
-	return &walk{entry: e, req: req, picker: picker, plan: picker.Pick(r)}
+	return &walk{entry: e, req: req, picker: picker, plan: picker.Pick(r), token: r.Context != ""}
 }
 
 // next returns the next step, and false when none is left.
@@ -119,11 +121,11 @@
 	}
 }
 
-// note tells the home that is asked first when the chat returns where its
-// context is now, unless it knows.
+// note tells the home that is asked first when the chat returns without a token
+// where its context is now, unless it sent the chat there itself.
 func (w *walk) note(s step) {
 	anchor, ok := w.plan.Anchor()
-	if !ok || w.req.Kind != fleet.KindEngine || w.req.Chat == 0 || s.Why == placement.ByToken {
+	if !ok || w.req.Kind != fleet.KindEngine || w.req.Chat == 0 || s.redirected || w.token {
 		return
 	}
 	if anchor.Target == s.Target || anchor.Home == nil || s.Home == nil || anchor.Home.ID == s.Home.ID {
