--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,12 +14,12 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	_ "ragwortpond.example/ragwortpond/httpconn" // quiets hertz
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -46,6 +46,7 @@
 	// TLS of the listener; nil serves without.
 	TLS      *tls.Config
 	Server   Server
+	Requests Requests
 	Snapshot func() *settings.Snapshot
 	// Ready reports whether the router takes requests.
 	Ready func() bool
@@ -73,8 +74,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("caller: listen %s: %w", cfg.Addr, err)
 	}
-	hlog.SetSilentMode(true)
-	hlog.SetLevel(hlog.LevelFatal)
 	opts := []config.Option{
 		server.WithListener(l),
 		server.WithTransport(standard.NewTransporter),
@@ -86,6 +85,7 @@
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 		server.WithDisableDefaultDate(true),
+		server.WithSenseClientDisconnection(true),
 	}
 	if cfg.TLS != nil {
 		opts = append(opts, server.WithTLS(cfg.TLS))
@@ -98,6 +98,7 @@
 func (f *Face) routes() {
 	f.hertz.POST("/v1/chat/completions", f.chat)
 	f.hertz.Any("/s/:service/*path", f.plain)
+	f.hertz.GET("/v1/requests/:key", f.request)
 	f.hertz.GET("/healthz", f.health)
 	f.hertz.GET("/readyz", f.ready)
 	f.hertz.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(f.cfg.Metrics.Registry, promhttp.HandlerOpts{})))
--- /dev/null
+++ b/measure/bed/attempts_test.go
@@ -0,0 +1,238 @@
+package bed
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+const (
+	account = "balcao-natal"
+	service = "assistente"
+)
+
+// quick makes engines that answer fast.
+func quick() Config {
+	return Config{Engine: func(c *standin.EngineConfig) { c.TokensPerSecond = 1000 }}
+}
+
+// setFaults gives every engine the same faults.
+func setFaults(b *Bed, f standin.EngineFaults) {
+	for _, e := range b.Engines() {
+		e.SetFaults(f)
+	}
+}
+
+// setFaultsOfOne gives one engine of the service faults and the others none,
+// so that there is always one to go to.
+func setFaultsOfOne(b *Bed, f standin.EngineFaults) {
+	setFaults(b, standin.EngineFaults{})
+	b.Engine(b.Snapshot().Targets[service][0].ID).SetFaults(f)
+}
+
+// sayMany sends one message in each of n chats at once through all routers.
+func sayMany(ctx context.Context, b *Bed, client *Client, n int) []Answer {
+	members := b.Members()
+	answers := make([]Answer, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Go(func() {
+			chat := &Chat{ID: fmt.Sprint("chat-", i), Account: account, Service: service}
+			answers[i], _ = client.Say(ctx, members[i%len(members)], chat, fmt.Sprint("question ", i), 0)
+		})
+	}
+	wait.Wait()
+	return answers
+}
+
+// discards sums what all routers discarded for a reason.
+func discards(t *testing.T, b *Bed, code reason.Code) float64 {
+	t.Helper()
+	sum := 0.0
+	for _, m := range b.Members() {
+		families, err := m.Metrics.Registry.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, family := range families {
+			if family.GetName() != "ragwort_discards_total" {
+				continue
+			}
+			for _, metric := range family.GetMetric() {
+				if metric.GetLabel()[0].GetValue() == string(code) {
+					sum += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// TestFaultyAnswersReachTheCallerWhole runs chats over engines with one fault
+// each and wants every answer whole, byte for byte.
+func TestFaultyAnswersReachTheCallerWhole(t *testing.T) {
+	cases := map[string]struct {
+		set     func(*Bed, standin.EngineFaults)
+		faults  standin.EngineFaults
+		discard reason.Code
+	}{
+		"broken, resumed there":     {setFaults, standin.EngineFaults{BrokenRate: 1}, ""},
+		"broken, resumed elsewhere": {setFaultsOfOne, standin.EngineFaults{BrokenRate: 1, NoResume: true}, ""},
+		"truncated":                 {setFaults, standin.EngineFaults{TruncatedRate: 1}, reason.AnswerTruncated},
+		"crossed":                   {setFaultsOfOne, standin.EngineFaults{CrossedRate: 1}, reason.AnswerMismatch},
+		"doubled":                   {setFaults, standin.EngineFaults{DoubledRate: 1}, reason.AnswerMismatch},
+		"late":                      {setFaults, standin.EngineFaults{LateRate: 1, LateBy: 50 * time.Millisecond}, ""},
+		"lost":                      {setFaults, standin.EngineFaults{LostRate: 1}, ""},
+		"refused":                   {setFaultsOfOne, standin.EngineFaults{RefuseRate: 1}, ""},
+	}
+	b, client, ctx := startBed(t, quick())
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc.set(b, tc.faults)
+			before := discards(t, b, tc.discard)
+			for i, a := range sayMany(ctx, b, client, 24) {
+				if !a.Right {
+					t.Errorf("chat %d: %+v", i, a)
+				}
+			}
+			if tc.discard != "" && discards(t, b, tc.discard) == before {
+				t.Errorf("no discard for %s counted", tc.discard)
+			}
+		})
+	}
+}
+
+// TestUnfinishableStreamEndsWithAnError wants a right beginning, no end marker
+// and a word that does not claim more than is known.
+func TestUnfinishableStreamEndsWithAnError(t *testing.T) {
+	b, client, ctx := startBed(t, quick())
+	setFaults(b, standin.EngineFaults{BrokenRate: 1, NoResume: true})
+	chat := &Chat{ID: "x", Account: account, Service: service}
+	a, err := client.Say(ctx, b.Members()[0], chat, "hello", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := strings.Join(standin.Answer([]standin.Message{{Role: "user", Content: "hello"}}, 0), "")
+	if a.Whole || a.Text == "" || !strings.HasPrefix(whole, a.Text) {
+		t.Errorf("whole %v, text %q of %q", a.Whole, a.Text, whole)
+	}
+	if a.Outcome != outcome.Unknown || a.Reason == reason.None {
+		t.Errorf("outcome %q, reason %q", a.Outcome, a.Reason)
+	}
+}
+
+// slow makes answers long enough to break things while they come.
+func slow() Config {
+	return Config{RoutersPerDomain: 2, Engine: func(c *standin.EngineConfig) { c.TokensPerSecond = 40 }}
+}
+
+// busy waits until an engine runs something.
+func busy(ctx context.Context, t *testing.T, b *Bed) *standin.Engine {
+	t.Helper()
+	for ctx.Err() == nil {
+		for _, e := range b.Engines() {
+			if e.Stats().Running > 0 {
+				return e
+			}
+		}
+		time.Sleep(pollInterval)
+	}
+	t.Fatal("no engine became busy")
+	return nil
+}
+
+func TestEngineCrashIsNotSeenByTheCaller(t *testing.T) {
+	b, client, ctx := startBed(t, slow())
+	done := make(chan []Answer)
+	go func() { done <- sayMany(ctx, b, client, 6) }()
+	busy(ctx, t, b).Kill()
+	for i, a := range <-done {
+		if !a.Right {
+			t.Errorf("chat %d: %+v", i, a)
+		}
+	}
+}
+
+func TestHomeCrashResumesOnTheSameEngine(t *testing.T) {
+	b, client, ctx := startBed(t, slow())
+	entry := b.Members()[0]
+	done := make(chan Answer)
+	chat := &Chat{ID: "x", Account: account, Service: service}
+	go func() {
+		a, _ := client.Say(ctx, entry, chat, "hello", 0)
+		done <- a
+	}()
+	e := busy(ctx, t, b)
+	killed := false
+	for _, m := range b.Members() {
+		if m != entry && m.Router.InFlight() > 0 {
+			m.Kill()
+			killed = true
+		}
+	}
+	if a := <-done; !a.Right {
+		t.Errorf("%+v", a)
+	}
+	if n := e.Stats().Executed; n != 1 {
+		t.Errorf("executed %d times", n)
+	}
+	t.Logf("the home was another router: %v", killed)
+}
+
+func TestCancelWhenTheCallerGoes(t *testing.T) {
+	b, client, ctx := startBed(t, slow())
+	call, cancel := context.WithCancel(ctx)
+	go func() {
+		chat := &Chat{ID: "x", Account: account, Service: service}
+		_, _ = client.Say(call, b.Members()[0], chat, "hello", 0)
+	}()
+	e := busy(ctx, t, b)
+	cancel()
+	for e.Stats().Cancelled == 0 {
+		if ctx.Err() != nil || e.Stats().Completed > 0 {
+			t.Fatalf("not cancelled: %+v", e.Stats())
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func TestPlainCallsRunAtMostOnce(t *testing.T) {
+	cases := map[string]struct {
+		faults  standin.ServiceFaults
+		outcome outcome.Word
+		runs    int
+	}{
+		"lost answer":      {standin.ServiceFaults{LostRate: 1}, outcome.Unknown, 1},
+		"crossed answer":   {standin.ServiceFaults{CrossedRate: 1}, outcome.Unknown, 1},
+		"truncated answer": {standin.ServiceFaults{TruncatedRate: 1}, outcome.Unknown, 1},
+		"refused":          {standin.ServiceFaults{RefuseRate: 1}, outcome.NotRun, 0},
+		"whole":            {standin.ServiceFaults{}, outcome.Completed, 1},
+	}
+	b, client, ctx := startBed(t, Config{})
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, s := range b.Services() {
+				s.SetFaults(tc.faults)
+			}
+			body := []byte(`{"key":"` + name + `"}`)
+			a, err := client.Call(ctx, b.Members()[0], account, "pedidos", "POST", "/pedidos", "", body)
+			if err != nil || a.Outcome != tc.outcome {
+				t.Errorf("outcome %q, reason %q, %v", a.Outcome, a.Reason, err)
+			}
+			runs := 0
+			for _, s := range b.Services() {
+				runs += s.Executions()[name]
+			}
+			if runs != tc.runs {
+				t.Errorf("ran %d times", runs)
+			}
+		})
+	}
+}
--- a/router/drain.go
+++ b/router/drain.go
@@ -29,6 +29,9 @@
 		}
 		pause(ctx, drainPoll)
 	}
+	if err := r.journal.Flush(ctx); err != nil {
+		return fmt.Errorf("router: stopped with results that are not recorded: %w", err)
+	}
 	return nil
 }
 
@@ -37,3 +40,11 @@
 func (r *Router) InFlight() int {
 	return r.face.InFlight() + r.home.InFlight()
 }
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -2,100 +2,182 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/wire"
 )
 
-// progress wraps the caller's sink and remembers how far the answer got.
-type progress struct {
-	out     wire.Sink
-	started bool
-	next    uint64
+// serving is one request on its way through its attempts. It belongs to one
+// goroutine.
+type serving struct {
+	entry    *Entry
+	req      *Request
+	cycle    *retry.Request
+	delivery *delivery
+	walk     *walk
+	// at, sink and fwd are of the present attempt.
+	at   step
+	sink wire.Sink
+	fwd  *wire.Forward
+	last wire.End
+	// attempts counts those sent to a home, resumptions not included.
+	attempts int
 }
 
-func (p *progress) Head(h wire.Head) error {
-	if p.started {
-		return nil
+// run takes a request through its attempts until it has its whole answer or
+// none follows.
+func (e *Entry) run(ctx context.Context, req *Request, out wire.Sink) Result {
+	s := &serving{
+		entry: e, req: req, walk: e.newWalk(req),
+		delivery: newDelivery(out, req.Stream, func() { e.cfg.Metrics.Discarded(reason.AnswerMismatch) }),
+		cycle: retry.New(retry.Config{
+			Repeatable: req.Repeatable, Stream: req.Stream && req.Kind == fleet.KindEngine,
+			Deadline: req.Deadline, Limits: req.Values.Retry,
+		}, e.budget),
 	}
-	p.started = true
-	return p.out.Head(h)
-}
-
-func (p *progress) Event(seq uint64, data []byte) error {
-	if seq < p.next {
-		return nil
+	todo := retry.Step{Action: retry.Elsewhere}
+	for {
+		if !s.wait(ctx, todo.Wait) {
+			return s.result(s.cycle.Expired())
+		}
+		end, ok := s.act(ctx, todo)
+		if !ok {
+			return s.result(s.cycle.Exhausted())
+		}
+		todo = s.next(ctx, end)
+		if todo.Action == retry.Finish || todo.Action == retry.GiveUp {
+			return s.result(todo)
+		}
+		e.cfg.Metrics.Retried(todo.Reason)
 	}
-	p.next = seq + 1
-	return p.out.Event(seq, data)
 }
 
-func (p *progress) Flush() error {
-	return p.out.Flush()
+func (s *serving) wait(ctx context.Context, d time.Duration) bool {
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err() == nil
 }
 
-// run walks the candidates until one answers or none is left.
-func (e *Entry) run(ctx context.Context, req *Request, out wire.Sink) Result {
-	p := &progress{out: out}
-	result := Result{Reason: reason.NoTarget}
-	w := e.newWalk(req)
-	for step, ok := w.next(); ok; step, ok = w.next() {
-		if ctx.Err() != nil {
-			return e.finish(result, p, reason.Deadline)
-		}
-		if result.Attempts > 0 {
-			e.cfg.Metrics.Retried(result.Reason)
+// act carries a step out; false means that there is no further candidate, or
+// that no target can go on from the text so far.
+func (s *serving) act(ctx context.Context, todo retry.Step) (wire.End, bool) {
+	if todo.Action == retry.ResumeSame {
+		return s.resume(ctx), true
+	}
+	body := s.req.Body
+	if todo.Action == retry.ResumeOther {
+		s.delivery.text.limit = tokenLimit(body)
+		if s.delivery.text.over() {
+			return s.finishText(), true
 		}
-		end := e.attempt(ctx, req, step, p)
-		w.ended(step, end)
-		result.Outcome = outcome.Join(result.Outcome, end.Outcome)
-		result.Reason = end.Reason
-		result.RetryAfter = time.Duration(end.Hint.RetryAfterMS) * time.Millisecond
-		result.Target = step.Target.ID
-		result.Attempts++
-		if !e.another(req, p, end) {
-			break
+		var ok bool
+		if body, ok = continued(s.req.Body, &s.delivery.text); !ok {
+			return wire.End{}, false
 		}
 	}
-	return e.finish(result, p, result.Reason)
+	next, ok := s.walk.next()
+	if !ok {
+		return wire.End{}, false
+	}
+	return s.send(ctx, next, body), true
 }
 
-// another says whether a further candidate may be tried after end.
-func (e *Entry) another(req *Request, p *progress, end wire.End) bool {
-	if end.Whole() || p.started {
-		return false
-	}
-	return end.Outcome == outcome.NotDispatched || req.Repeatable
+// send makes a new attempt at a candidate.
+func (s *serving) send(ctx context.Context, at step, body []byte) wire.End {
+	s.at = at
+	s.fwd = forwardOf(s.req, at)
+	s.fwd.Body = body
+	s.sink = s.entry.withToken(s.req, at, s.delivery)
+	s.attempts++
+	s.delivery.attempt()
+	return s.forward(ctx)
 }
 
-func (e *Entry) finish(r Result, p *progress, code reason.Code) Result {
-	r.Reason = code
-	r.Started = p.started
-	return r
+// resume takes the present attempt's stream up again where it broke: through
+// the router that is the target's home now, and through this one where the home
+// was lost.
+func (s *serving) resume(ctx context.Context) wire.End {
+	s.fwd.Resume = true
+	s.fwd.ResumeFrom = s.delivery.next
+	s.fwd.Body = nil
+	_, home, ok := s.entry.cfg.Targets.Picker().Target(s.req.Service, s.at.Target.ID)
+	if ok {
+		s.at.Home = home
+	}
+	if s.last.Reason == reason.HomeUnreachable {
+		s.at.Home = &s.entry.cfg.Self
+	}
+	return s.forward(ctx)
 }
 
-func (e *Entry) attempt(ctx context.Context, req *Request, s step, sink wire.Sink) wire.End {
-	if s.Home == nil {
+func (s *serving) forward(ctx context.Context) wire.End {
+	if s.at.Home == nil {
 		return wire.Refused(reason.HomeUnreachable, wire.Hint{})
 	}
-	done := e.loads.begin(s.Target.ID)
+	if deadline, ok := ctx.Deadline(); ok {
+		s.fwd.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	done := s.entry.loads.begin(s.at.Target.ID)
 	defer done()
-	return e.cfg.Forwarder.Forward(ctx, *s.Home, forwardOf(ctx, req, s), e.withToken(req, s, sink))
+	return s.entry.cfg.Forwarder.Forward(ctx, *s.at.Home, s.fwd, s.sink)
+}
+
+// finishText ends an answer whose text is all there and of which only the end
+// was lost.
+func (s *serving) finishText() wire.End {
+	if err := s.delivery.finish(); err != nil {
+		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	}
+	return wire.End{Outcome: outcome.Answered}
+}
+
+// next lets the life cycle decide what follows an end.
+func (s *serving) next(ctx context.Context, end wire.End) retry.Step {
+	d := s.delivery
+	if end.Whole() && !d.received() {
+		end = wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
+	}
+	s.last = end
+	s.walk.ended(s.at, end)
+	if end.Reason == reason.AnswerMismatch || end.Reason == reason.AnswerTruncated {
+		s.entry.cfg.Metrics.Discarded(end.Reason)
+	}
+	return s.cycle.Next(time.Now(), retry.End{
+		Outcome: end.Outcome, Reason: end.Reason, Whole: end.Whole() || d.complete(), Events: d.next,
+		CallerGone: d.gone || errors.Is(ctx.Err(), context.Canceled),
+	}, rand.Float64())
+}
+
+func (s *serving) result(last retry.Step) Result {
+	r := Result{
+		Outcome: last.Outcome, Reason: last.Reason, Started: s.delivery.started, Attempts: s.attempts,
+		RetryAfter: time.Duration(s.last.Hint.RetryAfterMS) * time.Millisecond,
+	}
+	if s.at.Target != nil {
+		r.Target = s.at.Target.ID
+	}
+	return r
 }
 
-func forwardOf(ctx context.Context, req *Request, s step) *wire.Forward {
-	fwd := &wire.Forward{
-		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: s.Target.ID, Kind: req.Kind,
+func forwardOf(req *Request, at step) *wire.Forward {
+	return &wire.Forward{
+		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: at.Target.ID, Kind: req.Kind,
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
+		Weight:       req.Values.Limits.Weight,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
-		ContextOnly: s.ContextOnly, Redirected: s.redirected, Wait: s.wait,
-		Body: req.Body, Stream: req.Stream,
+		ContextOnly: at.ContextOnly, Redirected: at.redirected, Wait: at.wait, Stream: req.Stream,
 		Method: req.Method, Path: req.Path, Header: req.Header, IdempotencyKey: req.IdempotencyKey,
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		fwd.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
-	}
-	return fwd
 }
--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,9 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/peer"
@@ -27,14 +29,20 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
 )
 
 // poolSize bounds the goroutines that serve peers' streams and tasks.
 const poolSize = 20_000
 
+// maxParts is more than the parts that Run starts, so that none blocks when it
+// reports its failure.
+const maxParts = 16
+
 // Config is what one router needs to know of itself.
 type Config struct {
 	// Self is the router; PeerAddr and Incarnation are filled in by New.
@@ -60,7 +68,10 @@
 	Engine engine.Client
 	Plain  plain.Client
 	// Policy chooses targets; empty means the default.
-	Policy  placement.Policy
+	Policy placement.Policy
+	// Journal replaces the journal that orders use, for experiments; nil keeps
+	// the router's own.
+	Journal func(own orders.Journal) orders.Journal
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -73,13 +84,17 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
-	source  *source
+	means   *loadmean.Service
+	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
 	home    *home.Home
 	gate    home.Gate
 	entry   *entry.Entry
+	journal *journal.Log
+	orders  *orders.Server
 	face    *caller.Face
+	open    *openStreams
 	ready   atomic.Bool
 
 	cancel context.CancelFunc
@@ -111,6 +126,9 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
+	if err := r.buildOrders(mux); err != nil {
+		return err
+	}
 	return r.bindCallers()
 }
 
@@ -126,20 +144,21 @@
 }
 
 func (r *Router) buildControl(mux *peer.Mux) {
-	r.source = newSource(r.deps.Store)
+	r.source = propagate.New(propagate.Config{
+		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Log: r.log, Metrics: r.deps.Metrics,
+		Members: func() []fleet.Router { return r.members.View().Routers },
+	})
+	r.source.Register(mux)
 	r.members = membership.New(membership.Config{
 		Self: r.cfg.Self, VMs: r.deps.VMs, Seeds: r.cfg.Seeds, Caller: r.node,
 		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
+	r.buildMeans(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
-	snapshot := r.source.Snapshot()
-	if snapshot == nil {
-		return settings.Defaults().Membership
-	}
-	return snapshot.Effective(r.cfg.Self.Domain, "", "").Membership
+	return r.source.Snapshot().Effective(r.cfg.Self.Domain, "", "").Membership
 }
 
 func seeded() *rand.Rand {
@@ -158,10 +177,13 @@
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
-		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
+		Forwarder: &forwarder{
+			self: r.cfg.Self.ID, node: r.node, home: r.home, targets: r.targets, open: r.open, log: r.log,
+		},
+		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
 	})
 }
 
@@ -175,7 +197,7 @@
 		}
 	}
 	face, err := caller.Listen(caller.Config{
-		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry, Snapshot: r.source.Snapshot,
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.orders, Requests: r.orders, Snapshot: r.source.Snapshot,
 		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	if err != nil {
@@ -195,7 +217,7 @@
 	return r.face.Addr()
 }
 
-// Snapshot returns the settings in force, nil before the first.
+// Snapshot returns the settings in force, empty before the router is ready.
 func (r *Router) Snapshot() *settings.Snapshot {
 	return r.source.Snapshot()
 }
@@ -216,11 +238,14 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	defer r.cancel()
 	r.node.Start()
-	failures := make(chan error, 4)
+	failures := make(chan error, maxParts)
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startHome(ctx, failures)
+	r.wait.Go(func() { r.followMembers(ctx, r.open) })
+	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
@@ -266,6 +291,9 @@
 }
 
 func (r *Router) release() {
+	if r.journal != nil {
+		r.journal.Close()
+	}
 	if r.pool != nil {
 		r.pool.Release()
 	}
