--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -86,14 +86,14 @@
 func (c *crowd) user(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.cfg.seed, uint64(number)))
 	chats := make([]*conversation, c.cfg.chats)
-	pause(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
+	_ = pause(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
 	for turn := 0; ctx.Err() == nil; turn++ {
 		i := rng.IntN(len(chats))
 		if chats[i] == nil || len(chats[i].chat.Messages) >= 2*c.cfg.renewAfter {
 			chats[i] = c.begin(rng, fmt.Sprintf("%s-%d-%d", c.cfg.account, number, turn))
 		}
 		c.say(chats[i], rng)
-		pause(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
+		_ = pause(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
 	}
 }
 
@@ -197,10 +197,3 @@
 	}
 	return b.String()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -10,7 +10,7 @@
 	"ragwortpond.example/ragwortpond/standin"
 )
 
-const routersPerDomain = 2
+const chatRoutersPerDomain = 2
 
 // experiment is one run of the chat fleet under a policy.
 type experiment struct {
@@ -34,7 +34,7 @@
 	trace := newContextTrace()
 	b, err := bed.Start(ctx, bed.Config{
 		EngineClient: trace.wrap,
-		Objects: chatFleet(values), RoutersPerDomain: routersPerDomain, Policy: policy,
+		Objects:      chatFleet(values), RoutersPerDomain: chatRoutersPerDomain, Policy: policy,
 		Engine: engine, Seed: o.Seed, Log: o.Log,
 	})
 	if err != nil {
--- a/measure/reuse.go
+++ b/measure/reuse.go
@@ -89,7 +89,7 @@
 	defer e.close()
 	users := startCrowd(ctx, e.bed, e.client, e.tally, reuseCrowd(o.Seed))
 	defer users.stop()
-	pause(ctx, reuseWarm)
+	_ = pause(ctx, reuseWarm)
 	e.begin()
 	err = e.churn(ctx)
 	e.end()
@@ -124,7 +124,7 @@
 		if err := step(); err != nil {
 			return err
 		}
-		pause(ctx, reuseStep)
+		_ = pause(ctx, reuseStep)
 	}
 	return nil
 }
