--- a/measure/orders.go
+++ b/measure/orders.go
@@ -101,7 +101,7 @@
 	}
 	times := &beginTimes{}
 	b, err := bed.Start(ctx, bed.Config{
-		Objects: objects, RoutersPerDomain: routersPerDomain, Seed: o.Seed, Log: o.Log,
+		Objects: objects, RoutersPerDomain: fleetRoutersPerDomain, Seed: o.Seed, Log: o.Log,
 		Platform: standin.PlatformConfig{Seed: o.Seed},
 		Journal: func(own orders.Journal, store platform.Store) orders.Journal {
 			if way == OrdersSingle {
