--- a/cmd/ragwort/demo.go
+++ b/cmd/ragwort/demo.go
@@ -101,8 +101,11 @@
 	for name, s := range snapshot.Services {
 		fmt.Fprintf(w, "service   %s (%s)\n", name, s.Kind)
 	}
-	for name, token := range b.OperatorTokens {
-		fmt.Fprintf(w, "operator  %s  %s\n", name, token)
+	remove, err := printOperators(w, b)
+	if err != nil {
+		fmt.Fprintln(w, err)
+	} else {
+		defer remove()
 	}
 	fmt.Fprintln(w, "stop with ctrl-c")
 	<-ctx.Done()
--- /dev/null
+++ b/cmd/ragwort/stay.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"ragwortpond.example/ragwortpond/measure/bed"
+)
+
+// printOperators prints how to administer a running fleet: the lines that set
+// up this command line. The authority goes to a file that the returned function
+// removes.
+func printOperators(w io.Writer, b *bed.Bed) (remove func(), err error) {
+	f, err := os.CreateTemp("", "ragwort-authority-*.pem")
+	if err != nil {
+		return nil, err
+	}
+	remove = func() { os.Remove(f.Name()) }
+	_, err = f.Write(b.Authority())
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		remove()
+		return nil, err
+	}
+	fmt.Fprintf(w, "\nexport RAGWORT_SERVER=%s\n", b.Members()[0].OperatorURL())
+	fmt.Fprintf(w, "export RAGWORT_AUTHORITY=%s\n", f.Name())
+	for _, o := range b.Snapshot().Operators {
+		fmt.Fprintf(w, "export RAGWORT_TOKEN=%s  # operator %s, role %s, subtree %q\n", b.OperatorTokens[o.Name], o.Name, o.Role, o.Subtree)
+	}
+	fmt.Fprintln(w)
+	return remove, nil
+}
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,7 @@
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
@@ -81,6 +82,7 @@
 	gate    home.Gate
 	entry   *entry.Entry
 	face    *caller.Face
+	admin   *operator.Server
 	ready   atomic.Bool
 
 	cancel context.CancelFunc
@@ -112,7 +114,10 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
-	return r.bindCallers()
+	if err := r.bindCallers(); err != nil {
+		return err
+	}
+	return r.bindOperators()
 }
 
 func (r *Router) bindPeer(mux *peer.Mux) error {
@@ -217,10 +222,11 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	defer r.cancel()
 	r.node.Start()
-	failures := make(chan error, 4)
+	failures := make(chan error, 8)
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.startOperators(failures)
 	r.startHome(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
@@ -260,6 +266,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	r.face.Close(ctx)
+	r.stopOperators(ctx)
 	r.node.Close()
 	r.wait.Wait()
 	r.release()
