--- a/router/operators.go
+++ b/router/admin.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"context"
+
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/operator"
@@ -8,23 +11,45 @@
 
 // Status is what a router shows of itself to operators.
 type Status struct {
-	Self     fleet.Router `json:"self"`
-	Ready    bool         `json:"ready"`
-	Revision uint64       `json:"revision"`
-	InFlight int          `json:"in_flight"`
-	// Targets are those that this router is home to, with their requests in
-	// flight.
+	Router fleet.Router `json:"router"`
+	Ready  bool         `json:"ready"`
+	// InFlight is the number of callers' requests being served.
+	InFlight int `json:"in_flight"`
+	// Members is the number of routers that this one knows.
+	Members int `json:"members"`
+	// Targets are those that this router is home to.
 	Targets []TargetStatus `json:"targets"`
 }
 
 // TargetStatus is one target as its home sees it.
 type TargetStatus struct {
-	Target   fleet.TargetID    `json:"target"`
-	Service  fleet.ServiceName `json:"service"`
-	InFlight int               `json:"in_flight"`
+	Target  fleet.TargetID    `json:"target"`
+	Service fleet.ServiceName `json:"service"`
+	// InFlight is the number of attempts in flight.
+	InFlight int `json:"in_flight"`
+}
+
+// Status returns the router's state.
+func (r *Router) Status() Status {
+	status := Status{
+		Router: r.cfg.Self, Ready: r.Ready(), InFlight: r.face.InFlight(), Members: len(r.members.View().Routers),
+		Targets: []TargetStatus{},
+	}
+	r.targets.Picker().Homed(r.cfg.Self.ID, func(t *fleet.Target) {
+		seen := TargetStatus{Target: t.ID, Service: t.Service, InFlight: r.gate.InFlight(t.ID)}
+		status.Targets = append(status.Targets, seen)
+	})
+	return status
+}
+
+// OperatorAddr returns host:port of the administration API, empty without one.
+func (r *Router) OperatorAddr() string {
+	if r.admin == nil {
+		return ""
+	}
+	return r.admin.Addr()
 }
 
-// bindOperators opens the administration API where an address is configured.
 func (r *Router) bindOperators() error {
 	if r.cfg.OperatorAddr == "" {
 		return nil
@@ -33,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	r.operators, err = operator.New(operator.Config{
+	r.admin, err = operator.New(operator.Config{
 		Addr: r.cfg.OperatorAddr, TLS: tlsConfig, Store: r.deps.Store, Snapshot: r.source.Snapshot,
 		Status: func() any { return r.Status() }, InForce: r.source.WaitInForce,
 		Log: r.log, Metrics: r.deps.Metrics,
@@ -41,23 +66,17 @@
 	return err
 }
 
-// OperatorAddr returns host:port of the administration API, empty where there
-// is none.
-func (r *Router) OperatorAddr() string {
-	if r.operators == nil {
-		return ""
+func (r *Router) startOperators(failures chan<- error) {
+	if r.admin != nil {
+		r.start(failures, "operators", r.admin.Run)
 	}
-	return r.operators.Addr()
 }
 
-// Status returns what the router is doing now.
-func (r *Router) Status() Status {
-	status := Status{
-		Self: r.cfg.Self, Ready: r.Ready(), Revision: r.source.Revision(), InFlight: r.InFlight(), Targets: []TargetStatus{},
+func (r *Router) stopOperators(ctx context.Context) {
+	if r.admin == nil {
+		return
+	}
+	if err := r.admin.Shutdown(ctx); err != nil {
+		event.RouterFault.Log(r.log).Err(err).Send()
 	}
-	r.targets.Picker().Homed(r.cfg.Self.ID, func(t *fleet.Target) {
-		seen := TargetStatus{Target: t.ID, Service: t.Service, InFlight: r.gate.InFlight(t.ID)}
-		status.Targets = append(status.Targets, seen)
-	})
-	return status
 }
--- a/router/router.go
+++ b/router/router.go
@@ -95,10 +95,9 @@
 	journal *journal.Log
 	orders  *orders.Server
 	face    *caller.Face
-	// operators is nil where no administration API is configured.
-	operators *operator.Server
-	open      *openStreams
-	ready     atomic.Bool
+	admin   *operator.Server
+	open    *openStreams
+	ready   atomic.Bool
 
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -248,10 +247,8 @@
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
-	if r.operators != nil {
-		r.start(failures, "operators", r.operators.Run)
-	}
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
+	r.startOperators(failures)
 	r.startHome(ctx, failures)
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
@@ -292,10 +289,8 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if r.operators != nil {
-		_ = r.operators.Shutdown(ctx)
-	}
 	_ = r.face.Close(ctx)
+	r.stopOperators(ctx)
 	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
