router: a lost stream between entry and home says why

Cause: a few of some hundred requests of the demo end as unknown with home-unreachable, and nothing said what broke. Change: Relay returns the error beside the end, the forwarder logs it; a failed close of the sending side no longer ends the attempt, since a home that refused at once has stopped reading.

--- a/event/router.go
+++ b/event/router.go
@@ -10,6 +10,7 @@
 	RouterStopped  = define(1003, zerolog.InfoLevel, "router-stopped", "The router has stopped; the fields say what was cut, if anything.")
 	RouterFault    = define(1004, zerolog.ErrorLevel, "router-fault", "A part of the router failed unexpectedly.")
 	HomeSilent     = define(1005, zerolog.WarnLevel, "home-silent", "A home router could not be reached or did not take an attempt in time; others stand in for it for a moment.")
+	StreamLost     = define(1006, zerolog.InfoLevel, "stream-lost", "The stream of an attempt broke between entry and home; the life cycle of the request goes on.")
 	RequestDone    = define(1010, zerolog.DebugLevel, "request-done", "A caller's request has its final answer.")
 	RequestRefused = define(1011, zerolog.DebugLevel, "request-refused", "A caller's request was refused; the reason says why.")
 )
--- a/router/forward.go
+++ b/router/forward.go
@@ -50,12 +50,22 @@
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	if err := stream.Send(wire.FrameForward, payload); err != nil {
+		f.lost(to.ID, fwd, err)
 		return wire.End{Outcome: outcome.Dispatched, Reason: reason.HomeUnreachable}
 	}
-	if err := stream.Close(); err != nil {
-		return wire.End{Outcome: outcome.Dispatched, Reason: reason.HomeUnreachable}
+	// A home that refused already has stopped reading, and closing fails then;
+	// whether the stream really broke shows in what it sends back.
+	_ = stream.Close()
+	end, err := wire.Relay(ctx, stream, sink, f.expectAccept(to.ID, fwd, stream))
+	if err != nil {
+		f.lost(to.ID, fwd, err)
 	}
-	return wire.Relay(ctx, stream, sink, f.expectAccept(to.ID, fwd, stream))
+	return end
+}
+
+func (f *forwarder) lost(to fleet.RouterID, fwd *wire.Forward, err error) {
+	event.StreamLost.Log(f.log).Str("home", string(to)).Str("request", string(fwd.Request)).
+		Str("attempt", string(fwd.Attempt)).Err(err).Send()
 }
 
 // expectAccept gives up on a home that does not say in time that it has the
--- a/router/wire/stream.go
+++ b/router/wire/stream.go
@@ -66,12 +66,13 @@
 
 // Relay reads an answer from a peer stream into sink until its end. An answer
 // that breaks off is returned as dispatched, since the home may have sent it
-// on. Accepted is called when the home says that it has the attempt.
-func Relay(ctx context.Context, s *peer.Stream, sink Sink, accepted func()) End {
+// on; the error then says what broke. Accepted is called when the home says that
+// it has the attempt.
+func Relay(ctx context.Context, s *peer.Stream, sink Sink, accepted func()) (End, error) {
 	for {
 		kind, payload, err := s.Receive()
 		if err != nil {
-			return broken(ctx, err)
+			return broken(ctx, err), err
 		}
 		if kind == FrameAccepted {
 			accepted()
@@ -80,18 +81,17 @@
 		end, done, err := relayFrame(kind, payload, sink)
 		if errors.Is(err, peer.ErrBadFrame) {
 			s.Reject()
-			return broken(ctx, err)
+			return broken(ctx, err), err
+		}
+		if err == nil && !done && !s.Buffered() {
+			err = sink.Flush()
 		}
 		if err != nil {
 			s.Cancel()
-			return End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+			return End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}, err
 		}
 		if done {
-			return end
-		}
-		if !s.Buffered() && sink.Flush() != nil {
-			s.Cancel()
-			return End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+			return end, nil
 		}
 	}
 }
