--- a/router/admin.go
+++ b/router/admin.go
@@ -17,13 +17,29 @@
 	InFlight int `json:"in_flight"`
 	// Members is the number of routers that this one knows.
 	Members int `json:"members"`
+	// Targets are those that this router is home to.
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is one target as its home sees it.
+type TargetStatus struct {
+	Target  fleet.TargetID    `json:"target"`
+	Service fleet.ServiceName `json:"service"`
+	// InFlight is the number of attempts in flight.
+	InFlight int `json:"in_flight"`
 }
 
 // Status returns the router's state.
 func (r *Router) Status() Status {
-	return Status{
+	status := Status{
 		Router: r.cfg.Self, Ready: r.Ready(), InFlight: r.face.InFlight(), Members: len(r.members.View().Routers),
+		Targets: []TargetStatus{},
 	}
+	r.targets.Picker().Homed(r.cfg.Self.ID, func(t *fleet.Target) {
+		seen := TargetStatus{Target: t.ID, Service: t.Service, InFlight: r.gate.InFlight(t.ID)}
+		status.Targets = append(status.Targets, seen)
+	})
+	return status
 }
 
 // OperatorAddr returns host:port of the administration API, empty without one.
--- a/router/router.go
+++ b/router/router.go
@@ -289,9 +289,9 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	r.face.Close(ctx)
+	_ = r.face.Close(ctx)
 	r.stopOperators(ctx)
-	r.node.Close()
+	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
 	event.RouterStopped.Log(r.log).Send()
