measure settings: time in force, reverts and store calls at 6, 24 and 96 routers

Cause: the aims for settings had no measurement. Change: a scenario over settings services with real peer nodes and a stand-in platform, compared with a watch in every router; a run with restarts and a platform outage in which a failure domain restarts.

--- /dev/null
+++ b/measure/settings_churn.go
@@ -0,0 +1,139 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+const (
+	// restartEvery is the number of changes between two restarts of a router,
+	// outageAt the change before which the platform has an outage during which
+	// every router of a failure domain is restarted.
+	restartEvery  = 4
+	outageAt      = 10
+	startDeadline = 10 * time.Second
+)
+
+var errNotReady = errors.New("measure: a restarted router did not become ready")
+
+// disturb restarts routers before some of the changes.
+func (s *settingsFleet) disturb(i int) error {
+	switch {
+	case i == outageAt:
+		return s.restartDomain()
+	case i%restartEvery == 0:
+		return s.restart(s.live()[i%len(s.live())])
+	}
+	return nil
+}
+
+// restartDomain replaces every router of a failure domain while the platform
+// is down.
+func (s *settingsFleet) restartDomain() error {
+	s.platform.UpdateFaults(func(f *standin.Faults) { f.Outage = true })
+	defer s.platform.UpdateFaults(func(f *standin.Faults) { f.Outage = false })
+	domain := s.live()[0].self.Domain
+	var names []fleet.RouterID
+	for _, r := range s.live() {
+		if r.self.Domain == domain {
+			names = append(names, r.self.ID)
+			s.end(r)
+		}
+	}
+	for _, name := range names {
+		if err := s.startRouter(name, domain); err != nil {
+			return err
+		}
+	}
+	return s.checkStarts(len(names))
+}
+
+// restart replaces a router by a new one of the same name.
+func (s *settingsFleet) restart(r *settingsRouter) error {
+	s.end(r)
+	if err := s.startRouter(r.self.ID, r.self.Domain); err != nil {
+		return err
+	}
+	return s.checkStarts(1)
+}
+
+// end stops a router and takes it out of the members.
+func (s *settingsFleet) end(r *settingsRouter) {
+	s.mu.Lock()
+	var others []*settingsRouter
+	for _, other := range s.routers {
+		if other != r {
+			others = append(others, other)
+		}
+	}
+	s.routers = others
+	s.ended = append(s.ended, r)
+	s.mu.Unlock()
+	r.stop()
+}
+
+// checkStarts waits for the last started routers and counts those that are
+// ready without the last accepted change.
+func (s *settingsFleet) checkStarts(count int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startDeadline)
+	defer cancel()
+	live := s.live()
+	for _, r := range live[len(live)-count:] {
+		select {
+		case <-r.service.Ready():
+		case <-ctx.Done():
+			return errNotReady
+		}
+		s.restarts++
+		if r.service.Revision() < s.version {
+			s.lateStarts++
+		}
+	}
+	return nil
+}
+
+// reverts counts the snapshots of all routers that took a change back.
+func (s *settingsFleet) reverts() int {
+	total := 0
+	for _, r := range append(s.live(), s.ended...) {
+		total += int(r.reverts.Load())
+	}
+	return total
+}
+
+// controlBytes is what all live routers have sent to peers.
+func (s *settingsFleet) controlBytes() float64 {
+	total := 0.0
+	for _, r := range s.live() {
+		total += counterSum(r.metrics.Registry, "ragwort_control_bytes_total", "direction", "sent")
+	}
+	return total
+}
+
+// counterSum adds up the series of a counter that carry a label's value.
+func counterSum(g prometheus.Gatherer, name, label, value string) float64 {
+	families, err := g.Gather()
+	if err != nil {
+		return 0
+	}
+	total := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, series := range family.GetMetric() {
+			for _, l := range series.GetLabel() {
+				if l.GetName() == label && l.GetValue() == value {
+					total += series.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/measure/settings_fleet.go
@@ -0,0 +1,262 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/settings/propagate"
+	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+const (
+	settingsDomains  = 3
+	settingsPoolSize = 4096
+	settingsPoll     = 500 * time.Microsecond
+	settingsAccount  = "measured"
+)
+
+// settingsFleet is routers' settings services over real peer nodes and a
+// stand-in platform, without the rest of the routers.
+type settingsFleet struct {
+	policy    string
+	options   Options
+	authority *keys.Authority
+	platform  *standin.Platform
+	store     *platform.Client
+	pool      *task.Pool
+	version   uint64
+	burst     int
+
+	mu         sync.Mutex
+	routers    []*settingsRouter
+	ended      []*settingsRouter
+	restarts   int
+	lateStarts int
+}
+
+// settingsRouter is one router's settings.
+type settingsRouter struct {
+	self    fleet.Router
+	node    *peer.Node
+	store   *platform.Client
+	service *propagate.Service
+	metrics *metrics.Set
+	cancel  context.CancelFunc
+	done    chan struct{}
+	// burst is the highest value of the changed account that was in force.
+	burst   atomic.Int64
+	reverts atomic.Int64
+}
+
+func startSettingsFleet(ctx context.Context, o Options, policy string, size int) (*settingsFleet, error) {
+	s := &settingsFleet{policy: policy, options: o}
+	if err := s.start(ctx, size); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *settingsFleet) start(ctx context.Context, size int) error {
+	var err error
+	if s.authority, err = keys.NewAuthority("measure"); err != nil {
+		return err
+	}
+	if s.pool, err = task.NewPool(settingsPoolSize); err != nil {
+		return err
+	}
+	if s.platform, err = standin.StartPlatform(standin.PlatformConfig{Seed: s.options.Seed}); err != nil {
+		return err
+	}
+	s.store = platform.NewClient(platform.ClientConfig{Addr: s.platform.Addr()})
+	for _, object := range chatFleet(document{}) {
+		if _, err := s.store.Put(ctx, object.Kind, object.Name, object.Data, 0); err != nil {
+			return err
+		}
+	}
+	if _, err := s.change(ctx); err != nil {
+		return err
+	}
+	for i := range size {
+		domain := fleet.DomainName(fmt.Sprintf("domain-%d", i%settingsDomains))
+		if err := s.startRouter(fleet.RouterID(fmt.Sprintf("%s-r%d", domain, i)), domain); err != nil {
+			return err
+		}
+	}
+	return s.waitReady(ctx)
+}
+
+// startRouter starts one router's settings and adds it to the members.
+func (s *settingsFleet) startRouter(id fleet.RouterID, domain fleet.DomainName) error {
+	pair, err := s.authority.Issue(string(id), []string{"127.0.0.1"})
+	if err != nil {
+		return err
+	}
+	tlsConfig, err := keys.PeerTLS(pair, s.authority.Pair().Cert, peer.Protocol)
+	if err != nil {
+		return err
+	}
+	r := &settingsRouter{metrics: metrics.NewSet(), done: make(chan struct{})}
+	mux := peer.NewMux()
+	r.node, err = peer.Bind(peer.Config{
+		Addr: "127.0.0.1:0", TLS: tlsConfig, Mux: mux, Pool: s.pool, Metrics: r.metrics, Log: s.options.Log,
+	})
+	if err != nil {
+		return err
+	}
+	r.self = fleet.Router{ID: id, Domain: domain, PeerAddr: r.node.Addr()}
+	r.store = platform.NewClient(platform.ClientConfig{Addr: s.platform.Addr(), Metrics: r.metrics})
+	r.service = propagate.New(propagate.Config{
+		Self: r.self, Store: r.store, Caller: r.node, Members: s.members,
+		Log: s.options.Log, Metrics: r.metrics, Watchers: s.watchers(),
+	})
+	r.service.Register(mux)
+	r.service.Subscribe(r.observe)
+	s.run(r)
+	return nil
+}
+
+func (s *settingsFleet) run(r *settingsRouter) {
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	r.node.Start()
+	s.mu.Lock()
+	s.routers = append(s.routers, r)
+	s.mu.Unlock()
+	go func() {
+		defer close(r.done)
+		_ = r.service.Run(ctx)
+	}()
+}
+
+// watchers is the number of watchers a failure domain, all of its routers where
+// each watches for itself.
+func (s *settingsFleet) watchers() int {
+	if s.policy == policyWatchEach {
+		return settingsPoolSize
+	}
+	return 0
+}
+
+// observe notes a snapshot and counts it if it takes a change back.
+func (r *settingsRouter) observe(snapshot *settings.Snapshot) {
+	burst := int64(snapshot.Effective("", "", settingsAccount).Limits.Burst)
+	if burst < r.burst.Swap(burst) {
+		r.reverts.Add(1)
+	}
+}
+
+func (r *settingsRouter) stop() {
+	r.cancel()
+	<-r.done
+	r.node.Close()
+	r.store.Close()
+}
+
+func (s *settingsFleet) live() []*settingsRouter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*settingsRouter(nil), s.routers...)
+}
+
+func (s *settingsFleet) members() []fleet.Router {
+	var members []fleet.Router
+	for _, r := range s.live() {
+		members = append(members, r.self)
+	}
+	return members
+}
+
+func (s *settingsFleet) waitReady(ctx context.Context) error {
+	for _, r := range s.live() {
+		select {
+		case <-r.service.Ready():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// change raises a value of the measured account and returns its revision.
+func (s *settingsFleet) change(ctx context.Context) (uint64, error) {
+	s.burst++
+	data := fmt.Appendf(nil, `{"key_hashes":[],"settings":{"limits":{"burst":%d}}}`, 100+s.burst)
+	version, err := s.store.Put(ctx, settings.KindAccounts, settingsAccount, data, s.version)
+	if err == nil {
+		s.version = version
+	}
+	return version, err
+}
+
+// changes makes changes one after another and returns how long each took to be
+// in force on every live router. disturb, if given, runs before each change.
+func (s *settingsFleet) changes(ctx context.Context, count int, disturb func(i int) error) ([]time.Duration, error) {
+	var took []time.Duration
+	for i := range count {
+		if disturb != nil {
+			if err := disturb(i); err != nil {
+				return took, err
+			}
+		}
+		revision, err := s.change(ctx)
+		if err != nil {
+			return took, err
+		}
+		took = append(took, s.waitInForce(ctx, revision))
+		if task.Sleep(ctx, settingsChangeEvery) != nil {
+			return took, ctx.Err()
+		}
+	}
+	return took, nil
+}
+
+func (s *settingsFleet) waitInForce(ctx context.Context, revision uint64) time.Duration {
+	accepted := time.Now()
+	for !s.inForce(revision) {
+		if time.Since(accepted) >= settingsWaitAtMost || task.Sleep(ctx, settingsPoll) != nil {
+			return settingsWaitAtMost
+		}
+	}
+	return time.Since(accepted)
+}
+
+func (s *settingsFleet) inForce(revision uint64) bool {
+	for _, r := range s.live() {
+		if r.service.Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// storeReads is the number of calls of routers on the object API.
+func (s *settingsFleet) storeReads() uint64 {
+	counts := s.platform.Counts()
+	return counts[standin.VerbGet] + counts[standin.VerbList] + counts[standin.VerbWatch]
+}
+
+func (s *settingsFleet) close() {
+	for _, r := range s.live() {
+		r.stop()
+	}
+	if s.store != nil {
+		s.store.Close()
+	}
+	if s.platform != nil {
+		s.platform.Close()
+	}
+	if s.pool != nil {
+		s.pool.Release()
+	}
+}
--- a/operator/store.go
+++ b/operator/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // ErrUnresolved means that it could not be learnt whether a change was accepted
@@ -49,7 +50,7 @@
 		if known {
 			return version, err
 		}
-		if !pause(ctx, retryInterval) {
+		if task.Sleep(ctx, retryInterval) != nil {
 			return 0, fmt.Errorf("%w: %w", ErrUnresolved, err)
 		}
 	}
@@ -152,14 +153,3 @@
 	}
 	return 0
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -5,6 +5,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // One digest exchange in farEvery goes to another failure domain.
@@ -31,7 +32,7 @@
 // pushChildren sends a page to all children at once and waits for them. A
 // failed push is left to the digest exchange.
 func (p *Service) pushChildren(ctx context.Context, page Page) {
-	below := children(p.config.Self, p.config.Members())
+	below := children(p.config.Self, p.config.Members(), p.config.Watchers)
 	done := make(chan struct{}, len(below))
 	for _, to := range below {
 		go func() {
@@ -76,7 +77,7 @@
 
 // digestLoop exchanges digests with random routers.
 func (p *Service) digestLoop(ctx context.Context) {
-	for pause(ctx, p.jitter(p.config.Timing.Digest)) {
+	for task.Sleep(ctx, p.jitter(p.config.Timing.Digest)) == nil {
 		if to, ok := p.pick(); ok {
 			_ = p.exchange(ctx, to)
 		}
--- a/settings/propagate/inforce.go
+++ b/settings/propagate/inforce.go
@@ -9,6 +9,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -62,7 +63,7 @@
 		if found.Fault == "" && found.Revision >= revision {
 			return found
 		}
-		if !pause(ctx, probeInterval) {
+		if task.Sleep(ctx, probeInterval) != nil {
 			return found
 		}
 	}
--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -6,6 +6,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -27,7 +28,7 @@
 			return ctx.Err()
 		}
 		event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
-		if !pause(ctx, p.jitter(p.config.Timing.Retry)) {
+		if task.Sleep(ctx, p.jitter(p.config.Timing.Retry)) != nil {
 			return ctx.Err()
 		}
 	}
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -72,6 +72,9 @@
 	// use; nil means that of math/rand.
 	IntN   func(n int) int
 	Timing Timing
+	// Watchers is the number of routers of each failure domain that hold a watch
+	// on the platform; zero means two.
+	Watchers int
 }
 
 // Service keeps one router's settings up to date. Its methods are safe for
@@ -105,6 +108,9 @@
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewSet()
 	}
+	if config.Watchers == 0 {
+		config.Watchers = defaultWatchers
+	}
 	config.Timing = config.Timing.withDefaults()
 	p := &Service{
 		config:   config,
@@ -231,15 +237,3 @@
 func (p *Service) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(p.config.IntN(int(d)))
 }
-
-// pause waits for d and reports whether ctx is still running.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/settings/propagate/run_test.go
+++ b/settings/propagate/run_test.go
@@ -125,14 +125,14 @@
 		parents := map[fleet.RouterID]int{}
 		watchers := 0
 		for _, r := range routers {
-			if isWatcher(r, routers) {
+			if isWatcher(r, routers, defaultWatchers) {
 				watchers++
 			}
-			for _, c := range children(r, routers) {
+			for _, c := range children(r, routers, defaultWatchers) {
 				parents[c.ID]++
 			}
 		}
-		if watchers != min(count, watchersPerDomain) || len(parents) != count-watchers {
+		if watchers != min(count, defaultWatchers) || len(parents) != count-watchers {
 			t.Errorf("%d routers: %d watchers, %d routers below others", count, watchers, len(parents))
 		}
 		for id, n := range parents {
--- a/settings/propagate/tree.go
+++ b/settings/propagate/tree.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// watchersPerDomain is the number of routers of a failure domain that hold
-	// a watch on the platform.
-	watchersPerDomain = 2
+	// defaultWatchers is the number of routers of a failure domain that hold a
+	// watch on the platform.
+	defaultWatchers = 2
 	// treeFanout is the number of routers to which one router pushes a change.
 	treeFanout = 4
 )
@@ -37,16 +37,16 @@
 }
 
 // isWatcher reports whether self is among the watchers of its domain.
-func isWatcher(self fleet.Router, members []fleet.Router) bool {
-	return position(self, domainOrder(self, members)) < watchersPerDomain
+func isWatcher(self fleet.Router, members []fleet.Router, watchers int) bool {
+	return position(self, domainOrder(self, members)) < watchers
 }
 
 // children returns the routers to which self pushes. The watchers are the
 // roots of the tree; position i has the positions from
-// watchersPerDomain + i × treeFanout below it.
-func children(self fleet.Router, members []fleet.Router) []fleet.Router {
+// watchers + i × treeFanout below it.
+func children(self fleet.Router, members []fleet.Router, watchers int) []fleet.Router {
 	order := domainOrder(self, members)
-	first := watchersPerDomain + position(self, order)*treeFanout
+	first := watchers + position(self, order)*treeFanout
 	if first >= len(order) {
 		return nil
 	}
--- a/settings/propagate/watch.go
+++ b/settings/propagate/watch.go
@@ -8,25 +8,26 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // watchLoop holds the watch on the platform while this router is a watcher.
 func (p *Service) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !p.watching() {
-			pause(ctx, p.config.Timing.Role)
+			_ = task.Sleep(ctx, p.config.Timing.Role)
 			continue
 		}
 		err := p.watchAsWatcher(ctx)
 		if err != nil && ctx.Err() == nil {
 			event.SettingsWatch.Log(p.config.Log).Err(err).Send()
-			pause(ctx, p.jitter(p.config.Timing.Retry))
+			_ = task.Sleep(ctx, p.jitter(p.config.Timing.Retry))
 		}
 	}
 }
 
 func (p *Service) watching() bool {
-	return isWatcher(p.config.Self, p.config.Members())
+	return isWatcher(p.config.Self, p.config.Members(), p.config.Watchers)
 }
 
 // watchAsWatcher runs one watch and gives it up when the role is lost.
