settings: builder that keeps decoded documents; decode exactly what was checked

And a document that names a key twice or in capitals could put a value in force that no check had seen. Change: a Builder decodes only documents whose bytes changed; what is decoded is the checked value, without unknown keys.

--- a/settings/build.go
+++ b/settings/build.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -11,29 +12,68 @@
 	"ragwortpond.example/ragwortpond/platform"
 )
 
-// builder collects the sound documents and the findings of the others.
-type builder struct {
-	snapshot *Snapshot
+// Builder builds snapshots and keeps the documents that it has decoded, so that
+// a build after a change costs little. It is not safe for concurrent use.
+type Builder struct {
+	parsed map[objectID]*parsedDocument
+}
+
+// objectID names an object.
+type objectID struct {
+	kind, name string
+}
+
+// parsedDocument is a document with its findings. Its decoded form is nil if the
+// findings keep it from being used.
+type parsedDocument struct {
+	data     []byte
 	findings Findings
-	targets  map[string]targetDocument
-	rules    map[string]ruleDocument
+	decoded  any
+}
+
+// NewBuilder returns a builder that has decoded nothing yet.
+func NewBuilder() *Builder {
+	return &Builder{parsed: map[objectID]*parsedDocument{}}
 }
 
 // Build checks all documents and returns a snapshot of the sound ones with the
 // findings of the others, all at once. Objects of other kinds are findings. A
 // document whose only findings are unknown keys is used without them.
-func Build(objs []platform.Object) (*Snapshot, Findings) {
-	b := &builder{
-		snapshot: newSnapshot(),
-		targets:  map[string]targetDocument{},
-		rules:    map[string]ruleDocument{},
-	}
+func (b *Builder) Build(objs []platform.Object) (*Snapshot, Findings) {
+	parsed := make(map[objectID]*parsedDocument, len(objs))
+	linker := &builder{snapshot: newSnapshot()}
 	for _, o := range objs {
-		b.document(o)
+		id := objectID{o.Kind, o.Name}
+		p := b.parsed[id]
+		if p == nil || !bytes.Equal(p.data, o.Data) {
+			p = parse(o)
+		}
+		parsed[id] = p
+		linker.take(o, p)
 	}
-	b.link()
-	b.snapshot.sort()
-	return b.snapshot, b.findings.sorted()
+	b.parsed = parsed
+	linker.link()
+	linker.snapshot.sort()
+	return linker.snapshot, linker.findings.sorted()
+}
+
+// Build is a Builder's Build from nothing.
+func Build(objs []platform.Object) (*Snapshot, Findings) {
+	return NewBuilder().Build(objs)
+}
+
+// builder puts decoded documents together.
+type builder struct {
+	snapshot *Snapshot
+	findings Findings
+	targets  []linked[*targetDocument]
+	rules    []linked[*ruleDocument]
+}
+
+// linked is a document that refers to others.
+type linked[D any] struct {
+	name     string
+	document D
 }
 
 func newSnapshot() *Snapshot {
@@ -53,21 +93,28 @@
 // CheckDocument returns the findings of one document by itself, references
 // left out.
 func CheckDocument(o platform.Object) Findings {
+	_, findings := examine(o)
+	return findings
+}
+
+// examine checks one document and returns its value without unknown keys.
+func examine(o platform.Object) (any, Findings) {
 	c := &checker{file: FileName(o.Kind, o.Name)}
 	shape, known := shapes[o.Kind]
 	if !known {
 		c.add("", "unknown kind %q", o.Kind)
-		return c.findings
+		return nil, c.findings
 	}
 	c.name(o)
 	if len(o.Data) > platform.MaxValueBytes {
 		c.add("", "the document has %d bytes, more than %d", len(o.Data), platform.MaxValueBytes)
-		return c.findings
+		return nil, c.findings
 	}
-	if v, ok := c.decode(o.Data); ok {
+	v, ok := c.decode(o.Data)
+	if ok {
 		shape(c, "", v)
 	}
-	return c.findings
+	return v, c.findings
 }
 
 func (c *checker) name(o platform.Object) {
@@ -79,108 +126,93 @@
 	}
 }
 
-func (b *builder) document(o platform.Object) {
-	b.snapshot.Revision = max(b.snapshot.Revision, o.Version)
-	found := CheckDocument(o)
-	b.findings = append(b.findings, found...)
-	if !found.harmless() {
-		return
+// parse checks and decodes one document. What is decoded is the value that was
+// checked: the bytes may name a key twice, or in capitals, which the decoder of
+// structs takes another way than the checks do.
+func parse(o platform.Object) *parsedDocument {
+	value, findings := examine(o)
+	p := &parsedDocument{data: o.Data, findings: findings}
+	decoded := emptyDocument(o.Kind)
+	if decoded == nil || !findings.harmless() {
+		return p
 	}
-	if err := b.decode(o); err != nil {
-		b.add(o.Kind, o.Name, "", "%v", err)
+	checked, err := json.Marshal(value)
+	if err == nil {
+		err = json.Unmarshal(checked, decoded)
 	}
+	if err != nil {
+		p.findings = append(p.findings, Finding{File: FileName(o.Kind, o.Name), Message: err.Error()})
+		return p
+	}
+	p.decoded = decoded
+	return p
 }
 
-func (b *builder) add(kind, name, at, format string, args ...any) {
-	b.findings = append(b.findings, Finding{
-		File: FileName(kind, name), Pointer: at, Message: fmt.Sprintf(format, args...),
-	})
-}
-
-func (b *builder) decode(o platform.Object) error {
-	switch o.Kind {
+func emptyDocument(kind string) any {
+	switch kind {
 	case KindFleet:
-		return b.fleet(o)
+		return &fleetDocument{}
 	case KindDomains:
-		return b.domain(o)
+		return &domainDocument{}
 	case KindServices:
-		return b.service(o)
+		return &serviceDocument{}
 	case KindAccounts:
-		return b.account(o)
+		return &accountDocument{}
 	case KindTargets:
-		return decodeInto(b.targets, o)
+		return &targetDocument{}
 	case KindRules:
-		return decodeInto(b.rules, o)
-	}
-	return nil
-}
-
-func decodeInto[D any](docs map[string]D, o platform.Object) error {
-	var d D
-	err := json.Unmarshal(o.Data, &d)
-	if err == nil {
-		docs[o.Name] = d
-	}
-	return err
-}
-
-func (b *builder) fleet(o platform.Object) error {
-	var d fleetDocument
-	if err := json.Unmarshal(o.Data, &d); err != nil {
-		return err
+		return &ruleDocument{}
 	}
-	b.snapshot.levels.fleet = d.Settings
-	b.snapshot.ContextKeys = d.ContextKeys
-	b.snapshot.Operators = d.Operators
 	return nil
 }
 
-func (b *builder) domain(o platform.Object) error {
-	var d domainDocument
-	if err := json.Unmarshal(o.Data, &d); err != nil {
-		return err
-	}
-	name := fleet.DomainName(o.Name)
-	b.snapshot.Domains[name] = d.Region
-	b.snapshot.levels.domains[name] = d.Settings
-	return nil
-}
-
-func (b *builder) service(o platform.Object) error {
-	var d serviceDocument
-	if err := json.Unmarshal(o.Data, &d); err != nil {
-		return err
+// take adds a document; those that refer to others are linked in the end.
+func (b *builder) take(o platform.Object, p *parsedDocument) {
+	b.snapshot.Revision = max(b.snapshot.Revision, o.Version)
+	b.findings = append(b.findings, p.findings...)
+	switch d := p.decoded.(type) {
+	case *fleetDocument:
+		b.snapshot.levels.fleet = d.Settings
+		b.snapshot.ContextKeys = d.ContextKeys
+		b.snapshot.Operators = d.Operators
+	case *domainDocument:
+		name := fleet.DomainName(o.Name)
+		b.snapshot.Domains[name] = d.Region
+		b.snapshot.levels.domains[name] = d.Settings
+	case *serviceDocument:
+		name := fleet.ServiceName(o.Name)
+		b.snapshot.Services[name] = Service{Name: name, Kind: d.Kind}
+		b.snapshot.levels.services[name] = d.Settings
+	case *accountDocument:
+		name := fleet.AccountName(o.Name)
+		b.snapshot.Accounts[name] = Account{Name: name, KeyHashes: d.KeyHashes}
+		b.snapshot.levels.accounts[name] = d.Settings
+	case *targetDocument:
+		b.targets = append(b.targets, linked[*targetDocument]{o.Name, d})
+	case *ruleDocument:
+		b.rules = append(b.rules, linked[*ruleDocument]{o.Name, d})
 	}
-	name := fleet.ServiceName(o.Name)
-	b.snapshot.Services[name] = Service{Name: name, Kind: d.Kind}
-	b.snapshot.levels.services[name] = d.Settings
-	return nil
 }
 
-func (b *builder) account(o platform.Object) error {
-	var d accountDocument
-	if err := json.Unmarshal(o.Data, &d); err != nil {
-		return err
-	}
-	name := fleet.AccountName(o.Name)
-	b.snapshot.Accounts[name] = Account{Name: name, KeyHashes: d.KeyHashes}
-	b.snapshot.levels.accounts[name] = d.Settings
-	return nil
+func (b *builder) add(kind, name, at, format string, args ...any) {
+	b.findings = append(b.findings, Finding{
+		File: FileName(kind, name), Pointer: at, Message: fmt.Sprintf(format, args...),
+	})
 }
 
 // link resolves references between documents.
 func (b *builder) link() {
-	for name, d := range b.targets {
-		b.target(name, d)
+	for _, t := range b.targets {
+		b.target(t.name, t.document)
 	}
-	for name, d := range b.rules {
-		b.rule(name, d)
+	for _, r := range b.rules {
+		b.rule(r.name, r.document)
 	}
 	b.uniqueKeys()
 	b.uniqueOperators()
 }
 
-func (b *builder) target(name string, d targetDocument) {
+func (b *builder) target(name string, d *targetDocument) {
 	if !b.resolve(KindTargets, name, d.references()) {
 		return
 	}
@@ -192,7 +224,7 @@
 	})
 }
 
-func (b *builder) rule(name string, d ruleDocument) {
+func (b *builder) rule(name string, d *ruleDocument) {
 	if !b.resolve(KindRules, name, d.references()) {
 		return
 	}
--- a/settings/build_test.go
+++ b/settings/build_test.go
@@ -133,3 +133,18 @@
 		t.Errorf("want a wrong type and an unknown key: %v", findings)
 	}
 }
+
+func TestBuilderTakesChangesAndForgetsDeletions(t *testing.T) {
+	b := NewBuilder()
+	objs := sound()
+	b.Build(objs)
+	objs[2].Data = []byte(`{"kind":"engine","settings":{"queue":{"length":77}}}`)
+	changed, _ := b.Build(objs)
+	if got := changed.Effective("", "assistente", "").Queue.Length; got != 77 {
+		t.Errorf("queue length %d after the change", got)
+	}
+	smaller, findings := b.Build(objs[:4])
+	if len(findings) > 0 || len(smaller.Targets["assistente"]) != 0 || len(b.parsed) != 4 {
+		t.Errorf("after deletions: %v, %d parsed", findings, len(b.parsed))
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -65,6 +65,7 @@
 	}
 }
 
+// members checks the known members and removes the others.
 func (c *checker) members(at string, members map[string]any, fields []field) {
 	known := map[string]bool{}
 	for _, f := range fields {
@@ -82,6 +83,7 @@
 		if !known[name] {
 			c.add(child(at, name), "unknown key")
 			c.findings[len(c.findings)-1].harmless = true
+			delete(members, name)
 		}
 	}
 }
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -83,6 +83,8 @@
 	config   Config
 	counters *metrics.Settings
 	owner    atomic.Pointer[owner]
+	// builder is used by the owner's task only.
+	builder  *settings.Builder
 	snapshot atomic.Pointer[settings.Snapshot]
 	complete atomic.Uint64
 	ready    chan struct{}
@@ -115,6 +117,7 @@
 	p := &Service{
 		config:   config,
 		counters: metrics.NewSettings(config.Metrics.Registry),
+		builder:  settings.NewBuilder(),
 		ready:    make(chan struct{}),
 		outbox:   make(chan Page, outboxPages),
 		watchers: map[int]func(*settings.Snapshot){},
@@ -209,7 +212,7 @@
 }
 
 func (p *Service) rebuild(objects []platform.Object) {
-	snapshot, findings := settings.Build(objects)
+	snapshot, findings := p.builder.Build(objects)
 	p.counters.Findings.Set(float64(len(findings)))
 	if len(findings) > 0 {
 		event.SettingsFindings.Log(p.config.Log).Int("findings", len(findings)).Stringer("first", findings[0]).Send()
