--- a/cmd/ragwort/admin.go
+++ b/cmd/ragwort/admin.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/urfave/cli/v3"
 
@@ -59,9 +60,9 @@
 		return err
 	}
 	err := show(cmd, targets, func(w io.Writer) {
-		fmt.Fprintln(w, "TARGET\tSERVICE\tFAILURE DOMAIN\tSTATE\tFAULT")
+		fmt.Fprintln(w, "TARGET\tSERVICE\tFAILURE DOMAIN\tSTATE\tIN FLIGHT\tFAULT")
 		for _, t := range targets {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", t.Target, t.For, t.Domain, t.State, t.Fault)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", t.Target, t.For, t.Domain, t.State, workOf(t), t.Fault)
 		}
 	})
 	faulty := func(t operator.WithdrawnTarget) bool { return t.Fault != "" }
@@ -71,6 +72,18 @@
 	return err
 }
 
+// workOf shows what is in flight before a target; a question mark says that some
+// router did not answer.
+func workOf(t operator.WithdrawnTarget) string {
+	switch {
+	case t.InFlight == nil:
+		return "-"
+	case len(t.Silent) > 0:
+		return fmt.Sprintf("%d?", *t.InFlight)
+	}
+	return strconv.Itoa(*t.InFlight)
+}
+
 func withdrawalCall(scope, name string, callOff bool) operator.Call {
 	if callOff {
 		return operator.Call{Method: "DELETE", Path: "withdrawals/" + scope + "/" + name}
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
@@ -79,6 +80,9 @@
 		InForce: func(_ context.Context, revision uint64) propagate.InForce {
 			return propagate.InForce{Revision: revision, InForce: true, Routers: []propagate.RouterRevision{{Router: "r1"}}}
 		},
+		InFlight: func(_ context.Context, targets []fleet.Target) InFlight {
+			return InFlight{Attempts: map[fleet.TargetID]int{targets[0].ID: 3}, Silent: []fleet.RouterID{"r2"}}
+		},
 	})
 	if err != nil {
 		a.t.Fatal(err)
@@ -257,7 +261,7 @@
 	if err := json.Unmarshal([]byte(withdraw.body), &targets); err != nil || len(targets) != 2 || targets[1].State != "leaving" {
 		t.Fatalf("%+v", withdraw)
 	}
-	if got := a.call("team", "GET", "withdrawals", "", ""); strings.Count(got.body, `"leaving"`) != 1 {
+	if got := a.call("team", "GET", "withdrawals", "", ""); strings.Count(got.body, `"leaving"`) != 1 || !strings.Contains(got.body, `"in_flight":3,"silent":["r2"]`) {
 		t.Errorf("the team sees %+v", got)
 	}
 	if got := a.call("team", "DELETE", "withdrawals/target/p-1", "", ""); got.status != 200 {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/reason"
@@ -57,8 +58,18 @@
 	Status func() any
 	// InForce waits until every live router has a revision in force or ctx ends.
 	InForce func(ctx context.Context, revision uint64) propagate.InForce
-	Log     zerolog.Logger
-	Metrics *metrics.Set
+	// InFlight counts the attempts in flight before targets on all routers; nil
+	// shows no counts.
+	InFlight func(ctx context.Context, targets []fleet.Target) InFlight
+	Log      zerolog.Logger
+	Metrics  *metrics.Set
+}
+
+// InFlight is the number of attempts in flight before targets.
+type InFlight struct {
+	Attempts map[fleet.TargetID]int
+	// Silent are the routers that did not answer; the counts lack theirs.
+	Silent []fleet.RouterID
 }
 
 // Server is the administration API of one router. It is safe for concurrent
--- a/operator/withdrawals.go
+++ b/operator/withdrawals.go
@@ -39,6 +39,11 @@
 	VM     string            `json:"vm,omitempty"`
 	State  fleet.Lifecycle   `json:"state"`
 	For    fleet.ServiceName `json:"service"`
+	// InFlight is the number of attempts in flight before the target, nil if it
+	// is not known.
+	InFlight *int `json:"in_flight,omitempty"`
+	// Silent are routers that did not say what they have in flight.
+	Silent []fleet.RouterID `json:"silent,omitempty"`
 	// Version is that of the accepted change; zero if there was none to make.
 	Version uint64 `json:"version,omitempty"`
 	// Fault says why the target could not be changed.
@@ -49,14 +54,31 @@
 const changeAttempts = 4
 
 // listWithdrawals shows the targets that are leaving.
-func (s *Server) listWithdrawals(_ context.Context, c *app.RequestContext) {
-	leaving := []WithdrawnTarget{}
+func (s *Server) listWithdrawals(ctx context.Context, c *app.RequestContext) {
+	var leaving []fleet.Target
 	for _, t := range s.targets() {
 		if t.State == fleet.Leaving && covers(operatorOf(c), targetObject(t)) {
-			leaving = append(leaving, withdrawn(t))
+			leaving = append(leaving, t)
 		}
 	}
-	writeJSON(c, 200, leaving)
+	writeJSON(c, 200, s.withWork(ctx, leaving))
+}
+
+// withWork adds to leaving targets what is still in flight before them.
+func (s *Server) withWork(ctx context.Context, leaving []fleet.Target) []WithdrawnTarget {
+	answers := make([]WithdrawnTarget, len(leaving))
+	for i, t := range leaving {
+		answers[i] = withdrawn(t)
+	}
+	if s.cfg.InFlight == nil || len(leaving) == 0 {
+		return answers
+	}
+	work := s.cfg.InFlight(ctx, leaving)
+	for i := range answers {
+		count := work.Attempts[answers[i].Target]
+		answers[i].InFlight, answers[i].Silent = &count, work.Silent
+	}
+	return answers
 }
 
 // targets returns all targets in force, sorted by id.
--- a/router/admin.go
+++ b/router/admin.go
@@ -60,7 +60,7 @@
 	}
 	r.admin, err = operator.New(operator.Config{
 		Addr: r.cfg.OperatorAddr, TLS: tlsConfig, Store: r.deps.Store, Snapshot: r.source.Snapshot,
-		Status: func() any { return r.Status() }, InForce: r.source.WaitInForce,
+		Status: func() any { return r.Status() }, InForce: r.source.WaitInForce, InFlight: r.inFlight,
 		Log: r.log, Metrics: r.deps.Metrics,
 	})
 	return err
--- a/router/router.go
+++ b/router/router.go
@@ -128,6 +128,7 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
+	r.registerStatus(mux)
 	if err := r.buildOrders(mux); err != nil {
 		return err
 	}
