--- a/journal/cell_test.go
+++ b/journal/cell_test.go
@@ -140,7 +140,7 @@
 }
 
 func TestLayout(t *testing.T) {
-	l := Layout{Shards: 4, BucketMS: BucketLength.Milliseconds(), KeepMS: testRetention.Milliseconds()}
+	l := Layout{Shards: 4, UntimedCells: 2, BucketMS: BucketLength.Milliseconds(), KeepMS: testRetention.Milliseconds()}
 	old := uuidV7(epoch.Add(-testRetention-time.Second), 1)
 	recent := uuidV7(epoch.Add(-testRetention+time.Second), 1)
 	hash := HashKey(testAccount, old)
--- a/journal/layout.go
+++ b/journal/layout.go
@@ -13,19 +13,22 @@
 	SkewLimit = time.Minute
 	// BucketLength is the span of key times that share a cell in a new layout.
 	BucketLength = 10 * time.Second
+	// UntimedCells is the number of cells in each shard of a new layout for keys
+	// that carry no time.
+	UntimedCells = 16
 	// UntimedRetentions is for how many retentions, after its first, an expired
 	// key that carries no time is remembered as such.
 	UntimedRetentions = 7
 )
 
-// untimed is the bucket of keys that carry no time.
-const untimed = -1
-
 // Layout says where records are. It is one object of the API, made by the
 // first router, because two routers that disagree on it could both record the
-// same key. Shards and BucketMS never change afterwards.
+// same key. Shards, UntimedCells and BucketMS never change afterwards.
 type Layout struct {
 	Shards int `json:"shards"`
+	// UntimedCells is the number of cells in each shard for keys that carry no
+	// time; these stay for long, so that one cell would be too small.
+	UntimedCells int `json:"untimed_cells"`
 	// BucketMS is the span of key times that share a cell, in milliseconds.
 	BucketMS int64 `json:"bucket_ms"`
 	// KeepMS is the longest retention that was ever in force, in milliseconds.
@@ -36,22 +39,23 @@
 }
 
 // Cell names one object of records: all keys of a shard whose times fall into
-// the same bucket, or all its keys that carry no time.
+// the same bucket, or a share of its keys that carry no time.
 type Cell struct {
 	Shard int `cbor:"1,keyasint"`
-	// Bucket is the key's Unix time divided by the layout's span, or -1.
+	// Bucket is the key's Unix time divided by the layout's span; for keys that
+	// carry no time it is negative, -1 and down.
 	Bucket int64 `cbor:"2,keyasint"`
 }
 
 // Timed reports whether the cell's keys carry their time.
 func (c Cell) Timed() bool {
-	return c.Bucket != untimed
+	return c.Bucket >= 0
 }
 
 // Name is the name of the cell's object.
 func (c Cell) Name() string {
 	if !c.Timed() {
-		return fmt.Sprintf("shard-%d", c.Shard)
+		return fmt.Sprintf("shard-%d-untimed-%d", c.Shard, -c.Bucket)
 	}
 	return fmt.Sprintf("shard-%d-%d", c.Shard, c.Bucket)
 }
@@ -60,7 +64,8 @@
 // that it is older than the retention. A key whose time is further ahead than
 // clocks may differ counts as carrying none.
 func (l Layout) Locate(hash KeyHash, key string, now time.Time, retention time.Duration) (Cell, error) {
-	cell := Cell{Shard: int(binary.BigEndian.Uint64(hash[:8]) % uint64(l.Shards)), Bucket: untimed}
+	cell := Cell{Shard: int(binary.BigEndian.Uint64(hash[:8]) % uint64(l.Shards))}
+	cell.Bucket = -1 - int64(binary.BigEndian.Uint64(hash[8:])%uint64(l.UntimedCells))
 	at, ok := KeyTime(key)
 	if !ok || at.After(now.Add(SkewLimit)) {
 		return cell, nil
--- a/journal/layout_io.go
+++ b/journal/layout_io.go
@@ -43,8 +43,8 @@
 	if err := json.Unmarshal(object.Data, &layout); err != nil {
 		return Layout{}, 0, err
 	}
-	if layout.Shards < 1 || layout.BucketMS < 1 {
-		return Layout{}, 0, errors.New("no shards or no buckets")
+	if layout.Shards < 1 || layout.BucketMS < 1 || layout.UntimedCells < 1 {
+		return Layout{}, 0, errors.New("no shards, buckets or untimed cells")
 	}
 	l.layout.Store(&layout)
 	return layout, object.Version, nil
@@ -55,7 +55,7 @@
 func (l *Log) makeLayout(ctx context.Context) (Layout, error) {
 	values := l.cfg.Values()
 	data, err := json.Marshal(Layout{
-		Shards: values.Shards, BucketMS: BucketLength.Milliseconds(), KeepMS: int64(values.RetentionMS),
+		Shards: values.Shards, UntimedCells: UntimedCells, BucketMS: BucketLength.Milliseconds(), KeepMS: int64(values.RetentionMS),
 	})
 	if err != nil {
 		return Layout{}, err
--- a/router/orders/orders.go
+++ b/router/orders/orders.go
@@ -69,9 +69,12 @@
 
 // Do serves one request and passes the answer to out.
 func (s *Server) Do(ctx context.Context, req *entry.Request, out wire.Sink) entry.Result {
-	if req.Kind != fleet.KindPlain || req.Repeatable || req.IdempotencyKey == "" {
+	if req.Kind != fleet.KindPlain || req.Repeatable {
 		return s.cfg.Next.Do(ctx, req, out)
 	}
+	if req.IdempotencyKey == "" {
+		return final(s.cfg.Next.Do(ctx, req, out))
+	}
 	if !req.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
@@ -84,10 +87,19 @@
 	case record != nil:
 		return s.count(req, replay(record, out))
 	default:
-		return s.run(ctx, grant, req, out)
+		return final(s.run(ctx, grant, req, out))
 	}
 }
 
+// final replaces the reasons that ask for a repeat where a request may have run
+// and must not run again.
+func final(r entry.Result) entry.Result {
+	if r.Outcome == outcome.Dispatched {
+		r.Reason = reason.NotRepeatable
+	}
+	return r
+}
+
 // admit returns leave to run the request, or the record of an earlier sending.
 func (s *Server) admit(ctx context.Context, req *entry.Request) (journal.Grant, *journal.Record, error) {
 	intent := journal.Intent{
--- a/router/orders/orders_test.go
+++ b/router/orders/orders_test.go
@@ -180,7 +180,8 @@
 func TestLostAnswerIsUnknownAndNeverRunsAgain(t *testing.T) {
 	f := start(t)
 	f.faults(standin.ServiceFaults{LostRate: 1})
-	f.expect(f.order(0, "order-3", "two drums"), 502, outcome.Unknown, reason.StreamBroken)
+	f.expect(f.order(0, "", "two drums"), 502, outcome.Unknown, reason.NotRepeatable)
+	f.expect(f.order(0, "order-3", "two drums"), 502, outcome.Unknown, reason.NotRepeatable)
 	f.faults(standin.ServiceFaults{})
 	for router := range f.Members() {
 		f.expect(f.order(router, "order-3", "two drums"), 409, outcome.Unknown, reason.ResultUnknown)
