--- a/router/home/home.go
+++ b/router/home/home.go
@@ -30,6 +30,8 @@
 	// It returns a function to call once when the attempt is over, or nil and
 	// the refusal.
 	Acquire(ctx context.Context, t fleet.Target, fwd *wire.Forward) (release func(), refusal wire.End)
+	// InFlight returns the number of attempts in flight before a target.
+	InFlight(id fleet.TargetID) int
 }
 
 // Config is what a home needs.
@@ -69,6 +71,9 @@
 		return
 	}
 	sink := wire.NewStreamSink(s)
+	if sink.Accepted() != nil {
+		return
+	}
 	sink.End(h.Serve(ctx, &fwd, sink))
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -20,8 +20,10 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/journal"
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
@@ -38,6 +40,10 @@
 // poolSize bounds the goroutines that serve peers' streams and tasks.
 const poolSize = 20_000
 
+// maxParts is more than the parts that Run starts, so that none blocks when it
+// reports its failure.
+const maxParts = 16
+
 // Config is what one router needs to know of itself.
 type Config struct {
 	// Self is the router; PeerAddr and Incarnation are filled in by New.
@@ -79,6 +85,7 @@
 	pool    *task.Pool
 	node    *peer.Node
 	members *membership.Service
+	means   *loadmean.Service
 	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
@@ -88,6 +95,8 @@
 	journal *journal.Log
 	orders  *orders.Server
 	face    *caller.Face
+	admin   *operator.Server
+	open    *openStreams
 	ready   atomic.Bool
 
 	cancel context.CancelFunc
@@ -122,7 +131,10 @@
 	if err := r.buildOrders(mux); err != nil {
 		return err
 	}
-	return r.bindCallers()
+	if err := r.bindCallers(); err != nil {
+		return err
+	}
+	return r.bindOperators()
 }
 
 func (r *Router) bindPeer(mux *peer.Mux) error {
@@ -147,6 +159,7 @@
 		Values: r.membershipValues, Clock: time.Now, Rand: seeded(), Log: r.log, Metrics: r.deps.Metrics,
 	})
 	r.members.Register(mux)
+	r.buildMeans(mux)
 }
 
 func (r *Router) membershipValues() settings.Membership {
@@ -169,10 +182,13 @@
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
-		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64,
+		Forwarder: &forwarder{
+			self: r.cfg.Self.ID, node: r.node, home: r.home, targets: r.targets, open: r.open, log: r.log,
+		},
+		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
 	})
 }
 
@@ -227,12 +243,15 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	defer r.cancel()
 	r.node.Start()
-	failures := make(chan error, 4)
+	failures := make(chan error, maxParts)
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
+	r.startOperators(failures)
 	r.startHome(ctx, failures)
+	r.wait.Go(func() { r.followMembers(ctx, r.open) })
+	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
@@ -270,8 +289,9 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	r.face.Close(ctx)
-	r.node.Close()
+	_ = r.face.Close(ctx)
+	r.stopOperators(ctx)
+	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
 	event.RouterStopped.Log(r.log).Send()
