--- a/measure/orders.go
+++ b/measure/orders.go
@@ -61,12 +61,15 @@
 
 // OrdersPhase is one phase of constant rate.
 type OrdersPhase struct {
-	Name            string  `json:"name"`
-	OrdersPerSecond int     `json:"orders_per_second"`
-	Orders          int     `json:"orders"`
-	Completed       int     `json:"completed"`
-	NotRun          int     `json:"not_run"`
-	Unknown         int     `json:"unknown"`
+	Name            string `json:"name"`
+	OrdersPerSecond int    `json:"orders_per_second"`
+	Orders          int    `json:"orders"`
+	Completed       int    `json:"completed"`
+	NotRun          int    `json:"not_run"`
+	Unknown         int    `json:"unknown"`
+	// NotRunSendings counts sendings told not-run, after which the caller sent
+	// the order again.
+	NotRunSendings  int     `json:"not_run_sendings"`
 	WritesPerSecond float64 `json:"writes_per_second"`
 	WritesPerOrder  float64 `json:"writes_per_order"`
 	RefusedWrites   uint64  `json:"refused_writes"`
--- a/measure/orders_load.go
+++ b/measure/orders_load.go
@@ -184,8 +184,11 @@
 	defer l.mu.Unlock()
 	for _, key := range keys {
 		t := l.told[key]
+		if t == nil {
+			continue
+		}
+		phase.NotRunSendings += t.notRun
 		switch {
-		case t == nil:
 		case t.completed > 0:
 			phase.Completed++
 		case t.unknown > 0 || t.silent > 0:
