loadmean: a former aggregator no longer answers itself

A router that starts alone is its own aggregator. Once it knew the others, its report to itself stayed for the expiry of five seconds and its answer to itself, that nobody else has anything, replaced the new aggregator's.

--- a/loadmean/send.go
+++ b/loadmean/send.go
@@ -33,6 +33,7 @@
 		}
 		return
 	}
+	c.forgetOwn(key)
 	if !c.due(r.sent, to, r.value, units{}, minInterval, now) {
 		return
 	}
@@ -44,6 +45,14 @@
 	}
 }
 
+// forgetOwn drops the own report from the sum of a former aggregator: were it
+// kept until it expires, this router would go on answering itself.
+func (c *core) forgetOwn(key Key) {
+	if a := c.sums[key]; a != nil {
+		delete(a.reports, c.self.ID)
+	}
+}
+
 // due reports whether a value should be sent: to a new receiver, after a change
 // worth it, or as a refresh.
 func (c *core) due(last sent, to fleet.RouterID, value, extra units, interval time.Duration, now time.Time) bool {
