--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// restart forgets the times to the first byte so far.
+func (t *tally) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstMS = nil
+}
+
 func (t *tally) hadSheet(sheet int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -55,6 +55,7 @@
 	e.control = e.bed.ControlBytes()
 	e.prompts, e.cached = e.bed.CacheTokens()
 	e.reusable, e.asked = e.tally.reusable.Load(), e.tally.promptTokens.Load()
+	e.tally.restart()
 	e.balance = watchBalance(e.bed, e.multiple)
 }
 
--- a/placement/gate.go
+++ b/placement/gate.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -99,15 +100,23 @@
 	return d
 }
 
-// targetBound is the most the target may carry. Chats whose context is on the
-// target may use the whole multiple where reuse weighs most; others leave half
-// of what is above the mean free for them.
+// reserveShare scales the room that a gate leaves below the multiple: this many
+// square roots of the mean. Requests end at random, so the mean may fall by
+// about that much while a full target's requests go on.
+const reserveShare = 0.5
+
+// targetBound is the most the target may carry with the attempt. Chats whose
+// context is on the target may go up to the multiple as far as reuse weighs,
+// less the reserve; others only up to an even spread, so that they level the
+// load and leave the room above the mean to returning chats.
 func targetBound(load TargetLoad, service ServiceLoad, here bool, limits Limits) float64 {
-	above := (limits.Multiple - 1) * limits.ReuseWeight
+	even := service.bound(1, load.Weight)
 	if !here {
-		above /= 2
+		return even
 	}
-	return service.bound(1+above, load.Weight)
+	reserve := reserveShare * math.Sqrt(service.Mean()*normalWeight(load.Weight))
+	multiple := 1 + (limits.Multiple-1)*limits.ReuseWeight
+	return max(even, service.bound(multiple, load.Weight)-reserve)
 }
 
 // contextWait is how long a wait for the context may last: as long as reading
