--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
@@ -94,6 +95,7 @@
 	journal *journal.Log
 	orders  *orders.Server
 	face    *caller.Face
+	admin   *operator.Server
 	open    *openStreams
 	ready   atomic.Bool
 
@@ -129,7 +131,10 @@
 	if err := r.buildOrders(mux); err != nil {
 		return err
 	}
-	return r.bindCallers()
+	if err := r.bindCallers(); err != nil {
+		return err
+	}
+	return r.bindOperators()
 }
 
 func (r *Router) bindPeer(mux *peer.Mux) error {
@@ -243,6 +248,7 @@
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
+	r.startOperators(failures)
 	r.startHome(ctx, failures)
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
@@ -283,8 +289,9 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	r.face.Close(ctx)
-	r.node.Close()
+	_ = r.face.Close(ctx)
+	r.stopOperators(ctx)
+	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
 	event.RouterStopped.Log(r.log).Send()
