--- a/placement/gate.go
+++ b/placement/gate.go
@@ -86,7 +86,7 @@
 	if a.ContextOnly && !here {
 		return Decision{Verdict: Refuse, Reason: reason.ContextElsewhere}
 	}
-	d := Decision{Load: load.InFlight + load.Unaccounted, Bound: targetBound(load, service, here, limits)}
+	d := Decision{Load: load.InFlight + load.Unaccounted, Bound: targetBound(load, service, here || a.Wait, limits)}
 	switch {
 	case d.Load+oneRequest <= d.Bound:
 		d.Verdict = Admit
@@ -107,7 +107,8 @@
 
 // targetBound is the most the target may carry with the attempt. Chats whose
 // context is on the target may go up to the multiple as far as reuse weighs,
-// less the reserve; others only up to an even spread, so that they level the
+// less the reserve, and so may attempts that found no room elsewhere; others only
+// up to an even spread, so that they level the
 // load and leave the room above the mean to returning chats.
 func targetBound(load TargetLoad, service ServiceLoad, here bool, limits Limits) float64 {
 	even := service.bound(1, load.Weight)
