--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -21,10 +21,11 @@
 	cycle    *retry.Request
 	delivery *delivery
 	walk     *walk
-	// step and fwd are of the present attempt.
-	step step
+	// at, sink and fwd are of the present attempt.
+	at   step
+	sink wire.Sink
 	fwd  *wire.Forward
-	hint wire.Hint
+	last wire.End
 	// attempts counts those sent to a home, resumptions not included.
 	attempts int
 }
@@ -40,20 +41,20 @@
 			Deadline: req.Deadline, Limits: req.Values.Retry,
 		}, e.budget),
 	}
-	step := retry.Step{Action: retry.Elsewhere}
+	todo := retry.Step{Action: retry.Elsewhere}
 	for {
-		if !s.wait(ctx, step.Wait) {
+		if !s.wait(ctx, todo.Wait) {
 			return s.result(s.cycle.Expired())
 		}
-		end, ok := s.act(ctx, step)
+		end, ok := s.act(ctx, todo)
 		if !ok {
 			return s.result(s.cycle.Exhausted())
 		}
-		step = s.next(ctx, end)
-		if step.Action == retry.Finish || step.Action == retry.GiveUp {
-			return s.result(step)
+		todo = s.next(ctx, end)
+		if todo.Action == retry.Finish || todo.Action == retry.GiveUp {
+			return s.result(todo)
 		}
-		e.cfg.Metrics.Retried(step.Reason)
+		e.cfg.Metrics.Retried(todo.Reason)
 	}
 }
 
@@ -71,12 +72,12 @@
 
 // act carries a step out; false means that there is no further candidate, or
 // that no target can go on from the text so far.
-func (s *serving) act(ctx context.Context, step retry.Step) (wire.End, bool) {
-	if step.Action == retry.ResumeSame {
+func (s *serving) act(ctx context.Context, todo retry.Step) (wire.End, bool) {
+	if todo.Action == retry.ResumeSame {
 		return s.resume(ctx), true
 	}
 	body := s.req.Body
-	if step.Action == retry.ResumeOther {
+	if todo.Action == retry.ResumeOther {
 		s.delivery.text.limit = tokenLimit(body)
 		if s.delivery.text.over() {
 			return s.finishText(), true
@@ -94,36 +95,43 @@
 }
 
 // send makes a new attempt at a candidate.
-func (s *serving) send(ctx context.Context, next step, body []byte) wire.End {
-	s.step = next
-	s.fwd = forwardOf(s.req, next)
+func (s *serving) send(ctx context.Context, at step, body []byte) wire.End {
+	s.at = at
+	s.fwd = forwardOf(s.req, at)
 	s.fwd.Body = body
+	s.sink = s.entry.withToken(s.req, at, s.delivery)
 	s.attempts++
 	s.delivery.attempt()
 	return s.forward(ctx)
 }
 
-// resume takes the present attempt's stream up again where it broke.
+// resume takes the present attempt's stream up again where it broke: through
+// the router that is the target's home now, and through this one where the home
+// was lost.
 func (s *serving) resume(ctx context.Context) wire.End {
 	s.fwd.Resume = true
 	s.fwd.ResumeFrom = s.delivery.next
 	s.fwd.Body = nil
+	_, home, ok := s.entry.cfg.Targets.Picker().Target(s.req.Service, s.at.Target.ID)
+	if ok {
+		s.at.Home = home
+	}
+	if s.last.Reason == reason.HomeUnreachable {
+		s.at.Home = &s.entry.cfg.Self
+	}
 	return s.forward(ctx)
 }
 
 func (s *serving) forward(ctx context.Context) wire.End {
-	if s.step.Home == nil {
+	if s.at.Home == nil {
 		return wire.Refused(reason.HomeUnreachable, wire.Hint{})
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		s.fwd.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
 	}
-	done := s.entry.loads.begin(s.step.Target.ID)
+	done := s.entry.loads.begin(s.at.Target.ID)
 	defer done()
-	sink := s.entry.withToken(s.req, s.step, s.delivery)
-	end := s.entry.cfg.Forwarder.Forward(ctx, *s.step.Home, s.fwd, sink)
-	s.walk.ended(s.step, end)
-	return end
+	return s.entry.cfg.Forwarder.Forward(ctx, *s.at.Home, s.fwd, s.sink)
 }
 
 // finishText ends an answer whose text is all there and of which only the end
@@ -137,40 +145,39 @@
 
 // next lets the life cycle decide what follows an end.
 func (s *serving) next(ctx context.Context, end wire.End) retry.Step {
-	s.hint = end.Hint
 	d := s.delivery
-	whole := end.Whole() && d.received()
-	if end.Whole() && !whole {
+	if end.Whole() && !d.received() {
 		end = wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
 	}
+	s.last = end
+	s.walk.ended(s.at, end)
 	if end.Reason == reason.AnswerMismatch || end.Reason == reason.AnswerTruncated {
 		s.entry.cfg.Metrics.Discarded(end.Reason)
 	}
 	return s.cycle.Next(time.Now(), retry.End{
-		Outcome: end.Outcome, Reason: end.Reason, Whole: whole || d.complete(), Events: d.next,
+		Outcome: end.Outcome, Reason: end.Reason, Whole: end.Whole() || d.complete(), Events: d.next,
 		CallerGone: d.gone || errors.Is(ctx.Err(), context.Canceled),
 	}, rand.Float64())
 }
 
-func (s *serving) result(step retry.Step) Result {
-	if step.Action == retry.Finish {
-		if err := s.delivery.begin(); err != nil {
-			step.Reason = reason.StreamBroken
-		}
+func (s *serving) result(last retry.Step) Result {
+	r := Result{
+		Outcome: last.Outcome, Reason: last.Reason, Started: s.delivery.started, Attempts: s.attempts,
+		RetryAfter: time.Duration(s.last.Hint.RetryAfterMS) * time.Millisecond,
 	}
-	return Result{
-		Outcome: step.Outcome, Reason: step.Reason, Started: s.delivery.started, Target: s.step.Target.ID,
-		RetryAfter: time.Duration(s.hint.RetryAfterMS) * time.Millisecond, Attempts: s.attempts,
+	if s.at.Target != nil {
+		r.Target = s.at.Target.ID
 	}
+	return r
 }
 
-func forwardOf(req *Request, s step) *wire.Forward {
+func forwardOf(req *Request, at step) *wire.Forward {
 	return &wire.Forward{
-		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: s.Target.ID, Kind: req.Kind,
+		Request: req.ID, Attempt: NewAttemptID(), Service: req.Service, Target: at.Target.ID, Kind: req.Kind,
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
 		Weight:       req.Values.Limits.Weight,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
-		ContextOnly: s.ContextOnly, Redirected: s.redirected, Wait: s.wait, Stream: req.Stream,
+		ContextOnly: at.ContextOnly, Redirected: at.redirected, Wait: at.wait, Stream: req.Stream,
 		Method: req.Method, Path: req.Path, Header: req.Header, IdempotencyKey: req.IdempotencyKey,
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -83,6 +83,7 @@
 	gate    home.Gate
 	entry   *entry.Entry
 	face    *caller.Face
+	open    *openStreams
 	ready   atomic.Bool
 
 	cancel context.CancelFunc
@@ -162,10 +163,13 @@
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
-		Forwarder: &forwarder{self: r.cfg.Self.ID, node: r.node, home: r.home},
-		Metrics:   r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
+		Forwarder: &forwarder{
+			self: r.cfg.Self.ID, node: r.node, home: r.home, targets: r.targets, open: r.open, log: r.log,
+		},
+		Metrics: r.deps.Metrics, Log: r.log, Clock: time.Now, Random: rand.Uint64, Peers: r.limitPeers,
 	})
 }
 
@@ -226,6 +230,7 @@
 	r.start(failures, "callers", r.face.Run)
 	r.startHome(ctx, failures)
 	r.startMeans(ctx, failures)
+	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
