membership: ring changes no longer put off the exchange of tables

A trial with 96 real routers started together left 5 of them without some others for 20 s: each probe repaired one router a time, changed the rings and so reset the wait for the exchange.

--- /dev/null
+++ b/measure/control.go
@@ -0,0 +1,231 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+func init() {
+	Register(Scenario{
+		Name:     "control",
+		Summary:  "control traffic a router by number of routers and targets",
+		Policies: []string{"ragwortpond"},
+		Run:      runControl,
+	})
+}
+
+const (
+	controlWarm    = 2 * time.Second
+	controlWindow  = 5 * time.Second
+	settingsChange = time.Second
+	directionSent  = "sent"
+)
+
+// controlRun is what one size measured. Bytes are those sent, a router and
+// second.
+type controlRun struct {
+	controlSize
+	// Bytes are control messages before QUIC, by method in ByMethod.
+	Bytes    float64            `json:"control_bytes_per_router_second"`
+	ByMethod map[string]float64 `json:"by_method"`
+	// WireBytes are all UDP payloads: messages, QUIC's own and its encryption.
+	WireBytes float64 `json:"wire_bytes_per_router_second"`
+	// CoreShare is processor time a router, as a share of one core.
+	CoreShare  float64 `json:"core_share_per_router"`
+	StoreCalls float64 `json:"store_calls_per_second"`
+	// HeapBytes is the heap in use a router.
+	HeapBytes float64 `json:"heap_bytes_per_router"`
+}
+
+// controlFigures are the runs and the slopes between the smallest and the
+// largest of them.
+type controlFigures struct {
+	Bytes           map[string]float64 `json:"control_bytes_per_router_second"`
+	WireBytes       map[string]float64 `json:"wire_bytes_per_router_second"`
+	BytesPerRouter  float64            `json:"bytes_per_added_router"`
+	BytesPerTarget  float64            `json:"bytes_per_added_target"`
+	StorePerRouter  float64            `json:"store_calls_per_second_per_added_router"`
+	SettingsPerSec  float64            `json:"settings_changes_per_second"`
+	ChangesOfLoad   float64            `json:"load_changes_per_home_second"`
+	RunsByRouters   []controlRun       `json:"runs_by_routers"`
+	RunsByTargets   []controlRun       `json:"runs_by_targets"`
+	UDPHeaderBytes  int                `json:"udp_ip_header_bytes_not_counted"`
+	MeasuredSeconds float64            `json:"measured_seconds_per_run"`
+}
+
+const udpHeaderBytes = 28
+
+var (
+	sizesByRouters = []controlSize{{6, 12, 2}, {24, 12, 2}, {96, 12, 2}}
+	sizesByTargets = []controlSize{{24, 48, 2}, {24, 300, 2}}
+)
+
+func runControl(ctx context.Context, o Options) (Report, error) {
+	figures := controlFigures{
+		Bytes: map[string]float64{}, WireBytes: map[string]float64{}, UDPHeaderBytes: udpHeaderBytes,
+		SettingsPerSec: 1 / settingsChange.Seconds(), ChangesOfLoad: 1 / loadChange.Seconds(),
+		MeasuredSeconds: controlWindow.Seconds(),
+	}
+	for _, size := range sizesByRouters {
+		run, err := measureControl(ctx, o, size)
+		if err != nil {
+			return Report{}, err
+		}
+		name := fmt.Sprint(size.Routers)
+		figures.Bytes[name], figures.WireBytes[name] = run.Bytes, run.WireBytes
+		figures.RunsByRouters = append(figures.RunsByRouters, run)
+	}
+	figures.RunsByTargets = append(figures.RunsByTargets, figures.RunsByRouters[1])
+	for _, size := range sizesByTargets {
+		run, err := measureControl(ctx, o, size)
+		if err != nil {
+			return Report{}, err
+		}
+		figures.RunsByTargets = append(figures.RunsByTargets, run)
+	}
+	figures.slopes()
+	return Report{
+		Results: []Result{{Policy: "ragwortpond", Figures: figures}},
+		Chart:   controlChart(figures),
+	}, nil
+}
+
+func (f *controlFigures) slopes() {
+	first, last := f.RunsByRouters[0], f.RunsByRouters[len(f.RunsByRouters)-1]
+	more := float64(last.Routers - first.Routers)
+	f.BytesPerRouter = (last.Bytes - first.Bytes) / more
+	f.StorePerRouter = (last.StoreCalls - first.StoreCalls) / more
+	few, many := f.RunsByTargets[0], f.RunsByTargets[len(f.RunsByTargets)-1]
+	f.BytesPerTarget = (many.Bytes - few.Bytes) / float64(many.Targets-few.Targets)
+}
+
+func controlChart(f controlFigures) *Chart {
+	chart := &Chart{Title: "Control bytes sent a router second"}
+	for _, runs := range [][]controlRun{f.RunsByRouters, f.RunsByTargets} {
+		group := Group{Label: "messages, and with QUIC"}
+		for _, r := range runs {
+			label := fmt.Sprintf("%d routers, %d targets", r.Routers, r.Targets)
+			group.Bars = append(group.Bars, Bar{label, r.Bytes}, Bar{label + ", QUIC", r.WireBytes})
+		}
+		chart.Groups = append(chart.Groups, group)
+	}
+	return chart
+}
+
+// controlTotals are counters at one time.
+type controlTotals struct {
+	at       time.Time
+	byMethod map[string]float64
+	wire     uint64
+	cpu      time.Duration
+	store    uint64
+}
+
+func measureControl(ctx context.Context, o Options, size controlSize) (controlRun, error) {
+	fmt.Fprintf(o.Progress, "%d routers, %d targets\n", size.Routers, size.Targets)
+	f, err := startControlFleet(ctx, size, o.Seed, o.Log)
+	if err != nil {
+		return controlRun{}, err
+	}
+	defer f.close()
+	pause(ctx, controlWarm)
+	before := f.totals()
+	if err := f.changeSettings(ctx, controlWindow); err != nil {
+		return controlRun{}, err
+	}
+	run := between(size, before, f.totals())
+	run.HeapBytes = heapInUse() / float64(size.Routers)
+	return run, nil
+}
+
+func between(size controlSize, a, b controlTotals) controlRun {
+	seconds := b.at.Sub(a.at).Seconds()
+	routerSeconds := seconds * float64(size.Routers)
+	run := controlRun{
+		controlSize: size, ByMethod: map[string]float64{},
+		WireBytes:  float64(b.wire-a.wire) / routerSeconds,
+		CoreShare:  (b.cpu - a.cpu).Seconds() / routerSeconds,
+		StoreCalls: float64(b.store-a.store) / seconds,
+	}
+	for method, bytes := range b.byMethod {
+		run.ByMethod[method] = (bytes - a.byMethod[method]) / routerSeconds
+		run.Bytes += run.ByMethod[method]
+	}
+	return run
+}
+
+func (f *controlFleet) totals() controlTotals {
+	t := controlTotals{at: time.Now(), byMethod: map[string]float64{}, cpu: processorTime()}
+	for _, n := range f.nodes {
+		t.wire += n.node.WireBytes()
+		n.addSent(t.byMethod)
+	}
+	for _, calls := range f.store.Counts() {
+		t.store += calls
+	}
+	return t
+}
+
+// addSent adds the control bytes that a router sent to the totals by method.
+func (n *controlNode) addSent(byMethod map[string]float64) {
+	families, err := n.set.Registry.Gather()
+	if err != nil {
+		return
+	}
+	for _, family := range families {
+		if family.GetName() != "ragwort_control_bytes_total" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			labels := map[string]string{}
+			for _, l := range m.GetLabel() {
+				labels[l.GetName()] = l.GetValue()
+			}
+			if labels["direction"] == directionSent {
+				byMethod[labels["method"]] += m.GetCounter().GetValue()
+			}
+		}
+	}
+}
+
+// changeSettings writes a change of a client account each settingsChange.
+func (f *controlFleet) changeSettings(ctx context.Context, d time.Duration) error {
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
+		o, err := f.store.Get(ctx, settings.KindAccounts, controlAccount)
+		if err != nil {
+			return err
+		}
+		data, err := json.Marshal(document{"key_hashes": []string{}, "settings": document{"limits": document{"burst": 50 + i}}})
+		if err != nil {
+			return err
+		}
+		if _, err := f.store.Put(ctx, o.Kind, o.Name, data, o.Version); err != nil {
+			return err
+		}
+		pause(ctx, min(settingsChange, time.Until(end)))
+	}
+	return ctx.Err()
+}
+
+// processorTime is what the process has used so far.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse)
+}
--- /dev/null
+++ b/measure/controlfleet.go
@@ -0,0 +1,204 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/loadmean"
+	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/settings/propagate"
+	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+const (
+	controlPool    = 256
+	controlSettle  = 20 * time.Second
+	controlLook    = 20 * time.Millisecond
+	controlAccount = "quiet"
+	// loadChange is the time between changes of the load of one home.
+	loadChange = 100 * time.Millisecond
+)
+
+// controlFleet runs the control parts of routers on loopback: membership, load
+// means and settings, over real peer connections, without callers and targets.
+type controlFleet struct {
+	store *standin.Objects
+	nodes []*controlNode
+	wait  sync.WaitGroup
+	stop  context.CancelFunc
+}
+
+type controlNode struct {
+	self    fleet.Router
+	node    *peer.Node
+	pool    *task.Pool
+	set     *metrics.Set
+	members *membership.Service
+	means   *loadmean.Service
+	source  *propagate.Service
+	// homed is the number of targets of each service that the router is home to.
+	homed map[fleet.ServiceName]int
+}
+
+// controlSize is the size of one run.
+type controlSize struct {
+	Routers  int `json:"routers"`
+	Targets  int `json:"targets"`
+	Services int `json:"services"`
+}
+
+func startControlFleet(ctx context.Context, size controlSize, seed uint64, log zerolog.Logger) (*controlFleet, error) {
+	f := &controlFleet{store: standin.NewObjects(standin.ObjectsConfig{})}
+	ctx, f.stop = context.WithCancel(ctx)
+	if err := f.build(ctx, size, seed, log); err != nil {
+		f.close()
+		return nil, err
+	}
+	if err := f.settle(ctx); err != nil {
+		f.close()
+		return nil, err
+	}
+	for i, n := range f.nodes {
+		f.wait.Go(func() { n.changeLoads(ctx, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	return f, nil
+}
+
+func (f *controlFleet) build(ctx context.Context, size controlSize, seed uint64, log zerolog.Logger) error {
+	for _, o := range chatFleet(document{}) {
+		if _, err := f.store.Put(ctx, o.Kind, o.Name, o.Data, 0); err != nil {
+			return err
+		}
+	}
+	authority, err := keys.NewAuthority("ragwortpond experiment")
+	if err != nil {
+		return err
+	}
+	var vms []platform.VM
+	for i := range size.Routers {
+		n, err := f.newNode(authority, i, seed, log)
+		if err != nil {
+			return err
+		}
+		vms = append(vms, platform.VM{Name: string(n.self.ID), Domain: n.self.Domain, State: fleet.Live, PeerAddr: n.self.PeerAddr})
+	}
+	for i := range size.Targets {
+		service := fleet.ServiceName(fmt.Sprintf("service-%d", i%size.Services))
+		f.nodes[(i/size.Services)%len(f.nodes)].homed[service]++
+	}
+	f.store.SetVMs(vms)
+	for _, n := range f.nodes {
+		n.node.Start()
+		f.wait.Go(func() { _ = n.members.Run(ctx) })
+		f.wait.Go(func() { _ = n.means.Run(ctx) })
+		f.wait.Go(func() { _ = n.source.Run(ctx) })
+	}
+	return nil
+}
+
+func (f *controlFleet) newNode(authority *keys.Authority, i int, seed uint64, log zerolog.Logger) (*controlNode, error) {
+	domain := domainOf(i)
+	id := fleet.RouterID(fmt.Sprintf("%s-r%d", domain, i+1))
+	pair, err := authority.Issue(string(id), []string{"127.0.0.1"})
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := keys.PeerTLS(pair, authority.Pair().Cert, peer.Protocol)
+	if err != nil {
+		return nil, err
+	}
+	n := &controlNode{set: metrics.NewSet(), homed: map[fleet.ServiceName]int{}}
+	if n.pool, err = task.NewPool(controlPool); err != nil {
+		return nil, err
+	}
+	mux := peer.NewMux()
+	n.node, err = peer.Bind(peer.Config{Addr: "127.0.0.1:0", TLS: tlsConfig, Mux: mux, Pool: n.pool, Metrics: n.set, Log: log})
+	if err != nil {
+		n.pool.Release()
+		return nil, err
+	}
+	f.nodes = append(f.nodes, n)
+	n.self = fleet.Router{ID: id, Domain: domain, Region: chatRegion, PeerAddr: n.node.Addr()}
+	n.assemble(f.store, mux, rand.New(rand.NewPCG(seed, uint64(i))), log)
+	return n, nil
+}
+
+func (n *controlNode) assemble(store *standin.Objects, mux *peer.Mux, r *rand.Rand, log zerolog.Logger) {
+	routers := func() []fleet.Router { return n.members.View().Routers }
+	n.members = membership.New(membership.Config{
+		Self: n.self, VMs: store, Caller: n.node, Clock: time.Now, Rand: r, Log: log, Metrics: n.set,
+		Values: func() settings.Membership { return settings.Defaults().Membership },
+	})
+	n.members.Register(mux)
+	n.means = loadmean.New(loadmean.Config{Self: n.self, Caller: n.node, Members: routers, Clock: time.Now, Log: log})
+	n.means.Register(mux)
+	n.source = propagate.New(propagate.Config{
+		Self: n.self, Store: store, Caller: n.node, Members: routers, Log: log, Metrics: n.set,
+	})
+	n.source.Register(mux)
+}
+
+// settle waits until every router sees all others and has its settings.
+func (f *controlFleet) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, controlSettle)
+	defer cancel()
+	for !f.settled() {
+		if ctx.Err() != nil {
+			return fmt.Errorf("control fleet of %d routers: not settled: %w", len(f.nodes), ctx.Err())
+		}
+		pause(ctx, controlLook)
+	}
+	return nil
+}
+
+func (f *controlFleet) settled() bool {
+	for _, n := range f.nodes {
+		if n.source.Snapshot() == nil {
+			return false
+		}
+		heard := 0
+		for _, m := range n.members.View().All {
+			if m.Router.Incarnation > 0 && m.State == membership.Alive {
+				heard++
+			}
+		}
+		if heard != len(f.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// changeLoads reports a load that wanders, as that of busy targets does.
+func (n *controlNode) changeLoads(ctx context.Context, r *rand.Rand) {
+	loads := map[fleet.ServiceName]float64{}
+	for ctx.Err() == nil {
+		for service, targets := range n.homed {
+			step := float64(r.IntN(2*targets+1) - targets)
+			loads[service] = min(max(loads[service]+step, 0), float64(20*targets))
+			n.means.Report(service, targets, loads[service])
+		}
+		pause(ctx, loadChange)
+	}
+}
+
+func (f *controlFleet) close() {
+	f.stop()
+	f.wait.Wait()
+	for _, n := range f.nodes {
+		n.node.Close()
+		n.pool.Release()
+	}
+}
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -128,7 +129,10 @@
 	}
 	t.heard = heard
 	t.beats = 0
-	clear(t.sync.differs)
+	maps.DeleteFunc(t.sync.differs, func(id fleet.RouterID, _ time.Time) bool {
+		_, watched := heard[id]
+		return !watched
+	})
 }
 
 // watch suspects predecessors that have been silent for too long.
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -313,6 +313,25 @@
 	}
 }
 
+// TestChangingRingsDoNotPutOffSync: a router that misses several others learns
+// of them by an exchange of tables although each probe changes its rings.
+func TestChangingRingsDoNotPutOffSync(t *testing.T) {
+	b := newBench(60, 1)
+	b.run(30 * time.Second)
+	table := b.tables["router-0"]
+	for i := 10; i < 40; i++ {
+		e := *table.entries[record(i).ID]
+		e.router.Incarnation = 0
+		table.put(&e)
+	}
+	b.run(10 * time.Second)
+	for _, m := range table.View().All {
+		if m.Router.Incarnation == 0 {
+			t.Fatalf("%s is still not known", m.Router.ID)
+		}
+	}
+}
+
 // TestViewsConvergeAfterFaults drives random faults and checks, against the
 // set of running routers as the oracle, that no view is ever empty, that no
 // running router is forgotten for good, and that views agree once the faults
--- a/peer/node.go
+++ b/peer/node.go
@@ -57,6 +57,7 @@
 // Node is one router's end of the protocol. It is safe for concurrent use.
 type Node struct {
 	cfg       Config
+	socket    *countingConn
 	transport *quic.Transport
 	listener  *quic.Listener
 	ctx       context.Context
@@ -96,9 +97,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: listen %s: %w", cfg.Addr, err)
 	}
+	counted := &countingConn{UDPConn: socket}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, transport: &quic.Transport{Conn: socket},
+		cfg: cfg, socket: counted, transport: &quic.Transport{Conn: counted},
 		ctx: ctx, cancel: cancel, conns: map[string]*link{},
 	}
 	n.listener, err = n.transport.Listen(cfg.TLS, quicConfig())
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countingConn is the UDP socket of a node; it counts what is sent.
+type countingConn struct {
+	*net.UDPConn
+	sent atomic.Uint64
+}
+
+// WriteMsgUDP implements quic.OOBCapablePacketConn.
+func (c *countingConn) WriteMsgUDP(b, oob []byte, addr *net.UDPAddr) (n, oobn int, err error) {
+	n, oobn, err = c.UDPConn.WriteMsgUDP(b, oob, addr)
+	c.sent.Add(uint64(n))
+	return n, oobn, err
+}
+
+// WriteTo implements net.PacketConn.
+func (c *countingConn) WriteTo(b []byte, addr net.Addr) (int, error) {
+	n, err := c.UDPConn.WriteTo(b, addr)
+	c.sent.Add(uint64(n))
+	return n, err
+}
+
+// WireBytes returns the bytes that the node has sent over UDP: control and data
+// with all that QUIC adds, without the headers of UDP and IP.
+func (n *Node) WireBytes() uint64 {
+	return n.socket.sent.Load()
+}
