--- a/journal/submit.go
+++ b/journal/submit.go
@@ -16,6 +16,7 @@
 
 const (
 	remoteTimeout = 800 * time.Millisecond
+	settleTimeout = 3 * time.Second
 	joinMargin    = 50 * time.Millisecond
 )
 
@@ -84,7 +85,11 @@
 }
 
 func (l *Log) submitTo(ctx context.Context, writer fleet.Router, cell Cell, op *Op) Verdict {
-	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	timeout := remoteTimeout
+	if op.Kind != OpBegin {
+		timeout = settleTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var r reply
 	err := l.cfg.Caller.Call(ctx, writer.PeerAddr, peer.MethodJournal, &call{Cell: cell, Op: op}, &r)
@@ -160,16 +165,14 @@
 	if record.Owner == l.owner {
 		return l.watch(ctx, record.Nonce), nil
 	}
-	for _, r := range l.cfg.Members() {
-		if r.ID != record.Owner.Router {
-			continue
-		}
-		var answer reply
-		question := &call{Nonce: record.Nonce, Boot: record.Owner.Boot, WaitMS: waitOf(ctx)}
-		err := l.cfg.Caller.Call(ctx, r.PeerAddr, peer.MethodJournal, question, &answer)
-		return answer.Attempt, err
+	owner, ok := l.cfg.Find(record.Owner.Router)
+	if !ok {
+		return progress{}, peer.ErrUnreachable
 	}
-	return progress{}, peer.ErrUnreachable
+	var answer reply
+	question := &call{Nonce: record.Nonce, Boot: record.Owner.Boot, WaitMS: waitOf(ctx)}
+	err := l.cfg.Caller.Call(ctx, owner.PeerAddr, peer.MethodJournal, question, &answer)
+	return answer.Attempt, err
 }
 
 func waitOf(ctx context.Context) int64 {
