router/withdraw: a leaving target is emptied by its home

The home follows the settings and the VM list, offers the machine of package withdrawal the chats of its table, and those of the engine's cache events that no table knows, carries KV caches to the target that the chat's return is placed on, and tells the homes that the return asks. For chats of a prefix group the entry now sends the group's spread along, and the home remembers both.

An engine that refuses because it is leaving is left out for a while at once.

--- /dev/null
+++ b/measure/bed/withdrawal_test.go
@@ -0,0 +1,98 @@
+package bed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/withdrawal"
+)
+
+// withdrawn waits until the home of a target says that it is empty.
+func withdrawn(ctx context.Context, t *testing.T, b *Bed, id fleet.TargetID) withdrawal.Status {
+	t.Helper()
+	for ctx.Err() == nil {
+		for _, m := range b.Members() {
+			for _, s := range m.Router.Withdrawals() {
+				if s.Target == id && s.Phase == withdrawal.Empty {
+					return s.Status
+				}
+			}
+		}
+		time.Sleep(pollInterval)
+	}
+	t.Fatalf("%s was not emptied", id)
+	return withdrawal.Status{}
+}
+
+func setState(ctx context.Context, t *testing.T, b *Bed, id fleet.TargetID, state fleet.Lifecycle) {
+	t.Helper()
+	_, err := b.Change(ctx, settings.KindTargets, string(id), func(doc map[string]any) { doc["state"] = state })
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWithdrawalMovesChats fills an engine with chats, withdraws it and wants
+// every chat to find its context elsewhere.
+func TestWithdrawalMovesChats(t *testing.T) {
+	b, client, ctx := startBed(t, quick())
+	chats := make([]*Chat, 36)
+	say := func(text string) {
+		for i, c := range chats {
+			a, err := client.Say(ctx, b.Members()[i%len(b.Members())], c, text, 0)
+			if err != nil || !a.Right {
+				t.Fatalf("chat %d: %+v, %v", i, a, err)
+			}
+		}
+	}
+	for i := range chats {
+		chats[i] = &Chat{ID: fmt.Sprint("moved-", i), Account: account, Service: service}
+	}
+	say("a first question of some length")
+	var id fleet.TargetID
+	for _, e := range b.Engines() {
+		if e.Stats().Executed > 1 {
+			id = e.ID()
+			break
+		}
+	}
+	setState(ctx, t, b, id, fleet.Leaving)
+	s := withdrawn(ctx, t, b, id)
+	if s.Moved == 0 || s.Failed > 0 {
+		t.Fatalf("status %+v", s)
+	}
+	accepted := b.Engine(id).Stats().Executed
+	prompts, cached := b.CacheTokens()
+	say("a second question")
+	newPrompts, newCached := b.CacheTokens()
+	if n := b.Engine(id).Stats().Executed; n != accepted {
+		t.Errorf("%d requests reached the withdrawn engine", n-accepted)
+	}
+	reuse := float64(newCached-cached) / float64(newPrompts-prompts)
+	t.Logf("%d chats moved, reuse %.3f", s.Moved, reuse)
+	if reuse < 0.93 {
+		t.Errorf("reuse %.3f after the withdrawal", reuse)
+	}
+}
+
+// TestWithdrawalCalledOff wants an engine to take work again.
+func TestWithdrawalCalledOff(t *testing.T) {
+	b, client, ctx := startBed(t, quick())
+	id := b.Snapshot().Targets[service][0].ID
+	setState(ctx, t, b, id, fleet.Leaving)
+	withdrawn(ctx, t, b, id)
+	setState(ctx, t, b, id, fleet.Live)
+	for i := 0; b.Engine(id).Stats().Executed == 0; i++ {
+		if ctx.Err() != nil {
+			t.Fatal("the engine gets no work")
+		}
+		chat := &Chat{ID: fmt.Sprint("back-", i), Account: account, Service: service}
+		if _, err := client.Say(ctx, b.Members()[0], chat, "hello", 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -99,6 +99,7 @@
 	s.at = at
 	s.fwd = forwardOf(s.req, at)
 	s.fwd.Body = body
+	s.fwd.Spread = s.walk.spread
 	s.sink = s.entry.withToken(s.req, at, s.delivery)
 	s.attempts++
 	s.delivery.attempt()
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -23,6 +23,8 @@
 	req    *Request
 	picker *placement.Picker
 	plan   placement.Plan
+	// spread is the number of targets that the prefix group uses.
+	spread int
 	index  int
 	// redirect is the step that a home's hint asks for next.
 	redirect *step
@@ -48,7 +50,7 @@
 		r.Spread = placement.Spread(e.groups.observe(req, now), picker.Size(req.Service))
 		r.Context = e.contextOf(req, now)
 	}
-	return &walk{entry: e, req: req, picker: picker, plan: picker.Pick(r)}
+	return &walk{entry: e, req: req, picker: picker, plan: picker.Pick(r), spread: r.Spread}
 }
 
 // next returns the next step, and false when none is left.
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -39,6 +39,7 @@
 	Gate     Gate
 	Targets  *targets.Tracker
 	Chats    *Chats
+	Groups   *Groups
 	Engine   engine.Client
 	Plain    plain.Client
 	Metrics  *metrics.Set
@@ -115,8 +116,11 @@
 	case end.Reason == reason.TargetDown:
 		h.cfg.Targets.Down(t.ID)
 		h.cfg.Chats.ForgetTarget(t.ID)
+	case end.Reason == reason.TargetLeaving:
+		h.cfg.Targets.Down(t.ID)
 	case end.Outcome != outcome.NotDispatched && fwd.Chat != 0:
 		h.cfg.Chats.Record(fwd.Chat, t.ID, fwd.PromptTokens+fwd.AnswerTokens)
+		h.cfg.Groups.Record(fwd)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,7 @@
 	"ragwortpond.example/ragwortpond/router/home"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/router/withdraw"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
@@ -88,7 +89,9 @@
 	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
+	groups  *home.Groups
 	home    *home.Home
+	leaving *withdraw.Driver
 	gate    home.Gate
 	entry   *entry.Entry
 	journal *journal.Log
@@ -170,13 +173,15 @@
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Policy: r.deps.Policy, Clock: time.Now,
 	})
 	r.chats = home.NewChats(settings.Defaults().Placement.ChatTableEntries, time.Now)
+	r.groups = home.NewGroups(settings.Defaults().Placement.ChatTableEntries)
 	r.gate = r.newGate()
 	r.home = home.New(home.Config{
 		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Targets: r.targets, Chats: r.chats,
-		Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+		Groups: r.groups, Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.leaving = r.newWithdrawals()
 	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
@@ -244,6 +249,7 @@
 	r.start(failures, "callers", r.face.Run)
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startHome(ctx, failures)
+	r.start(failures, "withdrawals", func() error { return r.leaving.Run(ctx) })
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
--- a/router/wire/wire.go
+++ b/router/wire/wire.go
@@ -13,15 +13,17 @@
 
 // Forward asks the home of Target to dispatch one attempt.
 type Forward struct {
-	Request  fleet.RequestID   `cbor:"1,keyasint"`
-	Attempt  fleet.AttemptID   `cbor:"2,keyasint"`
-	Service  fleet.ServiceName `cbor:"3,keyasint"`
-	Target   fleet.TargetID    `cbor:"4,keyasint"`
-	Kind     fleet.TargetKind  `cbor:"5,keyasint"`
-	Account  fleet.AccountName `cbor:"6,keyasint"`
-	Chat     fleet.ChatKey     `cbor:"7,keyasint,omitempty"`
-	Prefix   fleet.PrefixKey   `cbor:"8,keyasint,omitempty"`
-	Priority int               `cbor:"9,keyasint,omitempty"`
+	Request fleet.RequestID   `cbor:"1,keyasint"`
+	Attempt fleet.AttemptID   `cbor:"2,keyasint"`
+	Service fleet.ServiceName `cbor:"3,keyasint"`
+	Target  fleet.TargetID    `cbor:"4,keyasint"`
+	Kind    fleet.TargetKind  `cbor:"5,keyasint"`
+	Account fleet.AccountName `cbor:"6,keyasint"`
+	Chat    fleet.ChatKey     `cbor:"7,keyasint,omitempty"`
+	Prefix  fleet.PrefixKey   `cbor:"8,keyasint,omitempty"`
+	// Spread is the number of targets that the prefix group uses.
+	Spread   int `cbor:"24,keyasint,omitempty"`
+	Priority int `cbor:"9,keyasint,omitempty"`
 	// DeadlineMS is the time left in milliseconds; zero means none.
 	DeadlineMS int64 `cbor:"10,keyasint,omitempty"`
 	// PromptTokens and AnswerTokens estimate the work.
--- /dev/null
+++ b/router/withdrawals.go
@@ -0,0 +1,28 @@
+package router
+
+import (
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/router/withdraw"
+)
+
+func (r *Router) newWithdrawals() *withdraw.Driver {
+	return withdraw.New(withdraw.Config{
+		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Picker: r.targets.Picker,
+		Chats: r.chats, Groups: r.groups, InFlight: r.targetInFlight, Engine: r.deps.Engine,
+		Notify: r.Notify, Log: r.log,
+	})
+}
+
+// targetInFlight returns the attempts in flight before a target at this home.
+func (r *Router) targetInFlight(id fleet.TargetID) int {
+	if gate, ok := r.gate.(interface{ InFlight(fleet.TargetID) int }); ok {
+		return gate.InFlight(id)
+	}
+	return 0
+}
+
+// Withdrawals returns the withdrawals that this router drives as the home of
+// leaving targets.
+func (r *Router) Withdrawals() []withdraw.Status {
+	return r.leaving.Statuses()
+}
