--- a/router/home/home.go
+++ b/router/home/home.go
@@ -50,6 +50,7 @@
 type Home struct {
 	cfg      Config
 	inFlight atomic.Int64
+	refusing atomic.Bool
 }
 
 // New returns a home.
@@ -73,12 +74,29 @@
 	if sink.Accepted() != nil {
 		return
 	}
-	sink.End(h.Serve(ctx, &fwd, sink))
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	sink.End(h.serve(ctx, &fwd, sink))
+}
+
+// Refuse makes the home refuse new attempts with reason.Draining. Once nothing
+// is in flight after that, nothing will be.
+func (h *Home) Refuse() {
+	h.refusing.Store(true)
 }
 
 // Serve admits and dispatches one attempt and passes its answer to sink. It
 // returns when the attempt is over; cancelling ctx cancels it at the target.
 func (h *Home) Serve(ctx context.Context, fwd *wire.Forward, sink wire.Sink) wire.End {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	return h.serve(ctx, fwd, sink)
+}
+
+func (h *Home) serve(ctx context.Context, fwd *wire.Forward, sink wire.Sink) wire.End {
+	if h.refusing.Load() && !fwd.Resume {
+		return wire.Refused(reason.Draining, wire.Hint{})
+	}
 	target, ok := h.target(fwd)
 	if !ok {
 		return wire.Refused(reason.NoTarget, wire.Hint{})
@@ -96,8 +114,6 @@
 		return refusal
 	}
 	defer release()
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	gauge := h.cfg.Metrics.InFlight.WithLabelValues("home")
 	gauge.Inc()
 	defer gauge.Dec()
@@ -124,7 +140,7 @@
 	}
 }
 
-// InFlight returns the number of attempts dispatched and not yet over.
+// InFlight returns the number of attempts taken and not yet over.
 func (h *Home) InFlight() int {
 	return int(h.inFlight.Load())
 }
