--- a/router/drain.go
+++ b/router/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const drainPoll = 10 * time.Millisecond
@@ -25,7 +26,7 @@
 	r.members.Leave(ctx)
 	began := time.Now()
 	r.handOver(ctx, time.Time{})
-	pause(ctx, stop.ReadyDelayMS.Duration()-time.Since(began))
+	_ = task.Sleep(ctx, stop.ReadyDelayMS.Duration()-time.Since(began))
 	r.face.Refuse()
 	r.home.Refuse()
 	ctx, cancel := context.WithTimeout(ctx, stop.LimitMS.Duration())
@@ -34,13 +35,13 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("router: stopped with %d requests in flight: %w", r.InFlight(), ctx.Err())
 		}
-		pause(ctx, drainPoll)
+		_ = task.Sleep(ctx, drainPoll)
 	}
 	if err := r.journal.Flush(ctx); err != nil {
 		return fmt.Errorf("router: stopped with results that are not recorded: %w", err)
 	}
 	r.handOver(ctx, began)
-	pause(ctx, closeGrace)
+	_ = task.Sleep(ctx, closeGrace)
 	return nil
 }
 
@@ -49,11 +50,3 @@
 func (r *Router) InFlight() int {
 	return r.face.InFlight() + r.home.InFlight()
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
