router/entry: a failed attempt begins the plan anew

Under the load bound a request could reach a failing engine from its one place in a queue, and then had no step left: an engine that fails fast has room. After a failure the plan is walked again without the targets that failed; the number of attempts and the budget bound it.

--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -87,6 +87,9 @@
 			return wire.End{}, false
 		}
 	}
+	if todo.Charged {
+		s.walk.again(s.at.Target.ID)
+	}
 	next, ok := s.walk.next()
 	if !ok {
 		return wire.End{}, false
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -30,8 +30,10 @@
 	redirect *step
 	// hinted says that a hint was followed; only one is.
 	hinted bool
-	// refused are the targets that refused unconditionally.
+	// refused are the targets that refused unconditionally, failed those at
+	// which an attempt failed.
 	refused []fleet.TargetID
+	failed  []fleet.TargetID
 	// queue is the step to queue at: the fullest target never, the one with
 	// most room first.
 	queue     *step
@@ -96,6 +98,14 @@
 	}
 }
 
+// again begins the plan anew after an attempt failed: targets that had no room
+// before may have some now, and only those that failed are left out.
+func (w *walk) again(failed fleet.TargetID) {
+	w.failed = append(w.failed, failed)
+	w.refused = append([]fleet.TargetID(nil), w.failed...)
+	w.index, w.redirect, w.queue, w.queued = 0, nil, nil, false
+}
+
 // follow makes the target that a home named the next step, once in a walk.
 func (w *walk) follow(target fleet.TargetID) {
 	if target == "" || w.hinted || w.hasRefused(target) {
