--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -142,10 +142,7 @@
 // before counts the prompt and the part of it that was read before: all but
 // the new message of a chat that had an answer, or the sheet of a new chat.
 func (t *tally) before(conv *conversation, sayTokens int) {
-	held := 0
-	for _, m := range conv.chat.Messages {
-		held += len(strings.Fields(m.Content)) + 1
-	}
+	held := heldTokens(conv.chat.Messages)
 	t.requests.Add(1)
 	t.promptTokens.Add(int64(held + sayTokens + 1))
 	if len(conv.chat.Messages) > 1 || t.hadSheet(conv.sheet) {
@@ -153,6 +150,15 @@
 	}
 }
 
+// heldTokens counts the tokens of a chat as the stand-in engines do.
+func heldTokens(messages []standin.Message) int {
+	held := 0
+	for _, m := range messages {
+		held += len(strings.Fields(m.Content)) + 1
+	}
+	return held
+}
+
 func (t *tally) hadSheet(sheet int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/measure/withdrawal.go
@@ -0,0 +1,246 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/placement"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/withdrawal"
+)
+
+// The two ways compared.
+const (
+	withKV    = "kv-handoff"
+	withoutKV = "no-handoff"
+)
+
+func init() {
+	Register(Scenario{
+		Name:     "withdrawal",
+		Summary:  "engines withdrawn by two routes and routers stopped under load: what is cut, late work, reuse of moved chats",
+		Policies: []string{withKV, withoutKV},
+		Run:      runWithdrawal,
+	})
+}
+
+// The course of one run.
+const (
+	withdrawalChats   = 160
+	withdrawalTurns   = 2
+	withdrawalWarm    = time.Second
+	withdrawalPoll    = 20 * time.Millisecond
+	withdrawalLimit   = 20 * time.Second
+	withdrawalKVBytes = 4 << 20
+	withdrawalSettle  = 500 * time.Millisecond
+)
+
+// withdrawalFigures are the figures of one way.
+type withdrawalFigures struct {
+	// Cut counts requests whose answer was not right and that were not told
+	// not-run.
+	Cut int64 `json:"cut"`
+	// LateWorkMS is how long after the announcement a leaving engine last
+	// accepted work.
+	LateWorkMS float64 `json:"late_work_ms"`
+	// EmptiedMS is how long the slowest withdrawal took.
+	EmptiedMS float64 `json:"emptied_ms"`
+	// ReuseBefore and ReuseAfter are cached tokens over prompt tokens of the
+	// chats of the withdrawn engines.
+	ReuseBefore float64 `json:"reuse_before"`
+	ReuseAfter  float64 `json:"reuse_after"`
+	BoundBefore float64 `json:"reuse_before_bound"`
+	BoundAfter  float64 `json:"reuse_after_bound"`
+	// ReuseKept is reuse after over reuse before, each as a share of its
+	// bound: chats grow from one turn to the next.
+	ReuseKept float64 `json:"reuse_kept"`
+	Chats       int     `json:"chats_of_the_engines"`
+	Moved       int     `json:"chats_moved"`
+	MoveFailed  int     `json:"chats_move_failed"`
+	KVBytes     int64   `json:"kv_bytes"`
+	Stopped     int     `json:"routers_stopped"`
+	StopMS      float64 `json:"router_stop_ms"`
+	Requests    int64   `json:"requests"`
+	Whole       int64   `json:"whole_answers"`
+	Refused     int64   `json:"refused_not_run"`
+	RanTwice    int     `json:"ran_twice"`
+}
+
+func runWithdrawal(ctx context.Context, o Options) (Report, error) {
+	var report Report
+	for _, way := range []string{withKV, withoutKV} {
+		if !o.Wants(way) {
+			continue
+		}
+		fmt.Fprintf(o.Progress, "%s\n", way)
+		f, err := withdrawalOf(ctx, o, way)
+		if err != nil {
+			return report, fmt.Errorf("%s: %w", way, err)
+		}
+		report.Results = append(report.Results, Result{Policy: way, Figures: f})
+	}
+	report.Chart = withdrawalChart(report.Results)
+	return report, nil
+}
+
+func withdrawalOf(ctx context.Context, o Options, way string) (withdrawalFigures, error) {
+	rate := withdrawalKVBytes
+	if way == withoutKV {
+		rate = 0
+	}
+	e, err := startExperiment(ctx, o, placement.Ragwortpond, document{
+		"placement":  document{"load_multiple": reuseMultiple, "reuse_weight": 1},
+		"withdrawal": document{"kv_bytes_per_second": rate},
+	}, func(c *standin.EngineConfig) { c.TokensPerSecond = 400 })
+	if err != nil {
+		return withdrawalFigures{}, err
+	}
+	defer e.close()
+	w := &withdrawalRun{experiment: e, seed: o.Seed, leaving: map[fleet.TargetID]time.Time{}}
+	return w.run(ctx)
+}
+
+// withdrawalRun is one run of the scenario.
+type withdrawalRun struct {
+	*experiment
+	seed    uint64
+	figures withdrawalFigures
+	chats   []*quietChat
+	// leaving holds when each withdrawn engine was announced.
+	leaving map[fleet.TargetID]time.Time
+}
+
+func (w *withdrawalRun) run(ctx context.Context) (withdrawalFigures, error) {
+	w.warm(ctx)
+	ids := []fleet.TargetID{engineName(0), engineName(4)}
+	w.figures.ReuseBefore, w.figures.BoundBefore = w.returnOf(ctx, ids)
+	users := w.crowd(ctx)
+	_ = task.Sleep(ctx, withdrawalWarm)
+	err := w.withdraw(ctx, ids)
+	users.stop()
+	if err != nil {
+		return w.figures, err
+	}
+	_ = task.Sleep(ctx, withdrawalSettle)
+	w.figures.ReuseAfter, w.figures.BoundAfter = w.returnOf(ctx, ids)
+	w.figures.ReuseKept = ratio(ratio(w.figures.ReuseAfter, w.figures.BoundAfter),
+		ratio(w.figures.ReuseBefore, w.figures.BoundBefore))
+	users = w.crowd(ctx)
+	err = w.stopRouters(ctx)
+	users.stop()
+	w.sum()
+	return w.figures, err
+}
+
+func (w *withdrawalRun) crowd(ctx context.Context) *crowd {
+	return startCrowd(ctx, w.bed, w.client, w.tally, crowdConfig{
+		account: surgeAccount, service: chatService, users: 40, chats: 2, think: 150 * time.Millisecond,
+		sayTokens: 20, answerTokens: 40, tokenShare: 0.5, renewAfter: 20, seed: w.seed,
+	})
+}
+
+// withdraw announces the engines, one by the settings and one by the platform's
+// VM list, waits until they are empty and stops them.
+func (w *withdrawalRun) withdraw(ctx context.Context, ids []fleet.TargetID) error {
+	began := time.Now()
+	if _, err := w.bed.Change(ctx, settings.KindTargets, string(ids[0]), func(doc map[string]any) {
+		doc["state"] = fleet.Leaving
+	}); err != nil {
+		return err
+	}
+	w.leaving[ids[0]] = time.Now()
+	w.bed.SetVM(platform.VM{Name: string(ids[1]), Domain: domainOf(4), State: fleet.Leaving})
+	w.leaving[ids[1]] = time.Now()
+	for _, id := range ids {
+		s, err := w.emptied(ctx, id)
+		if err != nil {
+			return err
+		}
+		w.figures.Moved += s.Moved
+		w.figures.MoveFailed += s.Failed
+		w.figures.KVBytes += s.Bytes
+		w.figures.EmptiedMS = max(w.figures.EmptiedMS, milliseconds(time.Since(began)))
+		w.late(id)
+		if err := w.bed.Engine(id).Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// emptied waits until the target's home says that it is empty.
+func (w *withdrawalRun) emptied(ctx context.Context, id fleet.TargetID) (withdrawal.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, withdrawalLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, m := range running(w.bed) {
+			for _, s := range m.Router.Withdrawals() {
+				if s.Target == id && s.Phase == withdrawal.Empty {
+					return s.Status, nil
+				}
+			}
+		}
+		_ = task.Sleep(ctx, withdrawalPoll)
+	}
+	return withdrawal.Status{}, fmt.Errorf("%s was not emptied: %w", id, ctx.Err())
+}
+
+// late notes how long after its announcement an engine accepted work.
+func (w *withdrawalRun) late(id fleet.TargetID) {
+	last := w.bed.Engine(id).Stats().LastAccepted
+	w.figures.LateWorkMS = max(w.figures.LateWorkMS, milliseconds(last.Sub(w.leaving[id])))
+}
+
+// stopRouters stops one router of each failure domain, one after another.
+func (w *withdrawalRun) stopRouters(ctx context.Context) error {
+	for i, m := range w.bed.Members() {
+		if i%fleetRoutersPerDomain != 0 {
+			continue
+		}
+		_ = task.Sleep(ctx, withdrawalSettle)
+		began := time.Now()
+		if err := m.Stop(ctx); err != nil {
+			return err
+		}
+		w.figures.Stopped++
+		w.figures.StopMS = math.Max(w.figures.StopMS, milliseconds(time.Since(began)))
+	}
+	return nil
+}
+
+func (w *withdrawalRun) sum() {
+	t := w.tally
+	w.figures.Cut += t.wrong.Load() + t.lost.Load()
+	w.figures.Requests += t.requests.Load()
+	w.figures.Whole += t.whole.Load()
+	w.figures.Refused += t.refused.Load()
+	w.figures.RanTwice = w.ranTwice()
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+func withdrawalChart(results []Result) *Chart {
+	before, after := Group{Label: "reuse of the chats before"}, Group{Label: "reuse of the chats after"}
+	for _, r := range results {
+		f := r.Figures.(withdrawalFigures)
+		before.Bars = append(before.Bars, Bar{Label: r.Policy, Value: f.ReuseBefore})
+		after.Bars = append(after.Bars, Bar{Label: r.Policy, Value: f.ReuseAfter})
+	}
+	return &Chart{Title: "Withdrawal of two engines", Groups: []Group{before, after}}
+}
+
+// quietChat is a chat that goes on only between the phases of a run, with the
+// engine that last answered it.
+type quietChat struct {
+	chat *bed.Chat
+	at   fleet.TargetID
+}
