--- a/measure/withdrawal.go
+++ b/measure/withdrawal.go
@@ -60,17 +60,17 @@
 	BoundAfter  float64 `json:"reuse_after_bound"`
 	// ReuseKept is reuse after over reuse before, each as a share of its
 	// bound: chats grow from one turn to the next.
-	ReuseKept float64 `json:"reuse_kept"`
-	Chats       int     `json:"chats_of_the_engines"`
-	Moved       int     `json:"chats_moved"`
-	MoveFailed  int     `json:"chats_move_failed"`
-	KVBytes     int64   `json:"kv_bytes"`
-	Stopped     int     `json:"routers_stopped"`
-	StopMS      float64 `json:"router_stop_ms"`
-	Requests    int64   `json:"requests"`
-	Whole       int64   `json:"whole_answers"`
-	Refused     int64   `json:"refused_not_run"`
-	RanTwice    int     `json:"ran_twice"`
+	ReuseKept  float64 `json:"reuse_kept"`
+	Chats      int     `json:"chats_of_the_engines"`
+	Moved      int     `json:"chats_moved"`
+	MoveFailed int     `json:"chats_move_failed"`
+	KVBytes    int64   `json:"kv_bytes"`
+	Stopped    int     `json:"routers_stopped"`
+	StopMS     float64 `json:"router_stop_ms"`
+	Requests   int64   `json:"requests"`
+	Whole      int64   `json:"whole_answers"`
+	Refused    int64   `json:"refused_not_run"`
+	RanTwice   int     `json:"ran_twice"`
 }
 
 func runWithdrawal(ctx context.Context, o Options) (Report, error) {
