--- /dev/null
+++ b/httpconn/httpconn_test.go
@@ -0,0 +1,135 @@
+package httpconn_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"ragwortpond.example/ragwortpond/httpconn"
+)
+
+// serveRaw answers every connection with raw bytes, after it has read some.
+func serveRaw(tb testing.TB, raw string, keep bool) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buf := make([]byte, 4096)
+				for {
+					if _, err := conn.Read(buf); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, raw); err != nil || !keep {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func get(addr string) *protocol.Request {
+	return protocol.NewRequest("GET", "http://"+addr+"/", nil)
+}
+
+func TestBodiesAreWholeOrTold(t *testing.T) {
+	cases := map[string]struct {
+		raw  string
+		body string
+		want error
+	}{
+		"length":           {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "whole", nil},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole", nil},
+		"short":            {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "", httpconn.ErrTruncated},
+		"short chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", "", httpconn.ErrTruncated},
+		"without an end":   {"HTTP/1.1 200 OK\r\n\r\nno end", "", httpconn.ErrTruncated},
+		"too large":        {"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n", "", httpconn.ErrTooLarge},
+		"nothing at all":   {"", "", httpconn.ErrBroken},
+		"no HTTP":          {"hello\r\n\r\n", "", httpconn.ErrBroken},
+		"head without end": {"HTTP/1.1 200 OK\r\nContent-Le", "", httpconn.ErrBroken},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr := serveRaw(t, tc.raw, false)
+			var body []byte
+			x, err := httpconn.Start(t.Context(), addr, time.Second, get(addr))
+			if err == nil {
+				body, err = x.ReadAll(100)
+			}
+			if !errors.Is(err, tc.want) || string(body) != tc.body {
+				t.Errorf("got %q, %v; want %q, %v", body, err, tc.body, tc.want)
+			}
+			if errors.Is(err, httpconn.ErrNotSent) {
+				t.Error("told as not sent")
+			}
+		})
+	}
+}
+
+func TestCloseEndsAWaitingRead(t *testing.T) {
+	addr := serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true)
+	ctx, cancel := context.WithCancel(t.Context())
+	x, err := httpconn.Start(ctx, addr, time.Second, get(addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	read := make(chan error)
+	go func() {
+		_, err := x.Read(make([]byte, 10))
+		read <- err
+	}()
+	cancel()
+	if err := <-read; !errors.Is(err, httpconn.ErrBroken) || !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+const benchAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+// BenchmarkOwnConnection is one exchange over a connection of its own.
+func BenchmarkOwnConnection(b *testing.B) {
+	addr := serveRaw(b, benchAnswer, false)
+	for b.Loop() {
+		x, err := httpconn.Start(context.Background(), addr, time.Second, get(addr))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := x.ReadAll(100); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPool is one exchange over hertz's pool of connections.
+func BenchmarkPool(b *testing.B) {
+	addr := serveRaw(b, benchAnswer, true)
+	pool, err := client.NewClient(client.WithDialer(standard.NewDialer()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		resp := protocol.AcquireResponse()
+		if err := pool.Do(context.Background(), get(addr), resp); err != nil {
+			b.Fatal(err)
+		}
+		protocol.ReleaseResponse(resp)
+	}
+}
