bed: a key for context tokens where the settings have none

Cause: the examples hold no context key, so the demo's routers gave no tokens and returning chats were found by hashing and the homes' notes alone. Change: the bed makes a key, as it does for client accounts and operators.

--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -57,7 +58,7 @@
 	case settings.KindAccounts:
 		doc["key_hashes"], err = b.accountKey(fleet.AccountName(o.Name))
 	case settings.KindFleet:
-		err = b.operatorTokens(doc)
+		err = errors.Join(b.operatorTokens(doc), contextKeys(doc))
 	}
 	if err != nil {
 		return nil, err
@@ -88,6 +89,19 @@
 	return nil
 }
 
+// contextKeys gives the fleet a key for context tokens where it has none.
+func contextKeys(doc map[string]any) error {
+	if doc["context_keys"] != nil {
+		return nil
+	}
+	secret, err := keys.NewSecret("rwc_")
+	if err != nil {
+		return err
+	}
+	doc["context_keys"] = []settings.ContextKey{{ID: "bed", Secret: secret}}
+	return nil
+}
+
 func (b *Bed) startTarget(id fleet.TargetID, kind fleet.TargetKind) (string, error) {
 	if kind == fleet.KindPlain {
 		return b.startService(id)
