ragwort: settings init, usage errors as bad input; wait=in-force leaves out routers that left

Cause: a new fleet had no way to its first documents, since the API needs an operator; wrong flags exited 1 though 2 is bad input; a change waited 13 s for a router that had crashed though membership had removed it. Conclusion: tests run init with a lost answer, twice, over a changed document and in an outage.

--- a/cmd/ragwort/admin_client.go
+++ b/cmd/ragwort/admin_client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -93,3 +94,14 @@
 	}
 	return cmd.Args().Slice(), nil
 }
+
+// usageErrors makes wrong flags of a command and those below it bad input.
+func usageErrors(c *cli.Command) *cli.Command {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return cli.Exit(err, exitBadInput)
+	}
+	for _, below := range c.Commands {
+		usageErrors(below)
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/ragwort/init_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+func TestInit(t *testing.T) {
+	p, err := standin.StartPlatform(standin.PlatformConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	run := []string{"settings", "init", "--platform", p.Addr(), "../../examples/tocha-viva"}
+	p.SetFaults(standin.Faults{LoseAfter: 1})
+	first := expect(t, 0, "fleet.json", run...)
+	if again := expect(t, 0, "fleet.json", run...); again != first {
+		t.Errorf("the second run printed\n%s\nthe first\n%s", again, first)
+	}
+	if lines := strings.Split(strings.TrimSpace(first), "\n"); !strings.HasPrefix(lines[len(lines)-1], "fleet.json") {
+		t.Errorf("the fleet document is not the last:\n%s", first)
+	}
+	ctx := context.Background()
+	o, err := p.Get(ctx, settings.KindServices, "pedidos")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Put(ctx, o.Kind, o.Name, []byte(`{"kind":"engine"}`), o.Version); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, exitChanged, "services/pedidos.json is on the platform already", run...)
+	p.UpdateFaults(func(f *standin.Faults) { f.Outage = true })
+	expect(t, exitUnreachable, platform.ErrUnavailable.Error(), run...)
+}
+
+func TestUsageErrors(t *testing.T) {
+	expect(t, exitBadInput, "flag provided but not defined", "settings", "check", "--wrong")
+	expect(t, exitBadInput, "", "withdraw", "target")
+}
--- a/cmd/ragwort/main.go
+++ b/cmd/ragwort/main.go
@@ -35,13 +35,13 @@
 func root() *cli.Command {
 	commands := []*cli.Command{demoCommand(), measureCommand(), settingsCommand(), keysCommand()}
 	commands = append(commands, adminCommands()...)
-	return &cli.Command{
+	return usageErrors(&cli.Command{
 		Name:                  "ragwort",
 		Usage:                 "run, measure and administer a ragwortpond router fleet",
 		EnableShellCompletion: true,
 		Commands:              commands,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-	}
+	})
 }
 
 // report prints an error and returns the exit code that it carries.
--- a/cmd/ragwort/settings.go
+++ b/cmd/ragwort/settings.go
@@ -27,6 +27,7 @@
 				Name: "explain", Usage: "explain a key; without one, list all keys",
 				ArgsUsage: "[KEY]", Flags: []cli.Flag{outputFlag()}, Action: explainKey,
 			},
+			initCommand(),
 			effectiveCommand(),
 			getCommand(),
 			putCommand(),
--- a/settings/propagate/inforce.go
+++ b/settings/propagate/inforce.go
@@ -37,7 +37,8 @@
 }
 
 // WaitInForce asks every live router until all have the revision in force or
-// ctx ends, and says how far each one is.
+// ctx ends, and says how far each one is. Routers that leave the members
+// meanwhile are left out.
 func (p *Service) WaitInForce(ctx context.Context, revision uint64) InForce {
 	members := p.config.Members()
 	found := make([]RouterRevision, len(members))
@@ -51,16 +52,25 @@
 		})
 	}
 	asked.Wait()
+	found = slices.DeleteFunc(found, func(r RouterRevision) bool { return r.behind(revision) && !p.isMember(r.Router) })
 	slices.SortFunc(found, func(a, b RouterRevision) int { return cmp.Compare(a.Router, b.Router) })
-	behind := func(r RouterRevision) bool { return r.Fault != "" || r.Revision < revision }
-	return InForce{Revision: revision, InForce: !slices.ContainsFunc(found, behind), Routers: found}
+	behind := slices.ContainsFunc(found, func(r RouterRevision) bool { return r.behind(revision) })
+	return InForce{Revision: revision, InForce: !behind, Routers: found}
 }
 
-// waitFor asks one router until it has the revision or ctx ends.
+func (r RouterRevision) behind(revision uint64) bool {
+	return r.Fault != "" || r.Revision < revision
+}
+
+func (p *Service) isMember(id fleet.RouterID) bool {
+	return slices.ContainsFunc(p.config.Members(), func(m fleet.Router) bool { return m.ID == id })
+}
+
+// waitFor asks one router until it has the revision, has left, or ctx ends.
 func (p *Service) waitFor(ctx context.Context, m fleet.Router, revision uint64) RouterRevision {
 	for {
 		found := p.probe(ctx, m)
-		if found.Fault == "" && found.Revision >= revision {
+		if !found.behind(revision) || !p.isMember(m.ID) {
 			return found
 		}
 		if task.Sleep(ctx, probeInterval) != nil {
--- a/settings/propagate/run_test.go
+++ b/settings/propagate/run_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +101,24 @@
 	}
 }
 
+func TestWaitInForceLeavesOutRoutersThatLeft(t *testing.T) {
+	var asked atomic.Int64
+	members := func() []fleet.Router {
+		routers := testRouters(2, "a")
+		if asked.Add(1) > 2 {
+			return routers[:1]
+		}
+		return routers
+	}
+	p := New(Config{Self: testRouters(1, "a")[0], Caller: link{net: newNetwork()}, Members: members})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	got := p.WaitInForce(ctx, 0)
+	if !got.InForce || len(got.Routers) != 1 || ctx.Err() != nil {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // TestDomainRestartsDuringOutage replaces every router of a failure domain
 // while the platform is down: the other domain has the settings.
 func TestDomainRestartsDuringOutage(t *testing.T) {
