--- /dev/null
+++ b/router/orders/path_test.go
@@ -0,0 +1,135 @@
+package orders_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/plain"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/router/orders"
+	"ragwortpond.example/ragwortpond/router/wire"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// fakeJournal keeps one record.
+type fakeJournal struct {
+	record    *journal.Record
+	abandoned int
+}
+
+func (j *fakeJournal) Begin(context.Context, journal.Intent) (journal.Grant, error) {
+	if j.record != nil {
+		return journal.Grant{}, &journal.ExistsError{Record: *j.record}
+	}
+	j.record = &journal.Record{State: journal.StateIntent}
+	return journal.Grant{}, nil
+}
+
+func (j *fakeJournal) FinishLater(_ journal.Grant, r journal.Result) {
+	j.record.State, j.record.Answer = r.State, r.Answer
+}
+
+func (j *fakeJournal) Abandon(context.Context, journal.Grant) {
+	j.record = nil
+	j.abandoned++
+}
+
+func (j *fakeJournal) Join(_ context.Context, r journal.Record) (journal.Record, error) {
+	return r, nil
+}
+
+func (j *fakeJournal) Lookup(context.Context, fleet.AccountName, string) (journal.Record, error) {
+	return *j.record, nil
+}
+
+// fakeNext answers with a body, or ends without one.
+type fakeNext struct {
+	body   string
+	result entry.Result
+	calls  int
+}
+
+func (n *fakeNext) Do(_ context.Context, _ *entry.Request, out wire.Sink) entry.Result {
+	n.calls++
+	if n.result.Outcome == outcome.Answered {
+		_ = out.Head(wire.Head{Status: 201, Header: []plain.Field{{Name: "Location", Value: "/pedidos/7"}}})
+		_ = out.Event(0, []byte(n.body))
+	}
+	return n.result
+}
+
+// sink keeps an answer.
+type sink struct {
+	head wire.Head
+	body string
+}
+
+func (s *sink) Head(h wire.Head) error            { s.head = h; return nil }
+func (s *sink) Event(_ uint64, data []byte) error { s.body += string(data); return nil }
+func (s *sink) Flush() error                      { return nil }
+
+func orderRequest() *entry.Request {
+	values := settings.Defaults()
+	values.Journal.ResultBytes = 100
+	return &entry.Request{
+		Account: account, Service: service, Kind: fleet.KindPlain, Values: &values,
+		Method: "POST", Path: "/pedidos", IdempotencyKey: "key",
+	}
+}
+
+func (s *sink) omitted() bool {
+	for _, f := range s.head.Header {
+		if f.Name == orders.OmittedHeader {
+			return true
+		}
+	}
+	return false
+}
+
+func TestAnswersAreRecorded(t *testing.T) {
+	for _, c := range []struct {
+		body    string
+		omitted bool
+	}{{"small", false}, {strings.Repeat("x", 101), true}} {
+		next := &fakeNext{body: c.body, result: entry.Result{Outcome: outcome.Answered}}
+		server := orders.New(orders.Config{Next: next, Journal: &fakeJournal{}, Metrics: metrics.NewSet()})
+		var first, again sink
+		if r := server.Do(t.Context(), orderRequest(), &first); !r.Whole() || first.body != c.body || first.omitted() {
+			t.Fatalf("first: %+v %+v", r, first)
+		}
+		r := server.Do(t.Context(), orderRequest(), &again)
+		if !r.Whole() || again.head.Status != 201 || again.omitted() != c.omitted || next.calls != 1 {
+			t.Fatalf("repeat: %+v %+v, %d calls", r, again, next.calls)
+		}
+		if !c.omitted && again.body != c.body {
+			t.Fatalf("repeat got %q", again.body)
+		}
+	}
+}
+
+func TestEndsWithoutAnswer(t *testing.T) {
+	journaled := &fakeJournal{}
+	next := &fakeNext{result: entry.Result{Reason: reason.TargetRefused}}
+	server := orders.New(orders.Config{Next: next, Journal: journaled, Metrics: metrics.NewSet()})
+	if r := server.Do(t.Context(), orderRequest(), &sink{}); r.Reason != reason.TargetRefused || journaled.abandoned != 1 {
+		t.Fatalf("not dispatched: %+v, %d abandoned", r, journaled.abandoned)
+	}
+	next.result = entry.Result{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
+	if r := server.Do(t.Context(), orderRequest(), &sink{}); r.Reason != reason.NotRepeatable {
+		t.Fatalf("dispatched: %+v", r)
+	}
+	if r := server.Do(t.Context(), orderRequest(), &sink{}); r.Reason != reason.ResultUnknown || next.calls != 2 {
+		t.Fatalf("repeat: %+v, %d calls", r, next.calls)
+	}
+	keyless := orderRequest()
+	keyless.IdempotencyKey = ""
+	if r := server.Do(t.Context(), keyless, &sink{}); r.Reason != reason.NotRepeatable || next.calls != 3 {
+		t.Fatalf("without key: %+v, %d calls", r, next.calls)
+	}
+}
