router/entry: a caller goes on with its stream through another router

The head of a stream carries a token of the attempt and its target, bound to the chat. A caller whose router died sends it with Last-Event-ID to any other, which takes the stream up at the engine, through itself if the target's home is gone.

Tested with processes: a router killed after five events, the rest comes through the other one, byte for byte.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/hertz/pkg/app"
@@ -76,6 +77,8 @@
 	req.Body = bytes.Clone(raw)
 	req.Stream = body.Stream
 	req.Repeatable = true
+	req.Resume = string(c.GetHeader(entry.HeaderResume))
+	req.ResumeFrom = afterLastEvent(string(c.GetHeader(headerLastEvent)))
 	req.Context = string(c.GetHeader(HeaderContext))
 	req.Chat = chatKey(req.Account, string(c.GetHeader(HeaderChat)), body.Messages)
 	req.Prefix = prefixKey(body.Messages, v.Placement.PrefixTokens)
@@ -87,6 +90,16 @@
 	}
 }
 
+// afterLastEvent returns the number of the event that follows the one a caller
+// names as its last; without a usable number, that is the first.
+func afterLastEvent(last string) uint64 {
+	n, err := strconv.ParseUint(last, 10, 63)
+	if err != nil {
+		return 0
+	}
+	return n + 1
+}
+
 // parseChat decodes a chat request; a syntax error names its place.
 func parseChat(raw []byte) (chatBody, *refusal) {
 	var body chatBody
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -22,7 +22,9 @@
 	HeaderChat     = "Ragwort-Chat"
 	HeaderDeadline = "Ragwort-Deadline-Ms"
 	HeaderKey      = "Idempotency-Key"
-	headerRetry    = "Retry-After"
+
+	headerLastEvent = "Last-Event-ID"
+	headerRetry     = "Retry-After"
 )
 
 const defaultRetryAfter = time.Second
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -70,6 +70,9 @@
 	Repeatable bool
 	// Stream says that the answer comes as numbered events that can be resumed.
 	Stream bool
+	// Begun says that the request was dispatched before and that the caller may
+	// have a part of the answer: the first attempt is a resumption.
+	Begun bool
 	// Deadline is zero where there is none.
 	Deadline time.Time
 	Limits   settings.Retry
@@ -97,7 +100,12 @@
 // the budget.
 func New(c Config, b *Budget) *Request {
 	b.Deposit(c.Limits.BudgetRatio)
-	return &Request{config: c, budget: b, reason: reason.NoTarget}
+	r := &Request{config: c, budget: b, reason: reason.NoTarget}
+	if c.Begun {
+		r.begun, r.resuming = true, true
+		r.outcome, r.reason = outcome.Dispatched, reason.StreamBroken
+	}
+	return r
 }
 
 // Next takes the end of an attempt and says what follows. Jitter is uniform in
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -38,23 +38,26 @@
 		delivery: newDelivery(out, req.Stream, func() { e.cfg.Metrics.Discarded(reason.AnswerMismatch) }),
 		cycle: retry.New(retry.Config{
 			Repeatable: req.Repeatable, Stream: req.Stream && req.Kind == fleet.KindEngine,
-			Deadline: req.Deadline, Limits: req.Values.Retry,
+			Deadline: req.Deadline, Limits: req.Values.Retry, Begun: req.Resume != "",
 		}, e.budget),
 	}
-	todo := retry.Step{Action: retry.Elsewhere}
+	if ctx.Err() != nil {
+		return s.result(s.cycle.Expired())
+	}
+	end, ok := s.first(ctx)
 	for {
-		if !s.wait(ctx, todo.Wait) {
-			return s.result(s.cycle.Expired())
-		}
-		end, ok := s.act(ctx, todo)
 		if !ok {
 			return s.result(s.cycle.Exhausted())
 		}
-		todo = s.next(ctx, end)
+		todo := s.next(ctx, end)
 		if todo.Action == retry.Finish || todo.Action == retry.GiveUp {
 			return s.result(todo)
 		}
 		e.cfg.Metrics.Retried(todo.Reason)
+		if !s.wait(ctx, todo.Wait) {
+			return s.result(s.cycle.Expired())
+		}
+		end, ok = s.act(ctx, todo)
 	}
 }
 
@@ -87,7 +90,7 @@
 			return wire.End{}, false
 		}
 	}
-	if todo.Charged {
+	if todo.Charged && s.at.Target != nil {
 		s.walk.again(s.at.Target.ID)
 	}
 	next, ok := s.walk.next()
@@ -105,6 +108,7 @@
 	s.fwd.Spread = s.walk.spread
 	s.sink = s.entry.withToken(s.req, at, s.delivery)
 	s.attempts++
+	s.offerResume()
 	s.delivery.attempt()
 	return s.forward(ctx)
 }
@@ -154,7 +158,9 @@
 		end = wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
 	}
 	s.last = end
-	s.walk.ended(s.at, end)
+	if s.at.Target != nil {
+		s.walk.ended(s.at, end)
+	}
 	if end.Reason == reason.AnswerMismatch || end.Reason == reason.AnswerTruncated {
 		s.entry.cfg.Metrics.Discarded(end.Reason)
 	}
--- a/router/entry/delivery.go
+++ b/router/entry/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/router/wire"
 )
 
@@ -19,7 +20,9 @@
 	// dropped is called for every event that came a second time.
 	dropped func()
 
-	head    wire.Head
+	head wire.Head
+	// extra are fields added to the head.
+	extra   []plain.Field
 	started bool
 	// sent counts the caller's events; base is that count at the start of the
 	// present attempt and next the number of its next event.
@@ -41,6 +44,13 @@
 	d.next = 0
 }
 
+// takeUp goes on with the stream of an attempt of which the caller has all
+// events before number from.
+func (d *delivery) takeUp(from uint64) {
+	d.sent, d.next = from, from
+	d.text.opaque = true
+}
+
 // Head implements wire.Sink.
 func (d *delivery) Head(h wire.Head) error {
 	if !d.started {
@@ -78,6 +88,7 @@
 		return nil
 	}
 	d.started = true
+	d.head.Header = append(d.head.Header, d.extra...)
 	if err := d.out.Head(d.head); err != nil {
 		d.gone = true
 		return err
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -34,11 +34,15 @@
 	Deadline time.Time
 
 	// Chat requests.
-	Chat         fleet.ChatKey
-	Prefix       fleet.PrefixKey
-	Context      string
-	Returning    bool
-	Stream       bool
+	Chat      fleet.ChatKey
+	Prefix    fleet.PrefixKey
+	Context   string
+	Returning bool
+	Stream    bool
+	// Resume is the token of a stream that the caller goes on with, from event
+	// number ResumeFrom on.
+	Resume       string
+	ResumeFrom   uint64
 	PromptTokens int
 	AnswerTokens int
 
