--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -150,6 +150,13 @@
 	}
 }
 
+// restart forgets the times to the first byte so far.
+func (t *tally) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstMS = nil
+}
+
 // heldTokens counts the tokens of a chat as the stand-in engines do.
 func heldTokens(messages []standin.Message) int {
 	held := 0
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -72,6 +72,9 @@
 	// use; nil means that of math/rand.
 	IntN   func(n int) int
 	Timing Timing
+	// Watchers is the number of routers of each failure domain that hold a watch
+	// on the platform; zero means two.
+	Watchers int
 }
 
 // Service keeps one router's settings up to date. Its methods are safe for
@@ -80,6 +83,8 @@
 	config   Config
 	counters *metrics.Settings
 	owner    atomic.Pointer[owner]
+	// builder is used by the owner's task only.
+	builder  *settings.Builder
 	snapshot atomic.Pointer[settings.Snapshot]
 	complete atomic.Uint64
 	ready    chan struct{}
@@ -105,10 +110,14 @@
 	if config.Metrics == nil {
 		config.Metrics = metrics.NewSet()
 	}
+	if config.Watchers == 0 {
+		config.Watchers = defaultWatchers
+	}
 	config.Timing = config.Timing.withDefaults()
 	p := &Service{
 		config:   config,
 		counters: metrics.NewSettings(config.Metrics.Registry),
+		builder:  settings.NewBuilder(),
 		ready:    make(chan struct{}),
 		outbox:   make(chan Page, outboxPages),
 		watchers: map[int]func(*settings.Snapshot){},
@@ -203,7 +212,7 @@
 }
 
 func (p *Service) rebuild(objects []platform.Object) {
-	snapshot, findings := settings.Build(objects)
+	snapshot, findings := p.builder.Build(objects)
 	p.counters.Findings.Set(float64(len(findings)))
 	if len(findings) > 0 {
 		event.SettingsFindings.Log(p.config.Log).Int("findings", len(findings)).Stringer("first", findings[0]).Send()
@@ -231,15 +240,3 @@
 func (p *Service) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(p.config.IntN(int(d)))
 }
-
-// pause waits for d and reports whether ctx is still running.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
