router/entry: events are kept as differences and decoded only when needed

Each event of a stream was decoded on its way, only so that another engine could go on from the text if it came to that.

--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -81,6 +81,7 @@
 	}
 	body := s.req.Body
 	if todo.Action == retry.ResumeOther {
+		s.delivery.text.read()
 		s.delivery.text.limit = tokenLimit(body)
 		if s.delivery.text.over() {
 			return s.finishText(), true
--- a/router/entry/entry_test.go
+++ b/router/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -245,6 +246,8 @@
 	plain.add([]byte(`{"choices":[{"index":0,"delta":{"content":"a b"}}]}`))
 	tools.add([]byte(`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0}]}}]}`))
 	body := []byte(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"q"}],"temperature":0.5}`)
+	plain.read()
+	tools.read()
 	got, ok := continued(body, &plain)
 	if !ok {
 		t.Fatal("not continued")
@@ -262,3 +265,18 @@
 		t.Error("a message in parts was continued as text")
 	}
 }
+
+func TestEventLogKeepsEveryEvent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOf(rapid.StringMatching(`(abc){0,3}[ab]{0,4}(cba){0,3}`)).Draw(t, "events")
+		var log eventLog
+		for _, e := range events {
+			log.add([]byte(e))
+		}
+		var got []string
+		log.each(func(data []byte) { got = append(got, string(data)) })
+		if !slices.Equal(got, events) {
+			t.Fatalf("got %q", got)
+		}
+	})
+}
--- a/router/entry/text.go
+++ b/router/entry/text.go
@@ -9,9 +9,11 @@
 const lengthChunk = `{"object":"chat.completion.chunk","choices":[{"index":0,"delta":{},"finish_reason":"length"}]}`
 
 // text is the answer's text as far as it was delivered, from which another
-// engine can go on.
+// engine can go on. Events are only kept as they come; read decodes them when
+// the text is needed, which is seldom.
 type text struct {
-	b strings.Builder
+	log eventLog
+	b   strings.Builder
 	// tokens counts the events that carried text.
 	tokens int
 	// limit is the request's token limit, zero where it has none.
@@ -36,7 +38,19 @@
 	} `json:"choices"`
 }
 
+// add keeps an event.
 func (t *text) add(data []byte) {
+	t.log.add(data)
+}
+
+// read decodes the events kept so far.
+func (t *text) read() {
+	t.b.Reset()
+	t.tokens = 0
+	t.log.each(t.decode)
+}
+
+func (t *text) decode(data []byte) {
 	var c chunk
 	if json.Unmarshal(data, &c) != nil {
 		t.opaque = true
