--- a/placement/gate.go
+++ b/placement/gate.go
@@ -100,10 +100,15 @@
 	return d
 }
 
-// reserveShare scales the room that a gate leaves below the multiple: this many
-// square roots of the mean. Requests end at random, so the mean may fall by
-// about that much while a full target's requests go on.
-const reserveShare = 0.5
+const (
+	// reserveShare scales the room that a gate leaves below the multiple: this
+	// many square roots of the mean. Requests end at random, so the mean may
+	// fall by about that much while a full target's requests go on.
+	reserveShare = 0.5
+	// reserveMost bounds the reserve as a share of the room between the mean and
+	// its multiple, so that a load which grows finds room at every target.
+	reserveMost = 0.5
+)
 
 // targetBound is the most the target may carry with the attempt. Chats whose
 // context is on the target may go up to the multiple as far as reuse weighs,
@@ -115,9 +120,10 @@
 	if !here {
 		return even
 	}
-	reserve := reserveShare * math.Sqrt(service.Mean()*normalWeight(load.Weight))
-	multiple := 1 + (limits.Multiple-1)*limits.ReuseWeight
-	return max(even, service.bound(multiple, load.Weight)-reserve)
+	share := service.Mean() * normalWeight(load.Weight)
+	above := (limits.Multiple - 1) * limits.ReuseWeight
+	reserve := min(reserveShare*math.Sqrt(share), reserveMost*above*share)
+	return max(even, service.bound(1+above, load.Weight)-reserve)
 }
 
 // contextWait is how long a wait for the context may last: as long as reading
--- a/placement/gate_test.go
+++ b/placement/gate_test.go
@@ -106,3 +106,13 @@
 		t.Errorf("%v unaccounted after the report's life", got)
 	}
 }
+
+func TestLedgerAssumesWhatAFormerHomeLeft(t *testing.T) {
+	var l Ledger
+	l.Assume(10, at(0), 2*time.Second)
+	for second, want := range []float64{10, 5, 0, 0} {
+		if got := l.Unaccounted(at(second)); got != want {
+			t.Errorf("after %d s %v are assumed, want %v", second, got, want)
+		}
+	}
+}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -21,6 +21,11 @@
 	// time.
 	unaccounted float64
 	at          time.Time
+	// assumed is what a former home is taken to have left, fading out until
+	// assumedEnd.
+	assumed      float64
+	assumedStart time.Time
+	assumedEnd   time.Time
 }
 
 // ledgerEntry is the highest and the last own load noted in a slot of time.
@@ -65,13 +70,36 @@
 	return max(most, latest.last)
 }
 
-// Unaccounted returns the reported load that this home did not send. It fades
-// out over the life of the report, since work of a former home ends while no
-// later report tells of it.
+// Assume takes the target to carry work of a former home, which no report tells
+// of yet and which ends evenly over the given life of a request.
+func (l *Ledger) Assume(load float64, now time.Time, life time.Duration) {
+	l.assumed = load
+	l.assumedStart = now
+	l.assumedEnd = now.Add(life)
+}
+
+// Unaccounted returns the load that this home did not send, as reported or as
+// assumed, whichever is more.
 func (l *Ledger) Unaccounted(now time.Time) float64 {
+	return max(l.reported(now), l.left(now))
+}
+
+// reported is the unaccounted part of the last report. It fades out over the
+// life of the report, since work of a former home ends while no later report
+// tells of it.
+func (l *Ledger) reported(now time.Time) float64 {
 	age := now.Sub(l.at)
 	if l.unaccounted == 0 || age >= reportLife {
 		return 0
 	}
 	return l.unaccounted * (1 - max(age, 0).Seconds()/reportLife.Seconds())
 }
+
+// left is what remains of the assumed load.
+func (l *Ledger) left(now time.Time) float64 {
+	rest := l.assumedEnd.Sub(now)
+	if l.assumed == 0 || rest <= 0 {
+		return 0
+	}
+	return l.assumed * rest.Seconds() / l.assumedEnd.Sub(l.assumedStart).Seconds()
+}
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/reason"
@@ -12,8 +14,8 @@
 	placement.Step
 	// redirected says that a token or a home named the target.
 	redirected bool
-	// wait says that the attempt may queue.
-	wait bool
+	// wait is how long the attempt may queue; zero means that it may not.
+	wait time.Duration
 }
 
 // walk follows a request's plan: token, redirect by a home, candidates,
@@ -32,11 +34,7 @@
 	hinted bool
 	// refused are the targets that refused unconditionally.
 	refused []fleet.TargetID
-	// queue is the step to queue at: the fullest target never, the one with
-	// most room first.
-	queue     *step
-	queueFill float64
-	queued    bool
+	rounds  rounds
 }
 
 func (e *Entry) newWalk(req *Request) *walk {
@@ -69,13 +67,7 @@
 		s.redirected = s.Why == placement.ByToken
 		return s, true
 	}
-	if w.queue == nil || w.queued {
-		return step{}, false
-	}
-	w.queued = true
-	s := *w.queue
-	s.wait, s.ContextOnly = true, false
-	return s, true
+	return w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
 }
 
 // ended takes what became of a step.
@@ -87,7 +79,9 @@
 		w.follow(end.Hint.Target)
 	case end.Reason == reason.LoadBound:
 		w.refused = append(w.refused, s.Target.ID)
-		w.offerQueue(s, end.Hint)
+		w.rounds.add(s, end.Hint)
+	case end.Reason == reason.QueueTimeout && s.wait > 0:
+		w.rounds.timedOut(s, end.Hint)
 	case end.Reason == reason.TargetDown:
 		w.entry.cfg.Targets.Down(s.Target.ID)
 		w.refused = append(w.refused, s.Target.ID)
@@ -109,18 +103,6 @@
 	w.redirect = &step{Step: found, redirected: true}
 }
 
-// offerQueue keeps the step at which the request queues if nobody has room:
-// the target with the context, else the one that is least full.
-func (w *walk) offerQueue(s step, hint wire.Hint) {
-	fill := hint.Load / max(hint.Bound, 1)
-	if s.redirected || s.ContextOnly {
-		fill = 0
-	}
-	if w.queue == nil || fill < w.queueFill {
-		w.queue, w.queueFill = &s, fill
-	}
-}
-
 // note tells the home that is asked first when the chat returns without a token
 // where its context is now, unless it sent the chat there itself.
 func (w *walk) note(s step) {
--- a/router/home/dispatch.go
+++ b/router/home/dispatch.go
@@ -84,7 +84,7 @@
 func chatEnd(ctx context.Context, err error) wire.End {
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
-		return wire.Refused(reason.TargetDown, wire.Hint{})
+		return wire.Refused(notSentReason(ctx), wire.Hint{})
 	case errors.Is(err, engine.ErrLeaving):
 		return wire.Refused(reason.TargetLeaving, wire.Hint{})
 	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoStream):
@@ -120,7 +120,7 @@
 func plainEnd(ctx context.Context, err error) wire.End {
 	switch {
 	case errors.Is(err, plain.ErrNotSent):
-		return wire.Refused(reason.TargetDown, wire.Hint{})
+		return wire.Refused(notSentReason(ctx), wire.Hint{})
 	case errors.Is(err, plain.ErrRefused):
 		return wire.Refused(reason.TargetRefused, wire.Hint{})
 	case ctx.Err() != nil:
@@ -133,3 +133,16 @@
 		return wire.End{Outcome: outcome.Dispatched, Reason: reason.StreamBroken}
 	}
 }
+
+// notSentReason tells a target that cannot be reached from an attempt that was
+// given up before it was sent, which says nothing of its target.
+func notSentReason(ctx context.Context) reason.Code {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return reason.Deadline
+	case ctx.Err() != nil:
+		return reason.HomeUnreachable
+	default:
+		return reason.TargetDown
+	}
+}
--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -46,6 +46,10 @@
 	gates    map[fleet.TargetID]*targetGate
 	requests map[fleet.ServiceName]float64
 	waiting  int
+	// seen is the picker by which the gates' homes were last marked.
+	seen *placement.Picker
+	// life is the mean time that an attempt is at its target.
+	life time.Duration
 }
 
 // targetGate is the state before one target.
@@ -54,18 +58,26 @@
 	inFlight float64
 	ledger   placement.Ledger
 	queue    waitQueue
+	// homed says that this router is home to the target; takenOver that it has
+	// become so and no attempt came since.
+	homed     bool
+	takenOver bool
+	// used is when the last attempt came.
+	used time.Time
 }
 
 // NewLoadGate returns a gate; Run lets queued attempts follow the mean.
 func NewLoadGate(cfg GateConfig) *LoadGate {
-	return &LoadGate{cfg: cfg, gates: map[fleet.TargetID]*targetGate{}, requests: map[fleet.ServiceName]float64{}}
+	return &LoadGate{cfg: cfg, gates: map[fleet.TargetID]*targetGate{}, requests: map[fleet.ServiceName]float64{}, life: firstLife}
 }
 
 // Acquire implements Gate.
 func (g *LoadGate) Acquire(ctx context.Context, t fleet.Target, fwd *wire.Forward) (func(), wire.End) {
 	w := g.waiter(t, fwd)
 	g.mu.Lock()
+	g.follow()
 	gate := g.gate(t)
+	g.assume(gate)
 	d := g.decide(gate, w)
 	if d.Verdict == placement.Queue && !g.enqueue(gate, w) {
 		d.Verdict, d.Reason = placement.Refuse, reason.QueueFull
@@ -108,7 +120,7 @@
 		limits: placement.Limits{Multiple: values.Placement.LoadMultiple, ReuseWeight: values.Placement.ReuseWeight},
 		attempt: placement.Attempt{
 			Returning: fwd.Returning, PromptTokens: fwd.PromptTokens, ContextOnly: fwd.ContextOnly,
-			Redirected: fwd.Redirected, Wait: fwd.Wait, MaxWait: values.Queue.WaitMS.Duration(),
+			Redirected: fwd.Redirected, Wait: fwd.Wait, MaxWait: waitOf(fwd, values.Queue),
 		},
 		resume: fwd.Resume,
 	}
@@ -122,6 +134,15 @@
 	return w
 }
 
+// waitOf is the longest wait of an attempt that may queue.
+func waitOf(fwd *wire.Forward, q settings.Queue) time.Duration {
+	longest := q.WaitMS.Duration()
+	if fwd.WaitMS > 0 {
+		return min(longest, time.Duration(fwd.WaitMS)*time.Millisecond)
+	}
+	return longest
+}
+
 // decide must be called with the lock held.
 func (g *LoadGate) decide(gate *targetGate, w *waiter) placement.Decision {
 	if w.resume {
@@ -147,12 +168,18 @@
 }
 
 // serviceLoad is the load of a service: what this home has in flight and what
-// other homes reported.
+// other homes reported. Reports of a home that is gone are still there for a
+// while, so others together count for no more than the weight of the targets
+// that are not this home's.
 func (g *LoadGate) serviceLoad(service fleet.ServiceName) placement.ServiceLoad {
-	load := g.cfg.Means.Others(service)
-	load.Requests += g.requests[service]
-	load.Weight += g.cfg.Targets.Picker().HomedWeight(service, g.cfg.Self.ID)
-	return load
+	picker := g.cfg.Targets.Picker()
+	own := picker.HomedWeight(service, g.cfg.Self.ID) + g.actingWeight(service)
+	others := g.cfg.Means.Others(service)
+	if rest := max(picker.Weight(service)-own, 0); others.Weight > rest {
+		others.Requests *= rest / others.Weight
+		others.Weight = rest
+	}
+	return placement.ServiceLoad{Requests: others.Requests + g.requests[service], Weight: others.Weight + own}
 }
 
 func (g *LoadGate) gate(t fleet.Target) *targetGate {
@@ -177,9 +204,11 @@
 }
 
 func (g *LoadGate) releaser(gate *targetGate) func() {
+	start := g.cfg.Clock()
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		g.ended(g.cfg.Clock().Sub(start))
 		g.change(gate, -1)
 		g.pump(gate)
 	}
--- a/router/home/loadgate_test.go
+++ b/router/home/loadgate_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,17 +48,34 @@
 // beside ten that others are home to.
 type testGate struct {
 	*LoadGate
+	clock   atomic.Int64
 	others  *reported
 	chats   *Chats
 	targets map[fleet.TargetID]fleet.Target
 }
 
+// newTestGate returns a gate that has been home to its targets for a while.
 func newTestGate(others float64) *testGate {
+	g := newHome(others)
+	for id := range g.targets {
+		release, _ := g.acquire(id, wire.Forward{Resume: true})
+		release()
+	}
+	g.clock.Add(int64(time.Minute))
+	return g
+}
+
+// newHome returns a gate that has become home to its targets just now.
+func newHome(others float64) *testGate {
 	self := fleet.Router{ID: "r1", Domain: "a"}
 	e1 := fleet.Target{ID: "e1", Service: "chat", Domain: "a", Weight: 1}
 	e2 := fleet.Target{ID: "e2", Service: "chat", Domain: "a", Weight: 1}
-	snapshot := &settings.Snapshot{Targets: map[fleet.ServiceName][]fleet.Target{"chat": {e1, e2}}}
-	view := &membership.View{Routers: []fleet.Router{self}}
+	all := []fleet.Target{e1, e2}
+	for i := range 10 {
+		all = append(all, fleet.Target{ID: fleet.TargetID(fmt.Sprintf("other-%d", i)), Service: "chat", Domain: "b", Weight: 1})
+	}
+	snapshot := &settings.Snapshot{Targets: map[fleet.ServiceName][]fleet.Target{"chat": all}}
+	view := &membership.View{Routers: []fleet.Router{self, {ID: "r2", Domain: "b"}}}
 	tracker := targets.New(targets.Config{
 		Self: self, Clock: time.Now,
 		Snapshot: func() *settings.Snapshot { return snapshot },
@@ -67,9 +86,10 @@
 		chats:   NewChats(100, time.Now),
 		targets: map[fleet.TargetID]fleet.Target{"e1": e1, "e2": e2},
 	}
+	g.clock.Store(time.Now().UnixNano())
 	g.LoadGate = NewLoadGate(GateConfig{
 		Self: self, Snapshot: func() *settings.Snapshot { return snapshot }, Targets: tracker,
-		Means: g.others, Chats: g.chats, Clock: time.Now,
+		Means: g.others, Chats: g.chats, Clock: func() time.Time { return time.Unix(0, g.clock.Load()) },
 	})
 	return g
 }
@@ -104,6 +124,19 @@
 	}
 }
 
+// TestNewHomeReckonsWithWorkOfTheFormer checks that a target is not filled twice
+// when its home changes, also while nobody reports what the former home left.
+func TestNewHomeReckonsWithWorkOfTheFormer(t *testing.T) {
+	g := newHome(120)
+	if n := len(g.fill(t, "e1")); n > 1 {
+		t.Errorf("%d admitted at once by a new home at a mean of 10", n)
+	}
+	g.clock.Add(int64(time.Minute))
+	if n := len(g.fill(t, "e1")); n < 8 {
+		t.Errorf("%d admitted once the former home's work has ended", n)
+	}
+}
+
 func TestGateQueuesUntilOneEnds(t *testing.T) {
 	g := newTestGate(80)
 	releases := g.fill(t, "e1")
--- a/router/wire/wire.go
+++ b/router/wire/wire.go
@@ -30,6 +30,8 @@
 	// Wait says that the home may queue the attempt; otherwise it refuses at
 	// once when the target is at its bound.
 	Wait bool `cbor:"13,keyasint,omitempty"`
+	// WaitMS is the longest such wait in milliseconds.
+	WaitMS int64 `cbor:"17,keyasint,omitempty"`
 	// Returning says that the chat has context somewhere.
 	Returning bool `cbor:"14,keyasint,omitempty"`
 	// Redirected says that the target was chosen from a home's hint, so that
