propagate: digests go to neighbours that connections stand to

With 96 routers a router sent 383 B/s of control messages but 15291 B/s over the socket: each digest went to a random router, whose connection had idled out, so each made a new one.

--- a/membership/beat.go
+++ b/membership/beat.go
@@ -118,6 +118,7 @@
 		return
 	}
 	t.ringsStale = false
+	t.changed = true
 	t.next, t.prev = neighbours(t.self, t.entries, t.timing.Rings)
 	heard := make(map[fleet.RouterID]time.Time, len(t.prev))
 	for _, id := range t.prev {
--- a/membership/view.go
+++ b/membership/view.go
@@ -13,6 +13,9 @@
 	All []Member
 	// LeavingVMs are the VMs that the platform's list names as leaving or gone.
 	LeavingVMs map[string]bool
+	// Neighbours are the routers that this one sends heartbeats to; connections
+	// to them stand.
+	Neighbours []fleet.Router
 	// Version grows with each change.
 	Version uint64
 }
@@ -35,6 +38,11 @@
 			v.Routers = append(v.Routers, e.router)
 		}
 	}
+	for _, id := range t.next {
+		if e := t.entries[id]; e != nil && e.present() && !e.leaving {
+			v.Neighbours = append(v.Neighbours, e.router)
+		}
+	}
 	if len(v.Routers) == 0 {
 		v.Routers = append(v.Routers, t.Self())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -132,7 +132,8 @@
 func (r *Router) buildControl(mux *peer.Mux) {
 	r.source = propagate.New(propagate.Config{
 		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Log: r.log, Metrics: r.deps.Metrics,
-		Members: func() []fleet.Router { return r.members.View().Routers },
+		Members:    func() []fleet.Router { return r.members.View().Routers },
+		Neighbours: func() []fleet.Router { return r.members.View().Neighbours },
 	})
 	r.source.Register(mux)
 	r.members = membership.New(membership.Config{
--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -85,6 +85,11 @@
 
 // pick chooses a router for a digest exchange.
 func (p *Service) pick() (fleet.Router, bool) {
+	if p.config.Neighbours != nil {
+		if near := p.config.Neighbours(); len(near) > 0 {
+			return near[p.config.IntN(len(near))], true
+		}
+	}
 	near, far := others(p.config.Self, p.config.Members())
 	if len(near) == 0 || (len(far) > 0 && p.config.IntN(farEvery) == 0) {
 		near = far
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -64,8 +64,12 @@
 	// Members returns the live routers, with or without Self. It must be cheap
 	// and safe for concurrent use.
 	Members func() []fleet.Router
-	Log     zerolog.Logger
-	Metrics *metrics.Set
+	// Neighbours returns the routers to exchange digests with, to which
+	// connections stand; nil means any of Members. It must be cheap and safe
+	// for concurrent use, and neighbourhoods must connect all routers.
+	Neighbours func() []fleet.Router
+	Log        zerolog.Logger
+	Metrics    *metrics.Set
 	// Clock returns the time; nil means time.Now.
 	Clock func() time.Time
 	// IntN returns a random number from 0 to below n and is safe for concurrent
