loadmean: sums at most every 100 ms, shorter sequence numbers

With 6 routers whose loads change ten times a second the messages were 1298 B/s a router, above the aim of 1000.

--- a/loadmean/core.go
+++ b/loadmean/core.go
@@ -72,7 +72,7 @@
 func newCore(self fleet.Router, now time.Time) *core {
 	c := &core{
 		self: self, own: map[Key]*ownReport{}, sums: map[Key]*aggregate{}, others: map[Key]othersAt{}, fresh: map[Key]bool{},
-		seq: uint64(now.UnixMilli()), tokens: bytesBurst, filled: now, out: map[destination][]Item{},
+		seq: uint64(now.Unix()), tokens: bytesBurst, filled: now, out: map[destination][]Item{},
 	}
 	c.setMembers([]fleet.Router{self})
 	return c
--- a/loadmean/doc.go
+++ b/loadmean/doc.go
@@ -57,10 +57,12 @@
 const (
 	// tick is how often changes are looked for.
 	tick = 20 * time.Millisecond
-	// minInterval is the least time between two messages on one key to one
-	// receiver; it grows with the number of reporters.
-	minInterval = 50 * time.Millisecond
-	// reportersPerInterval scales minInterval.
+	// reportInterval is the least time between two reports on one key.
+	reportInterval = 50 * time.Millisecond
+	// sumInterval is the least time between two messages of an aggregator on
+	// one key to one receiver; it grows with the number of reporters.
+	sumInterval = 100 * time.Millisecond
+	// reportersPerInterval scales sumInterval.
 	reportersPerInterval = 8
 	// refresh is the longest time between two messages on one key.
 	refresh = 2 * time.Second
--- a/loadmean/message.go
+++ b/loadmean/message.go
@@ -33,7 +33,9 @@
 type Datagram struct {
 	_    struct{} `cbor:",toarray"`
 	Kind Kind
-	// Seq grows with each datagram of a sender.
+	// Seq grows with each datagram of a sender. It starts at the time in seconds,
+	// so a router that restarts is ignored until what it sent before expires, at
+	// the most.
 	Seq   uint64
 	Items []Item
 }
--- a/loadmean/send.go
+++ b/loadmean/send.go
@@ -33,7 +33,7 @@
 		}
 		return
 	}
-	if !c.due(r.sent, to, r.value, units{}, minInterval, now) {
+	if !c.due(r.sent, to, r.value, units{}, reportInterval, now) {
 		return
 	}
 	r.sent = sent{to: to, value: r.value, at: now}
@@ -65,7 +65,7 @@
 		return
 	}
 	domain := a.domainSum()
-	interval := minInterval * time.Duration(1+len(a.reports)/reportersPerInterval)
+	interval := sumInterval * time.Duration(1+len(a.reports)/reportersPerInterval)
 	if len(a.reports) > 0 && c.owner(key, c.self.Domain) == c.self.ID {
 		c.exchange(key, a, domain, interval, now)
 	}
