--- a/measure/controlfleet.go
+++ b/measure/controlfleet.go
@@ -146,6 +146,7 @@
 	n.means.Register(mux)
 	n.source = propagate.New(propagate.Config{
 		Self: n.self, Store: store, Caller: n.node, Members: routers, Log: log, Metrics: n.set,
+		Neighbours: func() []fleet.Router { return n.members.View().Neighbours },
 	})
 	n.source.Register(mux)
 }
