--- a/measure/control.go
+++ b/measure/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -211,7 +212,7 @@
 		if _, err := f.store.Put(ctx, o.Kind, o.Name, data, o.Version); err != nil {
 			return err
 		}
-		pause(ctx, min(settingsChange, time.Until(end)))
+		_ = task.Sleep(ctx, min(settingsChange, time.Until(end)))
 	}
 	return ctx.Err()
 }
--- a/measure/controlfleet.go
+++ b/measure/controlfleet.go
@@ -159,7 +159,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("control fleet of %d routers: not settled: %w", len(f.nodes), ctx.Err())
 		}
-		pause(ctx, controlLook)
+		_ = task.Sleep(ctx, controlLook)
 	}
 	return nil
 }
@@ -191,7 +191,7 @@
 			loads[service] = min(max(loads[service]+step, 0), float64(20*targets))
 			n.means.Report(service, targets, loads[service])
 		}
-		pause(ctx, loadChange)
+		_ = task.Sleep(ctx, loadChange)
 	}
 }
 
--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -13,6 +13,7 @@
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // crowdConfig describes users who keep up chats that go quiet and come back.
@@ -86,14 +87,14 @@
 func (c *crowd) user(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.cfg.seed, uint64(number)))
 	chats := make([]*conversation, c.cfg.chats)
-	pause(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
+	_ = task.Sleep(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
 	for turn := 0; ctx.Err() == nil; turn++ {
 		i := rng.IntN(len(chats))
 		if chats[i] == nil || len(chats[i].chat.Messages) >= 2*c.cfg.renewAfter {
 			chats[i] = c.begin(rng, fmt.Sprintf("%s-%d-%d", c.cfg.account, number, turn))
 		}
 		c.say(chats[i], rng)
-		pause(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
+		_ = task.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
 	}
 }
 
@@ -141,10 +142,7 @@
 // before counts the prompt and the part of it that was read before: all but
 // the new message of a chat that had an answer, or the sheet of a new chat.
 func (t *tally) before(conv *conversation, sayTokens int) {
-	held := 0
-	for _, m := range conv.chat.Messages {
-		held += len(strings.Fields(m.Content)) + 1
-	}
+	held := heldTokens(conv.chat.Messages)
 	t.requests.Add(1)
 	t.promptTokens.Add(int64(held + sayTokens + 1))
 	if len(conv.chat.Messages) > 1 || t.hadSheet(conv.sheet) {
@@ -152,6 +150,22 @@
 	}
 }
 
+// restart forgets the times to the first byte so far.
+func (t *tally) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstMS = nil
+}
+
+// heldTokens counts the tokens of a chat as the stand-in engines do.
+func heldTokens(messages []standin.Message) int {
+	held := 0
+	for _, m := range messages {
+		held += len(strings.Fields(m.Content)) + 1
+	}
+	return held
+}
+
 func (t *tally) hadSheet(sheet int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -197,10 +211,3 @@
 	}
 	return b.String()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/measure/demo/workload.go
+++ b/measure/demo/workload.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -24,8 +26,8 @@
 	turnsPerChat  = 6
 	answerTokens  = 24
 	sheetWords    = 300
-	maxPause      = 60 * time.Millisecond
-	orderPause    = 20 * time.Millisecond
+	maxPause      = 600 * time.Millisecond
+	orderPause    = 250 * time.Millisecond
 )
 
 // errNoService is returned for settings without one service of each kind.
@@ -42,11 +44,12 @@
 	reusable atomic.Int64
 
 	mu     sync.Mutex
+	out    io.Writer
 	counts Figures
 }
 
-func newWorkload(b *bed.Bed, seed uint64) (*workload, error) {
-	w := &workload{bed: b, client: b.NewClient(), seed: seed}
+func newWorkload(b *bed.Bed, seed uint64, out io.Writer) (*workload, error) {
+	w := &workload{bed: b, client: b.NewClient(), seed: seed, out: out}
 	snapshot := b.Snapshot()
 	for name, s := range snapshot.Services {
 		if s.Kind == fleet.KindEngine {
@@ -85,7 +88,7 @@
 			open[slot] = w.newChat(caller, n)
 		}
 		w.turn(random, open[slot], n)
-		sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
+		_ = task.Sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
 	}
 }
 
@@ -116,7 +119,7 @@
 		answer, err := w.client.Call(context.Background(), w.router(random), account, w.plain,
 			http.MethodPost, w.orderPath(), key, []byte(`{"drums":1}`))
 		w.count(answer, err)
-		sleep(ctx, orderPause)
+		_ = task.Sleep(ctx, orderPause)
 	}
 }
 
@@ -150,6 +153,7 @@
 		w.counts.Refused++
 	default:
 		w.counts.Lost++
+		fmt.Fprintf(w.out, "lost: status %d, outcome %s, reason %s, whole %t, error %v\n", a.Status, a.Outcome, a.Reason, a.Whole, err)
 	}
 }
 
--- a/measure/reuse.go
+++ b/measure/reuse.go
@@ -9,6 +9,7 @@
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -22,8 +23,8 @@
 
 // The course of one run.
 const (
-	reuseWarm     = 2500 * time.Millisecond
-	reuseStep     = 1500 * time.Millisecond
+	reuseWarm     = 3000 * time.Millisecond
+	reuseStep     = 1400 * time.Millisecond
 	reuseMultiple = 1.25
 	reuseRamp     = 2 * time.Second
 )
@@ -41,6 +42,7 @@
 	CacheReuse      float64 `json:"cache_reuse"`
 	CacheReuseBound float64 `json:"cache_reuse_bound"`
 	ReuseOfBound    float64 `json:"cache_reuse_of_bound"`
+	lostFigures
 	balanceFigures
 	ControlBytes float64        `json:"control_bytes_per_router_second"`
 	Requests     int64          `json:"requests"`
@@ -88,23 +90,25 @@
 	defer e.close()
 	users := startCrowd(ctx, e.bed, e.client, e.tally, reuseCrowd(o.Seed))
 	defer users.stop()
-	pause(ctx, reuseWarm)
+	_ = task.Sleep(ctx, reuseWarm)
 	e.begin()
 	err = e.churn(ctx)
+	e.end()
 	users.stop()
 	return e.figures(), err
 }
 
 func reuseEngine(c *standin.EngineConfig) {
-	c.TokensPerSecond = 60
-	c.PrefillPerSecond = 8000
-	c.CacheTokens = 40_000
+	c.TokensPerSecond = 20
+	c.Slots = 96
+	c.PrefillPerSecond = 16_000
+	c.CacheTokens = 60_000
 }
 
 func reuseCrowd(seed uint64) crowdConfig {
 	return crowdConfig{
-		account: quietAccount, service: chatService, users: 150, chats: 2, think: 250 * time.Millisecond,
-		sheets: 4, sheetTokens: 300, sheetShare: 0.5, sayTokens: 40, answerTokens: 24,
+		account: quietAccount, service: chatService, users: 450, chats: 1, think: 250 * time.Millisecond,
+		sheets: 4, sheetTokens: 300, sheetShare: 0.5, sayTokens: 40, answerTokens: 8,
 		tokenShare: 0.5, renewAfter: 20, seed: seed,
 	}
 }
@@ -122,7 +126,7 @@
 		if err := step(); err != nil {
 			return err
 		}
-		pause(ctx, reuseStep)
+		_ = task.Sleep(ctx, reuseStep)
 	}
 	return nil
 }
@@ -134,13 +138,19 @@
 func (e *experiment) leave(ctx context.Context, i int) error {
 	id := engineName(i)
 	_, err := e.bed.Change(ctx, settings.KindTargets, string(id), func(doc map[string]any) { doc["state"] = fleet.Leaving })
-	e.balance.leaveOut(id)
+	e.leaveOut(id)
 	return err
 }
 
+// leaveOut takes an engine that is to get no more work out of the figures.
+func (e *experiment) leaveOut(id fleet.TargetID) {
+	e.balance.leaveOut(id)
+	e.trace.leaveOut(e.bed.Engine(id).Addr())
+}
+
 func (e *experiment) crash(i int) {
 	id := engineName(i)
-	e.balance.leaveOut(id)
+	e.leaveOut(id)
 	e.bed.Engine(id).Kill()
 }
 
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -87,6 +87,9 @@
 			return wire.End{}, false
 		}
 	}
+	if todo.Charged {
+		s.walk.again(s.at.Target.ID)
+	}
 	next, ok := s.walk.next()
 	if !ok {
 		return wire.End{}, false
@@ -99,6 +102,7 @@
 	s.at = at
 	s.fwd = forwardOf(s.req, at)
 	s.fwd.Body = body
+	s.fwd.Spread = s.walk.spread
 	s.sink = s.entry.withToken(s.req, at, s.delivery)
 	s.attempts++
 	s.delivery.attempt()
--- a/router/router.go
+++ b/router/router.go
@@ -18,17 +18,21 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/journal"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/router/withdraw"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
@@ -37,6 +41,10 @@
 // poolSize bounds the goroutines that serve peers' streams and tasks.
 const poolSize = 20_000
 
+// maxParts is more than the parts that Run starts, so that none blocks when it
+// reports its failure.
+const maxParts = 16
+
 // Config is what one router needs to know of itself.
 type Config struct {
 	// Self is the router; PeerAddr and Incarnation are filled in by New.
@@ -62,7 +70,10 @@
 	Engine engine.Client
 	Plain  plain.Client
 	// Policy chooses targets; empty means the default.
-	Policy  placement.Policy
+	Policy placement.Policy
+	// Journal replaces the journal that orders use, for experiments; nil keeps
+	// the router's own.
+	Journal func(own orders.Journal) orders.Journal
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -79,10 +90,15 @@
 	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
+	groups  *home.Groups
 	home    *home.Home
+	leaving *withdraw.Driver
 	gate    home.Gate
 	entry   *entry.Entry
+	journal *journal.Log
+	orders  *orders.Server
 	face    *caller.Face
+	admin   *operator.Server
 	open    *openStreams
 	ready   atomic.Bool
 
@@ -115,7 +131,14 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
-	return r.bindCallers()
+	r.registerStatus(mux)
+	if err := r.buildOrders(mux); err != nil {
+		return err
+	}
+	if err := r.bindCallers(); err != nil {
+		return err
+	}
+	return r.bindOperators()
 }
 
 func (r *Router) bindPeer(mux *peer.Mux) error {
@@ -157,13 +180,15 @@
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Policy: r.deps.Policy, Clock: time.Now,
 	})
 	r.chats = home.NewChats(settings.Defaults().Placement.ChatTableEntries, time.Now)
+	r.groups = home.NewGroups(settings.Defaults().Placement.ChatTableEntries)
 	r.gate = r.newGate()
 	r.home = home.New(home.Config{
 		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Targets: r.targets, Chats: r.chats,
-		Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+		Groups: r.groups, Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.leaving = r.newWithdrawals()
 	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
@@ -184,7 +209,7 @@
 		}
 	}
 	face, err := caller.Listen(caller.Config{
-		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry, Snapshot: r.source.Snapshot,
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.orders, Requests: r.orders, Snapshot: r.source.Snapshot,
 		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	if err != nil {
@@ -225,13 +250,16 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	defer r.cancel()
 	r.node.Start()
-	failures := make(chan error, 4)
+	failures := make(chan error, maxParts)
 	r.start(failures, "members", func() error { return r.members.Run(ctx) })
 	r.start(failures, "settings", func() error { return r.source.Run(ctx) })
 	r.start(failures, "callers", r.face.Run)
+	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
+	r.startOperators(failures)
 	r.startHome(ctx, failures)
-	r.startMeans(ctx, failures)
+	r.start(failures, "withdrawals", func() error { return r.leaving.Run(ctx) })
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
+	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
 	r.wait.Go(func() { r.becomeReady(ctx) })
 	var err error
@@ -269,14 +297,18 @@
 func (r *Router) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	r.face.Close(ctx)
-	r.node.Close()
+	_ = r.face.Close(ctx)
+	r.stopOperators(ctx)
+	_ = r.node.Close()
 	r.wait.Wait()
 	r.release()
 	event.RouterStopped.Log(r.log).Send()
 }
 
 func (r *Router) release() {
+	if r.journal != nil {
+		r.journal.Close()
+	}
 	if r.pool != nil {
 		r.pool.Release()
 	}
