--- a/caller/answer.go
+++ b/caller/answer.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/entry"
@@ -80,6 +81,9 @@
 		f.endStream(out, result)
 	case result.Whole():
 		c.Response.Header.Set(HeaderOutcome, string(outcome.Completed))
+		if req.Kind == fleet.KindEngine {
+			c.Response.Header.SetContentType("application/json")
+		}
 		c.Response.SetStatusCode(out.status)
 		c.Response.SetBodyRaw(out.body)
 	default:
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -98,6 +98,9 @@
 	if b.authority, err = keys.NewAuthority("ragwortpond development"); err != nil {
 		return err
 	}
+	if b.cfg.Platform.Addr == "" {
+		b.cfg.Platform.Addr = loopback
+	}
 	if b.Platform, err = standin.StartPlatform(b.cfg.Platform); err != nil {
 		return fmt.Errorf("bed: platform: %w", err)
 	}
--- a/measure/bed/bed_test.go
+++ b/measure/bed/bed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
 )
 
 const testLimit = 30 * time.Second
@@ -93,6 +96,31 @@
 	}
 }
 
+func TestChatThatIsNotStreamedIsJSON(t *testing.T) {
+	b, client, ctx := startBed(t, Config{})
+	resp, err := client.send(ctx, b.Members()[0], "balcao-natal", http.MethodPost, "/v1/chat/completions", http.Header{},
+		[]byte(`{"model":"assistente","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Choices []struct {
+			Message standin.Message `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		t.Fatal(err)
+	}
+	if got := resp.Header.Get("Content-Type"); got != "application/json" {
+		t.Errorf("content type %q", got)
+	}
+	want := strings.Join(standin.Answer([]standin.Message{{Role: "user", Content: "x"}}, 3), "")
+	if len(body.Choices) != 1 || body.Choices[0].Message.Content != want {
+		t.Errorf("got %+v, want %q", body, want)
+	}
+}
+
 func TestRefusalsAreToldNotRun(t *testing.T) {
 	b, client, ctx := startBed(t, Config{})
 	m := b.Members()[0]
