router/home: engines' load reports and cache events are read; queue and first-byte times observed

Cause: the gate and the chat table could take reports and events, and nothing asked the engines for them. A history that begins before there are settings no longer takes every target for a newcomer, which the poller made visible: TestWithdrawalCalledOff timed out, its engine counted as flapping.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -26,11 +27,14 @@
 	line   []byte
 	status int
 	body   []byte
+	// begun is called once, when the answer's head arrives.
+	begun func()
 }
 
 // Head implements wire.Sink.
 func (a *answer) Head(h wire.Head) error {
 	a.status = h.Status
+	a.begun()
 	for _, field := range h.Header {
 		a.c.Response.Header.Add(field.Name, field.Value)
 	}
@@ -74,7 +78,10 @@
 
 // serve runs a request and ends its answer.
 func (f *Face) serve(ctx context.Context, c *app.RequestContext, req *entry.Request) {
-	out := &answer{c: c, stream: req.Stream}
+	arrived := time.Now()
+	out := &answer{c: c, stream: req.Stream, begun: func() {
+		f.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(req.Service)).Observe(time.Since(arrived).Seconds())
+	}}
 	result := f.cfg.Server.Do(ctx, req, out)
 	switch {
 	case out.writer != nil:
--- a/cmd/ragwortd/main.go
+++ b/cmd/ragwortd/main.go
@@ -152,7 +152,7 @@
 	store := platform.NewClient(platform.ClientConfig{Addr: platformAddr, Metrics: set})
 	r, err := router.New(cfg, router.Deps{
 		Store: store, VMs: store, Metrics: set, Log: log,
-		Engine: engine.NewClient(engine.ClientConfig{Discarded: set.Discarded}),
+		Engine: engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}),
 		Plain:  plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
 	})
 	if err != nil {
--- a/engine/client.go
+++ b/engine/client.go
@@ -51,6 +51,9 @@
 	EventBytes int
 	// KVBytes bounds an exported KV cache.
 	KVBytes int
+	// Probed is called with the bytes of each load report and each page of
+	// cache events, question and answer; nil means that nobody counts.
+	Probed func(bytes int)
 	// Discarded is called for every part of an answer that is thrown away;
 	// nil means that nobody counts.
 	Discarded func(reason.Code)
@@ -68,6 +71,9 @@
 	c.AnswerBytes = orInt(c.AnswerBytes, DefaultAnswerBytes)
 	c.EventBytes = orInt(c.EventBytes, DefaultEventBytes)
 	c.KVBytes = orInt(c.KVBytes, DefaultKVBytes)
+	if c.Probed == nil {
+		c.Probed = func(int) {}
+	}
 	if c.Discarded == nil {
 		c.Discarded = func(reason.Code) {}
 	}
--- a/engine/control.go
+++ b/engine/control.go
@@ -72,10 +72,12 @@
 }
 
 func (c *client) get(ctx context.Context, addr, path string, into any) error {
-	body, err := c.control(ctx, addr, newRequest("GET", addr, path))
+	out := newRequest("GET", addr, path)
+	body, err := c.control(ctx, addr, out)
 	if err != nil {
 		return err
 	}
+	c.config.Probed(len(out.Header.Header()) + len(body))
 	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -176,7 +176,7 @@
 	}
 	set := metrics.NewSet()
 	store := platform.NewClient(platform.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
-	client := engine.Client(engine.NewClient(engine.ClientConfig{Discarded: set.Discarded}))
+	client := engine.Client(engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}))
 	if b.cfg.EngineClient != nil {
 		client = b.cfg.EngineClient(client)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -78,6 +78,11 @@
 	s.Retries.WithLabelValues(string(c)).Inc()
 }
 
+// Probed counts the bytes of one question to an engine and its answer.
+func (s *Set) Probed(bytes int) {
+	s.ControlBytes.WithLabelValues("engine-probe", "received").Add(float64(bytes))
+}
+
 // Discarded counts one discarded answer.
 func (s *Set) Discarded(c reason.Code) {
 	s.Discards.WithLabelValues(string(c)).Inc()
--- a/placement/history.go
+++ b/placement/history.go
@@ -81,8 +81,12 @@
 }
 
 // Observe takes the targets that are present now. Targets absent for a whole
-// flap window are forgotten.
+// flap window are forgotten. Until there is a target nothing is observed: a
+// router that has no settings yet must not take all targets for newcomers.
 func (h *History) Observe(now time.Time, present []fleet.TargetID) {
+	if !h.started && len(present) == 0 {
+		return
+	}
 	seen := make(map[fleet.TargetID]bool, len(present))
 	for _, id := range present {
 		seen[id] = true
--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -85,3 +85,13 @@
 		}
 	}
 }
+
+func TestTargetsAfterAnEmptyStartAreSettled(t *testing.T) {
+	h := NewHistory(Churn{Ramp: time.Minute, FlapWindow: time.Minute})
+	now := time.Unix(1_800_000_000, 0)
+	h.Observe(now, nil)
+	h.Observe(now.Add(time.Second), []fleet.TargetID{"e1"})
+	if got := h.Phase("e1", now.Add(2*time.Second)).Standing; got != Settled {
+		t.Errorf("a target of the first settings is %s", got)
+	}
+}
--- a/router/home/home.go
+++ b/router/home/home.go
@@ -111,10 +111,12 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(fwd.DeadlineMS)*time.Millisecond)
 		defer cancel()
 	}
+	arrived := time.Now()
 	release, refusal := h.cfg.Gate.Acquire(ctx, target, fwd)
 	if release == nil {
 		return refusal
 	}
+	h.cfg.Metrics.QueueSeconds.WithLabelValues(string(fwd.Service)).Observe(time.Since(arrived).Seconds())
 	defer release()
 	gauge := h.cfg.Metrics.InFlight.WithLabelValues("home")
 	gauge.Inc()
--- a/router/homerole.go
+++ b/router/homerole.go
@@ -26,6 +26,11 @@
 func (r *Router) startHome(ctx context.Context, failures chan<- error) {
 	if gate, ok := r.gate.(*home.LoadGate); ok {
 		r.start(failures, "gate", func() error { return gate.Run(ctx) })
+		poller := home.NewPoller(home.PollConfig{
+			Self: r.cfg.Self.ID, Targets: r.targets, Engine: r.deps.Engine, Reports: gate, Chats: r.chats,
+			Clock: time.Now, Log: r.log,
+		})
+		r.start(failures, "poller", func() error { return poller.Run(ctx) })
 	}
 }
 
