--- a/measure/demo/workload.go
+++ b/measure/demo/workload.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	chatCallers   = 36
+	chatCallers   = 96
 	orderCallers  = 6
 	chatsPerAgent = 4
 	turnsPerChat  = 6
