settings/propagate: pages of any size; histories draw the page size

Cause: the histories never filled a page, so that transfers in several pages had not been tried. With pages of 1 and 200 bytes they found an endless transfer and a lost change: a page left out an object that was held above the complete revision and so stood for a change within the page. Change: the last page carries all such objects; a transfer that does not get on ends with ErrInterrupted. The seed and the number of checks can be given on the command line.

--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -13,9 +13,9 @@
 	// The libraries start a few goroutines for the process.
 	before := goleak.IgnoreCurrent()
 	clock := goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1")
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "1000")
+	flag.Parse()
 	code := m.Run()
 	if err := goleak.Find(before, clock); err != nil && code == 0 {
 		fmt.Fprintln(os.Stderr, err)
--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -143,26 +143,37 @@
 }
 
 // fetchAll takes the whole state of another router and puts it in force at
-// once. It starts again if the sender forgets deletions meanwhile.
+// once.
 func (p *Service) fetchAll(ctx context.Context, from fleet.Router) error {
+	full, err := p.fetchState(ctx, from)
+	if err != nil {
+		return err
+	}
+	_, err = p.update(ctx, wayFetch, func(s *State) []Entry { return s.ApplyFull(full) })
+	return err
+}
+
+// fetchState reads the whole state of another router page by page. It fails if
+// the sender forgets deletions meanwhile or does not get on.
+func (p *Service) fetchState(ctx context.Context, from fleet.Router) (*State, error) {
 	full := NewState()
 	request := fetchRequest{Whole: true}
 	for {
 		var answer fetchAnswer
 		if err := p.call(ctx, from, peer.MethodSettingsFetch, request, &answer); err != nil {
-			return err
+			return nil, err
 		}
 		if answer.Full {
-			full, request = NewState(), fetchRequest{Whole: true}
-			continue
+			return nil, ErrInterrupted
 		}
 		full.Apply(answer.Page)
 		full.floor = answer.Floor
-		request = fetchRequest{Since: full.complete, Floor: answer.Floor}
 		if !answer.Page.More {
-			break
+			return full, nil
+		}
+		if full.complete <= request.Since {
+			return nil, ErrInterrupted
 		}
+		request = fetchRequest{Since: full.complete, Floor: answer.Floor}
 	}
-	_, err := p.update(ctx, wayFetch, func(s *State) []Entry { return s.ApplyFull(full) })
-	return err
 }
--- a/settings/propagate/fleet_test.go
+++ b/settings/propagate/fleet_test.go
@@ -161,10 +161,11 @@
 }
 
 // boot starts a router without its loops; load it to make it ready.
-func (n *network) boot(t testing.TB, self fleet.Router, store platform.Store, members func() []fleet.Router, intN func(int) int) *node {
+func (n *network) boot(t testing.TB, self fleet.Router, store platform.Store, members func() []fleet.Router, intN func(int) int, pageBytes int) *node {
 	one := &node{self: self, store: &cutStore{Store: store, listed: &n.listed}}
 	one.Service = New(Config{
 		Self: self, Store: one.store, Caller: link{n, self}, Members: members, Log: zerolog.Nop(), IntN: intN,
+		pageBytes: pageBytes,
 	})
 	stop, err := one.start()
 	if err != nil {
--- a/settings/propagate/machine_test.go
+++ b/settings/propagate/machine_test.go
@@ -19,10 +19,10 @@
 func TestMain(m *testing.M) {
 	// The task library starts two goroutines for the process.
 	before := goleak.IgnoreCurrent()
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "500")
 	_ = flag.Set("rapid.steps", "60")
+	flag.Parse()
 	code := m.Run()
 	if err := goleak.Find(before); err != nil && code == 0 {
 		fmt.Fprintln(os.Stderr, err)
@@ -43,6 +43,8 @@
 	nodes   []*node
 	intN    func(int) int
 	writes  int
+	// page bounds the pages of all routers in bytes.
+	page int
 }
 
 func newMachine(t *rapid.T, tb testing.TB) *machine {
@@ -53,11 +55,12 @@
 		routers: testRouters(4, "a", "b"), intN: random.IntN,
 	}
 	m.oracle = newOracle(m.objects)
+	m.page = rapid.SampledFrom([]int{1, 200, defaultPageBytes}).Draw(t, "page bytes")
 	for range 3 {
 		m.write(false)
 	}
 	for _, r := range m.routers {
-		n := m.net.boot(tb, r, m.objects, m.members, m.intN)
+		n := m.net.boot(tb, r, m.objects, m.members, m.intN, m.page)
 		m.nodes = append(m.nodes, n)
 		m.tryLoad(n)
 	}
@@ -211,7 +214,7 @@
 func (m *machine) restart(i int) {
 	m.nodes[i].stop()
 	delete(m.oracle.seen, m.nodes[i])
-	m.nodes[i] = m.net.boot(m.tb, m.routers[i], m.objects, m.members, m.intN)
+	m.nodes[i] = m.net.boot(m.tb, m.routers[i], m.objects, m.members, m.intN, m.page)
 }
 
 // heal ends all faults and lets every router take its usual steps.
--- a/settings/propagate/messages.go
+++ b/settings/propagate/messages.go
@@ -11,9 +11,9 @@
 
 const (
 	entryOverheadBytes = 48
-	// pageBytes bounds one message's data in bytes; one entry always fits, so a
-	// page has at most a document more.
-	pageBytes = 1 << 20
+	// defaultPageBytes bounds one message's data in bytes; one entry always fits,
+	// so a page has at most a document more.
+	defaultPageBytes = 1 << 20
 )
 
 // Page is every object that changed after revision From up to revision To, at
--- a/settings/propagate/owner.go
+++ b/settings/propagate/owner.go
@@ -36,13 +36,14 @@
 
 // owner is the task that owns the state.
 type owner struct {
-	task    *task.Task[message]
-	state   *State
-	publish func(objects []platform.Object, complete uint64, changed bool)
+	task      *task.Task[message]
+	state     *State
+	pageBytes int
+	publish   func(objects []platform.Object, complete uint64, changed bool)
 }
 
-func newOwner(pool *task.Pool, publish func([]platform.Object, uint64, bool)) (*owner, error) {
-	o := &owner{state: NewState(), publish: publish}
+func newOwner(pool *task.Pool, pageBytes int, publish func([]platform.Object, uint64, bool)) (*owner, error) {
+	o := &owner{state: NewState(), pageBytes: pageBytes, publish: publish}
 	t, err := task.Start(pool, ownerMailbox, o.handle)
 	o.task = t
 	return o, err
@@ -58,7 +59,7 @@
 	}
 	r.after = o.state.Complete()
 	if len(r.changed) > 0 {
-		r.delta = o.state.Changes(r.before, pageBytes)
+		r.delta = o.state.Changes(r.before, o.pageBytes)
 	}
 	o.settle(r)
 	m.done <- r
@@ -135,7 +136,7 @@
 		if request.Whole {
 			floor = s.floor
 		}
-		page, ok := s.Delta(request.Since, floor, pageBytes)
+		page, ok := s.Delta(request.Since, floor, p.config.pageBytes)
 		answer = fetchAnswer{Page: page, Floor: s.floor, Full: !ok}
 	}})
 	return answer, err
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -23,6 +23,8 @@
 var (
 	// ErrNotReady means that this router has no settings yet.
 	ErrNotReady = errors.New("propagate: no settings yet")
+	// ErrInterrupted means that a transfer of the whole state must start again.
+	ErrInterrupted = errors.New("propagate: transfer interrupted")
 	// ErrNoSource means that neither the platform nor a peer had settings.
 	ErrNoSource = errors.New("propagate: no source of settings")
 )
@@ -75,6 +77,9 @@
 	// Watchers is the number of routers of each failure domain that hold a watch
 	// on the platform; zero means two.
 	Watchers int
+
+	// pageBytes bounds one message's data in bytes; tests make it small.
+	pageBytes int
 }
 
 // Service keeps one router's settings up to date. Its methods are safe for
@@ -113,6 +118,9 @@
 	if config.Watchers == 0 {
 		config.Watchers = defaultWatchers
 	}
+	if config.pageBytes == 0 {
+		config.pageBytes = defaultPageBytes
+	}
 	config.Timing = config.Timing.withDefaults()
 	p := &Service{
 		config:   config,
@@ -190,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o, err := newOwner(pool, p.publish)
+	o, err := newOwner(pool, p.config.pageBytes, p.publish)
 	if err != nil {
 		pool.Release()
 		return nil, err
--- a/settings/propagate/state.go
+++ b/settings/propagate/state.go
@@ -190,12 +190,13 @@
 }
 
 // page returns the entries above revision since in a page that starts at from.
+// Entries above the complete revision are all in the last page whatever its
+// size: each may stand for a change of its object that lies within the page.
 func (s *State) page(since, from uint64, maxBytes int) Page {
 	page := Page{From: from, To: max(from, s.complete)}
 	for _, e := range s.newer(since) {
-		last := len(page.Entries) - 1
-		if maxBytes <= 0 && page.Entries[last].Version < e.Version {
-			page.To = max(from, min(page.To, page.Entries[last].Version))
+		if maxBytes <= 0 && s.cuts(page.Entries[len(page.Entries)-1], e) {
+			page.To = max(from, page.Entries[len(page.Entries)-1].Version)
 			page.More = true
 			break
 		}
@@ -205,6 +206,11 @@
 	return page
 }
 
+// cuts reports whether a page may end between two entries.
+func (s *State) cuts(last, next Entry) bool {
+	return last.Version < next.Version && last.Version < s.complete
+}
+
 // newer returns the entries above a version, oldest first.
 func (s *State) newer(since uint64) []Entry {
 	var entries []Entry
