settings/propagate: only the last of several pages claims to be complete

A page that ended at version 6 claimed all changes up to 6, though an object that changed at 5 and again at 7 was only in the page after it; a router that took the first page alone, or a replay of it, was complete at 6 without the change at 5. Change: pages before the last end where they start, and a receiver joins all pages before it puts them in force. A push that is longer than a page makes the receiver fetch from its sender.

--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -51,27 +51,53 @@
 	if err := p.call(ctx, to, peer.MethodSettingsPush, page, &answer); err != nil {
 		return err
 	}
-	if answer.Complete >= page.To && !page.More {
+	if page.More || answer.Complete >= page.To {
 		return nil
 	}
 	return p.pushFrom(ctx, to, answer.Complete)
 }
 
-// pushFrom sends page after page what a router complete at since lacks.
+// pushFrom sends what a router complete at since lacks. If that is more than a
+// page, the receiver fetches the rest.
 func (p *Service) pushFrom(ctx context.Context, to fleet.Router, since uint64) error {
+	fetched, err := p.fetchPage(ctx, fetchRequest{Since: since, After: since})
+	if err != nil || fetched.Full || fetched.Page.To < since {
+		return err
+	}
+	var answer pushAnswer
+	return p.call(ctx, to, peer.MethodSettingsPush, fetched.Page, &answer)
+}
+
+// pullsWaiting bounds the routers that wait to be asked.
+const pullsWaiting = 8
+
+// requestPull asks for an exchange with a router that has more than a page;
+// further requests are left to the digest exchange.
+func (p *Service) requestPull(from fleet.RouterID) {
+	select {
+	case p.pulls <- from:
+	default:
+	}
+}
+
+// pullLoop fetches from routers that have pushed the first of several pages.
+func (p *Service) pullLoop(ctx context.Context) {
 	for {
-		fetched, err := p.fetchPage(ctx, fetchRequest{Since: since})
-		if err != nil || fetched.Full || fetched.Page.To <= since {
-			return err
-		}
-		var answer pushAnswer
-		if err := p.call(ctx, to, peer.MethodSettingsPush, fetched.Page, &answer); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-p.pulls:
+			p.pull(ctx, id)
 		}
-		if !fetched.Page.More || answer.Complete <= since {
-			return nil
+	}
+}
+
+func (p *Service) pull(ctx context.Context, id fleet.RouterID) {
+	for _, m := range p.config.Members() {
+		if m.ID == id {
+			_ = p.exchange(ctx, m)
+			return
 		}
-		since = answer.Complete
 	}
 }
 
@@ -117,63 +143,58 @@
 	if answer.Page == nil {
 		return nil
 	}
-	r, err := p.apply(ctx, wayDigest, *answer.Page)
-	if err != nil || !answer.Page.More {
-		return err
+	if answer.Page.More {
+		return p.fetchFrom(ctx, to, own.Complete)
 	}
-	return p.fetchFrom(ctx, to, r.after)
+	_, err = p.apply(ctx, wayDigest, *answer.Page)
+	return err
 }
 
-// fetchFrom takes page after page what another router has above a revision.
+// fetchFrom takes what another router has above a revision and puts it in force
+// at once.
 func (p *Service) fetchFrom(ctx context.Context, from fleet.Router, since uint64) error {
-	for {
-		var answer fetchAnswer
-		if err := p.call(ctx, from, peer.MethodSettingsFetch, fetchRequest{Since: since}, &answer); err != nil {
-			return err
-		}
-		if answer.Full {
-			return p.fetchAll(ctx, from)
-		}
-		r, err := p.apply(ctx, wayFetch, answer.Page)
-		if err != nil || !answer.Page.More || r.after <= since {
-			return err
-		}
-		since = r.after
+	page, _, err := p.collect(ctx, from, fetchRequest{Since: since, After: since})
+	if err != nil {
+		return err
 	}
+	_, err = p.apply(ctx, wayFetch, page)
+	return err
 }
 
 // fetchAll takes the whole state of another router and puts it in force at
 // once.
 func (p *Service) fetchAll(ctx context.Context, from fleet.Router) error {
-	full, err := p.fetchState(ctx, from)
+	page, floor, err := p.collect(ctx, from, fetchRequest{Whole: true})
 	if err != nil {
 		return err
 	}
+	full := NewState()
+	full.Apply(page)
+	full.floor = floor
 	_, err = p.update(ctx, wayFetch, func(s *State) []Entry { return s.ApplyFull(full) })
 	return err
 }
 
-// fetchState reads the whole state of another router page by page. It fails if
-// the sender forgets deletions meanwhile or does not get on.
-func (p *Service) fetchState(ctx context.Context, from fleet.Router) (*State, error) {
-	full := NewState()
-	request := fetchRequest{Whole: true}
+// collect reads all pages of a transfer and joins them into one. It fails if the
+// sender forgets deletions meanwhile or does not get on.
+func (p *Service) collect(ctx context.Context, from fleet.Router, request fetchRequest) (Page, uint64, error) {
+	joined := Page{From: request.Since}
 	for {
 		var answer fetchAnswer
 		if err := p.call(ctx, from, peer.MethodSettingsFetch, request, &answer); err != nil {
-			return nil, err
+			return Page{}, 0, err
 		}
 		if answer.Full {
-			return nil, ErrInterrupted
+			return Page{}, 0, ErrInterrupted
 		}
-		full.Apply(answer.Page)
-		full.floor = answer.Floor
+		joined.Entries = append(joined.Entries, answer.Page.Entries...)
+		joined.To = answer.Page.To
 		if !answer.Page.More {
-			return full, nil
+			return joined, answer.Floor, nil
 		}
-		if full.complete <= request.Since {
-			return nil, ErrInterrupted
+		if answer.Page.last() <= request.After {
+			return Page{}, 0, ErrInterrupted
 		}
-		request = fetchRequest{Since: full.complete, Floor: answer.Floor}
+		request = fetchRequest{Since: request.Since, After: answer.Page.last(), Floor: answer.Floor}
 	}
 }
--- a/settings/propagate/fleet_test.go
+++ b/settings/propagate/fleet_test.go
@@ -178,8 +178,11 @@
 	return one
 }
 
-// drain sends the pushes that wait.
+// drain sends the pushes and makes the exchanges that wait.
 func (n *node) drain(ctx context.Context) {
+	for len(n.pulls) > 0 {
+		n.pull(ctx, <-n.pulls)
+	}
 	for len(n.outbox) > 0 {
 		n.pushChildren(ctx, <-n.outbox)
 	}
--- a/settings/propagate/handlers.go
+++ b/settings/propagate/handlers.go
@@ -10,7 +10,7 @@
 )
 
 // handlePush takes a change from a router above this one.
-func (p *Service) handlePush(ctx context.Context, _ fleet.RouterID, payload []byte) (any, error) {
+func (p *Service) handlePush(ctx context.Context, from fleet.RouterID, payload []byte) (any, error) {
 	var page Page
 	if err := cbor.Unmarshal(payload, &page); err != nil {
 		return nil, err
@@ -22,6 +22,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if page.More {
+		p.requestPull(from)
+	}
 	return pushAnswer{Complete: r.after}, nil
 }
 
@@ -45,7 +48,7 @@
 	if own.Complete <= theirs.Complete {
 		return digestAnswer{Digest: own}, nil
 	}
-	fetched, err := p.fetchPage(ctx, fetchRequest{Since: theirs.Complete})
+	fetched, err := p.fetchPage(ctx, fetchRequest{Since: theirs.Complete, After: theirs.Complete})
 	if err != nil {
 		return nil, err
 	}
--- a/settings/propagate/messages.go
+++ b/settings/propagate/messages.go
@@ -22,10 +22,19 @@
 	From    uint64  `cbor:"1,keyasint"`
 	To      uint64  `cbor:"2,keyasint"`
 	Entries []Entry `cbor:"3,keyasint,omitempty"`
-	// More says that the sender has further entries above To.
+	// More says that further pages follow. Such a page ends where it starts: only
+	// all pages together are complete.
 	More bool `cbor:"4,keyasint,omitempty"`
 }
 
+// last returns the version of the last entry, zero for an empty page.
+func (p Page) last() uint64 {
+	if len(p.Entries) == 0 {
+		return 0
+	}
+	return p.Entries[len(p.Entries)-1].Version
+}
+
 // Digest describes a state in a few bytes. Two states that are complete at the
 // same revision and hold nothing ahead of it have the same sum.
 type Digest struct {
@@ -57,12 +66,14 @@
 	Full bool `cbor:"3,keyasint,omitempty"`
 }
 
-// fetchRequest asks for what changed after a revision. A transfer of the whole
-// state starts with Whole and repeats the floor of its first answer.
+// fetchRequest asks for what changed after a revision, page by page: After is the
+// last version of the page before. Floor repeats that of the first answer; a
+// transfer of the whole state starts with Whole.
 type fetchRequest struct {
 	Since uint64 `cbor:"1,keyasint"`
-	Floor uint64 `cbor:"2,keyasint,omitempty"`
-	Whole bool   `cbor:"3,keyasint,omitempty"`
+	After uint64 `cbor:"2,keyasint"`
+	Floor uint64 `cbor:"3,keyasint,omitempty"`
+	Whole bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // fetchAnswer is one page; Full says that deletions after the revision asked
--- a/settings/propagate/owner.go
+++ b/settings/propagate/owner.go
@@ -136,7 +136,7 @@
 		if request.Whole {
 			floor = s.floor
 		}
-		page, ok := s.Delta(request.Since, floor, p.config.pageBytes)
+		page, ok := s.Delta(request.Since, request.After, floor, p.config.pageBytes)
 		answer = fetchAnswer{Page: page, Floor: s.floor, Full: !ok}
 	}})
 	return answer, err
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -95,6 +95,7 @@
 	ready    chan struct{}
 	loaded   atomic.Bool
 	outbox   chan Page
+	pulls    chan fleet.RouterID
 	mu       sync.Mutex
 	watchers map[int]func(*settings.Snapshot)
 	nextID   int
@@ -128,6 +129,7 @@
 		builder:  settings.NewBuilder(),
 		ready:    make(chan struct{}),
 		outbox:   make(chan Page, outboxPages),
+		pulls:    make(chan fleet.RouterID, pullsWaiting),
 		watchers: map[int]func(*settings.Snapshot){},
 	}
 	empty, _ := settings.Build(nil)
@@ -185,7 +187,7 @@
 		return nil
 	}
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){p.watchLoop, p.digestLoop, p.pushLoop} {
+	for _, loop := range []func(context.Context){p.watchLoop, p.digestLoop, p.pushLoop, p.pullLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/settings/propagate/run_test.go
+++ b/settings/propagate/run_test.go
@@ -175,7 +175,7 @@
 	if changed := s.Apply(Page{From: 0, To: 1, Entries: []Entry{{Kind: "k", Name: "n1", Version: 1}}}); len(changed) > 0 {
 		t.Errorf("a forgotten deletion was undone: %+v", changed)
 	}
-	if _, ok := s.Delta(s.floor-1, 0, defaultPageBytes); ok {
+	if _, ok := s.Delta(s.floor-1, s.floor-1, 0, defaultPageBytes); ok {
 		t.Error("a page that lacks deletions was handed out")
 	}
 }
--- a/settings/propagate/state.go
+++ b/settings/propagate/state.go
@@ -172,31 +172,33 @@
 	return changed
 }
 
-// Delta returns what changed after revision since, oldest first, in a page of
-// about maxBytes of data. It returns false if deletions after since have been
-// forgotten, so that only the whole state helps. A transfer of the whole state
-// gives the floor that it started with and goes on while that holds.
-func (s *State) Delta(since, floor uint64, maxBytes int) (Page, bool) {
+// Delta returns what changed after revision since, oldest first, in pages of
+// about maxBytes of data; after is the last version of the page before, since
+// for the first. It returns false if deletions after since have been forgotten,
+// so that only the whole state helps. A transfer of the whole state gives the
+// floor that it started with and goes on while that holds.
+func (s *State) Delta(since, after, floor uint64, maxBytes int) (Page, bool) {
 	if since < s.floor && floor != s.floor {
 		return Page{}, false
 	}
-	return s.page(since, since, maxBytes), true
+	return s.page(since, after, maxBytes), true
 }
 
-// Changes returns what changed after revision since as far as it is known. The
-// page joins on only to states that are complete at the floor.
+// Changes returns what changed after revision since as far as it is known, in
+// one page. The page joins on only to states that are complete at the floor.
 func (s *State) Changes(since uint64, maxBytes int) Page {
-	return s.page(since, max(since, s.floor), maxBytes)
+	return s.page(max(since, s.floor), since, maxBytes)
 }
 
-// page returns the entries above revision since in a page that starts at from.
-// Entries above the complete revision are all in the last page whatever its
-// size: each may stand for a change of its object that lies within the page.
-func (s *State) page(since, from uint64, maxBytes int) Page {
+// page returns the entries above version after in a page that starts at from.
+// Only the last page ends at the complete revision: an object that changed
+// within an earlier page may have changed again since, and then it is in a
+// later one.
+func (s *State) page(from, after uint64, maxBytes int) Page {
 	page := Page{From: from, To: max(from, s.complete)}
-	for _, e := range s.newer(since) {
-		if maxBytes <= 0 && s.cuts(page.Entries[len(page.Entries)-1], e) {
-			page.To = max(from, page.Entries[len(page.Entries)-1].Version)
+	for _, e := range s.newer(after) {
+		if maxBytes <= 0 && page.last() < e.Version {
+			page.To = from
 			page.More = true
 			break
 		}
@@ -206,11 +208,6 @@
 	return page
 }
 
-// cuts reports whether a page may end between two entries.
-func (s *State) cuts(last, next Entry) bool {
-	return last.Version < next.Version && last.Version < s.complete
-}
-
 // newer returns the entries above a version, oldest first.
 func (s *State) newer(since uint64) []Entry {
 	var entries []Entry
