--- a/journal/begin.go
+++ b/journal/begin.go
@@ -17,7 +17,7 @@
 
 // Begin records an intent and returns leave to run its request once. Any error
 // means that the request was not and will not be run under this intent:
-// ErrUnavailable, ErrKeyReused, ErrExpired, or *ExistsError with the record that
+// ErrUnavailable, ErrKeyReused, ErrExpired, ErrAhead, or *ExistsError with the record that
 // the key has already.
 func (l *Log) Begin(ctx context.Context, intent Intent) (Grant, error) {
 	started := l.cfg.Clock()
@@ -49,6 +49,9 @@
 	if err != nil {
 		return Cell{}, nil, err
 	}
+	if ahead(intent.Key, now) {
+		return Cell{}, nil, ErrAhead
+	}
 	hash := HashKey(intent.Account, intent.Key)
 	retention := l.cfg.Values().RetentionMS.Duration()
 	cell, err := layout.Locate(hash, intent.Key, now, retention)
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -38,6 +38,8 @@
 	ErrKeyReused = errors.New("journal: key used with another request")
 	// ErrExpired means that the key is older than its retention.
 	ErrExpired = errors.New("journal: key expired")
+	// ErrAhead means that the key carries a time that lies too far ahead.
+	ErrAhead = errors.New("journal: key's time lies ahead")
 	// ErrNotFound means that no request with the key is known.
 	ErrNotFound = errors.New("journal: no such key")
 	// ErrExists means that the key has a record; *ExistsError carries it.
--- a/journal/layout.go
+++ b/journal/layout.go
@@ -11,6 +11,8 @@
 	// SkewLimit bounds the difference between two routers' clocks, and the time
 	// from looking at an intent's key to seeing the intent in place.
 	SkewLimit = time.Minute
+	// AheadLimit is how far ahead of a router's clock a key's time may be.
+	AheadLimit = 5 * time.Minute
 	// BucketLength is the span of key times that share a cell in a new layout.
 	BucketLength = 10 * time.Second
 	// UntimedCells is the number of cells in each shard of a new layout for keys
@@ -60,14 +62,14 @@
 	return fmt.Sprintf("shard-%d-%d", c.Shard, c.Bucket)
 }
 
-// Locate returns the cell of a key, or ErrExpired if the key's own time says
-// that it is older than the retention. A key whose time is further ahead than
-// clocks may differ counts as carrying none.
+// Locate returns the cell of a key: ErrExpired if the key's own time says that
+// it is older than the retention. The cell depends on the key and the layout alone, so that routers whose clocks
+// differ look for the key in the same place.
 func (l Layout) Locate(hash KeyHash, key string, now time.Time, retention time.Duration) (Cell, error) {
 	cell := Cell{Shard: int(binary.BigEndian.Uint64(hash[:8]) % uint64(l.Shards))}
 	cell.Bucket = -1 - int64(binary.BigEndian.Uint64(hash[8:])%uint64(l.UntimedCells))
 	at, ok := KeyTime(key)
-	if !ok || at.After(now.Add(SkewLimit)) {
+	if !ok {
 		return cell, nil
 	}
 	if at.Before(l.oldest(now, retention)) {
@@ -77,6 +79,12 @@
 	return cell, nil
 }
 
+// ahead reports whether a key's time is more than AheadLimit ahead.
+func ahead(key string, now time.Time) bool {
+	at, ok := KeyTime(key)
+	return ok && at.After(now.Add(AheadLimit))
+}
+
 // oldest is the time of the oldest key that has not expired.
 func (l Layout) oldest(now time.Time, retention time.Duration) time.Time {
 	oldest := now.Add(-min(retention, l.keep()))
--- a/journal/oracle_test.go
+++ b/journal/oracle_test.go
@@ -145,6 +145,41 @@
 	return w.nodes[router].log.Load() != log
 }
 
+// tally is what runs of the machine did: steps, calls, orders that ran, and what
+// calls were told.
+type tally struct {
+	steps, calls, ran, completed, unknown, running, refused int
+}
+
+func (t *tally) add(o tally) {
+	t.steps += o.steps
+	t.calls += o.calls
+	t.ran += o.ran
+	t.completed += o.completed
+	t.unknown += o.unknown
+	t.running += o.running
+	t.refused += o.refused
+}
+
+func (o *oracle) count(steps int) tally {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := tally{steps: steps, calls: o.calls, ran: len(o.ran)}
+	for _, told := range o.tellings {
+		switch {
+		case told.err != nil:
+			t.refused++
+		case told.state == StateCompleted:
+			t.completed++
+		case told.state == StateIntent:
+			t.running++
+		default:
+			t.unknown++
+		}
+	}
+	return t
+}
+
 // check compares what callers were told with what ran.
 func (o *oracle) check() []string {
 	o.mu.Lock()
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -46,6 +46,7 @@
 	JournalConflict    Code = "journal-conflict"
 	KeyReused          Code = "key-reused"
 	KeyExpired         Code = "key-expired"
+	KeyAhead           Code = "key-ahead"
 	AttemptRunning     Code = "attempt-running"
 	ResultUnknown      Code = "result-unknown"
 	StoreUnavailable   Code = "store-unavailable"
@@ -103,6 +104,7 @@
 	JournalConflict:    {503, true, "Another router is recording the same key."},
 	KeyReused:          {422, false, "The idempotency key was used with another request."},
 	KeyExpired:         {410, false, "The idempotency key is older than its retention."},
+	KeyAhead:           {400, false, "The idempotency key carries a time that lies ahead of the router's clock."},
 	AttemptRunning:     {409, true, "The first request with this key is still running."},
 	ResultUnknown:      {409, false, "The first request with this key may have run; its result is not known."},
 	StoreUnavailable:   {503, true, "The platform's object API does not answer."},
--- a/router/orders/orders.go
+++ b/router/orders/orders.go
@@ -150,6 +150,8 @@
 	switch {
 	case errors.Is(err, journal.ErrKeyReused):
 		return entry.Result{Reason: reason.KeyReused}
+	case errors.Is(err, journal.ErrAhead):
+		return entry.Result{Reason: reason.KeyAhead}
 	case errors.Is(err, journal.ErrExpired):
 		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.KeyExpired}
 	default:
