--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,7 @@
 	"ragwortpond.example/ragwortpond/router/home"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/router/withdraw"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
@@ -89,7 +90,9 @@
 	source  *propagate.Service
 	targets *targets.Tracker
 	chats   *home.Chats
+	groups  *home.Groups
 	home    *home.Home
+	leaving *withdraw.Driver
 	gate    home.Gate
 	entry   *entry.Entry
 	journal *journal.Log
@@ -128,6 +131,7 @@
 	r.cfg.Self.Incarnation = uint64(time.Now().UnixNano())
 	r.buildControl(mux)
 	r.buildRoles(mux)
+	r.registerStatus(mux)
 	if err := r.buildOrders(mux); err != nil {
 		return err
 	}
@@ -151,7 +155,8 @@
 func (r *Router) buildControl(mux *peer.Mux) {
 	r.source = propagate.New(propagate.Config{
 		Self: r.cfg.Self, Store: r.deps.Store, Caller: r.node, Log: r.log, Metrics: r.deps.Metrics,
-		Members: func() []fleet.Router { return r.members.View().Routers },
+		Members:    func() []fleet.Router { return r.members.View().Routers },
+		Neighbours: func() []fleet.Router { return r.members.View().Neighbours },
 	})
 	r.source.Register(mux)
 	r.members = membership.New(membership.Config{
@@ -175,13 +180,15 @@
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, View: r.members.View, Policy: r.deps.Policy, Clock: time.Now,
 	})
 	r.chats = home.NewChats(settings.Defaults().Placement.ChatTableEntries, time.Now)
+	r.groups = home.NewGroups(settings.Defaults().Placement.ChatTableEntries)
 	r.gate = r.newGate()
 	r.home = home.New(home.Config{
 		Self: r.cfg.Self.ID, Snapshot: r.source.Snapshot, Gate: r.gate, Targets: r.targets, Chats: r.chats,
-		Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
+		Groups: r.groups, Engine: r.deps.Engine, Plain: r.deps.Plain, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	mux.HandleStream(peer.MethodForward, r.home.HandleStream)
 	r.registerChats(mux)
+	r.leaving = r.newWithdrawals()
 	r.open = newOpenStreams()
 	r.entry = entry.New(entry.Config{
 		Self: r.cfg.Self, Snapshot: r.source.Snapshot, Targets: r.targets, Notifier: r,
@@ -250,6 +257,7 @@
 	r.start(failures, "journal", func() error { return r.journal.Run(ctx) })
 	r.startOperators(failures)
 	r.startHome(ctx, failures)
+	r.start(failures, "withdrawals", func() error { return r.leaving.Run(ctx) })
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -5,6 +5,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 // One digest exchange in farEvery goes to another failure domain.
@@ -31,7 +32,7 @@
 // pushChildren sends a page to all children at once and waits for them. A
 // failed push is left to the digest exchange.
 func (p *Service) pushChildren(ctx context.Context, page Page) {
-	below := children(p.config.Self, p.config.Members())
+	below := children(p.config.Self, p.config.Members(), p.config.Watchers)
 	done := make(chan struct{}, len(below))
 	for _, to := range below {
 		go func() {
@@ -76,7 +77,7 @@
 
 // digestLoop exchanges digests with random routers.
 func (p *Service) digestLoop(ctx context.Context) {
-	for pause(ctx, p.jitter(p.config.Timing.Digest)) {
+	for task.Sleep(ctx, p.jitter(p.config.Timing.Digest)) == nil {
 		if to, ok := p.pick(); ok {
 			_ = p.exchange(ctx, to)
 		}
@@ -85,6 +86,11 @@
 
 // pick chooses a router for a digest exchange.
 func (p *Service) pick() (fleet.Router, bool) {
+	if p.config.Neighbours != nil {
+		if near := p.config.Neighbours(); len(near) > 0 {
+			return near[p.config.IntN(len(near))], true
+		}
+	}
 	near, far := others(p.config.Self, p.config.Members())
 	if len(near) == 0 || (len(far) > 0 && p.config.IntN(farEvery) == 0) {
 		near = far
