--- /dev/null
+++ b/placement/capacity_test.go
@@ -0,0 +1,24 @@
+package placement
+
+import (
+	"testing"
+
+	"ragwortpond.example/ragwortpond/reason"
+)
+
+// TestCapacityHoldsBelowTheLoadBound: a target takes no more than its capacity
+// however loaded its service is.
+func TestCapacityHoldsBelowTheLoadBound(t *testing.T) {
+	service := ServiceLoad{Requests: 1000, Weight: 10}
+	limits := Limits{Multiple: 1.25, ReuseWeight: 1, Capacity: 8}
+	for load, want := range map[float64]Verdict{7: Admit, 8: Queue} {
+		d := Decide("e1", TargetLoad{InFlight: load, Weight: 1}, service, Attempt{Wait: true}, limits)
+		if d.Verdict != want {
+			t.Errorf("%v in flight: verdict %d, want %d", load, d.Verdict, want)
+		}
+	}
+	d := Decide("e1", TargetLoad{InFlight: 8, Weight: 1}, service, Attempt{}, limits)
+	if d.Verdict != Refuse || d.Reason != reason.LoadBound || d.Bound != 8 {
+		t.Errorf("full: %+v", d)
+	}
+}
--- a/placement/gate.go
+++ b/placement/gate.go
@@ -51,6 +51,8 @@
 type Limits struct {
 	Multiple    float64
 	ReuseWeight float64
+	// Capacity is the most requests before one target; zero means no limit.
+	Capacity float64
 }
 
 // Decision is a gate's verdict with what the entry router is told.
@@ -87,6 +89,9 @@
 		return Decision{Verdict: Refuse, Reason: reason.ContextElsewhere}
 	}
 	d := Decision{Load: load.InFlight + load.Unaccounted, Bound: targetBound(load, service, here || a.Wait, limits)}
+	if limits.Capacity > 0 {
+		d.Bound = min(d.Bound, limits.Capacity)
+	}
 	switch {
 	case d.Load+oneRequest <= d.Bound:
 		d.Verdict = Admit
--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -105,7 +105,10 @@
 		account: fwd.Account, weight: fwd.Weight, work: float64(fwd.PromptTokens + fwd.AnswerTokens),
 		priority: fwd.Priority, queueLength: values.Queue.Length,
 		admitted: make(chan struct{}), displaced: make(chan struct{}),
-		limits: placement.Limits{Multiple: values.Placement.LoadMultiple, ReuseWeight: values.Placement.ReuseWeight},
+		limits: placement.Limits{
+			Multiple: values.Placement.LoadMultiple, ReuseWeight: values.Placement.ReuseWeight,
+			Capacity: float64(values.Queue.TargetInFlight),
+		},
 		attempt: placement.Attempt{
 			Returning: fwd.Returning, PromptTokens: fwd.PromptTokens, ContextOnly: fwd.ContextOnly,
 			Redirected: fwd.Redirected, Wait: fwd.Wait, MaxWait: values.Queue.WaitMS.Duration(),
--- a/settings/table.go
+++ b/settings/table.go
@@ -73,6 +73,7 @@
 	{"limits.deadline_ms", TypeInteger, unitMillis, 1, dayMS, allLevels, "Deadline of a request that brings none of its own."},
 	{"queue.length", TypeInteger, "requests", 0, 1e6, serviceLevels, "Most requests that wait before a service's targets at one home."},
 	{"queue.wait_ms", TypeInteger, unitMillis, 0, dayMS, allLevels, "Longest wait before a request is refused with queue-timeout."},
+	{"queue.target_in_flight", TypeInteger, "requests", 0, 1e6, serviceLevels, "Most requests in flight before one target; further ones wait at its home in fair order. 0 sets no limit besides the load bound."},
 	{"retry.attempts", TypeInteger, "attempts", 1, 10, allLevels, "Most attempts of one request, the first included."},
 	{"retry.budget_ratio", TypeNumber, unitNone, 0, 1, serviceLevels, "Bound on retries as a share of requests."},
 	{"retry.backoff_ms", TypeInteger, unitMillis, 0, 60_000, serviceLevels, "Mean wait before the second attempt; it doubles with each further one."},
--- a/settings/values.go
+++ b/settings/values.go
@@ -77,6 +77,9 @@
 	Length int `json:"length"`
 	// WaitMS is the longest wait before a request is refused.
 	WaitMS Millis `json:"wait_ms"`
+	// TargetInFlight is the most requests in flight before one target; further
+	// ones wait at its home. Zero means no limit besides the load bound.
+	TargetInFlight int `json:"target_in_flight"`
 }
 
 // Retry bounds further attempts.
