--- a/measure/control.go
+++ b/measure/control.go
@@ -135,6 +135,11 @@
 		return controlRun{}, err
 	}
 	defer f.close()
+	return f.measure(ctx, size)
+}
+
+// measure runs a fleet for its warm-up and the window that is measured.
+func (f *controlFleet) measure(ctx context.Context, size controlSize) (controlRun, error) {
 	if err := f.changeSettings(ctx, controlWarm); err != nil {
 		return controlRun{}, err
 	}
--- /dev/null
+++ b/measure/slopes.go
@@ -0,0 +1,247 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+	"ragwortpond.example/ragwortpond/task"
+)
+
+func init() {
+	Register(Scenario{
+		Name:     "slopes",
+		Summary:  "what a router costs by routers, chats, targets and tokens",
+		Policies: []string{"ragwortpond"},
+		Run:      runSlopes,
+	})
+}
+
+const (
+	slopeChats       = 400_000
+	slopeTargets     = 10_000
+	slopeRouters     = 100
+	slopeServices    = 36
+	slopeChanges     = 5
+	slopeUsers       = 48
+	slopeAnswer      = 400
+	slopeEngineSpeed = 4000
+	slopeStreamTime  = 6 * time.Second
+	slopeInForce     = 10 * time.Second
+)
+
+// slopesFigures are the slopes that docs/CAPACITY.md is worked out from.
+type slopesFigures struct {
+	// TokensPerCore is streamed tokens through entry and home a second of
+	// processor time of the whole process: callers, stand-in engines and
+	// platform included, so a lower bound.
+	TokensPerCore   float64 `json:"tokens_per_core_second"`
+	RequestsPerCore float64 `json:"requests_per_core_second"`
+	Tokens          int64   `json:"streamed_tokens"`
+	Answers         int64   `json:"streamed_answers"`
+
+	ControlBytes   map[string]float64 `json:"control_bytes_per_router_second"`
+	WireBytes      map[string]float64 `json:"wire_bytes_per_router_second"`
+	ControlCore    map[string]float64 `json:"control_core_share_per_router"`
+	ControlHeap    map[string]float64 `json:"control_heap_bytes_per_router"`
+	StoreCalls     map[string]float64 `json:"store_calls_per_second"`
+	SettingsLagMS  map[string]float64 `json:"settings_in_force_max_ms"`
+	BytesPerChat   float64            `json:"bytes_per_chat"`
+	BytesPerTarget float64            `json:"bytes_per_target"`
+	// BytesPerMember is the membership table and its view.
+	BytesPerMember float64 `json:"bytes_per_member"`
+}
+
+var slopeSizes = []controlSize{{6, 12, 2}, {24, 12, 2}, {48, 12, 2}}
+
+func runSlopes(ctx context.Context, o Options) (Report, error) {
+	f := slopesFigures{
+		ControlBytes: map[string]float64{}, WireBytes: map[string]float64{}, ControlCore: map[string]float64{},
+		ControlHeap: map[string]float64{}, StoreCalls: map[string]float64{}, SettingsLagMS: map[string]float64{},
+	}
+	f.BytesPerChat = bytesPerChat()
+	var err error
+	if f.BytesPerTarget, err = bytesPerTarget(); err != nil {
+		return Report{}, err
+	}
+	f.BytesPerMember = bytesPerMember()
+	for _, size := range slopeSizes {
+		if err := f.control(ctx, o, size); err != nil {
+			return Report{}, err
+		}
+	}
+	if err := f.stream(ctx, o); err != nil {
+		return Report{}, err
+	}
+	chart := &Chart{Title: "Control bytes with QUIC a router second"}
+	var group Group
+	for _, size := range slopeSizes {
+		name := fmt.Sprint(size.Routers)
+		group.Bars = append(group.Bars, Bar{name + " routers", f.WireBytes[name]})
+	}
+	chart.Groups = append(chart.Groups, group)
+	return Report{Results: []Result{{Policy: "ragwortpond", Figures: f}}, Chart: chart}, nil
+}
+
+// control measures the control traffic of one size, then how long changes of
+// settings take to be in force on all its routers.
+func (f *slopesFigures) control(ctx context.Context, o Options, size controlSize) error {
+	fmt.Fprintf(o.Progress, "%d routers\n", size.Routers)
+	c, err := startControlFleet(ctx, size, o.Seed, o.Log)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	run, err := c.measure(ctx, size)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprint(size.Routers)
+	f.ControlBytes[name], f.WireBytes[name] = run.Bytes, run.WireBytes
+	f.ControlCore[name], f.ControlHeap[name] = run.CoreShare, run.HeapBytes
+	f.StoreCalls[name] = run.StoreCalls
+	for i := range slopeChanges {
+		lag, err := c.inForce(ctx, i)
+		if err != nil {
+			return err
+		}
+		f.SettingsLagMS[name] = max(f.SettingsLagMS[name], float64(lag)/float64(time.Millisecond))
+	}
+	return nil
+}
+
+// inForce writes one change and returns how long it takes until every router
+// has it.
+func (f *controlFleet) inForce(ctx context.Context, i int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, slopeInForce)
+	defer cancel()
+	o, err := f.store.Get(ctx, settings.KindAccounts, controlAccount)
+	if err != nil {
+		return 0, err
+	}
+	data, err := json.Marshal(document{"key_hashes": []string{}, "settings": document{"limits": document{"burst": 100 + i}}})
+	if err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	version, err := f.store.Put(ctx, o.Kind, o.Name, data, o.Version)
+	if err != nil {
+		return 0, err
+	}
+	for _, n := range f.nodes {
+		for n.source.Snapshot().Revision < version {
+			if err := task.Sleep(ctx, time.Millisecond); err != nil {
+				return 0, fmt.Errorf("%s has not version %d: %w", n.self.ID, version, err)
+			}
+		}
+	}
+	return time.Since(start), nil
+}
+
+// stream measures streamed tokens a second of processor time.
+func (f *slopesFigures) stream(ctx context.Context, o Options) error {
+	fmt.Fprintln(o.Progress, "streams")
+	b, err := bed.Start(ctx, bed.Config{
+		Objects: chatFleet(document{}), RoutersPerDomain: 1, Seed: o.Seed, Log: o.Log,
+		Engine: func(c *standin.EngineConfig) { c.TokensPerSecond = slopeEngineSpeed },
+	})
+	if err != nil {
+		return err
+	}
+	defer b.Close()
+	client := b.NewClient()
+	defer client.Close()
+	t := newTally()
+	users := startCrowd(ctx, b, client, t, crowdConfig{
+		account: quietAccount, service: chatService, users: slopeUsers, chats: 1, think: time.Millisecond,
+		sayTokens: 20, answerTokens: slopeAnswer, renewAfter: 1, seed: o.Seed,
+	})
+	defer users.stop()
+	_ = task.Sleep(ctx, time.Second)
+	answers, used := t.whole.Load(), processorTime()
+	_ = task.Sleep(ctx, slopeStreamTime)
+	f.Answers = t.whole.Load() - answers
+	cores := (processorTime() - used).Seconds()
+	f.Tokens = f.Answers * slopeAnswer
+	f.TokensPerCore = ratio(float64(f.Tokens), cores)
+	f.RequestsPerCore = ratio(float64(f.Answers), cores)
+	return ctx.Err()
+}
+
+// bytesPerChat is the memory of a home's chat table by entry.
+func bytesPerChat() float64 {
+	before := heapInUse()
+	chats := home.NewChats(slopeChats, time.Now)
+	for i := range slopeChats {
+		chats.Record(fleet.ChatKey(i)*0x9e3779b97f4a7c15+1, engineName(i%100), 1000)
+	}
+	after := heapInUse()
+	runtime.KeepAlive(chats)
+	return (after - before) / slopeChats
+}
+
+// bytesPerTarget is the memory of a target in the settings and in the tables of
+// candidates and homes.
+func bytesPerTarget() (float64, error) {
+	before := heapInUse()
+	objects := chatFleet(document{})
+	for i := range slopeServices {
+		objects = append(objects, object(settings.KindServices, fmt.Sprintf("model-%d", i), document{"kind": fleet.KindEngine}))
+	}
+	for i := range slopeTargets {
+		objects = append(objects, object(settings.KindTargets, fmt.Sprintf("worker-%d", i), document{
+			"service": fmt.Sprintf("model-%d", i%slopeServices), "failure_domain": domainOf(i), "addr": placeholder,
+		}))
+	}
+	snapshot, findings := settings.Build(objects)
+	if err := findings.Err(); err != nil {
+		return 0, err
+	}
+	view := &membership.View{LeavingVMs: map[string]bool{}}
+	for i := range slopeRouters {
+		id := fleet.RouterID(fmt.Sprintf("router-%d", i))
+		view.Routers = append(view.Routers, fleet.Router{ID: id, Domain: domainOf(i), Region: chatRegion})
+	}
+	tracker := targets.New(targets.Config{
+		Self: view.Routers[0], Clock: time.Now,
+		Snapshot: func() *settings.Snapshot { return snapshot },
+		View:     func() *membership.View { return view },
+	})
+	picker := tracker.Picker()
+	objects = nil
+	after := heapInUse()
+	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(picker)
+	return (after - before) / slopeTargets, nil
+}
+
+// bytesPerMember is the memory of a router in the membership table and view.
+func bytesPerMember() float64 {
+	const members = 2500
+	before := heapInUse()
+	now := time.Now()
+	table := membership.NewTable(fleet.Router{ID: "self", Domain: chatDomains[0]}, membership.Timing{Rings: 3}, nil, now)
+	for i := range members {
+		r := fleet.Router{
+			ID: fleet.RouterID(fmt.Sprintf("router-%d", i)), Domain: domainOf(i), Region: chatRegion,
+			PeerAddr: fmt.Sprintf("192.0.2.%d:%d", i%256, 7000+i), Incarnation: uint64(now.UnixNano()),
+		}
+		table.ApplySync("self", membership.SyncAnswer{Rumours: []membership.Rumour{
+			{ID: r.ID, Incarnation: r.Incarnation, Router: &r},
+		}}, now)
+	}
+	view := table.View()
+	after := heapInUse()
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(view)
+	return (after - before) / members
+}
