--- a/admission/doc.go
+++ b/admission/doc.go
@@ -1,6 +1,6 @@
 // Package admission decides which requests may go on and in what order: rates
 // and concurrency of client accounts, services and the fleet, deadlines,
-// shedding by priority, and the bounded fair queue before a target.
+// and the bounded fair queue before a target, which sheds by priority.
 //
 // It is deterministic and does no I/O; the time is passed in. Limits of the
 // fleet are divided between routers by demand: each router measures the demand
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"runtime"
 	"time"
 
-	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/measure/bed"
-	"ragwortpond.example/ragwortpond/membership"
-	"ragwortpond.example/ragwortpond/router/home"
-	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
@@ -32,6 +30,7 @@
 	slopeRouters     = 100
 	slopeServices    = 36
 	slopeChanges     = 5
+	slopePeers       = 101
 	slopeUsers       = 48
 	slopeAnswer      = 400
 	slopeEngineSpeed = 4000
@@ -57,6 +56,12 @@
 	SettingsLagMS  map[string]float64 `json:"settings_in_force_max_ms"`
 	BytesPerChat   float64            `json:"bytes_per_chat"`
 	BytesPerTarget float64            `json:"bytes_per_target"`
+	// BytesPerConnection is the heap of one end of a peer connection,
+	// HandshakeCoreMS the processor time of both ends to make one, and
+	// HandshakeBytes what both ends send for it in its first second.
+	BytesPerConnection float64 `json:"bytes_per_connection"`
+	HandshakeCoreMS    float64 `json:"handshake_core_ms"`
+	HandshakeBytes     float64 `json:"handshake_wire_bytes"`
 	// BytesPerMember is the membership table and its view.
 	BytesPerMember float64 `json:"bytes_per_member"`
 }
@@ -74,6 +79,9 @@
 		return Report{}, err
 	}
 	f.BytesPerMember = bytesPerMember()
+	if err := f.connections(ctx, o); err != nil {
+		return Report{}, err
+	}
 	for _, size := range slopeSizes {
 		if err := f.control(ctx, o, size); err != nil {
 			return Report{}, err
@@ -119,6 +127,48 @@
 	return nil
 }
 
+// connections measures what peer connections cost: one node calls all others.
+func (f *slopesFigures) connections(ctx context.Context, o Options) error {
+	c, err := startNodes(slopePeers, o)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	before, used := heapInUse(), processorTime()
+	for _, n := range c.nodes[1:] {
+		err := c.nodes[0].node.Call(ctx, n.self.PeerAddr, peer.MethodStatus, struct{}{}, nil)
+		if !errors.Is(err, peer.ErrNoHandler) {
+			return fmt.Errorf("call of %s: %w", n.self.ID, err)
+		}
+	}
+	made := float64(len(c.nodes) - 1)
+	f.HandshakeCoreMS = (processorTime() - used).Seconds() * 1000 / made
+	_ = task.Sleep(ctx, time.Second)
+	for _, n := range c.nodes {
+		f.HandshakeBytes += float64(n.node.WireBytes()) / made
+	}
+	f.BytesPerConnection = (heapInUse() - before) / made / 2
+	return ctx.Err()
+}
+
+// startNodes starts peer nodes without anything that uses them.
+func startNodes(n int, o Options) (*controlFleet, error) {
+	f := &controlFleet{store: standin.NewObjects(standin.ObjectsConfig{}), stop: func() {}}
+	authority, err := keys.NewAuthority("ragwortpond experiment")
+	if err != nil {
+		return nil, err
+	}
+	for i := range n {
+		node, err := f.newNode(authority, i, o.Seed, o.Log)
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		node.node.Start()
+	}
+	return f, nil
+}
+
 // inForce writes one change and returns how long it takes until every router
 // has it.
 func (f *controlFleet) inForce(ctx context.Context, i int) (time.Duration, error) {
@@ -176,72 +226,3 @@
 	f.RequestsPerCore = ratio(float64(f.Answers), cores)
 	return ctx.Err()
 }
-
-// bytesPerChat is the memory of a home's chat table by entry.
-func bytesPerChat() float64 {
-	before := heapInUse()
-	chats := home.NewChats(slopeChats, time.Now)
-	for i := range slopeChats {
-		chats.Record(fleet.ChatKey(i)*0x9e3779b97f4a7c15+1, engineName(i%100), 1000)
-	}
-	after := heapInUse()
-	runtime.KeepAlive(chats)
-	return (after - before) / slopeChats
-}
-
-// bytesPerTarget is the memory of a target in the settings and in the tables of
-// candidates and homes.
-func bytesPerTarget() (float64, error) {
-	before := heapInUse()
-	objects := chatFleet(document{})
-	for i := range slopeServices {
-		objects = append(objects, object(settings.KindServices, fmt.Sprintf("model-%d", i), document{"kind": fleet.KindEngine}))
-	}
-	for i := range slopeTargets {
-		objects = append(objects, object(settings.KindTargets, fmt.Sprintf("worker-%d", i), document{
-			"service": fmt.Sprintf("model-%d", i%slopeServices), "failure_domain": domainOf(i), "addr": placeholder,
-		}))
-	}
-	snapshot, findings := settings.Build(objects)
-	if err := findings.Err(); err != nil {
-		return 0, err
-	}
-	view := &membership.View{LeavingVMs: map[string]bool{}}
-	for i := range slopeRouters {
-		id := fleet.RouterID(fmt.Sprintf("router-%d", i))
-		view.Routers = append(view.Routers, fleet.Router{ID: id, Domain: domainOf(i), Region: chatRegion})
-	}
-	tracker := targets.New(targets.Config{
-		Self: view.Routers[0], Clock: time.Now,
-		Snapshot: func() *settings.Snapshot { return snapshot },
-		View:     func() *membership.View { return view },
-	})
-	picker := tracker.Picker()
-	objects = nil
-	after := heapInUse()
-	runtime.KeepAlive(snapshot)
-	runtime.KeepAlive(picker)
-	return (after - before) / slopeTargets, nil
-}
-
-// bytesPerMember is the memory of a router in the membership table and view.
-func bytesPerMember() float64 {
-	const members = 2500
-	before := heapInUse()
-	now := time.Now()
-	table := membership.NewTable(fleet.Router{ID: "self", Domain: chatDomains[0]}, membership.Timing{Rings: 3}, nil, now)
-	for i := range members {
-		r := fleet.Router{
-			ID: fleet.RouterID(fmt.Sprintf("router-%d", i)), Domain: domainOf(i), Region: chatRegion,
-			PeerAddr: fmt.Sprintf("192.0.2.%d:%d", i%256, 7000+i), Incarnation: uint64(now.UnixNano()),
-		}
-		table.ApplySync("self", membership.SyncAnswer{Rumours: []membership.Rumour{
-			{ID: r.ID, Incarnation: r.Incarnation, Router: &r},
-		}}, now)
-	}
-	view := table.View()
-	after := heapInUse()
-	runtime.KeepAlive(table)
-	runtime.KeepAlive(view)
-	return (after - before) / members
-}
--- /dev/null
+++ b/measure/slopes_memory.go
@@ -0,0 +1,82 @@
+package measure
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/router/home"
+	"ragwortpond.example/ragwortpond/router/targets"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// bytesPerChat is the memory of a home's chat table by entry.
+func bytesPerChat() float64 {
+	before := heapInUse()
+	chats := home.NewChats(slopeChats, time.Now)
+	for i := range slopeChats {
+		chats.Record(fleet.ChatKey(i)*0x9e3779b97f4a7c15+1, engineName(i%100), 1000)
+	}
+	after := heapInUse()
+	runtime.KeepAlive(chats)
+	return (after - before) / slopeChats
+}
+
+// bytesPerTarget is the memory of a target in the settings and in the tables of
+// candidates and homes.
+func bytesPerTarget() (float64, error) {
+	before := heapInUse()
+	objects := chatFleet(document{})
+	for i := range slopeServices {
+		objects = append(objects, object(settings.KindServices, fmt.Sprintf("model-%d", i), document{"kind": fleet.KindEngine}))
+	}
+	for i := range slopeTargets {
+		objects = append(objects, object(settings.KindTargets, fmt.Sprintf("worker-%d", i), document{
+			"service": fmt.Sprintf("model-%d", i%slopeServices), "failure_domain": domainOf(i), "addr": placeholder,
+		}))
+	}
+	snapshot, findings := settings.Build(objects)
+	if err := findings.Err(); err != nil {
+		return 0, err
+	}
+	view := &membership.View{LeavingVMs: map[string]bool{}}
+	for i := range slopeRouters {
+		id := fleet.RouterID(fmt.Sprintf("router-%d", i))
+		view.Routers = append(view.Routers, fleet.Router{ID: id, Domain: domainOf(i), Region: chatRegion})
+	}
+	tracker := targets.New(targets.Config{
+		Self: view.Routers[0], Clock: time.Now,
+		Snapshot: func() *settings.Snapshot { return snapshot },
+		View:     func() *membership.View { return view },
+	})
+	picker := tracker.Picker()
+	objects = nil
+	after := heapInUse()
+	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(picker)
+	return (after - before) / slopeTargets, nil
+}
+
+// bytesPerMember is the memory of a router in the membership table and view.
+func bytesPerMember() float64 {
+	const members = 2500
+	before := heapInUse()
+	now := time.Now()
+	table := membership.NewTable(fleet.Router{ID: "self", Domain: chatDomains[0]}, membership.Timing{Rings: 3}, nil, now)
+	for i := range members {
+		r := fleet.Router{
+			ID: fleet.RouterID(fmt.Sprintf("router-%d", i)), Domain: domainOf(i), Region: chatRegion,
+			PeerAddr: fmt.Sprintf("192.0.2.%d:%d", i%256, 7000+i), Incarnation: uint64(now.UnixNano()),
+		}
+		table.ApplySync("self", membership.SyncAnswer{Rumours: []membership.Rumour{
+			{ID: r.ID, Incarnation: r.Incarnation, Router: &r},
+		}}, now)
+	}
+	view := table.View()
+	after := heapInUse()
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(view)
+	return (after - before) / members
+}
