router/entry, router/home: waiting spread over equally full targets, moved to a new home

A home now dismisses those who wait before a target that is no longer its own, and the entry resolves the home anew for each round. Equally full targets are taken at random: the chats of a hot sheet all queued before the first of their candidates.

--- a/router/entry/rounds.go
+++ b/router/entry/rounds.go
@@ -11,10 +11,17 @@
 // idle would keep the mean, and with it the bound, low.
 const waitSlice = 200 * time.Millisecond
 
+// fillStep is the difference in fill below which targets count as equally full.
+const fillStep = 0.1
+
 // waitFor is a target that refused for its bound.
 type waitFor struct {
 	step step
-	fill float64
+	// fill is the load as a share of the bound, in steps of fillStep.
+	fill int
+	// order is random and decides between targets that are equally full, so
+	// that the chats of one group do not all queue before one target.
+	order uint64
 	// round is the number of rounds in which the request queued there.
 	round int
 }
@@ -28,13 +35,13 @@
 
 // add takes a target that refused for its bound. The one that holds the chat's
 // context counts as least full.
-func (r *rounds) add(s step, hint wire.Hint) {
+func (r *rounds) add(s step, hint wire.Hint, order uint64) {
 	fill := fillOf(hint)
 	if s.redirected || s.ContextOnly {
 		fill = 0
 	}
 	s.ContextOnly = false
-	r.targets = append(r.targets, waitFor{step: s, fill: fill})
+	r.targets = append(r.targets, waitFor{step: s, fill: fill, order: order})
 }
 
 // timedOut takes what the target told when the wait there was over.
@@ -46,8 +53,8 @@
 	}
 }
 
-func fillOf(hint wire.Hint) float64 {
-	return hint.Load / max(hint.Bound, 1)
+func fillOf(hint wire.Hint) int {
+	return int(hint.Load / max(hint.Bound, 1) / fillStep)
 }
 
 // next returns the target to queue before, and false when there is none or the
@@ -73,9 +80,19 @@
 	var best *waitFor
 	for i := range r.targets {
 		t := &r.targets[i]
-		if best == nil || t.round < best.round || (t.round == best.round && t.fill < best.fill) {
+		if best == nil || t.before(best) {
 			best = t
 		}
 	}
 	return best
 }
+
+func (t *waitFor) before(other *waitFor) bool {
+	if t.round != other.round {
+		return t.round < other.round
+	}
+	if t.fill != other.fill {
+		return t.fill < other.fill
+	}
+	return t.order < other.order
+}
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -67,7 +67,20 @@
 		s.redirected = s.Why == placement.ByToken
 		return s, true
 	}
-	return w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
+	s, ok := w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
+	if ok {
+		w.rehome(&s)
+	}
+	return s, ok
+}
+
+// rehome brings a step's home up to date, since homes change while requests
+// queue.
+func (w *walk) rehome(s *step) {
+	_, home, ok := w.entry.cfg.Targets.Picker().Target(w.req.Service, s.Target.ID)
+	if ok {
+		s.Home = home
+	}
 }
 
 // ended takes what became of a step.
@@ -79,8 +92,8 @@
 		w.follow(end.Hint.Target)
 	case end.Reason == reason.LoadBound:
 		w.refused = append(w.refused, s.Target.ID)
-		w.rounds.add(s, end.Hint)
-	case end.Reason == reason.QueueTimeout && s.wait > 0:
+		w.rounds.add(s, end.Hint, w.entry.cfg.Random())
+	case s.wait > 0 && (end.Reason == reason.QueueTimeout || end.Reason == reason.NotHome):
 		w.rounds.timedOut(s, end.Hint)
 	case end.Reason == reason.TargetDown:
 		w.entry.cfg.Targets.Down(s.Target.ID)
--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -239,7 +239,7 @@
 	case <-timer.C:
 		code = timeoutReason(w)
 	case <-w.displaced:
-		code = reason.Shed
+		code = displacedReason(w)
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
@@ -256,6 +256,13 @@
 	return nil, refusal(d)
 }
 
+func displacedReason(w *waiter) reason.Code {
+	if w.moved {
+		return reason.NotHome
+	}
+	return reason.Shed
+}
+
 // timeoutReason tells a wait for the chat's context, after which other targets
 // are tried, from a wait for any target.
 func timeoutReason(w *waiter) reason.Code {
@@ -289,6 +296,7 @@
 	if g.waiting == 0 {
 		return
 	}
+	g.follow()
 	for _, gate := range g.gates {
 		g.pump(gate)
 	}
--- a/router/home/queue.go
+++ b/router/home/queue.go
@@ -18,8 +18,10 @@
 	resume      bool
 	// admitted is closed when the attempt may go.
 	admitted chan struct{}
-	// displaced is closed when the attempt gave way to another in a full queue.
+	// displaced is closed when the attempt gave way to another in a full queue,
+	// or when its target got another home; moved tells the latter.
 	displaced chan struct{}
+	moved     bool
 }
 
 // waitQueue orders waiting attempts by falling priority, and within a priority
--- a/router/home/takeover.go
+++ b/router/home/takeover.go
@@ -38,10 +38,23 @@
 		}
 	})
 	for id, gate := range g.gates {
+		if gate.homed && !homed[id] {
+			g.dismiss(gate)
+		}
 		gate.homed = homed[id]
 	}
 }
 
+// dismiss sends those who wait before a target to its new home.
+func (g *LoadGate) dismiss(gate *targetGate) {
+	for w := gate.queue.head(); w != nil; w = gate.queue.head() {
+		gate.queue.pop()
+		g.waiting--
+		w.moved = true
+		close(w.displaced)
+	}
+}
+
 // assume reckons, at the first attempt after a change of home, with as much
 // work of the former home as the mean target carries.
 func (g *LoadGate) assume(gate *targetGate) {
