--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -179,7 +179,20 @@
 		others.Requests *= rest / others.Weight
 		others.Weight = rest
 	}
-	return placement.ServiceLoad{Requests: others.Requests + g.requests[service], Weight: others.Weight + own}
+	return placement.ServiceLoad{Requests: others.Requests + g.ownLoad(service), Weight: others.Weight + own}
+}
+
+// ownLoad is what this home has in flight, and of what waits at most one
+// attempt a target: where every target is as full as the mean allows, a growing
+// load shows only in what waits.
+func (g *LoadGate) ownLoad(service fleet.ServiceName) float64 {
+	waiting := 0
+	for _, gate := range g.gates {
+		if gate.target.Service == service && gate.queue.len() > 0 {
+			waiting++
+		}
+	}
+	return g.requests[service] + float64(waiting)
 }
 
 func (g *LoadGate) gate(t fleet.Target) *targetGate {
@@ -312,12 +325,13 @@
 	return 0
 }
 
-// ServiceInFlight returns the attempts of a service that this home has in
-// flight, for the reports to other homes.
+// ServiceInFlight returns the load of a service that this home reports to other
+// homes: the attempts in flight, and one for each target before which attempts
+// wait.
 func (g *LoadGate) ServiceInFlight(service fleet.ServiceName) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.requests[service]
+	return g.ownLoad(service)
 }
 
 // Report takes a target's report of its whole load.
