--- a/membership/beat.go
+++ b/membership/beat.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -117,6 +118,7 @@
 		return
 	}
 	t.ringsStale = false
+	t.changed = true
 	t.next, t.prev = neighbours(t.self, t.entries, t.timing.Rings)
 	heard := make(map[fleet.RouterID]time.Time, len(t.prev))
 	for _, id := range t.prev {
@@ -128,7 +130,10 @@
 	}
 	t.heard = heard
 	t.beats = 0
-	clear(t.sync.differs)
+	maps.DeleteFunc(t.sync.differs, func(id fleet.RouterID, _ time.Time) bool {
+		_, watched := heard[id]
+		return !watched
+	})
 }
 
 // watch suspects predecessors that have been silent for too long.
