--- a/measure/bed/bed_test.go
+++ b/measure/bed/bed_test.go
@@ -49,7 +49,7 @@
 
 // withoutLimits leaves out the client accounts' settings: these tests are of
 // other matters than limits.
-func withoutLimits(t *testing.T, objects []platform.Object) []platform.Object {
+func withoutLimits(t testing.TB, objects []platform.Object) []platform.Object {
 	t.Helper()
 	for i, o := range objects {
 		if o.Kind != settings.KindAccounts {
--- /dev/null
+++ b/measure/bed/hop_bench_test.go
@@ -0,0 +1,125 @@
+package bed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/engine"
+	"ragwortpond.example/ragwortpond/examples"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/router"
+	"ragwortpond.example/ragwortpond/router/entry"
+	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+// BenchmarkHop compares a short chat sent straight to an engine, through a
+// router that is the engine's home, and through one that is not.
+func BenchmarkHop(b *testing.B) {
+	objects := benchObjects(b)
+	f, err := Start(b.Context(), Config{
+		Objects: objects, RoutersPerDomain: 2, Log: zerolog.Nop(),
+		Engine: func(c *standin.EngineConfig) { c.TokensPerSecond = 20_000 },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	b.Run("direct", func(b *testing.B) { benchmarkDirect(b, f) })
+	b.Run("home", func(b *testing.B) { benchmarkRouter(b, f, true) })
+	b.Run("hop", func(b *testing.B) { benchmarkRouter(b, f, false) })
+}
+
+func benchObjects(b *testing.B) []platform.Object {
+	dir, err := examples.Deployment(examples.TochaViva)
+	if err != nil {
+		b.Fatal(err)
+	}
+	objects, findings := settings.LoadFS(dir)
+	if len(findings) > 0 {
+		b.Fatal(findings)
+	}
+	return withoutLimits(b, objects)
+}
+
+func benchmarkDirect(b *testing.B, f *Bed) {
+	client := engine.NewClient(engine.ClientConfig{})
+	addr := f.Engines()[0].Addr()
+	body := []byte(`{"model":"assistente","messages":[{"role":"user","content":"hello there"}],"max_tokens":1,"stream":true}`)
+	for b.Loop() {
+		answer, err := client.Chat(context.Background(), addr, engine.Request{Attempt: entry.NewAttemptID(), Chat: 1, Body: body, Stream: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		for {
+			ev, err := answer.Next()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if ev.Done {
+				break
+			}
+		}
+		answer.Close()
+	}
+}
+
+// benchmarkRouter sends chats through the routers that are, or are not, home to
+// the chat's first target.
+func benchmarkRouter(b *testing.B, f *Bed, atHome bool) {
+	client := f.NewClient()
+	defer client.Close()
+	chat, member := findChat(b, f, client, atHome)
+	for b.Loop() {
+		chat.Messages = nil
+		if answer, err := client.Say(context.Background(), member, chat, "hello there", 1); err != nil || !answer.Whole {
+			b.Fatalf("%+v, %v", answer, err)
+		}
+	}
+}
+
+// findChat returns a chat whose target has its home on the first router, or has
+// not.
+func findChat(b *testing.B, f *Bed, client *Client, atHome bool) (*Chat, *Member) {
+	member := f.Members()[0]
+	for i := range 1000 {
+		chat := &Chat{ID: fmt.Sprint(i), Account: "atacado-nordeste", Service: "assistente"}
+		before := f.executed()
+		if _, err := client.Say(context.Background(), member, chat, "hello there", 1); err != nil {
+			b.Fatal(err)
+		}
+		if isHome(member, f.moved(before)) == atHome {
+			return chat, member
+		}
+	}
+	b.Fatal("no such chat")
+	return nil, nil
+}
+
+func isHome(m *Member, id fleet.TargetID) bool {
+	return slices.ContainsFunc(m.Router.Status().Targets, func(t router.TargetStatus) bool { return t.Target == id })
+}
+
+// executed returns the attempts of each engine so far.
+func (b *Bed) executed() map[fleet.TargetID]int {
+	counts := map[fleet.TargetID]int{}
+	for _, e := range b.Engines() {
+		counts[e.ID()] = e.Stats().Executed
+	}
+	return counts
+}
+
+// moved returns the engine that executed something since.
+func (b *Bed) moved(before map[fleet.TargetID]int) fleet.TargetID {
+	for id, n := range b.executed() {
+		if n > before[id] {
+			return id
+		}
+	}
+	return ""
+}
