--- a/router/entry/rounds.go
+++ b/router/entry/rounds.go
@@ -6,9 +6,11 @@
 	"ragwortpond.example/ragwortpond/router/wire"
 )
 
-// waitSlice is how long a request queues before one target. A home bounds its
-// target by the mean, so requests that all queue before one target while others
-// idle would keep the mean, and with it the bound, low.
+// waitSlice is how long a request first queues before one target; each further
+// wait is twice as long. A home bounds its target by the mean, so requests that
+// all queue before one target while others idle would keep the mean, and with it
+// the bound, low. Waits that stayed short would leave out, time and again, the
+// requests behind the few that one wait serves.
 const waitSlice = 200 * time.Millisecond
 
 // fillStep is the difference in fill below which targets count as equally full.
@@ -31,6 +33,7 @@
 type rounds struct {
 	targets []waitFor
 	until   time.Time
+	slice   time.Duration
 }
 
 // add takes a target that refused for its bound. The one that holds the chat's
@@ -62,6 +65,7 @@
 func (r *rounds) next(now time.Time, longest time.Duration) (step, bool) {
 	if r.until.IsZero() {
 		r.until = now.Add(longest)
+		r.slice = waitSlice
 	}
 	left := r.until.Sub(now)
 	best := r.leastFull()
@@ -70,7 +74,8 @@
 	}
 	best.round++
 	s := best.step
-	s.wait = min(waitSlice, left)
+	s.wait = min(r.slice, left)
+	r.slice *= 2
 	return s, true
 }
 
