router/home: a router that has just started does not take its own load for the mean

For two seconds after its start, others not heard of count as idle, and the work of a former home is assumed once the mean is known.

--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -48,6 +48,8 @@
 	waiting  int
 	// seen is the picker by which the gates' homes were last marked.
 	seen *placement.Picker
+	// started is when the gate was made.
+	started time.Time
 	// life is the mean time that an attempt is at its target.
 	life time.Duration
 }
@@ -68,7 +70,7 @@
 
 // NewLoadGate returns a gate; Run lets queued attempts follow the mean.
 func NewLoadGate(cfg GateConfig) *LoadGate {
-	return &LoadGate{cfg: cfg, gates: map[fleet.TargetID]*targetGate{}, requests: map[fleet.ServiceName]float64{}, life: firstLife}
+	return &LoadGate{cfg: cfg, gates: map[fleet.TargetID]*targetGate{}, requests: map[fleet.ServiceName]float64{}, life: firstLife, started: cfg.Clock()}
 }
 
 // Acquire implements Gate.
@@ -170,12 +172,17 @@
 // serviceLoad is the load of a service: what this home has in flight and what
 // other homes reported. Reports of a home that is gone are still there for a
 // while, so others together count for no more than the weight of the targets
-// that are not this home's.
+// that are not this home's. A home that has just started and has heard of no
+// other takes them to be idle rather than as busy as its own targets.
 func (g *LoadGate) serviceLoad(service fleet.ServiceName) placement.ServiceLoad {
 	picker := g.cfg.Targets.Picker()
 	own := picker.HomedWeight(service, g.cfg.Self.ID) + g.actingWeight(service)
+	rest := max(picker.Weight(service)-own, 0)
 	others := g.cfg.Means.Others(service)
-	if rest := max(picker.Weight(service)-own, 0); others.Weight > rest {
+	if others.Weight == 0 && g.starting() {
+		others.Weight = rest
+	}
+	if others.Weight > rest {
 		others.Requests *= rest / others.Weight
 		others.Weight = rest
 	}
--- a/router/home/loadgate_test.go
+++ b/router/home/loadgate_test.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// TestNewRouterWaitsForWordOfTheOthers checks that a router which has just
+// started does not fill its targets before it has heard of the other homes.
+func TestNewRouterWaitsForWordOfTheOthers(t *testing.T) {
+	g := newHome(120)
+	g.others.set(placement.ServiceLoad{})
+	if n := len(g.fill(t, "e1")); n > 1 {
+		t.Errorf("%d admitted before the others' load was known", n)
+	}
+	g.others.set(placement.ServiceLoad{Requests: 120, Weight: 10})
+	if n := len(g.fill(t, "e1")); n > 1 {
+		t.Errorf("%d admitted at once beside the former home's work", n)
+	}
+}
+
 func TestGateQueuesUntilOneEnds(t *testing.T) {
 	g := newTestGate(80)
 	releases := g.fill(t, "e1")
--- a/router/home/takeover.go
+++ b/router/home/takeover.go
@@ -14,6 +14,9 @@
 	// takeoverLives is for how many lives of an attempt the work of a former
 	// home is reckoned with.
 	takeoverLives = 1.5
+	// startTime is how long a router that has started may not have heard of the
+	// other homes' load.
+	startTime = 2 * time.Second
 )
 
 // follow marks the targets that this router has become home to. Work that a
@@ -63,7 +66,7 @@
 		gate.takenOver = true
 	}
 	gate.used = now
-	if !gate.takenOver {
+	if !gate.takenOver || g.starting() && g.cfg.Means.Others(gate.target.Service).Weight == 0 {
 		return
 	}
 	gate.takenOver = false
@@ -71,6 +74,11 @@
 	gate.ledger.Assume(mean*max(gate.target.Weight, 0), now, g.takeoverLife())
 }
 
+// starting reports whether the router has started just now.
+func (g *LoadGate) starting() bool {
+	return g.cfg.Clock().Sub(g.started) < startTime
+}
+
 func (g *LoadGate) takeoverLife() time.Duration {
 	return time.Duration(takeoverLives * float64(g.life))
 }
