--- a/router/home/loadgate.go
+++ b/router/home/loadgate.go
@@ -13,10 +13,6 @@
 	"ragwortpond.example/ragwortpond/settings"
 )
 
-// pumpInterval is how often queued attempts are looked at again, since a mean
-// that grew elsewhere may have made room for them.
-const pumpInterval = 10 * time.Millisecond
-
 // Means tells the load of services outside of this home. Implementations are
 // safe for concurrent use.
 type Means interface {
@@ -97,21 +93,6 @@
 	return g.wait(ctx, gate, w, d)
 }
 
-// enqueue lets an attempt wait and tells those that give way to it. It must be
-// called with the lock held.
-func (g *LoadGate) enqueue(gate *targetGate, w *waiter) bool {
-	displaced, refusal := gate.queue.push(w)
-	for _, old := range displaced {
-		g.waiting--
-		close(old.displaced)
-	}
-	if refusal != nil {
-		return false
-	}
-	g.waiting++
-	return true
-}
-
 // waiter describes an attempt to the decision.
 func (g *LoadGate) waiter(t fleet.Target, fwd *wire.Forward) *waiter {
 	values := g.cfg.Snapshot().Effective(g.cfg.Self.Domain, fwd.Service, "")
@@ -169,39 +150,6 @@
 	return ok
 }
 
-// serviceLoad is the load of a service: what this home has in flight and what
-// other homes reported. Reports of a home that is gone are still there for a
-// while, so others together count for no more than the weight of the targets
-// that are not this home's. A home that has just started and has heard of no
-// other takes them to be idle rather than as busy as its own targets.
-func (g *LoadGate) serviceLoad(service fleet.ServiceName) placement.ServiceLoad {
-	picker := g.cfg.Targets.Picker()
-	own := picker.HomedWeight(service, g.cfg.Self.ID) + g.actingWeight(service)
-	rest := max(picker.Weight(service)-own, 0)
-	others := g.cfg.Means.Others(service)
-	if others.Weight == 0 && g.starting() {
-		others.Weight = rest
-	}
-	if others.Weight > rest {
-		others.Requests *= rest / others.Weight
-		others.Weight = rest
-	}
-	return placement.ServiceLoad{Requests: others.Requests + g.ownLoad(service), Weight: others.Weight + own}
-}
-
-// ownLoad is what this home has in flight, and of what waits at most one
-// attempt a target: where every target is as full as the mean allows, a growing
-// load shows only in what waits.
-func (g *LoadGate) ownLoad(service fleet.ServiceName) float64 {
-	waiting := 0
-	for _, gate := range g.gates {
-		if gate.target.Service == service && gate.queue.len() > 0 {
-			waiting++
-		}
-	}
-	return g.requests[service] + float64(waiting)
-}
-
 func (g *LoadGate) gate(t fleet.Target) *targetGate {
 	gate := g.gates[t.ID]
 	if gate == nil {
@@ -216,13 +164,6 @@
 	g.change(gate, 1)
 }
 
-// change must be called with the lock held.
-func (g *LoadGate) change(gate *targetGate, requests float64) {
-	gate.inFlight += requests
-	g.requests[gate.target.Service] += requests
-	gate.ledger.Note(gate.inFlight, g.cfg.Clock())
-}
-
 func (g *LoadGate) releaser(gate *targetGate) func() {
 	start := g.cfg.Clock()
 	return func() {
@@ -234,116 +175,6 @@
 	}
 }
 
-// pump admits queued attempts as far as there is room.
-func (g *LoadGate) pump(gate *targetGate) {
-	for {
-		w := gate.queue.head()
-		if w == nil || g.decide(gate, w).Verdict != placement.Admit {
-			return
-		}
-		gate.queue.pop()
-		g.waiting--
-		g.admit(gate)
-		close(w.admitted)
-	}
-}
-
-// wait waits until a queued attempt is admitted or its time is over.
-func (g *LoadGate) wait(ctx context.Context, gate *targetGate, w *waiter, d placement.Decision) (func(), wire.End) {
-	timer := time.NewTimer(d.Wait)
-	defer timer.Stop()
-	code := reason.Deadline
-	select {
-	case <-w.admitted:
-		return g.releaser(gate), wire.End{}
-	case <-timer.C:
-		code = timeoutReason(w)
-	case <-w.displaced:
-		code = displacedReason(w)
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-w.admitted:
-		return g.releaser(gate), wire.End{}
-	default:
-	}
-	if gate.queue.remove(w) {
-		g.waiting--
-	}
-	d.Reason = code
-	return nil, refusal(d)
-}
-
-func displacedReason(w *waiter) reason.Code {
-	if w.moved {
-		return reason.NotHome
-	}
-	return reason.Shed
-}
-
-// timeoutReason tells a wait for the chat's context, after which other targets
-// are tried, from a wait for any target.
-func timeoutReason(w *waiter) reason.Code {
-	if w.attempt.Wait {
-		return reason.QueueTimeout
-	}
-	return reason.LoadBound
-}
-
 func refusal(d placement.Decision) wire.End {
 	return wire.Refused(d.Reason, wire.Hint{Target: d.Elsewhere, Load: d.Load, Bound: d.Bound})
 }
-
-// Run lets queued attempts follow changes of the mean until ctx ends.
-func (g *LoadGate) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pumpInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			g.pumpAll()
-		}
-	}
-}
-
-func (g *LoadGate) pumpAll() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.waiting == 0 {
-		return
-	}
-	g.follow()
-	for _, gate := range g.gates {
-		g.pump(gate)
-	}
-}
-
-// InFlight returns the number of attempts in flight before a target.
-func (g *LoadGate) InFlight(id fleet.TargetID) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if gate := g.gates[id]; gate != nil {
-		return int(gate.inFlight)
-	}
-	return 0
-}
-
-// ServiceInFlight returns the load of a service that this home reports to other
-// homes: the attempts in flight, and one for each target before which attempts
-// wait.
-func (g *LoadGate) ServiceInFlight(service fleet.ServiceName) float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.ownLoad(service)
-}
-
-// Report takes a target's report of its whole load.
-func (g *LoadGate) Report(t fleet.Target, requests float64, at time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.gate(t).ledger.Report(requests, at)
-}
