router/entry: a home that is gone does not cost its targets; a withdrawal waits for its chats

A stopping home refused new attempts, and a request whose plan led to it found every target refused: hundreds of requests were told draining in one stop of a router with stop.ready_delay_ms 200. The home is now left out for a moment and the plan made anew.

A router that takes over a withdrawal said that its target was empty before it had heard which chats it holds: 1 of 8 chats was moved when the first home died (TestWithdrawalSurvivesItsHome).

--- a/measure/bed/stop_test.go
+++ b/measure/bed/stop_test.go
@@ -7,13 +7,18 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/standin"
 )
 
 // TestPlannedStopsCutNothing stops every router but the callers' own in turn
 // while chats go on, and wants every answer right and the chats' context found
 // again.
 func TestPlannedStopsCutNothing(t *testing.T) {
-	b, client, ctx := unlimited(t, slow())
+	cfg := slow()
+	cfg.Engine = func(c *standin.EngineConfig) { c.TokensPerSecond = 200 }
+	b, client, ctx := unlimited(t, cfg)
+	changeFleet(ctx, t, b, map[string]any{"stop": map[string]any{"ready_delay_ms": 200}})
 	entry, others := b.Members()[0], b.Members()[1:]
 	load, stop := context.WithCancel(ctx)
 	var wait sync.WaitGroup
@@ -26,7 +31,7 @@
 				asked.Add(1)
 				if err != nil || !a.Right {
 					wrong.Add(1)
-					t.Errorf("%+v, %v", a, err)
+					t.Errorf("status %d, outcome %s, reason %s, %v", a.Status, a.Outcome, a.Reason, err)
 				}
 			}
 		})
--- a/measure/bed/withdrawal_test.go
+++ b/measure/bed/withdrawal_test.go
@@ -96,3 +96,83 @@
 		}
 	}
 }
+
+// TestWithdrawalSurvivesItsHome kills the router that empties an engine in the
+// middle of it and wants another one to go on.
+func TestWithdrawalSurvivesItsHome(t *testing.T) {
+	cfg := quick()
+	cfg.RoutersPerDomain = 2
+	b, client, ctx := unlimited(t, cfg)
+	changeFleet(ctx, t, b, map[string]any{
+		"withdrawal": map[string]any{"kv_bytes_per_second": 30_000},
+		"membership": map[string]any{"heartbeat_ms": 100, "suspect_ms": 400, "remove_ms": 400},
+	})
+	for i := range 36 {
+		chat := &Chat{ID: fmt.Sprint("kept-", i), Account: account, Service: service}
+		if a, err := client.Say(ctx, b.Members()[i%len(b.Members())], chat, "a question", 0); err != nil || !a.Right {
+			t.Fatalf("%+v, %v", a, err)
+		}
+	}
+	id := busiest(b)
+	total := b.Engine(id).Stats().Executed
+	setState(ctx, t, b, id, fleet.Leaving)
+	driver(ctx, t, b, id).Kill()
+	withdrawn(ctx, t, b, id)
+	imported := 0
+	for _, e := range b.Engines() {
+		imported += e.Stats().Imports
+	}
+	t.Logf("%d chats, %d imports", total, imported)
+	if imported < total {
+		t.Errorf("%d chats on the engine, %d moved", total, imported)
+	}
+}
+
+// changeFleet changes settings of the fleet and waits until they are in force.
+func changeFleet(ctx context.Context, t *testing.T, b *Bed, change map[string]any) {
+	t.Helper()
+	version, err := b.Change(ctx, settings.KindFleet, "fleet", func(doc map[string]any) {
+		values, _ := doc["settings"].(map[string]any)
+		for group, keys := range change {
+			values[group] = keys
+		}
+		doc["settings"] = values
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range b.Members() {
+		for m.Router.Snapshot().Revision < version && ctx.Err() == nil {
+			time.Sleep(pollInterval)
+		}
+	}
+}
+
+// busiest returns the engine that took most requests.
+func busiest(b *Bed) fleet.TargetID {
+	var id fleet.TargetID
+	most := -1
+	for _, e := range b.Engines() {
+		if n := e.Stats().Executed; n > most {
+			id, most = e.ID(), n
+		}
+	}
+	return id
+}
+
+// driver returns the router that empties a target, once it has moved a chat.
+func driver(ctx context.Context, t *testing.T, b *Bed, id fleet.TargetID) *Member {
+	t.Helper()
+	for ctx.Err() == nil {
+		for _, m := range b.Members() {
+			for _, s := range m.Router.Withdrawals() {
+				if s.Target == id && s.Moved > 0 && s.Pending > 0 {
+					return m
+				}
+			}
+		}
+		time.Sleep(pollInterval)
+	}
+	t.Fatalf("nobody empties %s", id)
+	return nil
+}
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -39,8 +40,15 @@
 	refused []fleet.TargetID
 	failed  []fleet.TargetID
 	rounds  rounds
+	// asked is what the plan was made for; replans counts the plans after the
+	// first.
+	asked   placement.Request
+	replans int
 }
 
+// maxReplans bounds the plans made because a home was gone.
+const maxReplans = 4
+
 func (e *Entry) newWalk(req *Request) *walk {
 	now := e.cfg.Clock()
 	picker := e.cfg.Targets.Picker()
@@ -53,7 +61,7 @@
 		r.Context = e.contextOf(req, now)
 	}
 	return &walk{
-		entry: e, req: req, picker: picker, plan: picker.Pick(r), spread: r.Spread, token: r.Context != "",
+		entry: e, req: req, picker: picker, plan: picker.Pick(r), spread: r.Spread, token: r.Context != "", asked: r,
 	}
 }
 
@@ -88,6 +96,8 @@
 		w.rounds.add(s, end.Hint)
 	case end.Reason == reason.QueueTimeout && s.wait > 0:
 		w.rounds.timedOut(s, end.Hint)
+	case homeGone(end) && w.replans < maxReplans:
+		w.replan()
 	case end.Reason == reason.TargetDown:
 		w.entry.cfg.Targets.Down(s.Target.ID)
 		w.refused = append(w.refused, s.Target.ID)
@@ -96,6 +106,22 @@
 	}
 }
 
+// homeGone reports whether an attempt was not taken because its home is leaving
+// or lost; its target is as good as before.
+func homeGone(end wire.End) bool {
+	gone := end.Reason == reason.Draining || end.Reason == reason.HomeUnreachable
+	return gone && end.Outcome == outcome.NotDispatched
+}
+
+// replan begins anew with the homes as they are now; the tracker leaves out the
+// one that was gone.
+func (w *walk) replan() {
+	w.replans++
+	w.picker = w.entry.cfg.Targets.Picker()
+	w.plan = w.picker.Pick(w.asked)
+	w.index, w.redirect, w.rounds = 0, nil, rounds{}
+}
+
 // again begins the plan anew after an attempt failed: targets that had no room
 // before may have some now, and only those that failed are left out.
 func (w *walk) again(failed fleet.TargetID) {
--- a/router/forward.go
+++ b/router/forward.go
@@ -33,6 +33,14 @@
 
 // Forward implements entry.Forwarder.
 func (f *forwarder) Forward(ctx context.Context, to fleet.Router, fwd *wire.Forward, sink wire.Sink) wire.End {
+	end := f.forward(ctx, to, fwd, sink)
+	if end.Reason == reason.Draining {
+		f.targets.RouterDown(to.ID)
+	}
+	return end
+}
+
+func (f *forwarder) forward(ctx context.Context, to fleet.Router, fwd *wire.Forward, sink wire.Sink) wire.End {
 	if to.ID == f.self {
 		return f.home.Serve(ctx, fwd, sink)
 	}
--- a/router/withdraw/withdraw.go
+++ b/router/withdraw/withdraw.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -67,9 +68,11 @@
 	stored map[fleet.ChatKey]withdrawal.Chat
 	seq    uint64
 	// load is what the engine last reported to have in flight.
-	load    int
-	asked   time.Time
-	asking  bool
+	load   int
+	asked  time.Time
+	asking bool
+	// heard says that the engine told its chats, or cannot be reached.
+	heard   bool
 	offered time.Time
 }
 
@@ -172,8 +175,8 @@
 	values := d.cfg.Snapshot().Effective(l.target.Domain, l.target.Service, "").Withdrawal
 	before := l.machine.Status().Phase
 	l.machine.Observe(now, true, max(d.cfg.InFlight(l.target.ID), l.load), values)
+	d.offer(l, now)
 	if l.target.Kind == fleet.KindEngine {
-		d.offer(l, now)
 		d.ask(ctx, l, now)
 		d.move(ctx, l, now)
 	}
@@ -182,7 +185,7 @@
 
 // offer tells the machine what the target holds, now and then.
 func (d *Driver) offer(l *leaving, now time.Time) {
-	if now.Sub(l.offered) < loadInterval {
+	if l.target.Kind == fleet.KindEngine && !l.heard || now.Sub(l.offered) < loadInterval {
 		return
 	}
 	l.offered = now
@@ -233,7 +236,7 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		load, loadErr := d.cfg.Engine.Load(ctx, addr)
-		events, _ := d.cfg.Engine.CacheEvents(ctx, addr, seq)
+		events, err := d.cfg.Engine.CacheEvents(ctx, addr, seq)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		l.asking, l.asked = false, time.Now()
@@ -241,6 +244,7 @@
 		if loadErr == nil {
 			l.load = load.Running + load.Waiting
 		}
+		l.heard = l.heard || err == nil || errors.Is(err, engine.ErrNotSent)
 		l.apply(events, l.asked)
 	})
 }
--- a/withdrawal/withdrawal.go
+++ b/withdrawal/withdrawal.go
@@ -61,6 +61,8 @@
 	// before the withdrawal was called off.
 	moving *Chat
 	stale  bool
+	// known says that the target's chats were told since it began to leave.
+	known bool
 	// free is when the rate allows the next move.
 	free time.Time
 }
@@ -77,6 +79,7 @@
 	m.pending = map[fleet.ChatKey]Chat{}
 	m.done = map[fleet.ChatKey]time.Time{}
 	m.stale = m.moving != nil
+	m.known = false
 }
 
 // Observe takes whether the target is leaving and how much work it has in
@@ -99,7 +102,7 @@
 
 func (m *Machine) phase(now time.Time) Phase {
 	idle := m.status.InFlight == 0
-	if idle && len(m.pending) == 0 && m.moving == nil {
+	if idle && m.known && len(m.pending) == 0 && m.moving == nil {
 		return Empty
 	}
 	limit := m.config.LimitMS.Duration()
@@ -112,12 +115,14 @@
 	return Overdue
 }
 
-// Offer tells which chats the target holds. A chat that was seen again since it
+// Offer tells which chats the target holds; before the first offer it is not
+// empty. A chat that was seen again since it
 // was moved is moved again.
 func (m *Machine) Offer(now time.Time, chats []Chat) {
-	if m.status.Phase == Serving || m.config.KVBytesPerSecond <= 0 {
+	if m.status.Phase == Serving {
 		return
 	}
+	m.known = true
 	for _, c := range chats {
 		if m.wants(now, c) {
 			m.pending[c.Key] = c
@@ -127,7 +132,7 @@
 }
 
 func (m *Machine) wants(now time.Time, c Chat) bool {
-	if now.Sub(c.Seen) > m.config.ReturnWindowMS.Duration() {
+	if m.config.KVBytesPerSecond <= 0 || now.Sub(c.Seen) > m.config.ReturnWindowMS.Duration() {
 		return false
 	}
 	if m.moving != nil && !m.stale && m.moving.Key == c.Key && !c.Seen.After(m.moving.Seen) {
--- a/withdrawal/withdrawal_test.go
+++ b/withdrawal/withdrawal_test.go
@@ -30,6 +30,7 @@
 	now      time.Time
 	since    time.Time
 	leaving  bool
+	offered  bool
 	inFlight int
 	// chats are on the target; moved holds when each was seen as it was moved.
 	chats  map[fleet.ChatKey]time.Time
@@ -67,6 +68,7 @@
 func (m *model) toggle(*rapid.T) {
 	m.leaving = !m.leaving
 	m.since = m.now
+	m.offered = false
 	m.moved = map[fleet.ChatKey]time.Time{}
 	m.observe()
 }
@@ -83,6 +85,7 @@
 }
 
 func (m *model) offer(*rapid.T) {
+	m.offered = m.leaving
 	var list []withdrawal.Chat
 	for key, seen := range m.chats {
 		list = append(list, withdrawal.Chat{Key: key, Seen: seen})
@@ -134,6 +137,12 @@
 	m.bytes += size
 }
 
+// late reports whether the limit has passed.
+func (m *model) late() bool {
+	limit := m.config.LimitMS.Duration()
+	return limit > 0 && !m.now.Before(m.since.Add(limit))
+}
+
 func (m *model) check(t *rapid.T) {
 	m.steps++
 	s := m.machine.Status()
@@ -143,8 +152,10 @@
 	if s.Phase == withdrawal.Empty && m.inFlight > 0 {
 		t.Fatal("said to be empty with work in flight")
 	}
-	limit := m.config.LimitMS.Duration()
-	late := limit > 0 && !m.now.Before(m.since.Add(limit))
+	if s.Phase == withdrawal.Empty && !m.offered && !m.late() {
+		t.Fatal("said to be empty before its chats are known")
+	}
+	late := m.late()
 	if s.Phase == withdrawal.Empty && s.Pending > 0 && !late {
 		t.Fatal("said to be empty with chats to move")
 	}
