--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -188,7 +188,7 @@
 		Account: req.Account, Chat: req.Chat, Prefix: req.Prefix, Priority: req.Values.Limits.Priority,
 		Weight:       req.Values.Limits.Weight,
 		PromptTokens: req.PromptTokens, AnswerTokens: req.AnswerTokens, Returning: req.Returning,
-		ContextOnly: at.ContextOnly, Redirected: at.redirected, Wait: at.wait > 0, WaitMS: at.wait.Milliseconds(), Stream: req.Stream,
+		ContextOnly: at.ContextOnly, Redirected: at.redirected || at.insist, Wait: at.wait > 0, WaitMS: at.wait.Milliseconds(), Stream: req.Stream,
 		Method: req.Method, Path: req.Path, Header: req.Header, IdempotencyKey: req.IdempotencyKey,
 	}
 }
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -15,6 +15,9 @@
 	placement.Step
 	// redirected says that a token or a home named the target.
 	redirected bool
+	// insist says that the chat's context cannot be had where it is noted, so
+	// that the home does not redirect there.
+	insist bool
 	// wait is how long the attempt may queue; zero means that it may not.
 	wait time.Duration
 }
@@ -103,7 +106,7 @@
 	case end.Whole():
 		w.note(s)
 	case end.Reason == reason.ContextElsewhere:
-		w.follow(end.Hint.Target)
+		w.follow(s, end.Hint.Target)
 	case end.Reason == reason.LoadBound:
 		w.refused = append(w.refused, s.Target.ID)
 		w.rounds.add(s, end.Hint, w.entry.cfg.Random())
@@ -132,7 +135,7 @@
 	w.replans++
 	w.picker = w.entry.cfg.Targets.Picker()
 	w.plan = w.picker.Pick(w.asked)
-	w.index, w.redirect, w.rounds = 0, nil, rounds{}
+	w.index, w.redirect, w.hinted, w.rounds = 0, nil, false, rounds{}
 }
 
 // again begins the plan anew after an attempt failed: targets that had no room
@@ -140,11 +143,17 @@
 func (w *walk) again(failed fleet.TargetID) {
 	w.failed = append(w.failed, failed)
 	w.refused = append([]fleet.TargetID(nil), w.failed...)
-	w.index, w.redirect, w.rounds = 0, nil, rounds{}
+	w.index, w.redirect, w.hinted, w.rounds = 0, nil, false, rounds{}
 }
 
-// follow makes the target that a home named the next step, once in a walk.
-func (w *walk) follow(target fleet.TargetID) {
+// follow makes the target that a home named the next step, once in a walk. Where
+// that target has refused or failed, the step is repeated and insisted on.
+func (w *walk) follow(s step, target fleet.TargetID) {
+	if target != "" && w.hasRefused(target) && !s.ContextOnly && !s.insist {
+		s.insist = true
+		w.redirect = &s
+		return
+	}
 	if target == "" || w.hinted || w.hasRefused(target) {
 		return
 	}
