--- a/measure/bed/stop_test.go
+++ b/measure/bed/stop_test.go
@@ -15,6 +15,7 @@
 // while chats go on, and wants every answer right and the chats' context found
 // again.
 func TestPlannedStopsCutNothing(t *testing.T) {
+	t.Parallel()
 	cfg := slow()
 	cfg.Engine = func(c *standin.EngineConfig) { c.TokensPerSecond = 200 }
 	b, client, ctx := unlimited(t, cfg)
--- a/measure/bed/withdrawal_test.go
+++ b/measure/bed/withdrawal_test.go
@@ -39,6 +39,7 @@
 // TestWithdrawalMovesChats fills an engine with chats, withdraws it and wants
 // every chat to find its context elsewhere.
 func TestWithdrawalMovesChats(t *testing.T) {
+	t.Parallel()
 	b, client, ctx := unlimited(t, quick())
 	chats := make([]*Chat, 36)
 	say := func(text string) {
@@ -100,6 +101,7 @@
 // TestWithdrawalSurvivesItsHome kills the router that empties an engine in the
 // middle of it and wants another one to go on.
 func TestWithdrawalSurvivesItsHome(t *testing.T) {
+	t.Parallel()
 	cfg := quick()
 	cfg.RoutersPerDomain = 2
 	b, client, ctx := unlimited(t, cfg)
