router: a lost home is left out at once; a busy peer refuses definitely; one rule for repeatability

Change: a broken stream leaves the router out for a moment; each step of a plan finds its present home; a stream that a peer refused for want of handlers counts as not dispatched; caller uses retry.Repeatable.

--- a/caller/plain.go
+++ b/caller/plain.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -11,8 +10,8 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/entry"
-	"ragwortpond.example/ragwortpond/settings"
 )
 
 // hopHeaders are not passed on to plain services.
@@ -55,7 +54,7 @@
 	req.Method = string(c.Method())
 	req.Path = pathBelow(c)
 	req.Header = passedHeaders(c)
-	req.Repeatable = repeatable(snapshot.Rules, service.Name, req.Method, req.Path)
+	req.Repeatable = retry.Repeatable(snapshot.Rules, service.Name, req.Method, req.Path)
 	return req, nil
 }
 
@@ -79,14 +78,3 @@
 	})
 	return fields
 }
-
-// repeatable reports whether a call may be repeated: by the first rule that
-// matches, else by its method.
-func repeatable(rules []settings.Rule, service fleet.ServiceName, method, path string) bool {
-	for _, r := range rules {
-		if r.Service == service && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) && strings.HasPrefix(path, r.PathPrefix) {
-			return r.Repeatable
-		}
-	}
-	return method == "GET" || method == "HEAD"
-}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -18,6 +18,12 @@
 const testTimeout = 10 * time.Second
 
 func startNode(t *testing.T, ca *keys.Authority, name string, mux *Mux) *Node {
+	t.Helper()
+	return startSized(t, ca, name, mux, 64)
+}
+
+// startSized starts a node with so many handlers.
+func startSized(t *testing.T, ca *keys.Authority, name string, mux *Mux, handlers int) *Node {
 	t.Helper()
 	pair, err := ca.Issue(name, []string{"127.0.0.1"})
 	if err != nil {
@@ -27,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	pool, err := task.NewPool(64)
+	pool, err := task.NewPool(handlers)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,3 +152,39 @@
 		t.Fatalf("got %v, want ErrUnreachable", err)
 	}
 }
+
+func TestBusyPeerRefusesBeforeReading(t *testing.T) {
+	mux := NewMux()
+	entered := make(chan struct{}, 1)
+	release := make(chan struct{})
+	mux.HandleStream(MethodForward, func(context.Context, fleet.RouterID, *Stream) {
+		entered <- struct{}{}
+		<-release
+	})
+	ca, err := keys.NewAuthority("ca")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, server := startNode(t, ca, "r1", NewMux()), startSized(t, ca, "r2", mux, 1)
+	defer close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	first, err := client.Open(ctx, server.Addr(), MethodForward)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	<-entered
+	second, err := client.Open(ctx, server.Addr(), MethodForward)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := second.Receive(); !errors.Is(err, ErrBusy) {
+		t.Fatalf("got %v, want ErrBusy", err)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,9 @@
 	ErrUnreachable = errors.New("peer: unreachable")
 	// ErrBroken means that the stream broke: the peer may have acted.
 	ErrBroken = errors.New("peer: stream broken")
+	// ErrBusy means that the peer refused the stream before reading anything
+	// of it, since all its handlers are busy.
+	ErrBusy = errors.New("peer: busy")
 	// ErrFrameTooLarge means that a frame is over its limit.
 	ErrFrameTooLarge = errors.New("peer: frame too large")
 	// ErrBadFrame means that a frame could not be decoded.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -162,6 +162,10 @@
 	if clean {
 		return io.EOF
 	}
+	var reset *quic.StreamError
+	if errors.As(err, &reset) && reset.ErrorCode == codeBusy {
+		return ErrBusy
+	}
 	return fmt.Errorf("%w: %v", ErrBroken, err)
 }
 
--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		s.redirected = s.Why == placement.ByToken
+		w.rehome(&s)
 		return s, true
 	}
 	s, ok := w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
@@ -92,7 +93,7 @@
 }
 
 // rehome brings a step's home up to date, since homes change while requests
-// queue.
+// queue and while earlier steps fail.
 func (w *walk) rehome(s *step) {
 	_, home, ok := w.entry.cfg.Targets.Picker().Target(w.req.Service, s.Target.ID)
 	if ok {
--- a/router/forward.go
+++ b/router/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
@@ -68,6 +69,9 @@
 	if err != nil {
 		f.lost(to.ID, fwd, err)
 	}
+	if errors.Is(err, peer.ErrBroken) && ctx.Err() == nil || errors.Is(err, peer.ErrBusy) {
+		f.silent(to.ID)
+	}
 	return end
 }
 
--- a/router/wire/stream.go
+++ b/router/wire/stream.go
@@ -121,6 +121,9 @@
 }
 
 func broken(ctx context.Context, err error) End {
+	if errors.Is(err, peer.ErrBusy) {
+		return Refused(reason.HomeUnreachable, Hint{})
+	}
 	if ctx.Err() != nil {
 		return End{Outcome: outcome.Dispatched, Reason: reason.Deadline}
 	}
