--- a/peer/stream.go
+++ b/peer/stream.go
@@ -100,23 +100,36 @@
 // It returns io.EOF after the peer's last frame, ErrFrameTooLarge for a frame
 // over the limit, and ErrBroken when the stream breaks.
 func (s *Stream) Receive() (FrameKind, []byte, error) {
+	kind, payload, err := readFrame(s.in, s.frame, s.limit)
+	if errors.Is(err, ErrFrameTooLarge) {
+		s.reject()
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	s.frame = payload[:cap(payload)]
+	s.node.count(s.class, s.label, directionReceived, len(payload)+frameHeaderBytes)
+	return kind, payload, nil
+}
+
+// readFrame reads one frame into buffer, or into a larger one where that is too
+// small. The length is checked before anything is allocated for it.
+func readFrame(r io.Reader, buffer []byte, limit int) (FrameKind, []byte, error) {
 	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(s.in, header[:]); err != nil {
+	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return 0, nil, receiveError(err, errors.Is(err, io.EOF))
 	}
 	size := int(binary.BigEndian.Uint32(header[1:]))
-	if size > s.limit {
-		s.reject()
+	if size > limit {
 		return 0, nil, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
-	if cap(s.frame) < size {
-		s.frame = make([]byte, size)
+	if cap(buffer) < size {
+		buffer = make([]byte, size)
 	}
-	payload := s.frame[:size]
-	if _, err := io.ReadFull(s.in, payload); err != nil {
+	payload := buffer[:size]
+	if _, err := io.ReadFull(r, payload); err != nil {
 		return 0, nil, receiveError(err, false)
 	}
-	s.node.count(s.class, s.label, directionReceived, size+frameHeaderBytes)
 	return FrameKind(header[0]), payload, nil
 }
 
