settings/propagate: back off while the platform or every source fails

Cause: during an outage each watcher and each starting router asked and logged four times a second. Change: the pause doubles from 250 ms to 2 s, and only the first failure in a row is logged. Conclusion: a router that starts when nothing answers makes at most one attempt in about 2 s.

--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -19,6 +19,7 @@
 // load takes the settings from peers and the platform, whichever is further,
 // and retries until it has some. It returns an error only when ctx ends.
 func (p *Service) load(ctx context.Context) error {
+	failures := backoff{first: p.config.Timing.Retry}
 	for {
 		err := p.loadOnce(ctx)
 		if err == nil {
@@ -27,9 +28,12 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
-		if task.Sleep(ctx, p.jitter(p.config.Timing.Retry)) != nil {
-			return ctx.Err()
+		wait, first := failures.fail()
+		if first {
+			event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
+		}
+		if err := task.Sleep(ctx, p.jitter(wait)); err != nil {
+			return err
 		}
 	}
 }
--- a/settings/propagate/run_test.go
+++ b/settings/propagate/run_test.go
@@ -138,6 +138,19 @@
 	}
 }
 
+func TestBackoffDoublesUpToItsMaximum(t *testing.T) {
+	b := backoff{first: backoffMax / 5}
+	for i, want := range []time.Duration{backoffMax / 5, 2 * backoffMax / 5, 4 * backoffMax / 5, backoffMax, backoffMax} {
+		if wait, first := b.fail(); wait != want || first != (i == 0) {
+			t.Errorf("failure %d: %v, first %v", i, wait, first)
+		}
+	}
+	b.reset()
+	if _, first := b.fail(); !first {
+		t.Error("a reset did not end the row")
+	}
+}
+
 func TestTreeReachesEveryRouterOnce(t *testing.T) {
 	for _, count := range []int{1, 2, 3, 7, 50, 167} {
 		routers := testRouters(count, "a")
--- a/settings/propagate/watch.go
+++ b/settings/propagate/watch.go
@@ -13,16 +13,22 @@
 
 // watchLoop holds the watch on the platform while this router is a watcher.
 func (p *Service) watchLoop(ctx context.Context) {
+	failures := backoff{first: p.config.Timing.Retry}
 	for ctx.Err() == nil {
 		if !p.watching() {
 			_ = task.Sleep(ctx, p.config.Timing.Role)
 			continue
 		}
 		err := p.watchAsWatcher(ctx)
-		if err != nil && ctx.Err() == nil {
+		if err == nil || ctx.Err() != nil {
+			failures.reset()
+			continue
+		}
+		wait, first := failures.fail()
+		if first {
 			event.SettingsWatch.Log(p.config.Log).Err(err).Send()
-			_ = task.Sleep(ctx, p.jitter(p.config.Timing.Retry))
 		}
+		_ = task.Sleep(ctx, p.jitter(wait))
 	}
 }
 
