settings/propagate: a starting router takes the whole state once

Cause: it took the whole state from each of up to four routers, several megabytes each at the two-year size. Change: from the second router on it takes only what the first lacked, by a digest exchange.

--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -44,7 +44,7 @@
 func (p *Service) loadOnce(ctx context.Context) error {
 	heard := false
 	for _, from := range p.sources() {
-		if p.fetchAll(ctx, from) == nil {
+		if p.ask(ctx, from) == nil {
 			heard = true
 		}
 	}
@@ -58,6 +58,15 @@
 	return nil
 }
 
+// ask takes the whole state of the first router that has one, and from the
+// others only what they have besides.
+func (p *Service) ask(ctx context.Context, from fleet.Router) error {
+	if p.Revision() == 0 {
+		return p.fetchAll(ctx, from)
+	}
+	return p.exchange(ctx, from)
+}
+
 // platformOnce bounds a read of the platform by the time of one peer call.
 func (p *Service) platformOnce(ctx context.Context, read func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timing.Call)
