settings/propagate: a router that does not answer delays no other

Cause: a push waited for all routers below before the next change was sent, so one dead router held the others back by the time-out of a call, 2 s, for each change until membership removed it. Change: one push at a time runs for each router below; what comes meanwhile follows by an exchange.

--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -29,22 +29,6 @@
 	}
 }
 
-// pushChildren sends a page to all children at once and waits for them. A
-// failed push is left to the digest exchange.
-func (p *Service) pushChildren(ctx context.Context, page Page) {
-	below := children(p.config.Self, p.config.Members(), p.config.Watchers)
-	done := make(chan struct{}, len(below))
-	for _, to := range below {
-		go func() {
-			_ = p.push(ctx, to, page)
-			done <- struct{}{}
-		}()
-	}
-	for range below {
-		<-done
-	}
-}
-
 // push sends a page, and then what a receiver that has missed more still lacks.
 func (p *Service) push(ctx context.Context, to fleet.Router, page Page) error {
 	var answer pushAnswer
--- a/settings/propagate/fleet_test.go
+++ b/settings/propagate/fleet_test.go
@@ -185,6 +185,7 @@
 	}
 	for len(n.outbox) > 0 {
 		n.pushChildren(ctx, <-n.outbox)
+		n.pushes.running.Wait()
 	}
 }
 
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -100,6 +100,7 @@
 	loaded   atomic.Bool
 	outbox   chan Page
 	pulls    chan fleet.RouterID
+	pushes   pushes
 	mu       sync.Mutex
 	watchers map[int]func(*settings.Snapshot)
 	nextID   int
@@ -134,6 +135,7 @@
 		ready:    make(chan struct{}),
 		outbox:   make(chan Page, outboxPages),
 		pulls:    make(chan fleet.RouterID, pullsWaiting),
+		pushes:   pushes{behind: map[fleet.RouterID]bool{}},
 		watchers: map[int]func(*settings.Snapshot){},
 	}
 	empty, _ := settings.Build(nil)
@@ -195,6 +197,7 @@
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
+	p.pushes.running.Wait()
 	return nil
 }
 
--- a/settings/propagate/run_test.go
+++ b/settings/propagate/run_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -151,6 +152,47 @@
 	}
 }
 
+// TestDeadRouterDelaysNoOther pushes a change past a router that never answers.
+func TestDeadRouterDelaysNoOther(t *testing.T) {
+	self := domainOrder(testRouters(1, "a")[0], testRouters(6, "a"))[0]
+	below := children(self, testRouters(6, "a"), defaultWatchers)
+	caller := &deafRouter{addr: below[0].PeerAddr, served: make(chan string, 100)}
+	p := New(Config{
+		Self: self, Caller: caller, Members: func() []fleet.Router { return testRouters(6, "a") },
+		Timing: Timing{Call: time.Hour},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	for range 3 {
+		p.pushChildren(ctx, Page{})
+	}
+	for range below[1:] {
+		select {
+		case <-caller.served:
+		case <-time.After(20 * time.Second):
+			t.Fatal("a router waits for another")
+		}
+	}
+	cancel()
+	p.pushes.running.Wait()
+}
+
+// deafRouter is a Caller of routers of which one never answers.
+type deafRouter struct {
+	addr   string
+	served chan string
+}
+
+func (d *deafRouter) Send(string, peer.Method, any) error { return nil }
+
+func (d *deafRouter) Call(ctx context.Context, addr string, _ peer.Method, _, _ any) error {
+	if addr == d.addr {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	d.served <- addr
+	return nil
+}
+
 func TestTreeReachesEveryRouterOnce(t *testing.T) {
 	for _, count := range []int{1, 2, 3, 7, 50, 167} {
 		routers := testRouters(count, "a")
