--- /dev/null
+++ b/measure/control_test.go
@@ -0,0 +1,41 @@
+package measure
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+// TestControlFleetCountsWhatItSends: a small fleet settles, has a change of
+// settings in force everywhere, and counts less as messages than on the wire.
+func TestControlFleetCountsWhatItSends(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	size := controlSize{Routers: 4, Targets: 8, Services: 2}
+	f, err := startControlFleet(context.Background(), size, 1, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	before := f.totals()
+	if _, err := f.inForce(context.Background(), 1); err != nil {
+		t.Fatal(err)
+	}
+	for f.totals().byMethod["load"] == before.byMethod["load"] {
+		time.Sleep(10 * time.Millisecond)
+	}
+	run := between(size, before, f.totals())
+	if run.ByMethod["load"] <= 0 || run.WireBytes <= run.Bytes {
+		t.Errorf("counted %+v", run)
+	}
+	for _, n := range f.nodes {
+		for n.means.Mean("service-0").Targets != 4 {
+			if time.Since(before.at) > controlSettle {
+				t.Fatalf("%s knows of %d targets, want 4", n.self.ID, n.means.Mean("service-0").Targets)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -216,6 +216,21 @@
 	}
 	v := s.table.View()
 	s.view.Store(v)
+	s.count(v)
 	event.MembershipChanged.Log(s.cfg.Log).Int("routers", len(v.Routers)).Uint64("version", v.Version).Send()
 	s.watch.notify()
 }
+
+// count sets the numbers of members by state.
+func (s *Service) count(v *View) {
+	if s.cfg.Metrics == nil {
+		return
+	}
+	var numbers [len(stateNames)]int
+	for _, m := range v.All {
+		numbers[m.State]++
+	}
+	for state, n := range numbers {
+		s.cfg.Metrics.Members.WithLabelValues(State(state).String()).Set(float64(n))
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,6 +35,8 @@
 	FirstByteSeconds *prometheus.HistogramVec
 	// InFlight is the number of requests in flight by role (entry, home).
 	InFlight *prometheus.GaugeVec
+	// Members is the number of routers known, by state.
+	Members *prometheus.GaugeVec
 	// SettingsRevision is the settings revision in force.
 	SettingsRevision prometheus.Gauge
 	// Journal is the metrics of the journal.
@@ -57,6 +59,9 @@
 		InFlight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "in_flight", Help: "Requests in flight.",
 		}, []string{"role"}),
+		Members: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "members", Help: "Routers known.",
+		}, []string{"state"}),
 		SettingsRevision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "settings_revision", Help: "Settings revision in force.",
 		}),
@@ -64,7 +69,7 @@
 	s.Journal = newJournal()
 	s.Journal.register(s.Registry)
 	s.Registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.Discards, s.ControlBytes, s.DataBytes,
-		s.StoreCalls, s.QueueSeconds, s.FirstByteSeconds, s.InFlight, s.SettingsRevision)
+		s.StoreCalls, s.QueueSeconds, s.FirstByteSeconds, s.InFlight, s.Members, s.SettingsRevision)
 	return s
 }
 
