--- a/router/entry/walk.go
+++ b/router/entry/walk.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/wire"
@@ -14,6 +15,9 @@
 	placement.Step
 	// redirected says that a token or a home named the target.
 	redirected bool
+	// insist says that the chat's context cannot be had where it is noted, so
+	// that the home does not redirect there.
+	insist bool
 	// wait is how long the attempt may queue; zero means that it may not.
 	wait time.Duration
 }
@@ -39,8 +43,15 @@
 	refused []fleet.TargetID
 	failed  []fleet.TargetID
 	rounds  rounds
+	// asked is what the plan was made for; replans counts the plans after the
+	// first.
+	asked   placement.Request
+	replans int
 }
 
+// maxReplans bounds the plans made because a home was gone.
+const maxReplans = 4
+
 func (e *Entry) newWalk(req *Request) *walk {
 	now := e.cfg.Clock()
 	picker := e.cfg.Targets.Picker()
@@ -53,7 +64,7 @@
 		r.Context = e.contextOf(req, now)
 	}
 	return &walk{
-		entry: e, req: req, picker: picker, plan: picker.Pick(r), spread: r.Spread, token: r.Context != "",
+		entry: e, req: req, picker: picker, plan: picker.Pick(r), spread: r.Spread, token: r.Context != "", asked: r,
 	}
 }
 
@@ -73,7 +84,20 @@
 		s.redirected = s.Why == placement.ByToken
 		return s, true
 	}
-	return w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
+	s, ok := w.rounds.next(w.entry.cfg.Clock(), w.req.Values.Queue.WaitMS.Duration())
+	if ok {
+		w.rehome(&s)
+	}
+	return s, ok
+}
+
+// rehome brings a step's home up to date, since homes change while requests
+// queue.
+func (w *walk) rehome(s *step) {
+	_, home, ok := w.entry.cfg.Targets.Picker().Target(w.req.Service, s.Target.ID)
+	if ok {
+		s.Home = home
+	}
 }
 
 // ended takes what became of a step.
@@ -82,12 +106,14 @@
 	case end.Whole():
 		w.note(s)
 	case end.Reason == reason.ContextElsewhere:
-		w.follow(end.Hint.Target)
+		w.follow(s, end.Hint.Target)
 	case end.Reason == reason.LoadBound:
 		w.refused = append(w.refused, s.Target.ID)
-		w.rounds.add(s, end.Hint)
-	case end.Reason == reason.QueueTimeout && s.wait > 0:
+		w.rounds.add(s, end.Hint, w.entry.cfg.Random())
+	case s.wait > 0 && (end.Reason == reason.QueueTimeout || end.Reason == reason.NotHome):
 		w.rounds.timedOut(s, end.Hint)
+	case homeGone(end) && w.replans < maxReplans:
+		w.replan()
 	case end.Reason == reason.TargetDown:
 		w.entry.cfg.Targets.Down(s.Target.ID)
 		w.refused = append(w.refused, s.Target.ID)
@@ -96,16 +122,38 @@
 	}
 }
 
+// homeGone reports whether an attempt was not taken because its home is leaving
+// or lost; its target is as good as before.
+func homeGone(end wire.End) bool {
+	gone := end.Reason == reason.Draining || end.Reason == reason.HomeUnreachable
+	return gone && end.Outcome == outcome.NotDispatched
+}
+
+// replan begins anew with the homes as they are now; the tracker leaves out the
+// one that was gone.
+func (w *walk) replan() {
+	w.replans++
+	w.picker = w.entry.cfg.Targets.Picker()
+	w.plan = w.picker.Pick(w.asked)
+	w.index, w.redirect, w.hinted, w.rounds = 0, nil, false, rounds{}
+}
+
 // again begins the plan anew after an attempt failed: targets that had no room
 // before may have some now, and only those that failed are left out.
 func (w *walk) again(failed fleet.TargetID) {
 	w.failed = append(w.failed, failed)
 	w.refused = append([]fleet.TargetID(nil), w.failed...)
-	w.index, w.redirect, w.rounds = 0, nil, rounds{}
+	w.index, w.redirect, w.hinted, w.rounds = 0, nil, false, rounds{}
 }
 
-// follow makes the target that a home named the next step, once in a walk.
-func (w *walk) follow(target fleet.TargetID) {
+// follow makes the target that a home named the next step, once in a walk. Where
+// that target has refused or failed, the step is repeated and insisted on.
+func (w *walk) follow(s step, target fleet.TargetID) {
+	if target != "" && w.hasRefused(target) && !s.ContextOnly && !s.insist {
+		s.insist = true
+		w.redirect = &s
+		return
+	}
 	if target == "" || w.hinted || w.hasRefused(target) {
 		return
 	}
--- a/settings/propagate/fleet_test.go
+++ b/settings/propagate/fleet_test.go
@@ -161,10 +161,11 @@
 }
 
 // boot starts a router without its loops; load it to make it ready.
-func (n *network) boot(t testing.TB, self fleet.Router, store platform.Store, members func() []fleet.Router, intN func(int) int) *node {
+func (n *network) boot(t testing.TB, self fleet.Router, store platform.Store, members func() []fleet.Router, intN func(int) int, pageBytes int) *node {
 	one := &node{self: self, store: &cutStore{Store: store, listed: &n.listed}}
 	one.Service = New(Config{
 		Self: self, Store: one.store, Caller: link{n, self}, Members: members, Log: zerolog.Nop(), IntN: intN,
+		pageBytes: pageBytes,
 	})
 	stop, err := one.start()
 	if err != nil {
@@ -177,8 +178,11 @@
 	return one
 }
 
-// drain sends the pushes that wait.
+// drain sends the pushes and makes the exchanges that wait.
 func (n *node) drain(ctx context.Context) {
+	for len(n.pulls) > 0 {
+		n.pull(ctx, <-n.pulls)
+	}
 	for len(n.outbox) > 0 {
 		n.pushChildren(ctx, <-n.outbox)
 	}
