--- a/router/forward.go
+++ b/router/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
@@ -33,6 +34,14 @@
 
 // Forward implements entry.Forwarder.
 func (f *forwarder) Forward(ctx context.Context, to fleet.Router, fwd *wire.Forward, sink wire.Sink) wire.End {
+	end := f.forward(ctx, to, fwd, sink)
+	if end.Reason == reason.Draining {
+		f.targets.RouterDown(to.ID)
+	}
+	return end
+}
+
+func (f *forwarder) forward(ctx context.Context, to fleet.Router, fwd *wire.Forward, sink wire.Sink) wire.End {
 	if to.ID == f.self {
 		return f.home.Serve(ctx, fwd, sink)
 	}
@@ -60,6 +69,9 @@
 	if err != nil {
 		f.lost(to.ID, fwd, err)
 	}
+	if errors.Is(err, peer.ErrBroken) && ctx.Err() == nil || errors.Is(err, peer.ErrBusy) {
+		f.silent(to.ID)
+	}
 	return end
 }
 
