--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -19,6 +19,7 @@
 // load takes the settings from peers and the platform, whichever is further,
 // and retries until it has some. It returns an error only when ctx ends.
 func (p *Service) load(ctx context.Context) error {
+	failures := backoff{first: p.config.Timing.Retry}
 	for {
 		err := p.loadOnce(ctx)
 		if err == nil {
@@ -27,9 +28,12 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
-		if task.Sleep(ctx, p.jitter(p.config.Timing.Retry)) != nil {
-			return ctx.Err()
+		wait, first := failures.fail()
+		if first {
+			event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
+		}
+		if err := task.Sleep(ctx, p.jitter(wait)); err != nil {
+			return err
 		}
 	}
 }
@@ -40,7 +44,7 @@
 func (p *Service) loadOnce(ctx context.Context) error {
 	heard := false
 	for _, from := range p.sources() {
-		if p.fetchAll(ctx, from) == nil {
+		if p.ask(ctx, from) == nil {
 			heard = true
 		}
 	}
@@ -54,6 +58,15 @@
 	return nil
 }
 
+// ask takes the whole state of the first router that has one, and from the
+// others only what they have besides.
+func (p *Service) ask(ctx context.Context, from fleet.Router) error {
+	if p.Revision() == 0 {
+		return p.fetchAll(ctx, from)
+	}
+	return p.exchange(ctx, from)
+}
+
 // platformOnce bounds a read of the platform by the time of one peer call.
 func (p *Service) platformOnce(ctx context.Context, read func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timing.Call)
