--- a/journal/layout_io.go
+++ b/journal/layout_io.go
@@ -19,8 +19,18 @@
 	sweepSlack = 6
 )
 
-// currentLayout returns the layout, read from the platform at first use.
+// currentLayout returns the layout, read from the platform at first use. Only
+// one call at a time goes to the platform for it.
 func (l *Log) currentLayout(ctx context.Context) (Layout, error) {
+	if layout := l.layout.Load(); layout != nil {
+		return *layout, nil
+	}
+	select {
+	case l.layoutTurn <- struct{}{}:
+		defer func() { <-l.layoutTurn }()
+	case <-ctx.Done():
+		return Layout{}, errors.Join(ErrUnavailable, ctx.Err())
+	}
 	if layout := l.layout.Load(); layout != nil {
 		return *layout, nil
 	}
--- a/journal/log.go
+++ b/journal/log.go
@@ -51,6 +51,8 @@
 	attempts *attempts
 	backlog  *backlog
 	layout   atomic.Pointer[Layout]
+	// layoutTurn holds one element while the layout is read for the first time.
+	layoutTurn chan struct{}
 	// shardsAsked is the number of shards that the settings last asked for.
 	shardsAsked atomic.Int64
 	// sweptUpTo is the newest bucket swept, by shard; it belongs to Run.
@@ -84,6 +86,8 @@
 		lanes:    map[Cell]*lane{},
 		pacers:   map[int]*pacer{},
 
+		layoutTurn: make(chan struct{}, 1),
+
 		sweptUpTo: map[int]int64{},
 	}
 	return l, nil
--- a/journal/write.go
+++ b/journal/write.go
@@ -8,6 +8,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -77,7 +78,7 @@
 		if errors.Is(err, platform.ErrConflict) {
 			w.held = held{}
 		}
-		if sleepErr := pause(ctx, jitter(wait)); sleepErr != nil {
+		if sleepErr := task.Sleep(ctx, jitter(wait)); sleepErr != nil {
 			return nil, err
 		}
 		wait = min(2*wait, maxRetryWait)
@@ -157,7 +158,7 @@
 		if !lost {
 			return 0, err
 		}
-		if pause(ctx, jitter(wait)) != nil {
+		if task.Sleep(ctx, jitter(wait)) != nil {
 			return 0, err
 		}
 		wait = min(2*wait, maxRetryWait)
@@ -199,14 +200,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
