bed: the faulty engine of a test is one that a chat goes to

Cause: TestFaultyAnswersReachTheCallerWhole/crossed failed now and then with no discard counted: its one faulty engine was fixed, and where none of 24 chats went there, no fault was met. Change: the engine that takes the first chat gets the fault, and that chat is sent alone first; all 25 answers must be right and the discard counted, as before. Conclusion: the check now always meets the fault.

--- a/measure/bed/attempts_test.go
+++ b/measure/bed/attempts_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
@@ -47,23 +48,46 @@
 	}
 }
 
-// setFaultsOfOne gives one engine of the service faults and the others none,
-// so that there is always one to go to.
-func setFaultsOfOne(b *Bed, f standin.EngineFaults) {
+// setFaultsOfOne gives the engine that takes the first chat faults and the
+// others none, so that there is always one to go to.
+func setFaultsOfOne(ctx context.Context, t *testing.T, b *Bed, client *Client, f standin.EngineFaults) {
+	t.Helper()
 	setFaults(b, standin.EngineFaults{})
-	b.Engine(b.Snapshot().Targets[service][0].ID).SetFaults(f)
+	before := executed(b)
+	if a := sayOne(ctx, b, client, 0); !a.Right {
+		t.Fatalf("no faults set: %+v", a)
+	}
+	for id, n := range executed(b) {
+		if n > before[id] {
+			b.Engine(id).SetFaults(f)
+			return
+		}
+	}
+	t.Fatal("no engine took the first chat")
+}
+
+func executed(b *Bed) map[fleet.TargetID]int {
+	counts := map[fleet.TargetID]int{}
+	for _, e := range b.Engines() {
+		counts[e.ID()] = e.Stats().Executed
+	}
+	return counts
+}
+
+// sayOne sends the first message of chat number i.
+func sayOne(ctx context.Context, b *Bed, client *Client, i int) Answer {
+	members := b.Members()
+	chat := &Chat{ID: fmt.Sprint("chat-", i), Account: account, Service: service}
+	answer, _ := client.Say(ctx, members[i%len(members)], chat, fmt.Sprint("question ", i), 0)
+	return answer
 }
 
 // sayMany sends one message in each of n chats at once through all routers.
 func sayMany(ctx context.Context, b *Bed, client *Client, n int) []Answer {
-	members := b.Members()
 	answers := make([]Answer, n)
 	var wait sync.WaitGroup
 	for i := range n {
-		wait.Go(func() {
-			chat := &Chat{ID: fmt.Sprint("chat-", i), Account: account, Service: service}
-			answers[i], _ = client.Say(ctx, members[i%len(members)], chat, fmt.Sprint("question ", i), 0)
-		})
+		wait.Go(func() { answers[i] = sayOne(ctx, b, client, i) })
 	}
 	wait.Wait()
 	return answers
@@ -96,25 +120,30 @@
 // each and wants every answer whole, byte for byte.
 func TestFaultyAnswersReachTheCallerWhole(t *testing.T) {
 	cases := map[string]struct {
-		set     func(*Bed, standin.EngineFaults)
+		ofOne   bool
 		faults  standin.EngineFaults
 		discard reason.Code
 	}{
-		"broken, resumed there":     {setFaults, standin.EngineFaults{BrokenRate: 1}, ""},
-		"broken, resumed elsewhere": {setFaultsOfOne, standin.EngineFaults{BrokenRate: 1, NoResume: true}, ""},
-		"truncated":                 {setFaults, standin.EngineFaults{TruncatedRate: 1}, reason.AnswerTruncated},
-		"crossed":                   {setFaultsOfOne, standin.EngineFaults{CrossedRate: 1}, reason.AnswerMismatch},
-		"doubled":                   {setFaults, standin.EngineFaults{DoubledRate: 1}, reason.AnswerMismatch},
-		"late":                      {setFaults, standin.EngineFaults{LateRate: 1, LateBy: 50 * time.Millisecond}, ""},
-		"lost":                      {setFaults, standin.EngineFaults{LostRate: 1}, ""},
-		"refused":                   {setFaultsOfOne, standin.EngineFaults{RefuseRate: 1}, ""},
+		"broken, resumed there":     {false, standin.EngineFaults{BrokenRate: 1}, ""},
+		"broken, resumed elsewhere": {true, standin.EngineFaults{BrokenRate: 1, NoResume: true}, ""},
+		"truncated":                 {false, standin.EngineFaults{TruncatedRate: 1}, reason.AnswerTruncated},
+		"crossed":                   {true, standin.EngineFaults{CrossedRate: 1}, reason.AnswerMismatch},
+		"doubled":                   {false, standin.EngineFaults{DoubledRate: 1}, reason.AnswerMismatch},
+		"late":                      {false, standin.EngineFaults{LateRate: 1, LateBy: 50 * time.Millisecond}, ""},
+		"lost":                      {false, standin.EngineFaults{LostRate: 1}, ""},
+		"refused":                   {true, standin.EngineFaults{RefuseRate: 1}, ""},
 	}
 	b, client, ctx := unlimited(t, quick())
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			tc.set(b, tc.faults)
+			if tc.ofOne {
+				setFaultsOfOne(ctx, t, b, client, tc.faults)
+			} else {
+				setFaults(b, tc.faults)
+			}
 			before := discards(t, b, tc.discard)
-			for i, a := range sayMany(ctx, b, client, 24) {
+			answers := append([]Answer{sayOne(ctx, b, client, 0)}, sayMany(ctx, b, client, 24)...)
+			for i, a := range answers {
 				if !a.Right {
 					t.Errorf("chat %d: %+v", i, a)
 				}
