--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -49,15 +49,15 @@
 		if !ok {
 			return s.result(s.cycle.Exhausted())
 		}
-		todo := s.next(ctx, end)
-		if todo.Action == retry.Finish || todo.Action == retry.GiveUp {
-			return s.result(todo)
+		upcoming := s.next(ctx, end)
+		if upcoming.Action == retry.Finish || upcoming.Action == retry.GiveUp {
+			return s.result(upcoming)
 		}
-		e.cfg.Metrics.Retried(todo.Reason)
-		if !s.wait(ctx, todo.Wait) {
+		e.cfg.Metrics.Retried(upcoming.Reason)
+		if !s.wait(ctx, upcoming.Wait) {
 			return s.result(s.cycle.Expired())
 		}
-		end, ok = s.act(ctx, todo)
+		end, ok = s.act(ctx, upcoming)
 	}
 }
 
@@ -75,12 +75,12 @@
 
 // act carries a step out; false means that there is no further candidate, or
 // that no target can go on from the text so far.
-func (s *serving) act(ctx context.Context, todo retry.Step) (wire.End, bool) {
-	if todo.Action == retry.ResumeSame {
+func (s *serving) act(ctx context.Context, upcoming retry.Step) (wire.End, bool) {
+	if upcoming.Action == retry.ResumeSame {
 		return s.resume(ctx), true
 	}
 	body := s.req.Body
-	if todo.Action == retry.ResumeOther {
+	if upcoming.Action == retry.ResumeOther {
 		s.delivery.text.read()
 		s.delivery.text.limit = tokenLimit(body)
 		if s.delivery.text.over() {
@@ -91,7 +91,7 @@
 			return wire.End{}, false
 		}
 	}
-	if todo.Charged && s.at.Target != nil {
+	if upcoming.Charged && s.at.Target != nil {
 		s.walk.again(s.at.Target.ID)
 	}
 	next, ok := s.walk.next()
