placement: compute a picker from the one before

Cause: a router built all tables of candidates and homes anew at each change of settings or view, which takes the control processor time over its budget. Change: Picker.Next takes over the tables of services whose targets, phases and homes did not change. A home that stays in its pool (domain, region or all) is compared with added routers only; a target whose home left its pool, or whose pool is new, is computed over the whole pool. Records of unchanged routers keep their pointer, so an old view is not held in memory. A tracker allocates the list of a service once.

--- a/placement/build_test.go
+++ b/placement/build_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -37,3 +39,23 @@
 		NewPicker(v)
 	}
 }
+
+// BenchmarkNextTwoYears is one change after another at the two-year size: a
+// router goes and comes back, or a target does.
+func BenchmarkNextTwoYears(b *testing.B) {
+	full := twoYearView()
+	fewerRouters, fewerTargets := full, full
+	fewerRouters.Routers = append(slices.Clone(full.Routers[:700]), full.Routers[701:]...)
+	fewerTargets.Targets = maps.Clone(full.Targets)
+	fewerTargets.Targets["model-05"] = append(slices.Clone(full.Targets["model-05"][:90]), full.Targets["model-05"][91:]...)
+	for name, other := range map[string]View{"router": fewerRouters, "target": fewerTargets, "nothing": full} {
+		b.Run(name, func(b *testing.B) {
+			views := [2]View{other, full}
+			p := NewPicker(full)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p = p.Next(views[i%2])
+			}
+		})
+	}
+}
--- a/placement/picker.go
+++ b/placement/picker.go
@@ -41,72 +41,36 @@
 	Load func(fleet.TargetID) float64
 }
 
-// entry is one live target, ready for picking.
-type entry struct {
-	target *fleet.Target
-	home   *fleet.Router
-	seed   uint64
-	weight float64
-	phase  Phase
-}
-
-// standing is the target's standing at the time of a request.
-func (e *entry) standing(now time.Time) Standing {
-	if e.phase.Standing == Settled || !now.Before(e.phase.Until) {
-		return Settled
-	}
-	return e.phase.Standing
-}
-
-// serviceTable holds the live targets of one service.
-type serviceTable struct {
-	entries []entry
-	// uniform says that all weights are equal, so that hashes rank alone.
-	uniform bool
-	indexes map[fleet.TargetID]int32
-	// weights sums the targets' weights by home router.
-	weights map[fleet.RouterID]float64
-	weight  float64
-}
-
 // Picker makes plans from one view. It is immutable and safe for concurrent
 // use; a pick does not allocate.
 type Picker struct {
-	policy Policy
-	tables map[fleet.ServiceName]*serviceTable
+	policy  Policy
+	tables  map[fleet.ServiceName]*serviceTable
+	routers map[fleet.RouterID]seeded
+	// pools are the routers among which the homes of a domain were chosen.
+	pools map[fleet.DomainName][]seeded
 }
 
 // NewPicker builds the tables of a view.
 func NewPicker(v View) *Picker {
-	p := &Picker{policy: v.Policy, tables: map[fleet.ServiceName]*serviceTable{}}
-	homes := newHomeIndex(v.Routers, v.Region)
-	for service, targets := range v.Targets {
-		p.tables[service] = newServiceTable(v, homes, targets)
-	}
-	return p
+	return (&Picker{}).Next(v)
 }
 
-func newServiceTable(v View, homes *homeIndex, targets []fleet.Target) *serviceTable {
-	table := &serviceTable{uniform: true, indexes: map[fleet.TargetID]int32{}, weights: map[fleet.RouterID]float64{}}
-	for i := range targets {
-		t := &targets[i]
-		if t.State != fleet.Live && t.State != "" {
-			continue
-		}
-		e := entry{target: t, seed: seed(string(t.ID)), weight: normalWeight(t.Weight)}
-		e.home = homes.home(t)
-		if v.Phase != nil {
-			e.phase = v.Phase(t.ID)
-		}
-		if e.home != nil {
-			table.weights[e.home.ID] += e.weight
-		}
-		table.weight += e.weight
-		table.indexes[t.ID] = int32(len(table.entries))
-		table.entries = append(table.entries, e)
-		table.uniform = table.uniform && e.weight == table.entries[0].weight
+// Next returns the picker of another view. It equals NewPicker(v), but takes
+// over the tables of the services that did not change and computes only those
+// homes that a router which came or went can have moved. The ids of v.Routers
+// must be distinct.
+func (p *Picker) Next(v View) *Picker {
+	index := newHomeIndex(p.routers, v.Routers, v.Region)
+	b := &builder{view: v, pools: newPools(index, p.pools)}
+	next := &Picker{
+		policy: v.Policy, tables: make(map[fleet.ServiceName]*serviceTable, len(v.Targets)),
+		routers: index.known, pools: b.pools.present,
+	}
+	for service, targets := range v.Targets {
+		next.tables[service] = b.table(p.tables[service], targets)
 	}
-	return table
+	return next
 }
 
 // Size returns the number of live targets of a service.
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// entry is one live target, ready for picking.
+type entry struct {
+	target *fleet.Target
+	home   *fleet.Router
+	seed   uint64
+	weight float64
+	phase  Phase
+}
+
+// standing is the target's standing at the time of a request.
+func (e *entry) standing(now time.Time) Standing {
+	if e.phase.Standing == Settled || !now.Before(e.phase.Until) {
+		return Settled
+	}
+	return e.phase.Standing
+}
+
+// serviceTable holds the live targets of one service. It is immutable.
+type serviceTable struct {
+	entries []entry
+	// uniform says that all weights are equal, so that hashes rank alone.
+	uniform bool
+	indexes map[fleet.TargetID]int32
+	// weights sums the targets' weights by home router.
+	weights map[fleet.RouterID]float64
+	weight  float64
+}
+
+// builder makes the service tables of one view from those before.
+type builder struct {
+	view  View
+	pools *pools
+}
+
+// table returns the table of a service's targets: the one before when none of
+// its entries changed. Before may be nil.
+func (b *builder) table(before *serviceTable, targets []fleet.Target) *serviceTable {
+	if before == nil {
+		before = &serviceTable{}
+	}
+	entries := make([]entry, 0, len(targets))
+	same := true
+	for i := range targets {
+		t := &targets[i]
+		if t.State != fleet.Live && t.State != "" {
+			continue
+		}
+		old := before.entry(len(entries), t.ID)
+		e := b.entry(old, t)
+		same = same && old != nil && old == &before.entries[len(entries)] && old.equal(&e)
+		entries = append(entries, e)
+	}
+	if same && len(entries) == len(before.entries) && len(entries) > 0 {
+		return before
+	}
+	return newServiceTable(entries)
+}
+
+// entry returns the entry of a target, which is probably the i-th; nil when
+// there is none.
+func (t *serviceTable) entry(i int, id fleet.TargetID) *entry {
+	if i < len(t.entries) && t.entries[i].target.ID == id {
+		return &t.entries[i]
+	}
+	if i, ok := t.indexes[id]; ok {
+		return &t.entries[i]
+	}
+	return nil
+}
+
+// entry makes the entry of a target; old is its entry before, if any.
+func (b *builder) entry(old *entry, t *fleet.Target) entry {
+	e := entry{target: t, weight: normalWeight(t.Weight)}
+	var home *fleet.Router
+	if old == nil {
+		e.seed = seed(string(t.ID))
+	} else {
+		e.seed = old.seed
+		if old.target.Domain == t.Domain {
+			home = old.home
+		}
+	}
+	e.home = b.pools.change(t.Domain).home(e.seed, home)
+	if b.view.Phase != nil {
+		e.phase = b.view.Phase(t.ID)
+	}
+	return e
+}
+
+// equal reports whether two entries are of the same target, home and phase.
+func (e *entry) equal(other *entry) bool {
+	return e.home == other.home && e.phase == other.phase && *e.target == *other.target
+}
+
+func newServiceTable(entries []entry) *serviceTable {
+	table := &serviceTable{
+		entries: entries, uniform: true,
+		indexes: make(map[fleet.TargetID]int32, len(entries)), weights: map[fleet.RouterID]float64{},
+	}
+	for i := range entries {
+		e := &entries[i]
+		if e.home != nil {
+			table.weights[e.home.ID] += e.weight
+		}
+		table.weight += e.weight
+		table.indexes[e.target.ID] = int32(i)
+		table.uniform = table.uniform && e.weight == entries[0].weight
+	}
+	return table
+}
--- a/router/targets/targets.go
+++ b/router/targets/targets.go
@@ -108,7 +108,11 @@
 	b := &built{snapshot: t.cfg.Snapshot(), view: t.cfg.View(), downs: t.downs.Load(), expires: now.Add(idleLife)}
 	live := t.live(b, now)
 	t.observe(b.snapshot, live, now)
-	b.picker = placement.NewPicker(placement.View{
+	previous := &placement.Picker{}
+	if last := t.current.Load(); last != nil {
+		previous = last.picker
+	}
+	b.picker = previous.Next(placement.View{
 		Targets: live, Routers: t.answering(b, now), Policy: t.cfg.Policy,
 		Region: func(d fleet.DomainName) fleet.RegionName { return b.snapshot.Domains[d] },
 		Phase:  func(id fleet.TargetID) placement.Phase { return t.history.Phase(id, now) },
@@ -121,6 +125,7 @@
 func (t *Tracker) live(b *built, now time.Time) map[fleet.ServiceName][]fleet.Target {
 	live := make(map[fleet.ServiceName][]fleet.Target, len(b.snapshot.Targets))
 	for service, all := range b.snapshot.Targets {
+		list := make([]fleet.Target, 0, len(all))
 		for _, target := range all {
 			if target.State == fleet.Leaving || target.State == fleet.Gone || b.view.LeavingVMs[vmOf(target)] {
 				continue
@@ -131,8 +136,9 @@
 				continue
 			}
 			delete(t.down, target.ID)
-			live[service] = append(live[service], target)
+			list = append(list, target)
 		}
+		live[service] = list
 	}
 	return live
 }
