router: size the chat table by the settings

Cause: the chat table was made before the settings were known and always had the default of placement.chat_table_entries. Change: ChatTable.Resize keeps the chats that fit; a router resizes its table at the first settings, before it takes requests. A later change of the setting needs a restart. Conclusion: the groups' bound is still the default.

--- a/placement/chattable.go
+++ b/placement/chattable.go
@@ -48,14 +48,32 @@
 // NewChatTable returns a table for at least the given number of entries,
 // rounded up to whole buckets.
 func NewChatTable(entries int) *ChatTable {
-	buckets := max(1, (entries+tableWays-1)/tableWays)
 	return &ChatTable{
-		buckets: make([][tableWays]chatEntry, buckets),
+		buckets: newBuckets(entries),
 		indexes: map[fleet.TargetID]uint16{},
 		streams: map[uint16]*cacheStream{},
 	}
 }
 
+func newBuckets(entries int) [][tableWays]chatEntry {
+	return make([][tableWays]chatEntry, max(1, (entries+tableWays-1)/tableWays))
+}
+
+// Resize gives the table room for another number of entries, rounded up as by
+// NewChatTable. Chats for which there is no room any more are evicted.
+func (t *ChatTable) Resize(entries int) {
+	old := t.buckets
+	t.buckets = newBuckets(entries)
+	t.entries = 0
+	for i := range old {
+		for _, e := range old[i] {
+			if e.seen != 0 {
+				*t.room(fleet.ChatKey(e.chat)) = e
+			}
+		}
+	}
+}
+
 // Len returns the number of chats in the table.
 func (t *ChatTable) Len() int {
 	return t.entries
--- /dev/null
+++ b/placement/resize_test.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"testing"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+func TestResizeKeepsChats(t *testing.T) {
+	table := NewChatTable(64)
+	for chat := range fleet.ChatKey(16) {
+		table.Record(chat, Context{Target: "e1", Held: uint32(chat), Seen: at(int(chat)), Sure: true})
+	}
+	kept := table.Len()
+	table.Resize(4096)
+	if table.Cap() != 4096 || table.Len() != kept {
+		t.Fatalf("%d chats in %d places, want %d in 4096", table.Len(), table.Cap(), kept)
+	}
+	for chat := range fleet.ChatKey(16) {
+		c, ok := table.Lookup(chat)
+		if !ok || c.Target != "e1" || c.Held != uint32(chat) || !c.Sure {
+			t.Errorf("chat %d: %+v, %v", chat, c, ok)
+		}
+	}
+	evicted := table.Evicted()
+	table.Resize(8)
+	if table.Len() != 8 || table.Evicted() != evicted+8 {
+		t.Errorf("%d chats remain and %d were evicted", table.Len(), table.Evicted()-evicted)
+	}
+	if _, ok := table.Lookup(15); !ok {
+		t.Error("the latest chat was evicted")
+	}
+}
--- a/router/home/chats.go
+++ b/router/home/chats.go
@@ -21,6 +21,13 @@
 	return &Chats{table: placement.NewChatTable(entries), clock: clock}
 }
 
+// Resize gives the table room for another number of chats.
+func (c *Chats) Resize(entries int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Resize(entries)
+}
+
 // Lookup returns where a chat's context is believed to be.
 func (c *Chats) Lookup(chat fleet.ChatKey) (placement.Context, bool) {
 	c.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -288,6 +288,8 @@
 	case <-ctx.Done():
 		return
 	}
+	values := r.source.Snapshot().Effective(r.cfg.Self.Domain, "", "").Placement
+	r.chats.Resize(values.ChatTableEntries)
 	r.ready.Store(true)
 	event.RouterReady.Log(r.log).Uint64("revision", r.source.Snapshot().Revision).Send()
 }
