--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,12 @@
 	// ChecksFencing says whether the target refuses orders that carry an old
 	// fencing number.
 	ChecksFencing bool
+	// Engine is what the target is ordered to serve; the zero value orders
+	// nothing.
+	Engine EngineState
+	// Fence is the platform version of the target's document, the fencing
+	// number of its orders.
+	Fence uint64
 	// State is Leaving once an operator has withdrawn the target.
 	State Lifecycle
 }
--- a/router/router.go
+++ b/router/router.go
@@ -36,6 +36,7 @@
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/weights"
 )
 
 // poolSize bounds the goroutines that serve peers' streams and tasks.
@@ -69,6 +70,9 @@
 	VMs    platform.VMLister
 	Engine engine.Client
 	Plain  plain.Client
+	// Weights grants the loads that engines are ordered to make; nil means that
+	// loads need no grant.
+	Weights weights.Store
 	// Policy chooses targets; empty means the default.
 	Policy placement.Policy
 	// Journal replaces the journal that orders use, for experiments; nil keeps
@@ -258,6 +262,7 @@
 	r.startOperators(failures)
 	r.startHome(ctx, failures)
 	r.start(failures, "withdrawals", func() error { return r.leaving.Run(ctx) })
+	r.start(failures, "ordering", func() error { return r.newOrdering().Run(ctx) })
 	r.wait.Go(func() { r.followMembers(ctx, r.open) })
 	r.startMeans(ctx, failures)
 	event.RouterStarted.Log(r.log).Str("callers", r.face.Addr()).Str("peers", r.node.Addr()).Send()
--- a/settings/build.go
+++ b/settings/build.go
@@ -73,6 +73,7 @@
 // linked is a document that refers to others.
 type linked[D any] struct {
 	name     string
+	version  uint64
 	document D
 }
 
@@ -188,9 +189,9 @@
 		b.snapshot.Accounts[name] = Account{Name: name, KeyHashes: d.KeyHashes}
 		b.snapshot.levels.accounts[name] = d.Settings
 	case *targetDocument:
-		b.targets = append(b.targets, linked[*targetDocument]{o.Name, d})
+		b.targets = append(b.targets, linked[*targetDocument]{o.Name, o.Version, d})
 	case *ruleDocument:
-		b.rules = append(b.rules, linked[*ruleDocument]{o.Name, d})
+		b.rules = append(b.rules, linked[*ruleDocument]{o.Name, o.Version, d})
 	}
 }
 
@@ -203,7 +204,7 @@
 // link resolves references between documents.
 func (b *builder) link() {
 	for _, t := range b.targets {
-		b.target(t.name, t.document)
+		b.target(t)
 	}
 	for _, r := range b.rules {
 		b.rule(r.name, r.document)
@@ -212,18 +213,31 @@
 	b.uniqueOperators()
 }
 
-func (b *builder) target(name string, d *targetDocument) {
+func (b *builder) target(l linked[*targetDocument]) {
+	name, d := l.name, l.document
 	if !b.resolve(KindTargets, name, d.references()) {
 		return
 	}
 	service := b.snapshot.Services[d.Service]
+	if service.Kind != fleet.KindEngine && d.Engine != (fleet.EngineState{}) {
+		b.add(KindTargets, name, "/engine", "service %q is not of kind %s", d.Service, fleet.KindEngine)
+		d = withoutEngine(d)
+	}
 	b.snapshot.Targets[d.Service] = append(b.snapshot.Targets[d.Service], fleet.Target{
 		ID: fleet.TargetID(name), Service: d.Service, Kind: service.Kind, Domain: d.Domain,
 		Addr: d.Addr, VM: d.VM, Weight: cmp.Or(d.Weight, 1), ChecksFencing: d.ChecksFencing,
+		Engine: d.Engine, Fence: l.version,
 		State: cmp.Or(d.State, fleet.Live),
 	})
 }
 
+// withoutEngine returns a copy that orders nothing.
+func withoutEngine(d *targetDocument) *targetDocument {
+	c := *d
+	c.Engine = fleet.EngineState{}
+	return &c
+}
+
 func (b *builder) rule(name string, d *ruleDocument) {
 	if !b.resolve(KindRules, name, d.references()) {
 		return
--- a/settings/documents.go
+++ b/settings/documents.go
@@ -98,6 +98,7 @@
 	VM            string            `json:"vm"`
 	Weight        float64           `json:"weight"`
 	ChecksFencing bool              `json:"checks_fencing"`
+	Engine        fleet.EngineState `json:"engine"`
 	State         fleet.Lifecycle   `json:"state"`
 }
 
@@ -108,6 +109,9 @@
 	Repeatable bool              `json:"repeatable"`
 }
 
+// maxOrderChars bounds each field of an engine's desired state.
+const maxOrderChars = 200
+
 var (
 	nameCheck    = text("a name of 1 to 63 lower-case letters, digits, dots and hyphens", fleet.ValidName)
 	hashCheck    = text("a SHA-256 hash in lower-case hexadecimal", validHash)
@@ -115,6 +119,8 @@
 	secretCheck  = text("a secret of at least 16 characters", func(s string) bool { return len(s) >= minSecretChars })
 	subtreeCheck = text("empty or KIND/NAME of a failure domain, service or client account", validSubtree)
 
+	orderCheck = text("a text of 1 to 200 characters", func(s string) bool { return s != "" && len(s) <= maxOrderChars })
+
 	settingsField    = field{name: "settings", check: object(settingsFields()...)}
 	contextKeysField = field{name: "context_keys", check: list(object(
 		field{"id", true, nameCheck},
@@ -139,6 +145,12 @@
 		field{"vm", false, nameCheck},
 		field{"weight", false, number(0.01, 1000, false)},
 		field{"checks_fencing", false, boolean},
+		field{"engine", false, object(
+			field{"model", false, orderCheck},
+			field{"adapter", false, orderCheck},
+			field{"version", false, orderCheck},
+			field{"role", false, orderCheck},
+		)},
 		field{"state", false, oneOf(string(fleet.Live), string(fleet.Leaving))},
 	),
 	KindRules: object(
--- /dev/null
+++ b/settings/engine_test.go
@@ -0,0 +1,52 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+func buildTarget(kind, engine string) (*settings.Snapshot, settings.Findings) {
+	object := func(kind, name string, version uint64, data string) platform.Object {
+		return platform.Object{Kind: kind, Name: name, Version: version, Data: []byte(data)}
+	}
+	return settings.NewBuilder().Build([]platform.Object{
+		object(settings.KindFleet, "fleet", 1, `{}`),
+		object(settings.KindDomains, "d", 2, `{"region": "r"}`),
+		object(settings.KindServices, "s", 9, `{"kind": "`+kind+`"}`),
+		object(settings.KindTargets, "t", 7, `{"service": "s", "failure_domain": "d", "addr": "127.0.0.1:1", "engine": `+engine+`}`),
+	})
+}
+
+func TestEngineOfTarget(t *testing.T) {
+	s, findings := buildTarget("engine", `{"model": "m", "role": "prefill"}`)
+	if len(findings) != 0 {
+		t.Fatal(findings)
+	}
+	got := s.Targets["s"][0]
+	if want := (fleet.EngineState{Model: "m", Role: "prefill"}); got.Engine != want || got.Fence != 7 {
+		t.Errorf("got %+v, fence %d", got.Engine, got.Fence)
+	}
+}
+
+func TestEngineFindings(t *testing.T) {
+	for _, c := range []struct{ kind, engine, pointer string }{
+		{"plain", `{"model": "m"}`, "/engine"},
+		{"engine", `{"model": ""}`, "/engine/model"},
+		{"engine", `{"modle": "m"}`, "/engine/modle"},
+		{"engine", `{"role": "` + strings.Repeat("x", 201) + `"}`, "/engine/role"},
+	} {
+		s, findings := buildTarget(c.kind, c.engine)
+		if len(findings) != 1 || findings[0].Pointer != c.pointer {
+			t.Errorf("%s: findings %v", c.engine, findings)
+		}
+		for _, target := range s.Targets["s"] {
+			if c.kind == "plain" && target.Engine != (fleet.EngineState{}) {
+				t.Errorf("a plain target is ordered %+v", target.Engine)
+			}
+		}
+	}
+}
