--- a/cmd/ragwortd/main.go
+++ b/cmd/ragwortd/main.go
@@ -26,6 +26,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/weights"
 )
 
 const (
@@ -85,7 +86,7 @@
 		return err
 	}
 	defer stop()
-	return serve(ctx, cfg, start.PlatformAddr, log)
+	return serve(ctx, cfg, start, log)
 }
 
 // profile starts a processor profile where a file is named; the function that
@@ -147,13 +148,14 @@
 }
 
 // serve runs a router until SIGTERM or SIGINT, then stops it as planned.
-func serve(ctx context.Context, cfg router.Config, platformAddr string, log zerolog.Logger) error {
+func serve(ctx context.Context, cfg router.Config, start settings.Start, log zerolog.Logger) error {
 	set := metrics.NewSet()
-	store := platform.NewClient(platform.ClientConfig{Addr: platformAddr, Metrics: set})
+	store := platform.NewClient(platform.ClientConfig{Addr: start.PlatformAddr, Metrics: set})
 	r, err := router.New(cfg, router.Deps{
 		Store: store, VMs: store, Metrics: set, Log: log,
-		Engine: engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}),
-		Plain:  plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
+		Engine:  engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}),
+		Plain:   plain.NewClient(plain.ClientConfig{Discarded: set.Discarded}),
+		Weights: weightStore(start.WeightsAddr),
 	})
 	if err != nil {
 		return err
@@ -173,3 +175,11 @@
 	cancel()
 	return errors.Join(cut, <-done)
 }
+
+// weightStore returns the client of the weight store, nil without an address.
+func weightStore(addr string) weights.Store {
+	if addr == "" {
+		return nil
+	}
+	return weights.NewClient(weights.ClientConfig{Addr: addr})
+}
--- a/settings/build_test.go
+++ b/settings/build_test.go
@@ -111,8 +111,8 @@
 }
 
 func TestLoadStart(t *testing.T) {
-	if _, findings := LoadStart("../examples/start.json"); len(findings) > 0 {
-		t.Error(findings)
+	if example, findings := LoadStart("../examples/start.json"); len(findings) > 0 || example.WeightsAddr != "192.0.2.6:2390" {
+		t.Errorf("got %+v, %v", example, findings)
 	}
 	good := `{"id":"r1","failure_domain":"recife-a","region":"nordeste","caller_addr":"127.0.0.1:1","operator_addr":"127.0.0.1:2",
 		"peer_addr":"127.0.0.1:3","platform_addr":"127.0.0.1:4","tls":{"cert":"c","key":"k","authority":"a"}}`
--- a/settings/start.go
+++ b/settings/start.go
@@ -18,8 +18,11 @@
 	OperatorAddr string `json:"operator_addr"`
 	PeerAddr     string `json:"peer_addr"`
 	// PlatformAddr is host:port of the platform's object API.
-	PlatformAddr string   `json:"platform_addr"`
-	TLS          TLSFiles `json:"tls"`
+	PlatformAddr string `json:"platform_addr"`
+	// WeightsAddr is host:port of the weight store; empty means that loads need
+	// no grant.
+	WeightsAddr string   `json:"weights_addr,omitempty"`
+	TLS         TLSFiles `json:"tls"`
 	// ContextKeys authenticate context tokens besides those of the fleet.
 	ContextKeys []ContextKey `json:"context_keys,omitempty"`
 	// Seeds are peer addresses of other routers to ask first.
@@ -45,6 +48,7 @@
 	field{"operator_addr", true, addrCheck},
 	field{"peer_addr", true, addrCheck},
 	field{"platform_addr", true, addrCheck},
+	field{"weights_addr", false, addrCheck},
 	field{"tls", true, object(
 		field{"cert", true, pathCheck},
 		field{"key", true, pathCheck},
