--- a/router/ordering/ordering.go
+++ b/router/ordering/ordering.go
@@ -4,6 +4,7 @@
 package ordering
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -96,7 +97,7 @@
 	mine := map[fleet.TargetID]fleet.Target{}
 	for _, all := range d.cfg.Snapshot().Targets {
 		for _, t := range all {
-			if t.Engine != (fleet.EngineState{}) && t.State != fleet.Leaving && d.isHome(t) {
+			if t.Engine != (fleet.EngineState{}) && !d.isLeaving(t) && d.isHome(t) {
 				mine[t.ID] = t
 			}
 		}
@@ -104,6 +105,13 @@
 	return mine
 }
 
+// isLeaving reports whether the settings or the platform's VM list name the
+// target as leaving.
+func (d *Driver) isLeaving(t fleet.Target) bool {
+	vm := cmp.Or(t.VM, string(t.ID))
+	return t.State == fleet.Leaving || d.cfg.View().LeavingVMs[vm]
+}
+
 func (d *Driver) isHome(t fleet.Target) bool {
 	snapshot := d.cfg.Snapshot()
 	region := func(name fleet.DomainName) fleet.RegionName { return snapshot.Domains[name] }
