--- a/router/drain.go
+++ b/router/drain.go
@@ -17,8 +17,8 @@
 
 // Drain stops the router without cutting anything: readiness fails first, then
 // leaving is announced, the chat tables are handed over and new requests are
-// refused, then it waits until nothing is in flight. It returns an error that says what was still in flight
-// when the limit of the settings or ctx ended.
+// refused, then it waits until nothing is in flight. It returns an error that
+// says what was still in flight when the limit of the settings or ctx ended.
 func (r *Router) Drain(ctx context.Context) error {
 	stop := r.source.Snapshot().Effective(r.cfg.Self.Domain, "", "").Stop
 	event.RouterDraining.Log(r.log).Send()
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -117,7 +117,8 @@
 }
 
 // Do serves one request and passes the answer to out. It returns when the
-// answer is whole or no further attempt is made.
+// answer is whole or no further attempt is made. Limits are not its matter: see
+// Limit.
 func (e *Entry) Do(ctx context.Context, req *Request, out wire.Sink) Result {
 	if !req.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -127,21 +128,11 @@
 	gauge := e.cfg.Metrics.InFlight.WithLabelValues("entry")
 	gauge.Inc()
 	defer gauge.Dec()
-	result := e.limited(ctx, req, out)
+	result := e.run(ctx, req, out)
 	e.cfg.Metrics.Requests.WithLabelValues(string(req.Service), string(result.Outcome.Word())).Inc()
 	return result
 }
 
-// limited serves a request within the limits.
-func (e *Entry) limited(ctx context.Context, req *Request, out wire.Sink) Result {
-	release, refusal := e.limits.admit(e.cfg.Snapshot(), req, e.cfg.Clock)
-	if refusal != nil {
-		return Result{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
-	}
-	defer release()
-	return e.run(ctx, req, out)
-}
-
 // NewAttemptID returns a random attempt id.
 func NewAttemptID() fleet.AttemptID {
 	return fleet.AttemptID(randomHex())
--- a/router/entry/limits_test.go
+++ b/router/entry/limits_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -74,3 +78,36 @@
 		t.Errorf("got %v, want deadline", refusal)
 	}
 }
+
+// counted is a Next that counts what gets through.
+type counted struct {
+	requests int
+}
+
+func (c *counted) Do(context.Context, *Request, wire.Sink) Result {
+	c.requests++
+	return Result{Outcome: outcome.Answered}
+}
+
+// A refused request costs nothing behind the limits: an order over its rate
+// writes no intent.
+func TestRefusedRequestsGoNoFurther(t *testing.T) {
+	snapshot := limitedSnapshot(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	e := New(Config{
+		Snapshot: func() *settings.Snapshot { return snapshot }, Clock: func() time.Time { return now },
+		Metrics: metrics.NewSet(),
+	})
+	next := &counted{}
+	limited := e.Limit(next)
+	for i := range 5 {
+		result := limited.Do(context.Background(), &Request{Service: "chat", Account: "shop"}, nil)
+		refused := result.Reason == reason.AccountRate && result.Outcome == outcome.NotDispatched
+		if want := i >= 2; refused != want {
+			t.Errorf("request %d: %+v", i, result)
+		}
+	}
+	if next.requests != 2 {
+		t.Errorf("%d requests got through, want 2", next.requests)
+	}
+}
--- a/router/forward.go
+++ b/router/forward.go
@@ -65,7 +65,9 @@
 	// A home that refused already has stopped reading, and closing fails then;
 	// whether the stream really broke shows in what it sends back.
 	_ = stream.Close()
-	end, err := wire.Relay(ctx, stream, sink, f.expectAccept(to.ID, fwd, stream))
+	accepted := f.expectAccept(to.ID, fwd, stream)
+	defer accepted()
+	end, err := wire.Relay(ctx, stream, sink, accepted)
 	if err != nil {
 		f.lost(to.ID, fwd, err)
 	}
@@ -81,7 +83,7 @@
 }
 
 // expectAccept gives up on a home that does not say in time that it has the
-// attempt. A plain call is not given up on: the home may still run it, and its
+// attempt; the function that it returns ends the wait. A plain call is not given up on: the home may still run it, and its
 // outcome would be unknown.
 func (f *forwarder) expectAccept(to fleet.RouterID, fwd *wire.Forward, stream *peer.Stream) func() {
 	if fwd.Kind != fleet.KindEngine {
--- a/router/router.go
+++ b/router/router.go
@@ -207,7 +207,7 @@
 		}
 	}
 	face, err := caller.Listen(caller.Config{
-		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.orders, Requests: r.orders, Snapshot: r.source.Snapshot,
+		Addr: r.cfg.CallerAddr, TLS: tlsConfig, Server: r.entry.Limit(r.orders), Requests: r.orders, Snapshot: r.source.Snapshot,
 		Ready: r.ready.Load, Self: r.cfg.Self, Metrics: r.deps.Metrics, Log: r.log,
 	})
 	if err != nil {
