settings: a rejected document is reported once

Cause: checking an example with five planted faults printed twenty findings: each target and rule of a faulty service was said to name a service that does not exist. Change: mentions of a document that is there but has findings are not findings of their own. Conclusion: TestRejectedDocumentIsReportedOnce passes, and fails on the code before.

--- a/settings/build.go
+++ b/settings/build.go
@@ -41,7 +41,7 @@
 // document whose only findings are unknown keys is used without them.
 func (b *Builder) Build(objs []platform.Object) (*Snapshot, Findings) {
 	parsed := make(map[objectID]*parsedDocument, len(objs))
-	linker := &builder{snapshot: newSnapshot()}
+	linker := &builder{snapshot: newSnapshot(), rejected: map[string]bool{}}
 	for _, o := range objs {
 		id := objectID{o.Kind, o.Name}
 		p := b.parsed[id]
@@ -68,6 +68,8 @@
 	findings Findings
 	targets  []linked[*targetDocument]
 	rules    []linked[*ruleDocument]
+	// rejected holds the documents that have findings, by file name.
+	rejected map[string]bool
 }
 
 // linked is a document that refers to others.
@@ -171,6 +173,9 @@
 func (b *builder) take(o platform.Object, p *parsedDocument) {
 	b.snapshot.Revision = max(b.snapshot.Revision, o.Version)
 	b.findings = append(b.findings, p.findings...)
+	if p.decoded == nil {
+		b.rejected[FileName(o.Kind, o.Name)] = true
+	}
 	switch d := p.decoded.(type) {
 	case *fleetDocument:
 		b.snapshot.levels.fleet = d.Settings
@@ -247,15 +252,20 @@
 	})
 }
 
-// resolve reports mentions of documents that are not there.
+// resolve reports whether all documents mentioned are in the snapshot. Those
+// that are there but have findings of their own are not reported again.
 func (b *builder) resolve(kind, name string, references []Reference) bool {
-	found := len(b.findings)
+	whole := true
 	for _, r := range references {
-		if !b.snapshot.Has(r.Kind, r.Name) {
+		if b.snapshot.Has(r.Kind, r.Name) {
+			continue
+		}
+		whole = false
+		if !b.rejected[FileName(r.Kind, r.Name)] {
 			b.findings = append(b.findings, r.Missing(kind, name))
 		}
 	}
-	return len(b.findings) == found
+	return whole
 }
 
 // uniqueKeys reports a key that two client accounts share.
--- a/settings/build_test.go
+++ b/settings/build_test.go
@@ -151,3 +151,14 @@
 		t.Errorf("after deletions: %v, %d parsed", findings, len(b.parsed))
 	}
 }
+
+// A document with a finding is reported once, not again by all that name it.
+func TestRejectedDocumentIsReportedOnce(t *testing.T) {
+	_, findings := Build(append(sound(),
+		doc(KindServices, "bad", `{"kind":"wheel"}`),
+		doc(KindTargets, "of-bad", `{"service":"bad","failure_domain":"recife-a","addr":"192.0.2.9:1"}`),
+	))
+	if len(findings) != 1 || !strings.Contains(findings.Error(), `services/bad.json: /kind`) {
+		t.Errorf("got %v", findings)
+	}
+}
--- a/settings/references.go
+++ b/settings/references.go
@@ -93,7 +93,7 @@
 	if o.Kind != KindAccounts || json.Unmarshal(o.Data, &d) != nil {
 		return nil
 	}
-	b := &builder{snapshot: newSnapshot()}
+	b := &builder{snapshot: newSnapshot(), rejected: map[string]bool{}}
 	for name, a := range s.Accounts {
 		b.snapshot.Accounts[name] = a
 	}
