--- a/loadmean/doc.go
+++ b/loadmean/doc.go
@@ -64,12 +64,6 @@
 	sumInterval = 100 * time.Millisecond
 	// reportersPerInterval scales sumInterval.
 	reportersPerInterval = 8
-	// surgeInterval replaces both where a value changed by surgeShare and by
-	// surgeLeast units since it was sent, since bounds by the old value would
-	// hold a growing load back.
-	surgeInterval = tick
-	surgeShare    = 0.2
-	surgeLeast    = 2 * scale
 	// refresh is the longest time between two messages on one key.
 	refresh = 2 * time.Second
 	// expiry is when a value that was not refreshed is dropped.
--- a/loadmean/message.go
+++ b/loadmean/message.go
@@ -77,12 +77,6 @@
 	return units{u.amount - v.amount, u.weight - v.weight}
 }
 
-// surges reports whether a change from v is worth a message at once.
-func (u units) surges(v units) bool {
-	change := math.Abs(float64(u.amount - v.amount))
-	return change >= surgeLeast && change >= surgeShare*float64(max(u.amount, v.amount))
-}
-
 // differs reports whether a change from v is worth a message.
 func (u units) differs(v units) bool {
 	if u.weight != v.weight {
--- a/loadmean/send.go
+++ b/loadmean/send.go
@@ -63,9 +63,6 @@
 	if last.to != to || silent >= refresh {
 		return true
 	}
-	if silent >= surgeInterval && (value.surges(last.value) || extra.surges(last.extra)) {
-		return true
-	}
 	return silent >= interval && (value.differs(last.value) || extra.differs(last.extra))
 }
 
