--- a/measure/bed/bed_test.go
+++ b/measure/bed/bed_test.go
@@ -20,7 +20,7 @@
 
 const testLimit = 30 * time.Second
 
-func startBed(t *testing.T, cfg Config) (*Bed, *Client, context.Context) {
+func startBed(t testing.TB, cfg Config) (*Bed, *Client, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
--- /dev/null
+++ b/measure/bed/burst_bench_test.go
@@ -0,0 +1,47 @@
+package bed
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+const burstChats = 240
+
+// BenchmarkBurstFromIdle measures the time to the first byte when many chats
+// come at once to an idle fleet of six routers and twelve engines.
+func BenchmarkBurstFromIdle(b *testing.B) {
+	bed, client, ctx := startBed(b, Config{RoutersPerDomain: 2, Engine: func(c *standin.EngineConfig) {
+		c.TokensPerSecond = 100
+		c.Slots = 64
+	}})
+	members := bed.Members()
+	var waits []time.Duration
+	refused := 0
+	for n := 0; b.Loop(); n++ {
+		answers := make([]Answer, burstChats)
+		var wait sync.WaitGroup
+		for i := range answers {
+			wait.Go(func() {
+				chat := &Chat{ID: fmt.Sprint("burst-", n, "-", i), Account: account, Service: service}
+				answers[i], _ = client.Say(ctx, members[i%len(members)], chat, "write 20 tokens", 20)
+			})
+		}
+		wait.Wait()
+		for _, a := range answers {
+			if !a.Right {
+				refused++
+				continue
+			}
+			waits = append(waits, a.FirstByte)
+		}
+	}
+	slices.Sort(waits)
+	b.ReportMetric(float64(waits[len(waits)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(waits[len(waits)*95/100].Milliseconds()), "p95-ms")
+	b.ReportMetric(float64(refused), "not-right")
+}
