loadmean: a surge of a load is reported at once

Cause: a fleet that comes from idle fills in 3 to 4 s, since its mean grows only as fast as reports travel; some requests wait their 5 s and are refused. Change: a load that changed by a fifth is sent at the next tick of 20 ms.

--- a/loadmean/doc.go
+++ b/loadmean/doc.go
@@ -72,6 +72,10 @@
 	sumInterval = 100 * time.Millisecond
 	// reportersPerInterval scales sumInterval.
 	reportersPerInterval = 8
+	// surgeInterval replaces both where a load changed by surgeShare since it
+	// was sent, since bounds by the old value would hold a growing load back.
+	surgeInterval = tick
+	surgeShare    = 0.2
 	// demandInterval is the least time between two messages on one demand to
 	// one receiver: limits follow demand within a second, while bounds need
 	// the loads at once.
--- a/loadmean/message.go
+++ b/loadmean/message.go
@@ -83,6 +83,11 @@
 	return u.weight != v.weight || moved(float64(u.amount), float64(v.amount), changeShare)
 }
 
+// surges reports whether a load's change from v is worth a message at once.
+func (u units) surges(v units) bool {
+	return moved(float64(u.amount), float64(v.amount), surgeShare)
+}
+
 // differsAsDemand reports whether a demand's change from v is worth a message:
 // a share of its rate or of its requests in flight.
 func (u units) differsAsDemand(v units) bool {
--- a/loadmean/send.go
+++ b/loadmean/send.go
@@ -67,6 +67,9 @@
 		return silent >= max(interval, demandInterval) &&
 			(value.differsAsDemand(last.value) || extra.differsAsDemand(last.extra))
 	}
+	if value.surges(last.value) || extra.surges(last.extra) {
+		interval = surgeInterval
+	}
 	return silent >= interval && (value.differs(last.value) || extra.differs(last.extra))
 }
 
