placement: a larger reserve below the load bound

Change: the room that a gate leaves for the noise of the mean is 0.75 square roots of it, at most 0.7 of the room above the mean; both were 0.5.

--- a/placement/gate.go
+++ b/placement/gate.go
@@ -109,17 +109,17 @@
 	// reserveShare scales the room that a gate leaves below the multiple: this
 	// many square roots of the mean. Requests end at random, so the mean may
 	// fall by about that much while a full target's requests go on.
-	reserveShare = 0.5
+	reserveShare = 0.75
 	// reserveMost bounds the reserve as a share of the room between the mean and
 	// its multiple, so that a load which grows finds room at every target.
-	reserveMost = 0.5
+	reserveMost = 0.7
 )
 
 // targetBound is the most the target may carry with the attempt. Chats whose
 // context is on the target may go up to the multiple as far as reuse weighs,
 // less the reserve, and so may attempts that found no room elsewhere; others only
-// up to an even spread, so that they level the
-// load and leave the room above the mean to returning chats.
+// up to an even spread, so that they level the load and leave the room above the
+// mean to returning chats.
 func targetBound(load TargetLoad, service ServiceLoad, here bool, limits Limits) float64 {
 	even := service.bound(1, load.Weight)
 	if !here {
