--- a/caller/answer.go
+++ b/caller/answer.go
@@ -76,6 +76,20 @@
 	return a.writer.Flush()
 }
 
+// handle serves what read makes of a call, or refuses the call as not run.
+func (f *Face) handle(read func(*app.RequestContext) (*entry.Request, *refusal)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		f.inFlight.Add(1)
+		defer f.inFlight.Add(-1)
+		req, bad := read(c)
+		if bad != nil {
+			f.notRun(c, bad.code, bad.detail)
+			return
+		}
+		f.serve(ctx, c, req)
+	}
+}
+
 // serve runs a request and ends its answer.
 func (f *Face) serve(ctx context.Context, c *app.RequestContext, req *entry.Request) {
 	arrived := time.Now()
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -96,8 +96,8 @@
 }
 
 func (f *Face) routes() {
-	f.hertz.POST("/v1/chat/completions", f.chat)
-	f.hertz.Any("/s/:service/*path", f.plain)
+	f.hertz.POST("/v1/chat/completions", f.handle(f.chatRequest))
+	f.hertz.Any("/s/:service/*path", f.handle(f.plainRequest))
 	f.hertz.GET("/v1/requests/:key", f.request)
 	f.hertz.GET("/healthz", f.health)
 	f.hertz.GET("/readyz", f.ready)
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -35,17 +34,6 @@
 	Content json.RawMessage `json:"content"`
 }
 
-func (f *Face) chat(ctx context.Context, c *app.RequestContext) {
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
-	req, bad := f.chatRequest(c)
-	if bad != nil {
-		f.notRun(c, bad.code, bad.detail)
-		return
-	}
-	f.serve(ctx, c, req)
-}
-
 func (f *Face) chatRequest(c *app.RequestContext) (*entry.Request, *refusal) {
 	snapshot, account, bad := f.admit(c)
 	if bad != nil {
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -21,17 +20,6 @@
 	"idempotency-key": true, "ragwort-deadline-ms": true,
 }
 
-func (f *Face) plain(ctx context.Context, c *app.RequestContext) {
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
-	req, bad := f.plainRequest(c)
-	if bad != nil {
-		f.notRun(c, bad.code, bad.detail)
-		return
-	}
-	f.serve(ctx, c, req)
-}
-
 func (f *Face) plainRequest(c *app.RequestContext) (*entry.Request, *refusal) {
 	snapshot, account, bad := f.admit(c)
 	if bad != nil {
