peer, placement: what nothing calls is gone

Cause: reading the whole change showed three methods without a handler or a caller, whose traffic goes by other methods (demands with loads, resumption with forwards, withdrawals with chat tables), and a parser of policies beside the check that the experiment tool makes itself. Change: they are removed; the numbers of later methods move, which matters to no running fleet.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -47,11 +47,8 @@
 	MethodSettingsDigest
 	MethodSettingsFetch
 	MethodJournal
-	MethodDemand
 	MethodChatTable
-	MethodWithdrawal
 	MethodStatus
-	MethodResume
 )
 
 var methodNames = map[Method]string{
@@ -63,11 +60,8 @@
 	MethodSettingsDigest: "settings-digest",
 	MethodSettingsFetch:  "settings-fetch",
 	MethodJournal:        "journal",
-	MethodDemand:         "demand",
 	MethodChatTable:      "chat-table",
-	MethodWithdrawal:     "withdrawal",
 	MethodStatus:         "status",
-	MethodResume:         "resume",
 }
 
 // String returns the method's name, used as a metric label.
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -1,10 +1,5 @@
 package placement
 
-import "errors"
-
-// ErrUnknownPolicy means that a name is not that of a policy.
-var ErrUnknownPolicy = errors.New("placement: unknown policy")
-
 // Policy names a way of choosing targets. All but Ragwortpond are baselines
 // for measurements.
 type Policy string
@@ -27,20 +22,6 @@
 	return []Policy{Random, LeastLoaded, Rendezvous, Ragwortpond}
 }
 
-// ParsePolicy returns the policy of that name; the empty name is Ragwortpond.
-// Other names return ErrUnknownPolicy.
-func ParsePolicy(name string) (Policy, error) {
-	if name == "" {
-		return Ragwortpond, nil
-	}
-	for _, p := range Policies() {
-		if string(p) == name {
-			return p, nil
-		}
-	}
-	return "", ErrUnknownPolicy
-}
-
 // Bounded reports whether homes hold the load bound under the policy.
 func (p Policy) Bounded() bool {
 	return p == Ragwortpond || p == ""
