--- a/caller/requests.go
+++ b/caller/requests.go
@@ -9,7 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/orders"
@@ -62,7 +62,7 @@
 	c.Data(200, "application/json", body)
 }
 
-func answerOf(a *journal.Answer) *answerBody {
+func answerOf(a *keyjournal.Answer) *answerBody {
 	if a == nil {
 		return nil
 	}
--- a/cmd/ragwort/admin_test.go
+++ b/cmd/ragwort/admin_test.go
@@ -17,8 +17,8 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortpond.example/ragwortpond/keys"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/operator"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -126,12 +126,12 @@
 // outage it returns those it read last.
 func newSnapshots(t *testing.T, objects *standin.Objects) func() *settings.Snapshot {
 	var mu sync.Mutex
-	latest := map[string]platform.Object{}
+	latest := map[string]objectapi.Object{}
 	return func() *settings.Snapshot {
 		mu.Lock()
 		defer mu.Unlock()
 		changes, _, err := objects.Watch(context.Background(), settings.Kinds(), 0, 0)
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		if err != nil && !errors.Is(err, objectapi.ErrUnavailable) {
 			t.Error(err)
 		}
 		for _, c := range changes {
--- a/cmd/ragwort/init.go
+++ b/cmd/ragwort/init.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -39,7 +39,7 @@
 	if findings = append(findings, more...); len(findings) > 0 {
 		return cli.Exit(under(args[0], findings), exitBadInput)
 	}
-	store := platform.NewClient(platform.ClientConfig{Addr: cmd.String("platform")})
+	store := objectapi.NewClient(objectapi.ClientConfig{Addr: cmd.String("platform")})
 	defer store.Close()
 	created, err := createAll(ctx, store, objects)
 	if err != nil {
@@ -54,7 +54,7 @@
 
 // createAll creates documents in the order of their references, the fleet's
 // last.
-func createAll(ctx context.Context, store platform.Store, objects []platform.Object) ([]written, error) {
+func createAll(ctx context.Context, store objectapi.Store, objects []objectapi.Object) ([]written, error) {
 	kinds := settings.Kinds()
 	created := []written{}
 	for _, kind := range append(kinds[1:], kinds[0]) {
@@ -73,12 +73,12 @@
 }
 
 // create creates one document; one that is there already must be the same.
-func create(ctx context.Context, store platform.Store, o platform.Object) (uint64, error) {
+func create(ctx context.Context, store objectapi.Store, o objectapi.Object) (uint64, error) {
 	version, err := store.Put(ctx, o.Kind, o.Name, o.Data, 0)
 	if err == nil {
 		return version, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+	if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrUnknown) {
 		return 0, cli.Exit(err, exitUnreachable)
 	}
 	there, err := store.Get(ctx, o.Kind, o.Name)
--- a/cmd/ragwort/init_test.go
+++ b/cmd/ragwort/init_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -35,7 +35,7 @@
 	}
 	expect(t, exitChanged, "services/pedidos.json is on the platform already", run...)
 	p.UpdateFaults(func(f *standin.Faults) { f.Outage = true })
-	expect(t, exitUnreachable, platform.ErrUnavailable.Error(), run...)
+	expect(t, exitUnreachable, objectapi.ErrUnavailable.Error(), run...)
 }
 
 func TestUsageErrors(t *testing.T) {
--- a/cmd/ragwort/settings.go
+++ b/cmd/ragwort/settings.go
@@ -10,7 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -80,7 +80,7 @@
 	if err != nil {
 		return settings.Findings{{File: path, Message: err.Error()}}
 	}
-	findings := settings.CheckDocument(platform.Object{Kind: kind, Name: name, Data: data})
+	findings := settings.CheckDocument(objectapi.Object{Kind: kind, Name: name, Data: data})
 	for i := range findings {
 		findings[i].File = path
 	}
--- a/journal/cell.go
+++ b/keyjournal/cell.go
@@ -1,10 +1,10 @@
-package journal
+package keyjournal
 
 import (
 	"encoding/binary"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // Sizes in bytes of encoded parts, rounded up.
@@ -13,7 +13,7 @@
 	answerOverhead    = 16
 	fieldOverhead     = 8
 	tombstoneOverhead = 20
-	maxCellBytes      = platform.MaxValueBytes * 15 / 16
+	maxCellBytes      = objectapi.MaxValueBytes * 15 / 16
 )
 
 // Content is the content of one cell. It is not safe for concurrent use.
--- a/journal/cell_test.go
+++ b/keyjournal/cell_test.go
@@ -1,11 +1,11 @@
-package journal
+package keyjournal
 
 import (
 	"errors"
 	"testing"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 var epoch = time.UnixMilli(1_800_000_000_000)
@@ -111,7 +111,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if count < 4_000 || count == 20_000 || len(data) > platform.MaxValueBytes || c.size < len(data) {
+	if count < 4_000 || count == 20_000 || len(data) > objectapi.MaxValueBytes || c.size < len(data) {
 		t.Fatalf("%d records, %d bytes, reckoned as %d", count, len(data), c.size)
 	}
 	if again, err := Decode(data); err != nil || again.size != c.size {
--- a/journal/codec.go
+++ b/keyjournal/codec.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"fmt"
--- a/journal/faults_test.go
+++ b/keyjournal/faults_test.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // faultSet is the faults of one router.
@@ -59,13 +59,13 @@
 
 // unconditional breaks the platform's condition: a write always takes effect.
 type unconditional struct {
-	platform.Store
+	objectapi.Store
 }
 
 func (s unconditional) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
 	for {
 		version, err := s.Store.Put(ctx, kind, name, data, ifVersion)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectapi.ErrConflict) {
 			return version, err
 		}
 		object, err := s.Store.Get(ctx, kind, name)
@@ -78,12 +78,12 @@
 
 // trusting takes a lost answer for success.
 type trusting struct {
-	platform.Store
+	objectapi.Store
 }
 
 func (s trusting) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
 	version, err := s.Store.Put(ctx, kind, name, data, ifVersion)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objectapi.ErrUnknown) {
 		return ifVersion + 1, nil
 	}
 	return version, err
--- a/journal/journal.go
+++ b/keyjournal/journal.go
@@ -1,4 +1,4 @@
-// Package journal remembers which non-repeatable requests may have run. A
+// Package keyjournal remembers which non-repeatable requests may have run. A
 // request with an idempotency key is dispatched only after its intent is in
 // place in the platform's object API, so that no repeat of it, on any router,
 // is dispatched a second time.
@@ -15,7 +15,7 @@
 //
 // Cell, Layout and Pace are deterministic: they do no I/O and are given the
 // time. Log carries them out.
-package journal
+package keyjournal
 
 import (
 	"errors"
--- a/journal/layout_io.go
+++ b/keyjournal/layout_io.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const (
@@ -35,7 +35,7 @@
 		return *layout, nil
 	}
 	layout, _, err := l.readLayout(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		layout, err = l.makeLayout(ctx)
 	}
 	if err != nil {
--- a/journal/log.go
+++ b/keyjournal/log.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -27,7 +27,7 @@
 
 // Config is what a Log needs.
 type Config struct {
-	Store  platform.Store
+	Store  objectapi.Store
 	Caller peer.Caller
 	Self   fleet.RouterID
 	// Members returns the live routers, this one included.
--- a/journal/log_test.go
+++ b/keyjournal/log_test.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -7,13 +7,13 @@
 	"testing/synctest"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/standin"
 )
 
 func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(func(s platform.Store) platform.Store { return s })
+		w := newWorld(func(s objectapi.Store) objectapi.Store { return s })
 		defer w.close()
 		test(t, w)
 		for _, fault := range w.oracle.check() {
--- a/journal/machine_test.go
+++ b/keyjournal/machine_test.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -44,7 +44,7 @@
 	var sum tally
 	rapid.Check(t, func(r *rapid.T) {
 		inBubble(t, func() {
-			faults, counts := runMachine(r, func(s platform.Store) platform.Store { return s })
+			faults, counts := runMachine(r, func(s objectapi.Store) objectapi.Store { return s })
 			sum.add(counts)
 			for _, fault := range faults {
 				r.Error(fault)
@@ -57,9 +57,9 @@
 // TestMachineCatches runs the same machine on journals that are broken on
 // purpose; it has to find a fault in each.
 func TestMachineCatches(t *testing.T) {
-	for name, wrap := range map[string]func(platform.Store) platform.Store{
-		"writes without condition":      func(s platform.Store) platform.Store { return unconditional{s} },
-		"lost answer taken for success": func(s platform.Store) platform.Store { return trusting{s} },
+	for name, wrap := range map[string]func(objectapi.Store) objectapi.Store{
+		"writes without condition":      func(s objectapi.Store) objectapi.Store { return unconditional{s} },
+		"lost answer taken for success": func(s objectapi.Store) objectapi.Store { return trusting{s} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			machine := rapid.Custom(func(r *rapid.T) []string {
@@ -80,7 +80,7 @@
 
 // runMachine draws and makes steps, heals all faults and returns the faults
 // that the oracle found, and what was done.
-func runMachine(t *rapid.T, wrap func(platform.Store) platform.Store) ([]string, tally) {
+func runMachine(t *rapid.T, wrap func(objectapi.Store) objectapi.Store) ([]string, tally) {
 	w := newWorld(wrap)
 	defer w.close()
 	m := &machine{t: t, world: w, started: time.Now()}
--- a/journal/world_test.go
+++ b/keyjournal/world_test.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -30,7 +30,7 @@
 // all goroutines wait.
 type world struct {
 	objects *standin.Objects
-	wrap    func(platform.Store) platform.Store
+	wrap    func(objectapi.Store) objectapi.Store
 	nodes   []*node
 	views   [][]int
 	values  settings.Journal
@@ -48,7 +48,7 @@
 	faults *nodeFaults
 }
 
-func newWorld(wrap func(platform.Store) platform.Store) *world {
+func newWorld(wrap func(objectapi.Store) objectapi.Store) *world {
 	w := &world{
 		objects: standin.NewObjects(standin.ObjectsConfig{Seed: 1}),
 		wrap:    wrap,
@@ -132,27 +132,27 @@
 
 // nodeStore is the platform as one router reaches it.
 type nodeStore struct {
-	platform.Store
+	objectapi.Store
 	node *node
 }
 
-func (s *nodeStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *nodeStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if s.node.faults.get().cut {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return s.node.world.objects.Get(ctx, kind, name)
 }
 
 func (s *nodeStore) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
 	if s.node.faults.get().cut {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	if late := s.node.faults.takeLate(); late > 0 {
 		go func() {
 			time.Sleep(late)
 			_, _ = s.node.world.objects.Put(context.Background(), kind, name, data, ifVersion)
 		}()
-		return 0, platform.ErrUnknown
+		return 0, objectapi.ErrUnknown
 	}
 	return s.node.world.objects.Put(ctx, kind, name, data, ifVersion)
 }
--- a/journal/write.go
+++ b/keyjournal/write.go
@@ -1,4 +1,4 @@
-package journal
+package keyjournal
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -72,10 +72,10 @@
 		if err == nil {
 			return verdicts, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrRateLimited) {
+		if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrRateLimited) {
 			return nil, err
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, objectapi.ErrConflict) {
 			w.held = held{}
 		}
 		if sleepErr := task.Sleep(ctx, jitter(wait)); sleepErr != nil {
@@ -133,7 +133,7 @@
 }
 
 func (w *writer) countRate(err error) {
-	if errors.Is(err, platform.ErrRateLimited) {
+	if errors.Is(err, objectapi.ErrRateLimited) {
 		w.result.rateRefusals++
 	}
 }
@@ -151,10 +151,10 @@
 	for {
 		version, err := w.ln.log.cfg.Store.Put(ctx, Kind, w.ln.cell.Name(), data, w.held.version)
 		w.ln.log.countWrite(err)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, objectapi.ErrConflict) {
 			return version, err
 		}
-		lost = lost || errors.Is(err, platform.ErrUnknown)
+		lost = lost || errors.Is(err, objectapi.ErrUnknown)
 		if !lost {
 			return 0, err
 		}
@@ -170,11 +170,11 @@
 	switch {
 	case err == nil:
 		label = "taken"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		label = "conflict"
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, objectapi.ErrRateLimited):
 		label = "rate-limited"
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, objectapi.ErrUnknown):
 		label = "unknown"
 	}
 	l.cfg.Metrics.Journal.Writes.WithLabelValues(label).Inc()
@@ -183,7 +183,7 @@
 // load reads a cell from the platform.
 func (l *Log) load(ctx context.Context, cell Cell) (held, error) {
 	object, err := l.cfg.Store.Get(ctx, Kind, cell.Name())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return held{content: NewContent()}, nil
 	}
 	if err != nil {
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -17,8 +17,8 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/placement"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
@@ -35,7 +35,7 @@
 type Config struct {
 	// Objects are the settings documents. Targets get stand-ins and their
 	// addresses; client accounts and operators get keys made here.
-	Objects []platform.Object
+	Objects []objectapi.Object
 	// RoutersPerDomain is the number of routers in each failure domain.
 	RoutersPerDomain int
 	// Policy is the placement policy of the routers; empty is the default.
@@ -51,7 +51,7 @@
 	// EngineClient wraps the engine client, for experiments on it.
 	EngineClient func(engine.Client) engine.Client
 	// Journal replaces the journal that orders use, for experiments on it.
-	Journal func(own orders.Journal, store platform.Store) orders.Journal
+	Journal func(own orders.Journal, store objectapi.Store) orders.Journal
 	Seed    uint64
 	Log     zerolog.Logger
 }
@@ -63,7 +63,7 @@
 	rand      *rand.Rand
 
 	Platform *standin.Platform
-	Store    *platform.Client
+	Store    *objectapi.Client
 	// AccountKeys holds a key for each client account, OperatorTokens a token
 	// for each operator.
 	AccountKeys    map[fleet.AccountName]string
@@ -74,7 +74,7 @@
 	services map[fleet.TargetID]*standin.Service
 	routers  []*Member
 	domains  map[fleet.DomainName]fleet.RegionName
-	vms      map[string]platform.VM
+	vms      map[string]objectapi.VM
 }
 
 // Start starts a fleet and waits until every router is ready and sees all
@@ -84,7 +84,7 @@
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		AccountKeys: map[fleet.AccountName]string{}, OperatorTokens: map[string]string{},
 		engines: map[fleet.TargetID]*standin.Engine{}, services: map[fleet.TargetID]*standin.Service{},
-		domains: map[fleet.DomainName]fleet.RegionName{}, vms: map[string]platform.VM{},
+		domains: map[fleet.DomainName]fleet.RegionName{}, vms: map[string]objectapi.VM{},
 	}
 	if err := b.start(ctx); err != nil {
 		b.Close()
@@ -104,7 +104,7 @@
 	if b.Platform, err = standin.StartPlatform(b.cfg.Platform); err != nil {
 		return fmt.Errorf("bed: platform: %w", err)
 	}
-	b.Store = platform.NewClient(platform.ClientConfig{Addr: b.Platform.Addr()})
+	b.Store = objectapi.NewClient(objectapi.ClientConfig{Addr: b.Platform.Addr()})
 	if err := b.load(ctx); err != nil {
 		return err
 	}
--- a/measure/bed/bed_test.go
+++ b/measure/bed/bed_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/examples"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/outcome"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
@@ -49,7 +49,7 @@
 
 // withoutLimits leaves out the client accounts' settings: these tests are of
 // other matters than limits.
-func withoutLimits(t testing.TB, objects []platform.Object) []platform.Object {
+func withoutLimits(t testing.TB, objects []objectapi.Object) []objectapi.Object {
 	t.Helper()
 	for i, o := range objects {
 		if o.Kind != settings.KindAccounts {
--- a/measure/bed/hop_bench_test.go
+++ b/measure/bed/hop_bench_test.go
@@ -11,7 +11,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/examples"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/settings"
@@ -35,7 +35,7 @@
 	b.Run("hop", func(b *testing.B) { benchmarkRouter(b, f, false) })
 }
 
-func benchObjects(b *testing.B) []platform.Object {
+func benchObjects(b *testing.B) []objectapi.Object {
 	dir, err := examples.Deployment(examples.TochaViva)
 	if err != nil {
 		b.Fatal(err)
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -13,8 +13,8 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/plain"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
@@ -45,7 +45,7 @@
 }
 
 // prepare gives targets their stand-ins and accounts and operators their keys.
-func (b *Bed) prepare(o platform.Object, s *settings.Snapshot) ([]byte, error) {
+func (b *Bed) prepare(o objectapi.Object, s *settings.Snapshot) ([]byte, error) {
 	var doc map[string]any
 	if err := json.Unmarshal(o.Data, &doc); err != nil {
 		return nil, fmt.Errorf("bed: %s/%s: %w", o.Kind, o.Name, err)
@@ -175,7 +175,7 @@
 		return nil, err
 	}
 	set := metrics.NewSet()
-	store := platform.NewClient(platform.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
+	store := objectapi.NewClient(objectapi.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
 	client := engine.Client(engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}))
 	if b.cfg.EngineClient != nil {
 		client = b.cfg.EngineClient(client)
@@ -200,7 +200,7 @@
 		return nil, err
 	}
 	m := &Member{Router: r, Metrics: set, done: make(chan struct{})}
-	b.SetVM(platform.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
+	b.SetVM(objectapi.VM{Name: string(id), Domain: domain, State: fleet.Live, PeerAddr: r.Self().PeerAddr})
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	go func() {
@@ -225,7 +225,7 @@
 }
 
 // SetVM adds or changes an entry of the platform's VM list.
-func (b *Bed) SetVM(vm platform.VM) {
+func (b *Bed) SetVM(vm objectapi.VM) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms[vm.Name] = vm
@@ -241,7 +241,7 @@
 }
 
 func (b *Bed) publishVMs() {
-	list := make([]platform.VM, 0, len(b.vms))
+	list := make([]objectapi.VM, 0, len(b.vms))
 	for _, name := range sortedKeys(b.vms) {
 		list = append(list, b.vms[name])
 	}
--- a/measure/chatfleet.go
+++ b/measure/chatfleet.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -27,8 +27,8 @@
 
 // chatFleet returns the documents of the chat experiments with the given
 // settings of the fleet.
-func chatFleet(values document) []platform.Object {
-	objects := []platform.Object{
+func chatFleet(values document) []objectapi.Object {
+	objects := []objectapi.Object{
 		object(settings.KindFleet, "fleet", document{
 			"settings":     values,
 			"context_keys": []document{{"id": "k1", "secret": contextSecret}},
@@ -56,10 +56,10 @@
 	return chatDomains[i%len(chatDomains)]
 }
 
-func object(kind, name string, doc document) platform.Object {
+func object(kind, name string, doc document) objectapi.Object {
 	data, err := json.Marshal(doc)
 	if err != nil {
 		panic(err)
 	}
-	return platform.Object{Kind: kind, Name: name, Data: data}
+	return objectapi.Object{Kind: kind, Name: name, Data: data}
 }
--- a/measure/controlfleet.go
+++ b/measure/controlfleet.go
@@ -14,8 +14,8 @@
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/standin"
@@ -86,13 +86,13 @@
 	if err != nil {
 		return err
 	}
-	var vms []platform.VM
+	var vms []objectapi.VM
 	for i := range size.Routers {
 		n, err := f.newNode(authority, i, seed, log)
 		if err != nil {
 			return err
 		}
-		vms = append(vms, platform.VM{Name: string(n.self.ID), Domain: n.self.Domain, State: fleet.Live, PeerAddr: n.self.PeerAddr})
+		vms = append(vms, objectapi.VM{Name: string(n.self.ID), Domain: n.self.Domain, State: fleet.Live, PeerAddr: n.self.PeerAddr})
 	}
 	for i := range size.Targets {
 		service := fleet.ServiceName(fmt.Sprintf("service-%d", i%size.Services))
--- a/measure/demo/demo.go
+++ b/measure/demo/demo.go
@@ -14,7 +14,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
@@ -33,7 +33,7 @@
 // Options say what the demo runs.
 type Options struct {
 	// Objects are the settings of a deployment.
-	Objects []platform.Object
+	Objects []objectapi.Object
 	// Duration of the workload; zero means six seconds.
 	Duration time.Duration
 	Seed     uint64
--- a/measure/fairness.go
+++ b/measure/fairness.go
@@ -7,7 +7,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
@@ -115,7 +115,7 @@
 	return f, nil
 }
 
-func fairnessObjects(policy string) []platform.Object {
+func fairnessObjects(policy string) []objectapi.Object {
 	objects := chatFleet(document{"queue": document{
 		"target_in_flight": fairnessSlots, "wait_ms": 20_000, "length": 1000,
 	}})
--- a/measure/orders.go
+++ b/measure/orders.go
@@ -8,7 +8,7 @@
 
 	"ragwortpond.example/ragwortpond/examples"
 	"ragwortpond.example/ragwortpond/measure/bed"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
@@ -110,7 +110,7 @@
 	b, err := bed.Start(ctx, bed.Config{
 		Objects: objects, RoutersPerDomain: fleetRoutersPerDomain, Seed: o.Seed, Log: o.Log,
 		Platform: standin.PlatformConfig{Seed: o.Seed},
-		Journal: func(own orders.Journal, store platform.Store) orders.Journal {
+		Journal: func(own orders.Journal, store objectapi.Store) orders.Journal {
 			if way == OrdersSingle {
 				own = &singleJournal{store: store}
 			}
@@ -129,7 +129,7 @@
 
 // removeAccountLimits takes the limits out of the documents of client accounts,
 // so that every order gets as far as the journal.
-func removeAccountLimits(objects []platform.Object) error {
+func removeAccountLimits(objects []objectapi.Object) error {
 	for i, o := range objects {
 		if o.Kind != settings.KindAccounts {
 			continue
--- a/measure/orders_load.go
+++ b/measure/orders_load.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/router/orders"
@@ -242,7 +242,7 @@
 }
 
 // Begin implements orders.Journal.
-func (j *timedJournal) Begin(ctx context.Context, intent journal.Intent) (journal.Grant, error) {
+func (j *timedJournal) Begin(ctx context.Context, intent keyjournal.Intent) (keyjournal.Grant, error) {
 	start := time.Now()
 	grant, err := j.Journal.Begin(ctx, intent)
 	if err == nil {
--- a/measure/orders_single.go
+++ b/measure/orders_single.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/keyjournal"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -25,39 +25,39 @@
 // object of the platform for each order, created before its dispatch and
 // written again with its result.
 type singleJournal struct {
-	store platform.Store
+	store objectapi.Store
 }
 
 // Begin implements orders.Journal.
-func (j *singleJournal) Begin(ctx context.Context, intent journal.Intent) (journal.Grant, error) {
+func (j *singleJournal) Begin(ctx context.Context, intent keyjournal.Intent) (keyjournal.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, singleTimeout)
 	defer cancel()
-	grant := journal.Grant{Hash: journal.HashKey(intent.Account, intent.Key), Nonce: journal.NewNonce()}
-	record := journal.Record{
-		Hash: grant.Hash, Nonce: grant.Nonce, Fingerprint: intent.Fingerprint, State: journal.StateIntent,
+	grant := keyjournal.Grant{Hash: keyjournal.HashKey(intent.Account, intent.Key), Nonce: keyjournal.NewNonce()}
+	record := keyjournal.Record{
+		Hash: grant.Hash, Nonce: grant.Nonce, Fingerprint: intent.Fingerprint, State: keyjournal.StateIntent,
 	}
 	err := j.write(ctx, record, 0)
 	if err == nil {
 		return grant, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
-		return journal.Grant{}, journal.ErrUnavailable
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return keyjournal.Grant{}, keyjournal.ErrUnavailable
 	}
 	found, _, err := j.read(ctx, grant.Hash)
 	switch {
 	case err != nil:
-		return journal.Grant{}, journal.ErrUnavailable
+		return keyjournal.Grant{}, keyjournal.ErrUnavailable
 	case found.Nonce == grant.Nonce:
 		return grant, nil
 	case found.Fingerprint != intent.Fingerprint:
-		return journal.Grant{}, journal.ErrKeyReused
+		return keyjournal.Grant{}, keyjournal.ErrKeyReused
 	default:
-		return journal.Grant{}, &journal.ExistsError{Record: found}
+		return keyjournal.Grant{}, &keyjournal.ExistsError{Record: found}
 	}
 }
 
 // FinishLater implements orders.Journal.
-func (j *singleJournal) FinishLater(grant journal.Grant, result journal.Result) {
+func (j *singleJournal) FinishLater(grant keyjournal.Grant, result keyjournal.Result) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), singleTimeout)
 		defer cancel()
@@ -72,7 +72,7 @@
 }
 
 // Abandon implements orders.Journal.
-func (j *singleJournal) Abandon(ctx context.Context, grant journal.Grant) {
+func (j *singleJournal) Abandon(ctx context.Context, grant keyjournal.Grant) {
 	record, version, err := j.read(ctx, grant.Hash)
 	if err == nil && record.Nonce == grant.Nonce {
 		_, _ = j.store.Delete(ctx, singleKind, nameOf(grant.Hash), version)
@@ -80,8 +80,8 @@
 }
 
 // Join implements orders.Journal by reading until the result is there.
-func (j *singleJournal) Join(ctx context.Context, record journal.Record) (journal.Record, error) {
-	for record.State == journal.StateIntent && task.Sleep(ctx, singleMaxWait) == nil {
+func (j *singleJournal) Join(ctx context.Context, record keyjournal.Record) (keyjournal.Record, error) {
+	for record.State == keyjournal.StateIntent && task.Sleep(ctx, singleMaxWait) == nil {
 		if found, _, err := j.read(ctx, record.Hash); err == nil {
 			record = found
 		}
@@ -90,17 +90,17 @@
 }
 
 // Lookup implements orders.Journal.
-func (j *singleJournal) Lookup(ctx context.Context, account fleet.AccountName, key string) (journal.Record, error) {
-	record, _, err := j.read(ctx, journal.HashKey(account, key))
-	if errors.Is(err, platform.ErrNotFound) {
-		return journal.Record{}, journal.ErrNotFound
+func (j *singleJournal) Lookup(ctx context.Context, account fleet.AccountName, key string) (keyjournal.Record, error) {
+	record, _, err := j.read(ctx, keyjournal.HashKey(account, key))
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return keyjournal.Record{}, keyjournal.ErrNotFound
 	}
 	return record, err
 }
 
 // write repeats the write until it has a definite answer, as the batched
 // journal does.
-func (j *singleJournal) write(ctx context.Context, record journal.Record, version uint64) error {
+func (j *singleJournal) write(ctx context.Context, record keyjournal.Record, version uint64) error {
 	data, err := json.Marshal(record)
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	wait := singleRetry
 	for {
 		_, err := j.store.Put(ctx, singleKind, nameOf(record.Hash), data, version)
-		if !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrRateLimited) {
+		if !errors.Is(err, objectapi.ErrUnknown) && !errors.Is(err, objectapi.ErrRateLimited) {
 			return err
 		}
 		if task.Sleep(ctx, wait/2+rand.N(wait)) != nil {
@@ -118,16 +118,16 @@
 	}
 }
 
-func (j *singleJournal) read(ctx context.Context, hash journal.KeyHash) (journal.Record, uint64, error) {
+func (j *singleJournal) read(ctx context.Context, hash keyjournal.KeyHash) (keyjournal.Record, uint64, error) {
 	object, err := j.store.Get(ctx, singleKind, nameOf(hash))
 	if err != nil {
-		return journal.Record{}, 0, err
+		return keyjournal.Record{}, 0, err
 	}
-	var record journal.Record
+	var record keyjournal.Record
 	err = json.Unmarshal(object.Data, &record)
 	return record, object.Version, err
 }
 
-func nameOf(hash journal.KeyHash) string {
+func nameOf(hash keyjournal.KeyHash) string {
 	return hex.EncodeToString(hash[:])
 }
--- a/measure/withdrawal.go
+++ b/measure/withdrawal.go
@@ -8,8 +8,8 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/placement"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
@@ -156,7 +156,7 @@
 		return err
 	}
 	w.leaving[ids[0]] = time.Now()
-	w.bed.SetVM(platform.VM{Name: string(ids[1]), Domain: domainOf(4), State: fleet.Leaving})
+	w.bed.SetVM(objectapi.VM{Name: string(ids[1]), Domain: domainOf(4), State: fleet.Leaving})
 	w.leaving[ids[1]] = time.Now()
 	for _, id := range ids {
 		s, err := w.emptied(ctx, id)
--- a/membership/bench_fleet_test.go
+++ b/membership/bench_fleet_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const beatPeriod = 500 * time.Millisecond
@@ -25,7 +25,7 @@
 	loss   float64
 	wire   []delivery
 	sent   int
-	vms    []platform.VM
+	vms    []objectapi.VM
 }
 
 type delivery struct {
@@ -58,7 +58,7 @@
 
 func (b *bench) list(i int) {
 	r := record(i)
-	b.vms = append(b.vms, platform.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
+	b.vms = append(b.vms, objectapi.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
 }
 
 // start begins a life of router i; an earlier life of it is forgotten.
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -6,8 +6,8 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 )
 
 // beat does the work of one heartbeat period.
@@ -44,7 +44,7 @@
 	}
 }
 
-func (s *Service) applyVMs(vms []platform.VM, err error) {
+func (s *Service) applyVMs(vms []objectapi.VM, err error) {
 	s.reading = false
 	if err != nil {
 		event.MembershipVMList.Log(s.cfg.Log).Err(err).Send()
--- a/membership/service.go
+++ b/membership/service.go
@@ -11,8 +11,8 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -32,7 +32,7 @@
 // required.
 type Config struct {
 	Self fleet.Router
-	VMs  platform.VMLister
+	VMs  objectapi.VMLister
 	// Seeds are greeted while the VM list cannot be read.
 	Seeds []fleet.Router
 	// Caller sends datagrams without blocking.
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -12,8 +12,8 @@
 	"go.uber.org/goleak"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -74,9 +74,9 @@
 	return nil
 }
 
-type vmLister []platform.VM
+type vmLister []objectapi.VM
 
-func (l vmLister) VMs(context.Context) ([]platform.VM, error) {
+func (l vmLister) VMs(context.Context) ([]objectapi.VM, error) {
 	return l, nil
 }
 
@@ -102,7 +102,7 @@
 	var vms vmLister
 	for i := range n {
 		r := record(i)
-		vms = append(vms, platform.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
+		vms = append(vms, objectapi.VM{Name: string(r.ID), Domain: r.Domain, State: fleet.Live, PeerAddr: r.PeerAddr})
 	}
 	var running sync.WaitGroup
 	var stops []context.CancelFunc
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 func TestMain(m *testing.M) {
@@ -91,7 +91,7 @@
 func TestLeavingVMSpreads(t *testing.T) {
 	b := newBench(6, 1)
 	b.run(5 * time.Second)
-	vms := append([]platform.VM{{Name: "engine-1", State: fleet.Leaving}}, b.vms...)
+	vms := append([]objectapi.VM{{Name: "engine-1", State: fleet.Leaving}}, b.vms...)
 	b.tables["router-0"].ApplyVMList(vms, b.now)
 	b.step()
 	for _, id := range b.ids {
--- a/membership/vms.go
+++ b/membership/vms.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // vmList holds the names of leaving VMs: those of the last list read by this
@@ -70,7 +70,7 @@
 }
 
 // ApplyVMList takes in the platform's list. An empty list is ignored.
-func (t *Table) ApplyVMList(vms []platform.VM, now time.Time) {
+func (t *Table) ApplyVMList(vms []objectapi.VM, now time.Time) {
 	if len(vms) == 0 {
 		return
 	}
--- a/platform/client_dial.go
+++ b/objectapi/client_dial.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"crypto/tls"
--- a/platform/platform.go
+++ b/objectapi/platform.go
@@ -1,11 +1,11 @@
-// Package platform is the client of the platform: its object API and its
+// Package objectapi is the client of the platform: its object API and its
 // lagging list of VMs.
 //
 // Versions: the platform gives every accepted change one number from a single
 // growing sequence, its revision. An object's version is the revision of its
 // last change, so versions of different objects can be compared in time and a
 // version never repeats.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/objectapi/wire.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // Paths and names of the object API's HTTP form, shared by the client and by
 // servers of the API. An object is read by GET, written and deleted by POST
--- a/operator/access.go
+++ b/operator/access.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"ragwortpond.example/ragwortpond/keys"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -33,7 +33,7 @@
 // covers reports whether an object lies in the operator's subtree. A target
 // belongs to its service and its failure domain, a rule to its service; an
 // object without data belongs to neither.
-func covers(o settings.Operator, object platform.Object) bool {
+func covers(o settings.Operator, object objectapi.Object) bool {
 	if o.Subtree == "" {
 		return true
 	}
@@ -72,7 +72,7 @@
 const hidden = "(hidden)"
 
 // redact takes the secrets out of the fleet document.
-func redact(object platform.Object) platform.Object {
+func redact(object objectapi.Object) objectapi.Object {
 	var members map[string]any
 	if object.Kind != settings.KindFleet || json.Unmarshal(object.Data, &members) != nil {
 		return object
--- a/operator/answer.go
+++ b/operator/answer.go
@@ -10,7 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
@@ -77,11 +77,11 @@
 		return known
 	case errors.Is(err, ErrUnresolved):
 		return refuse(reason.ResultUnknown, "The platform did not say whether the change was accepted; read the object.")
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		return refuse(reason.NotFound, "")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return refuse(reason.VersionStale, "")
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		return refuse(reason.BodyTooLarge, "")
 	}
 	return refuse(reason.StoreUnavailable, "Nothing was accepted.")
@@ -154,7 +154,7 @@
 func (s *Server) stale(ctx context.Context, ch change) error {
 	r := refuse(reason.VersionStale, "")
 	current, err := s.cfg.Store.Get(ctx, ch.kind, ch.name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return err
 	}
 	r.body.CurrentVersion = &current.Version
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -14,7 +14,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
 	"ragwortpond.example/ragwortpond/standin"
@@ -102,7 +102,7 @@
 }
 
 func (a *api) snapshot() *settings.Snapshot {
-	var all []platform.Object
+	var all []objectapi.Object
 	for _, kind := range settings.Kinds() {
 		objects, _, err := a.objects.List(context.Background(), kind)
 		if err != nil {
--- a/operator/check.go
+++ b/operator/check.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -26,7 +26,7 @@
 	if ch.data == nil {
 		return snapshot.CheckDelete(ch.kind, ch.name), nil
 	}
-	o := platform.Object{Kind: ch.kind, Name: ch.name, Data: ch.data}
+	o := objectapi.Object{Kind: ch.kind, Name: ch.name, Data: ch.data}
 	found := settings.CheckDocument(o)
 	found = append(found, snapshot.CheckKeys(o)...)
 	for _, r := range settings.References(o) {
@@ -48,7 +48,7 @@
 		return true, nil
 	}
 	_, err := s.cfg.Store.Get(ctx, r.Kind, r.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return false, nil
 	}
 	return err == nil, err
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -8,7 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -39,7 +39,7 @@
 	s.respond(c, 200, documents, err)
 }
 
-func (s *Server) document(c *app.RequestContext, o platform.Object) Document {
+func (s *Server) document(c *app.RequestContext, o objectapi.Object) Document {
 	if !atLeast(operatorOf(c), settings.RoleOwner) {
 		o = redact(o)
 	}
@@ -61,13 +61,13 @@
 }
 
 // read reads an object that must lie in the operator's subtree.
-func (s *Server) read(ctx context.Context, c *app.RequestContext, kind, name string) (platform.Object, error) {
+func (s *Server) read(ctx context.Context, c *app.RequestContext, kind, name string) (objectapi.Object, error) {
 	o, err := s.cfg.Store.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{Kind: kind, Name: name}, refuse(reason.NotFound, "%s/%s", kind, name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Object{Kind: kind, Name: name}, refuse(reason.NotFound, "%s/%s", kind, name)
 	}
 	if err == nil && !covers(operatorOf(c), o) {
-		return platform.Object{}, refuse(reason.Forbidden, "It is outside your subtree.")
+		return objectapi.Object{}, refuse(reason.Forbidden, "It is outside your subtree.")
 	}
 	return o, err
 }
@@ -157,7 +157,7 @@
 	if o.Subtree == "" {
 		return nil
 	}
-	if ch.data != nil && !covers(o, platform.Object{Kind: ch.kind, Name: ch.name, Data: ch.data}) {
+	if ch.data != nil && !covers(o, objectapi.Object{Kind: ch.kind, Name: ch.name, Data: ch.data}) {
 		return refuse(reason.Forbidden, "It is outside your subtree.")
 	}
 	if ch.ifVersion == 0 {
@@ -170,7 +170,7 @@
 // commit makes the change and logs it.
 func (s *Server) commit(ctx context.Context, c *app.RequestContext, ch change) (Accepted, error) {
 	version, err := s.writer.apply(ctx, ch)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound) {
 		return Accepted{}, s.stale(ctx, ch)
 	}
 	if err != nil {
--- a/operator/effective.go
+++ b/operator/effective.go
@@ -6,7 +6,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
@@ -55,7 +55,7 @@
 		if !snapshot.Has(l.Kind, l.Name) {
 			return refuse(reason.NotFound, "%s/%s", l.Kind, l.Name)
 		}
-		inSubtree = inSubtree || covers(o, platform.Object{Kind: l.Kind, Name: l.Name})
+		inSubtree = inSubtree || covers(o, objectapi.Object{Kind: l.Kind, Name: l.Name})
 	}
 	if !inSubtree {
 		return refuse(reason.Forbidden, "Name a level of your subtree.")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -22,7 +22,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
@@ -30,7 +30,7 @@
 
 const (
 	maxHeaderBytes = 16 << 10
-	maxBodyBytes   = platform.MaxValueBytes
+	maxBodyBytes   = objectapi.MaxValueBytes
 	// cutBodyBytes is the size from which a request is cut off without reading
 	// it, so that its sender may see a broken connection rather than 413.
 	cutBodyBytes = 4 << 20
@@ -51,7 +51,7 @@
 	Addr string
 	// TLS of the listener; nil serves without, for tests.
 	TLS      *tls.Config
-	Store    platform.Store
+	Store    objectapi.Store
 	Snapshot func() *settings.Snapshot
 	// Status returns what this router shows of itself besides the revisions of
 	// all routers; nil shows nothing.
--- a/operator/store.go
+++ b/operator/store.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -31,7 +31,7 @@
 // writer makes changes and resolves answers that the platform lost. It is safe
 // for concurrent use.
 type writer struct {
-	store platform.Store
+	store objectapi.Store
 	// revision returns a platform revision that has passed already.
 	revision func() uint64
 }
@@ -77,7 +77,7 @@
 		return false
 	}
 	for _, definite := range []error{
-		platform.ErrConflict, platform.ErrNotFound, platform.ErrTooLarge, platform.ErrUnavailable, platform.ErrRateLimited,
+		objectapi.ErrConflict, objectapi.ErrNotFound, objectapi.ErrTooLarge, objectapi.ErrUnavailable, objectapi.ErrRateLimited,
 	} {
 		if errors.Is(err, definite) {
 			return false
@@ -91,7 +91,7 @@
 // change created and another operator has since deleted must stay deleted.
 func (w *writer) resolve(ctx context.Context, c change, since uint64) (version uint64, err error, known bool) {
 	version, err = w.logged(ctx, c, since)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objectapi.ErrCompacted) {
 		return w.readBack(ctx, c)
 	}
 	if err != nil || version > 0 {
@@ -101,7 +101,7 @@
 	if err == nil {
 		return version, nil, true
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrNotFound) {
 		return 0, err, false
 	}
 	version, logErr := w.logged(ctx, c, since)
@@ -136,7 +136,7 @@
 
 // among returns the version at which the change stands in a log, or zero. Two
 // operators who make the same change of the same version count as one.
-func (c change) among(log []platform.Change) uint64 {
+func (c change) among(log []objectapi.Change) uint64 {
 	before := c.ifVersion
 	for _, logged := range log {
 		if logged.Object.Name != c.name {
--- a/operator/store_test.go
+++ b/operator/store_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -33,7 +33,7 @@
 	return r
 }
 
-func (r *race) log(t *rapid.T) []platform.Change {
+func (r *race) log(t *rapid.T) []objectapi.Change {
 	faults := r.objects.Faults()
 	r.objects.SetFaults(standin.Faults{})
 	defer r.objects.SetFaults(faults)
@@ -69,7 +69,7 @@
 // compare fails if an accepted change is not in the log at its version and
 // condition, or a refused one is. Documents are all different; two deletions of
 // the same version are one change.
-func (r *race) compare(t *rapid.T, c change, log []platform.Change, version uint64, err error) {
+func (r *race) compare(t *rapid.T, c change, log []objectapi.Change, version uint64, err error) {
 	var stands []uint64
 	before := uint64(0)
 	for _, l := range log {
@@ -99,7 +99,7 @@
 	who := rapid.IntRange(0, len(r.holds)-1).Draw(t, "operator")
 	name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
 	o, err := r.objects.Get(context.Background(), settings.KindRules, name)
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, objectapi.ErrNotFound) {
 		r.holds[who][name] = o.Version
 	}
 }
@@ -140,7 +140,7 @@
 	if _, err := d.Delete(ctx, kind, name, version); err != nil {
 		return 0, err
 	}
-	return 0, platform.ErrUnknown
+	return 0, objectapi.ErrUnknown
 }
 
 func TestRetryDoesNotUndoADeletion(t *testing.T) {
@@ -150,7 +150,7 @@
 	if version != 1 || err != nil {
 		t.Errorf("told %d, %v", version, err)
 	}
-	if _, err := objects.Get(context.Background(), settings.KindRules, "a"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := objects.Get(context.Background(), settings.KindRules, "a"); !errors.Is(err, objectapi.ErrNotFound) {
 		t.Errorf("the deletion was undone: %v", err)
 	}
 }
--- a/operator/withdrawals.go
+++ b/operator/withdrawals.go
@@ -11,7 +11,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -97,9 +97,9 @@
 }
 
 // targetObject is what of a target decides the subtrees that cover it.
-func targetObject(t fleet.Target) platform.Object {
+func targetObject(t fleet.Target) objectapi.Object {
 	data := fmt.Appendf(nil, `{"service":%q,"failure_domain":%q}`, t.Service, t.Domain)
-	return platform.Object{Kind: settings.KindTargets, Name: string(t.ID), Data: data}
+	return objectapi.Object{Kind: settings.KindTargets, Name: string(t.ID), Data: data}
 }
 
 func withdrawn(t fleet.Target) WithdrawnTarget {
@@ -194,7 +194,7 @@
 	for range changeAttempts {
 		var version uint64
 		version, err = s.writeStateOnce(ctx, id, state)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectapi.ErrConflict) {
 			return version, err
 		}
 	}
--- a/router/entry/limits_test.go
+++ b/router/entry/limits_test.go
@@ -7,8 +7,8 @@
 
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/outcome"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
@@ -16,7 +16,7 @@
 
 func limitedSnapshot(t *testing.T) *settings.Snapshot {
 	t.Helper()
-	objects := []platform.Object{
+	objects := []objectapi.Object{
 		{Kind: "fleet", Name: "fleet", Version: 1, Data: []byte(`{"settings":{"limits":{"burst":2,"concurrency":5}}}`)},
 		{Kind: "services", Name: "chat", Version: 2, Data: []byte(`{"kind":"engine","settings":{"limits":{"concurrency":4}}}`)},
 		{Kind: "client-accounts", Name: "shop", Version: 3, Data: []byte(`{"key_hashes":["` + keys.Hash("k") + `"],"settings":{"limits":{"requests_per_second":1}}}`)},
--- a/router/ordering/ordering.go
+++ b/router/ordering/ordering.go
@@ -15,8 +15,8 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/membership"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/placement"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/weights"
 )
@@ -33,7 +33,7 @@
 	View     func() *membership.View
 	// Store reads a target's document anew before an order to an engine that
 	// does not check fencing numbers.
-	Store  platform.Store
+	Store  objectapi.Store
 	Engine engine.Client
 	// Weights grants loads; nil means that loads need no grant.
 	Weights weights.Store
--- a/router/ordering/ordering_test.go
+++ b/router/ordering/ordering_test.go
@@ -13,7 +13,7 @@
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/membership"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/router/ordering"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
@@ -77,7 +77,7 @@
 
 func (b *bed) snapshot(t *testing.T) *settings.Snapshot {
 	t.Helper()
-	var all []platform.Object
+	var all []objectapi.Object
 	for _, kind := range []string{settings.KindFleet, settings.KindDomains, settings.KindServices, settings.KindTargets} {
 		objects, _, err := b.objects.List(t.Context(), kind)
 		if err != nil {
--- a/router/orderpath.go
+++ b/router/orderpath.go
@@ -2,7 +2,7 @@
 
 import (
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
@@ -10,7 +10,7 @@
 
 // buildOrders puts the journal and the path of orders before the entry role.
 func (r *Router) buildOrders(mux *peer.Mux) error {
-	log, err := journal.New(journal.Config{
+	log, err := keyjournal.New(keyjournal.Config{
 		Store: r.deps.Store, Caller: r.node, Self: r.cfg.Self.ID,
 		Members: func() []fleet.Router { return r.members.View().Routers },
 		Find:    r.findRouter, Values: r.journalValues, Log: r.log, Metrics: r.deps.Metrics,
--- a/router/orders/find.go
+++ b/router/orders/find.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 )
@@ -24,7 +24,7 @@
 type Status struct {
 	State State
 	// Answer is set for Completed.
-	Answer *journal.Answer
+	Answer *keyjournal.Answer
 }
 
 // Outcome is the word for the caller.
@@ -47,11 +47,11 @@
 	defer cancel()
 	record, err = s.cfg.Journal.Join(ctx, record)
 	switch {
-	case errors.Is(err, journal.ErrNotRun):
+	case errors.Is(err, keyjournal.ErrNotRun):
 		return Status{}, reason.NotFound
-	case record.State == journal.StateIntent:
+	case record.State == keyjournal.StateIntent:
 		return Status{State: Running}, reason.None
-	case record.State == journal.StateCompleted:
+	case record.State == keyjournal.StateCompleted:
 		return Status{State: Completed, Answer: record.Answer}, reason.None
 	default:
 		return Status{State: Unknown}, reason.None
@@ -60,9 +60,9 @@
 
 func findReason(err error) reason.Code {
 	switch {
-	case errors.Is(err, journal.ErrNotFound):
+	case errors.Is(err, keyjournal.ErrNotFound):
 		return reason.NotFound
-	case errors.Is(err, journal.ErrExpired):
+	case errors.Is(err, keyjournal.ErrExpired):
 		return reason.KeyExpired
 	default:
 		return reason.JournalUnavailable
--- a/router/orders/orders.go
+++ b/router/orders/orders.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/plain"
@@ -40,13 +40,13 @@
 	Do(ctx context.Context, req *entry.Request, out wire.Sink) entry.Result
 }
 
-// Journal is the part of *journal.Log that is used.
+// Journal is the part of *keyjournal.Log that is used.
 type Journal interface {
-	Begin(ctx context.Context, intent journal.Intent) (journal.Grant, error)
-	FinishLater(grant journal.Grant, result journal.Result)
-	Abandon(ctx context.Context, grant journal.Grant)
-	Join(ctx context.Context, record journal.Record) (journal.Record, error)
-	Lookup(ctx context.Context, account fleet.AccountName, key string) (journal.Record, error)
+	Begin(ctx context.Context, intent keyjournal.Intent) (keyjournal.Grant, error)
+	FinishLater(grant keyjournal.Grant, result keyjournal.Result)
+	Abandon(ctx context.Context, grant keyjournal.Grant)
+	Join(ctx context.Context, record keyjournal.Record) (keyjournal.Record, error)
+	Lookup(ctx context.Context, account fleet.AccountName, key string) (keyjournal.Record, error)
 }
 
 // Config is what a Server needs.
@@ -101,40 +101,40 @@
 }
 
 // admit returns leave to run the request, or the record of an earlier sending.
-func (s *Server) admit(ctx context.Context, req *entry.Request) (journal.Grant, *journal.Record, error) {
-	intent := journal.Intent{
+func (s *Server) admit(ctx context.Context, req *entry.Request) (keyjournal.Grant, *keyjournal.Record, error) {
+	intent := keyjournal.Intent{
 		Account: req.Account, Key: req.IdempotencyKey,
-		Fingerprint: journal.FingerprintOf(string(req.Service), req.Method, req.Path, string(req.Body)),
+		Fingerprint: keyjournal.FingerprintOf(string(req.Service), req.Method, req.Path, string(req.Body)),
 	}
 	for range maxReplace {
 		grant, err := s.cfg.Journal.Begin(ctx, intent)
-		var exists *journal.ExistsError
+		var exists *keyjournal.ExistsError
 		if !errors.As(err, &exists) {
 			return grant, nil, err
 		}
 		joining, cancel := context.WithTimeout(ctx, joinLimit)
 		record, err := s.cfg.Journal.Join(joining, exists.Record)
 		cancel()
-		if !errors.Is(err, journal.ErrNotRun) {
-			return journal.Grant{}, &record, err
+		if !errors.Is(err, keyjournal.ErrNotRun) {
+			return keyjournal.Grant{}, &record, err
 		}
 		intent.Replaces = record.Nonce
 	}
-	return journal.Grant{}, nil, journal.ErrUnavailable
+	return keyjournal.Grant{}, nil, keyjournal.ErrUnavailable
 }
 
 // run dispatches a request that has leave and records how it ended. The caller
 // does not wait for the end to be recorded.
-func (s *Server) run(ctx context.Context, grant journal.Grant, req *entry.Request, out wire.Sink) entry.Result {
+func (s *Server) run(ctx context.Context, grant keyjournal.Grant, req *entry.Request, out wire.Sink) entry.Result {
 	tee := &recorder{Sink: out, limit: req.Values.Journal.ResultBytes}
 	result := s.cfg.Next.Do(ctx, req, tee)
 	switch {
 	case result.Outcome == outcome.NotDispatched:
 		s.cfg.Journal.Abandon(ctx, grant)
 	case result.Outcome == outcome.Answered && tee.answer != nil:
-		s.cfg.Journal.FinishLater(grant, journal.Result{State: journal.StateCompleted, Answer: tee.answer})
+		s.cfg.Journal.FinishLater(grant, keyjournal.Result{State: keyjournal.StateCompleted, Answer: tee.answer})
 	default:
-		s.cfg.Journal.FinishLater(grant, journal.Result{State: journal.StateUnknown})
+		s.cfg.Journal.FinishLater(grant, keyjournal.Result{State: keyjournal.StateUnknown})
 	}
 	return result
 }
@@ -148,11 +148,11 @@
 // its outcome is not known; the others were not run under this sending.
 func refused(err error) entry.Result {
 	switch {
-	case errors.Is(err, journal.ErrKeyReused):
+	case errors.Is(err, keyjournal.ErrKeyReused):
 		return entry.Result{Reason: reason.KeyReused}
-	case errors.Is(err, journal.ErrAhead):
+	case errors.Is(err, keyjournal.ErrAhead):
 		return entry.Result{Reason: reason.KeyAhead}
-	case errors.Is(err, journal.ErrExpired):
+	case errors.Is(err, keyjournal.ErrExpired):
 		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.KeyExpired}
 	default:
 		return entry.Result{Reason: reason.JournalUnavailable}
@@ -160,11 +160,11 @@
 }
 
 // replay gives a repeat what is recorded.
-func replay(record *journal.Record, out wire.Sink) entry.Result {
+func replay(record *keyjournal.Record, out wire.Sink) entry.Result {
 	switch {
-	case record.State == journal.StateIntent:
+	case record.State == keyjournal.StateIntent:
 		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.AttemptRunning}
-	case record.State != journal.StateCompleted || record.Answer == nil:
+	case record.State != keyjournal.StateCompleted || record.Answer == nil:
 		return entry.Result{Outcome: outcome.Dispatched, Reason: reason.ResultUnknown}
 	}
 	answer := record.Answer
@@ -188,16 +188,16 @@
 type recorder struct {
 	wire.Sink
 	limit  int
-	answer *journal.Answer
+	answer *keyjournal.Answer
 }
 
 // Head implements wire.Sink.
 func (r *recorder) Head(h wire.Head) error {
-	r.answer = &journal.Answer{Status: h.Status}
+	r.answer = &keyjournal.Answer{Status: h.Status}
 	size := 0
 	for _, f := range h.Header {
 		size += len(f.Name) + len(f.Value)
-		r.answer.Header = append(r.answer.Header, journal.Field{Name: f.Name, Value: f.Value})
+		r.answer.Header = append(r.answer.Header, keyjournal.Field{Name: f.Name, Value: f.Value})
 	}
 	if size > r.limit {
 		r.answer.Header = nil
--- a/router/orders/path_test.go
+++ b/router/orders/path_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/plain"
@@ -19,32 +19,32 @@
 
 // fakeJournal keeps one record.
 type fakeJournal struct {
-	record    *journal.Record
+	record    *keyjournal.Record
 	abandoned int
 }
 
-func (j *fakeJournal) Begin(context.Context, journal.Intent) (journal.Grant, error) {
+func (j *fakeJournal) Begin(context.Context, keyjournal.Intent) (keyjournal.Grant, error) {
 	if j.record != nil {
-		return journal.Grant{}, &journal.ExistsError{Record: *j.record}
+		return keyjournal.Grant{}, &keyjournal.ExistsError{Record: *j.record}
 	}
-	j.record = &journal.Record{State: journal.StateIntent}
-	return journal.Grant{}, nil
+	j.record = &keyjournal.Record{State: keyjournal.StateIntent}
+	return keyjournal.Grant{}, nil
 }
 
-func (j *fakeJournal) FinishLater(_ journal.Grant, r journal.Result) {
+func (j *fakeJournal) FinishLater(_ keyjournal.Grant, r keyjournal.Result) {
 	j.record.State, j.record.Answer = r.State, r.Answer
 }
 
-func (j *fakeJournal) Abandon(context.Context, journal.Grant) {
+func (j *fakeJournal) Abandon(context.Context, keyjournal.Grant) {
 	j.record = nil
 	j.abandoned++
 }
 
-func (j *fakeJournal) Join(_ context.Context, r journal.Record) (journal.Record, error) {
+func (j *fakeJournal) Join(_ context.Context, r keyjournal.Record) (keyjournal.Record, error) {
 	return r, nil
 }
 
-func (j *fakeJournal) Lookup(context.Context, fleet.AccountName, string) (journal.Record, error) {
+func (j *fakeJournal) Lookup(context.Context, fleet.AccountName, string) (keyjournal.Record, error) {
 	return *j.record, nil
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -16,16 +16,16 @@
 	"ragwortpond.example/ragwortpond/caller"
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/journal"
+	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/loadmean"
 	"ragwortpond.example/ragwortpond/membership"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/operator"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/plain"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/router/entry"
 	"ragwortpond.example/ragwortpond/router/home"
 	"ragwortpond.example/ragwortpond/router/orders"
@@ -60,8 +60,8 @@
 
 // Deps are the clients that a router uses, replaceable in tests.
 type Deps struct {
-	Store  platform.Store
-	VMs    platform.VMLister
+	Store  objectapi.Store
+	VMs    objectapi.VMLister
 	Engine engine.Client
 	Plain  plain.Client
 	// Weights grants the loads that engines are ordered to make; nil means that
@@ -93,7 +93,7 @@
 	leaving *withdraw.Driver
 	gate    home.Gate
 	entry   *entry.Entry
-	journal *journal.Log
+	journal *keyjournal.Log
 	orders  *orders.Server
 	face    *caller.Face
 	admin   *operator.Server
--- a/settings/build.go
+++ b/settings/build.go
@@ -9,7 +9,7 @@
 	"strconv"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // Builder builds snapshots and keeps the documents that it has decoded, so that
@@ -39,7 +39,7 @@
 // Build checks all documents and returns a snapshot of the sound ones with the
 // findings of the others, all at once. Objects of other kinds are findings. A
 // document whose only findings are unknown keys is used without them.
-func (b *Builder) Build(objs []platform.Object) (*Snapshot, Findings) {
+func (b *Builder) Build(objs []objectapi.Object) (*Snapshot, Findings) {
 	parsed := make(map[objectID]*parsedDocument, len(objs))
 	linker := &builder{snapshot: newSnapshot(), rejected: map[string]bool{}}
 	for _, o := range objs {
@@ -58,7 +58,7 @@
 }
 
 // Build is a Builder's Build from nothing.
-func Build(objs []platform.Object) (*Snapshot, Findings) {
+func Build(objs []objectapi.Object) (*Snapshot, Findings) {
 	return NewBuilder().Build(objs)
 }
 
@@ -95,13 +95,13 @@
 
 // CheckDocument returns the findings of one document by itself, references
 // left out.
-func CheckDocument(o platform.Object) Findings {
+func CheckDocument(o objectapi.Object) Findings {
 	_, findings := examine(o)
 	return findings
 }
 
 // examine checks one document and returns its value without unknown keys.
-func examine(o platform.Object) (any, Findings) {
+func examine(o objectapi.Object) (any, Findings) {
 	c := &checker{file: FileName(o.Kind, o.Name)}
 	shape, known := shapes[o.Kind]
 	if !known {
@@ -109,8 +109,8 @@
 		return nil, c.findings
 	}
 	c.name(o)
-	if len(o.Data) > platform.MaxValueBytes {
-		c.add("", "the document has %d bytes, more than %d", len(o.Data), platform.MaxValueBytes)
+	if len(o.Data) > objectapi.MaxValueBytes {
+		c.add("", "the document has %d bytes, more than %d", len(o.Data), objectapi.MaxValueBytes)
 		return nil, c.findings
 	}
 	v, ok := c.decode(o.Data)
@@ -120,7 +120,7 @@
 	return v, c.findings
 }
 
-func (c *checker) name(o platform.Object) {
+func (c *checker) name(o objectapi.Object) {
 	if o.Kind == KindFleet && o.Name != FleetName {
 		c.add("", "the only document of this kind is named %q", FleetName)
 	}
@@ -132,7 +132,7 @@
 // parse checks and decodes one document. What is decoded is the value that was
 // checked: the bytes may name a key twice, or in capitals, which the decoder of
 // structs takes another way than the checks do.
-func parse(o platform.Object) *parsedDocument {
+func parse(o objectapi.Object) *parsedDocument {
 	value, findings := examine(o)
 	p := &parsedDocument{data: o.Data, findings: findings}
 	decoded := emptyDocument(o.Kind)
@@ -170,7 +170,7 @@
 }
 
 // take adds a document; those that refer to others are linked in the end.
-func (b *builder) take(o platform.Object, p *parsedDocument) {
+func (b *builder) take(o objectapi.Object, p *parsedDocument) {
 	b.snapshot.Revision = max(b.snapshot.Revision, o.Version)
 	b.findings = append(b.findings, p.findings...)
 	if p.decoded == nil {
--- a/settings/build_bench_test.go
+++ b/settings/build_bench_test.go
@@ -4,16 +4,16 @@
 	"fmt"
 	"testing"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // twoYearDocuments are documents at the two-year size: 15 failure domains, 36
 // services, 420 client accounts, 10,000 targets.
-func twoYearDocuments() []platform.Object {
+func twoYearDocuments() []objectapi.Object {
 	const domains, services, accounts, targets = 15, 36, 420, 10_000
-	objs := []platform.Object{doc(KindFleet, FleetName, `{}`)}
+	objs := []objectapi.Object{doc(KindFleet, FleetName, `{}`)}
 	add := func(kind, name, data string) {
-		objs = append(objs, platform.Object{Kind: kind, Name: name, Version: uint64(len(objs) + 1), Data: []byte(data)})
+		objs = append(objs, objectapi.Object{Kind: kind, Name: name, Version: uint64(len(objs) + 1), Data: []byte(data)})
 	}
 	for i := range domains {
 		add(KindDomains, fmt.Sprintf("domain-%d", i), `{"region":"region-1"}`)
--- a/settings/build_test.go
+++ b/settings/build_test.go
@@ -8,15 +8,15 @@
 	"testing"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
-func doc(kind, name, data string) platform.Object {
-	return platform.Object{Kind: kind, Name: name, Version: 1, Data: []byte(data)}
+func doc(kind, name, data string) objectapi.Object {
+	return objectapi.Object{Kind: kind, Name: name, Version: 1, Data: []byte(data)}
 }
 
-func sound() []platform.Object {
-	return []platform.Object{
+func sound() []objectapi.Object {
+	return []objectapi.Object{
 		doc(KindFleet, FleetName, `{"settings":{"placement":{"load_multiple":1.5},"queue":{"length":9}}}`),
 		doc(KindDomains, "recife-a", `{"region":"nordeste","settings":{"queue":{"length":8}}}`),
 		doc(KindServices, "assistente", `{"kind":"engine","settings":{"queue":{"length":7}}}`),
--- a/settings/engine_test.go
+++ b/settings/engine_test.go
@@ -5,15 +5,15 @@
 	"testing"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
 func buildTarget(kind, engine string) (*settings.Snapshot, settings.Findings) {
-	object := func(kind, name string, version uint64, data string) platform.Object {
-		return platform.Object{Kind: kind, Name: name, Version: version, Data: []byte(data)}
+	object := func(kind, name string, version uint64, data string) objectapi.Object {
+		return objectapi.Object{Kind: kind, Name: name, Version: version, Data: []byte(data)}
 	}
-	return settings.NewBuilder().Build([]platform.Object{
+	return settings.NewBuilder().Build([]objectapi.Object{
 		object(settings.KindFleet, "fleet", 1, `{}`),
 		object(settings.KindDomains, "d", 2, `{"region": "r"}`),
 		object(settings.KindServices, "s", 9, `{"kind": "`+kind+`"}`),
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"testing"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // FuzzDocument gives the decoder any bytes for each kind: a document without
@@ -20,8 +20,8 @@
 	f.Add(KindFleet, []byte(`{"settings":{"queue":{"length":5},"Queue":{"Length":-1}}}`))
 	f.Add(KindTargets, []byte(`[]`))
 	f.Fuzz(func(t *testing.T, kind string, data []byte) {
-		o := platform.Object{Kind: kind, Name: FleetName, Version: 1, Data: data}
-		s, findings := Build([]platform.Object{o})
+		o := objectapi.Object{Kind: kind, Name: FleetName, Version: 1, Data: data}
+		s, findings := Build([]objectapi.Object{o})
 		if len(CheckDocument(o)) == 0 {
 			for _, found := range findings {
 				if found.Pointer == "" {
--- a/settings/load.go
+++ b/settings/load.go
@@ -8,20 +8,20 @@
 	"path/filepath"
 	"strings"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // LoadDir reads the documents below dir: fleet.json and KIND/NAME.json. Files
 // that cannot be read, and files and directories of no known kind, are
 // findings. The documents themselves are checked by Build. Versions count the
 // files from one, so that the objects can be built as they are.
-func LoadDir(dir string) ([]platform.Object, Findings) {
+func LoadDir(dir string) ([]objectapi.Object, Findings) {
 	return LoadFS(os.DirFS(dir))
 }
 
 // LoadFS is LoadDir for a file system.
-func LoadFS(dir fs.FS) ([]platform.Object, Findings) {
-	var objs []platform.Object
+func LoadFS(dir fs.FS) ([]objectapi.Object, Findings) {
+	var objs []objectapi.Object
 	var findings Findings
 	err := fs.WalkDir(dir, ".", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
@@ -42,7 +42,7 @@
 			return nil
 		}
 		version := uint64(len(objs) + 1)
-		objs = append(objs, platform.Object{Kind: kind, Name: name, Version: version, Data: data})
+		objs = append(objs, objectapi.Object{Kind: kind, Name: name, Version: version, Data: data})
 		return nil
 	})
 	if err != nil {
--- a/settings/propagate/fleet_test.go
+++ b/settings/propagate/fleet_test.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 )
 
 // loss is what happens to the next call to an address.
@@ -110,11 +110,11 @@
 
 // cutStore cuts one router off from the platform and can replay an old page.
 type cutStore struct {
-	platform.Store
+	objectapi.Store
 	mu      sync.Mutex
 	cut     bool
 	replay  bool
-	changes []platform.Change
+	changes []objectapi.Change
 	to      uint64
 	// beforeList runs before each list, to let changes fall between two.
 	beforeList func()
@@ -122,9 +122,9 @@
 	listed *atomic.Uint64
 }
 
-func (s *cutStore) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (s *cutStore) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]objectapi.Change, uint64, error) {
 	if s.isCut() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	s.mu.Lock()
 	if s.replay {
@@ -142,9 +142,9 @@
 	return changes, to, err
 }
 
-func (s *cutStore) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+func (s *cutStore) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
 	if s.isCut() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	if s.beforeList != nil {
 		s.beforeList()
@@ -161,7 +161,7 @@
 }
 
 // boot starts a router without its loops; load it to make it ready.
-func (n *network) boot(t testing.TB, self fleet.Router, store platform.Store, members func() []fleet.Router, intN func(int) int, pageBytes int) *node {
+func (n *network) boot(t testing.TB, self fleet.Router, store objectapi.Store, members func() []fleet.Router, intN func(int) int, pageBytes int) *node {
 	one := &node{self: self, store: &cutStore{Store: store, listed: &n.listed}}
 	one.Service = New(Config{
 		Self: self, Store: one.store, Caller: link{n, self}, Members: members, Log: zerolog.Nop(), IntN: intN,
--- a/settings/propagate/oracle_test.go
+++ b/settings/propagate/oracle_test.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -15,13 +15,13 @@
 type oracle struct {
 	log     *standin.Objects
 	read    uint64
-	history map[ID][]platform.Change
+	history map[ID][]objectapi.Change
 	// seen is the last version of each object that each router showed.
 	seen map[*node]map[ID]uint64
 }
 
 func newOracle(log *standin.Objects) *oracle {
-	return &oracle{log: log, history: map[ID][]platform.Change{}, seen: map[*node]map[ID]uint64{}}
+	return &oracle{log: log, history: map[ID][]objectapi.Change{}, seen: map[*node]map[ID]uint64{}}
 }
 
 // update reads what was accepted since the last call.
@@ -127,8 +127,8 @@
 }
 
 // lastBy returns the last change at or before a revision.
-func (o *oracle) lastBy(id ID, revision uint64) platform.Change {
-	var last platform.Change
+func (o *oracle) lastBy(id ID, revision uint64) objectapi.Change {
+	var last objectapi.Change
 	for _, c := range o.history[id] {
 		if c.Object.Version <= revision {
 			last = c
--- a/settings/propagate/owner.go
+++ b/settings/propagate/owner.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/task"
 )
 
@@ -39,10 +39,10 @@
 	task      *task.Task[message]
 	state     *State
 	pageBytes int
-	publish   func(objects []platform.Object, complete uint64, changed bool)
+	publish   func(objects []objectapi.Object, complete uint64, changed bool)
 }
 
-func newOwner(pool *task.Pool, pageBytes int, publish func([]platform.Object, uint64, bool)) (*owner, error) {
+func newOwner(pool *task.Pool, pageBytes int, publish func([]objectapi.Object, uint64, bool)) (*owner, error) {
 	o := &owner{state: NewState(), pageBytes: pageBytes, publish: publish}
 	t, err := task.Start(pool, ownerMailbox, o.handle)
 	o.task = t
--- a/settings/propagate/propagate.go
+++ b/settings/propagate/propagate.go
@@ -13,8 +13,8 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -61,7 +61,7 @@
 // Config is what a Service needs.
 type Config struct {
 	Self   fleet.Router
-	Store  platform.Store
+	Store  objectapi.Store
 	Caller peer.Caller
 	// Members returns the live routers, with or without Self. It must be cheap
 	// and safe for concurrent use.
@@ -220,7 +220,7 @@
 }
 
 // publish builds and hands out a snapshot; the owner's task calls it.
-func (p *Service) publish(objects []platform.Object, complete uint64, changed bool) {
+func (p *Service) publish(objects []objectapi.Object, complete uint64, changed bool) {
 	if changed {
 		p.rebuild(objects)
 	}
@@ -228,7 +228,7 @@
 	p.config.Metrics.SettingsRevision.Set(float64(complete))
 }
 
-func (p *Service) rebuild(objects []platform.Object) {
+func (p *Service) rebuild(objects []objectapi.Object) {
 	snapshot, findings := p.builder.Build(objects)
 	p.counters.Findings.Set(float64(len(findings)))
 	if len(findings) > 0 {
--- a/settings/propagate/state.go
+++ b/settings/propagate/state.go
@@ -18,7 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // maxTombstones bounds the deletions that a router remembers.
@@ -93,7 +93,7 @@
 // Listing is all objects of one kind at a revision.
 type Listing struct {
 	Kind     string
-	Objects  []platform.Object
+	Objects  []objectapi.Object
 	Revision uint64
 }
 
@@ -244,14 +244,14 @@
 }
 
 // Objects returns the objects that exist, sorted by kind and name.
-func (s *State) Objects() []platform.Object {
-	objs := make([]platform.Object, 0, len(s.entries)-s.tombstones)
+func (s *State) Objects() []objectapi.Object {
+	objs := make([]objectapi.Object, 0, len(s.entries)-s.tombstones)
 	for _, e := range s.entries {
 		if !e.Deleted {
-			objs = append(objs, platform.Object{Kind: e.Kind, Name: e.Name, Version: e.Version, Data: e.Data})
+			objs = append(objs, objectapi.Object{Kind: e.Kind, Name: e.Name, Version: e.Version, Data: e.Data})
 		}
 	}
-	slices.SortFunc(objs, func(a, b platform.Object) int {
+	slices.SortFunc(objs, func(a, b objectapi.Object) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 	})
 	return objs
--- a/settings/propagate/watch.go
+++ b/settings/propagate/watch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -63,7 +63,7 @@
 func (p *Service) watchOnce(ctx context.Context, wait time.Duration) error {
 	from := p.Revision()
 	changes, to, err := p.config.Store.Watch(ctx, settings.Kinds(), from, wait)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objectapi.ErrCompacted) {
 		return p.list(ctx)
 	}
 	if err != nil {
@@ -73,7 +73,7 @@
 	return err
 }
 
-func pageOf(changes []platform.Change, from, to uint64) Page {
+func pageOf(changes []objectapi.Change, from, to uint64) Page {
 	page := Page{From: from, To: to}
 	for _, c := range changes {
 		page.Entries = append(page.Entries, Entry{
--- a/settings/references.go
+++ b/settings/references.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // Reference is a document's mention of another one.
@@ -23,7 +23,7 @@
 
 // References returns the documents that o mentions. A document that cannot be
 // decoded mentions none.
-func References(o platform.Object) []Reference {
+func References(o objectapi.Object) []Reference {
 	switch o.Kind {
 	case KindTargets:
 		var d targetDocument
@@ -88,7 +88,7 @@
 
 // CheckKeys returns a finding for every key of a client account that another
 // account has.
-func (s *Snapshot) CheckKeys(o platform.Object) Findings {
+func (s *Snapshot) CheckKeys(o objectapi.Object) Findings {
 	var d accountDocument
 	if o.Kind != KindAccounts || json.Unmarshal(o.Data, &d) != nil {
 		return nil
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/time/rate"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const (
@@ -35,7 +35,7 @@
 }
 
 // Objects is the platform's object API and VM list in memory. It implements
-// platform.Store and platform.VMLister and is safe for concurrent use.
+// objectapi.Store and objectapi.VMLister and is safe for concurrent use.
 type Objects struct {
 	writes *rate.Limiter
 	reads  *rate.Limiter
@@ -53,15 +53,15 @@
 
 // kindState is the state of one kind: its objects and the log of its changes.
 type kindState struct {
-	objects   map[string]platform.Object
-	log       []platform.Change
+	objects   map[string]objectapi.Object
+	log       []objectapi.Change
 	logBytes  int
 	compacted uint64
 }
 
 var (
-	_ platform.Store    = (*Objects)(nil)
-	_ platform.VMLister = (*Objects)(nil)
+	_ objectapi.Store    = (*Objects)(nil)
+	_ objectapi.VMLister = (*Objects)(nil)
 )
 
 // NewObjects returns an empty object API.
@@ -98,30 +98,30 @@
 	setRate(o.reads, readsPerSecond)
 }
 
-// Get implements platform.Store.
-func (o *Objects) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (o *Objects) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if err := o.admit(ctx, VerbGet); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	o.mu.Lock()
 	object, ok := o.kind(kind).objects[name]
 	o.mu.Unlock()
 	if err := o.answer(ctx, VerbGet); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	if !ok {
-		return platform.Object{}, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrNotFound)
+		return objectapi.Object{}, fmt.Errorf("%s/%s: %w", kind, name, objectapi.ErrNotFound)
 	}
 	return object, nil
 }
 
-// List implements platform.Store.
-func (o *Objects) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements objectapi.Store.
+func (o *Objects) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
 	if err := o.admit(ctx, VerbList); err != nil {
 		return nil, 0, err
 	}
 	o.mu.Lock()
-	objects := make([]platform.Object, 0, len(o.kind(kind).objects))
+	objects := make([]objectapi.Object, 0, len(o.kind(kind).objects))
 	for _, object := range o.kind(kind).objects {
 		objects = append(objects, object)
 	}
@@ -131,10 +131,10 @@
 	return objects, revision, o.answer(ctx, VerbList)
 }
 
-// Put implements platform.Store.
+// Put implements objectapi.Store.
 func (o *Objects) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
-	if len(data) > platform.MaxValueBytes {
-		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrTooLarge)
+	if len(data) > objectapi.MaxValueBytes {
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, objectapi.ErrTooLarge)
 	}
 	if err := o.admit(ctx, VerbPut); err != nil {
 		return 0, err
@@ -150,16 +150,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.kind(kind).objects[name].Version != ifVersion {
-		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrConflict)
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, objectapi.ErrConflict)
 	}
 	o.revision++
-	object := platform.Object{Kind: kind, Name: name, Version: o.revision, Data: append([]byte(nil), data...)}
+	object := objectapi.Object{Kind: kind, Name: name, Version: o.revision, Data: append([]byte(nil), data...)}
 	o.kind(kind).objects[name] = object
-	o.record(platform.Change{Object: object})
+	o.record(objectapi.Change{Object: object})
 	return o.revision, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (o *Objects) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
 	if err := o.admit(ctx, VerbDelete); err != nil {
 		return 0, err
@@ -176,15 +176,15 @@
 	defer o.mu.Unlock()
 	object, ok := o.kind(kind).objects[name]
 	if !ok {
-		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrNotFound)
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, objectapi.ErrNotFound)
 	}
 	if object.Version != ifVersion {
-		return 0, fmt.Errorf("%s/%s: %w", kind, name, platform.ErrConflict)
+		return 0, fmt.Errorf("%s/%s: %w", kind, name, objectapi.ErrConflict)
 	}
 	o.revision++
 	delete(o.kind(kind).objects, name)
-	removed := platform.Object{Kind: kind, Name: name, Version: o.revision}
-	o.record(platform.Change{Object: removed, Deleted: true})
+	removed := objectapi.Object{Kind: kind, Name: name, Version: o.revision}
+	o.record(objectapi.Change{Object: removed, Deleted: true})
 	return o.revision, nil
 }
 
@@ -192,7 +192,7 @@
 func (o *Objects) kind(name string) *kindState {
 	state, ok := o.kinds[name]
 	if !ok {
-		state = &kindState{objects: map[string]platform.Object{}}
+		state = &kindState{objects: map[string]objectapi.Object{}}
 		o.kinds[name] = state
 	}
 	return state
@@ -200,7 +200,7 @@
 
 // record appends a change to its kind's log and wakes the watches. The lock is
 // held.
-func (o *Objects) record(change platform.Change) {
+func (o *Objects) record(change objectapi.Change) {
 	state := o.kind(change.Object.Kind)
 	state.log = append(state.log, change)
 	state.logBytes += len(change.Object.Data)
@@ -214,7 +214,7 @@
 	first := k.log[0].Object
 	k.compacted = first.Version
 	k.logBytes -= len(first.Data)
-	k.log[0] = platform.Change{}
+	k.log[0] = objectapi.Change{}
 	k.log = k.log[1:]
 }
 
--- a/standin/objects_faults.go
+++ b/standin/objects_faults.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 // Verb names a kind of call, for counting.
@@ -97,15 +97,15 @@
 	defer o.mu.Unlock()
 	o.counts[verb]++
 	if o.faults.Outage {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	if !o.limit(verb).Allow() {
-		return 0, platform.ErrRateLimited
+		return 0, objectapi.ErrRateLimited
 	}
 	o.granted[verb]++
 	if verb.writes() && o.faults.LoseBefore > 0 {
 		o.faults.LoseBefore--
-		return 0, platform.ErrUnknown
+		return 0, objectapi.ErrUnknown
 	}
 	return o.spread(o.faults.DelayMS), nil
 }
@@ -127,7 +127,7 @@
 	delay := o.spread(o.faults.SlowMS)
 	o.mu.Unlock()
 	if lost {
-		return fmt.Errorf("%s: %w", verb, platform.ErrUnknown)
+		return fmt.Errorf("%s: %w", verb, objectapi.ErrUnknown)
 	}
 	if err := sleep(ctx, delay); err != nil {
 		return interrupted(verb, err)
@@ -139,7 +139,7 @@
 // taken effect.
 func interrupted(verb Verb, err error) error {
 	if verb.writes() {
-		return fmt.Errorf("%s: %w: %w", verb, platform.ErrUnknown, err)
+		return fmt.Errorf("%s: %w: %w", verb, objectapi.ErrUnknown, err)
 	}
 	return fmt.Errorf("%s: %w", verb, err)
 }
--- a/standin/objects_vms.go
+++ b/standin/objects_vms.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const maxVMLists = 1_000
@@ -12,22 +12,22 @@
 // vmList is one state of the VM list and when it was set.
 type vmList struct {
 	at  time.Time
-	vms []platform.VM
+	vms []objectapi.VM
 }
 
 // SetVMs replaces the VM list. Readers see it once it is older than the lag;
 // the first list is seen at once.
-func (o *Objects) SetVMs(vms []platform.VM) {
+func (o *Objects) SetVMs(vms []objectapi.VM) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.vmLists = append(o.vmLists, vmList{at: time.Now(), vms: append([]platform.VM(nil), vms...)})
+	o.vmLists = append(o.vmLists, vmList{at: time.Now(), vms: append([]objectapi.VM(nil), vms...)})
 	if len(o.vmLists) > maxVMLists {
 		o.vmLists = o.vmLists[1:]
 	}
 }
 
-// VMs implements platform.VMLister.
-func (o *Objects) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements objectapi.VMLister.
+func (o *Objects) VMs(ctx context.Context) ([]objectapi.VM, error) {
 	if err := o.admit(ctx, VerbVMs); err != nil {
 		return nil, err
 	}
@@ -35,7 +35,7 @@
 	return vms, o.answer(ctx, VerbVMs)
 }
 
-func (o *Objects) visibleVMs(now time.Time) []platform.VM {
+func (o *Objects) visibleVMs(now time.Time) []objectapi.VM {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.vmLists) == 0 {
@@ -49,5 +49,5 @@
 		}
 		shown = list
 	}
-	return append([]platform.VM(nil), shown.vms...)
+	return append([]objectapi.VM(nil), shown.vms...)
 }
--- a/standin/objects_watch.go
+++ b/standin/objects_watch.go
@@ -6,11 +6,11 @@
 	"sort"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
-// Watch implements platform.Store as one long poll.
-func (o *Objects) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements objectapi.Store as one long poll.
+func (o *Objects) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]objectapi.Change, uint64, error) {
 	if err := o.admit(ctx, VerbWatch); err != nil {
 		return nil, 0, err
 	}
@@ -36,17 +36,17 @@
 
 // changesSince returns the changes after from and a channel that is closed at
 // the next change.
-func (o *Objects) changesSince(kinds []string, from uint64) ([]platform.Change, uint64, <-chan struct{}, error) {
+func (o *Objects) changesSince(kinds []string, from uint64) ([]objectapi.Change, uint64, <-chan struct{}, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Outage {
-		return nil, 0, nil, fmt.Errorf("watch: %w", platform.ErrUnavailable)
+		return nil, 0, nil, fmt.Errorf("watch: %w", objectapi.ErrUnavailable)
 	}
-	var changes []platform.Change
+	var changes []objectapi.Change
 	for _, kind := range kinds {
 		state := o.kind(kind)
 		if from < state.compacted {
-			return nil, 0, nil, fmt.Errorf("watch %s from %d: %w", kind, from, platform.ErrCompacted)
+			return nil, 0, nil, fmt.Errorf("watch %s from %d: %w", kind, from, objectapi.ErrCompacted)
 		}
 		first := sort.Search(len(state.log), func(i int) bool { return state.log[i].Object.Version > from })
 		changes = append(changes, state.log[first:]...)
@@ -56,7 +56,7 @@
 }
 
 // Compact drops the log of changes, so that a watch from an earlier revision
-// returns platform.ErrCompacted.
+// returns objectapi.ErrCompacted.
 func (o *Objects) Compact() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,18 +9,18 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const (
 	startTimeout  = 5 * time.Second
 	startPoll     = time.Millisecond
 	closeTimeout  = 200 * time.Millisecond
-	bodyLimit     = platform.MaxValueBytes + 64<<10
+	bodyLimit     = objectapi.MaxValueBytes + 64<<10
 	faultsPath    = "/faults"
 	countsPath    = "/counts"
-	objectRoute   = platform.ObjectsPath + ":kind/:name"
-	kindRoute     = platform.ObjectsPath + ":kind"
+	objectRoute   = objectapi.ObjectsPath + ":kind/:name"
+	kindRoute     = objectapi.ObjectsPath + ":kind"
 	idleKeepAlive = time.Minute
 )
 
@@ -86,9 +86,9 @@
 	h.GET(objectRoute, p.get)
 	h.POST(objectRoute, p.write)
 	h.GET(kindRoute, p.list)
-	h.GET(platform.WatchPath, p.watch)
-	h.GET(platform.VMsPath, p.vms)
-	h.PUT(platform.VMsPath, p.setVMs)
+	h.GET(objectapi.WatchPath, p.watch)
+	h.GET(objectapi.VMsPath, p.vms)
+	h.PUT(objectapi.VMsPath, p.setVMs)
 	h.GET(faultsPath, p.getFaults)
 	h.PUT(faultsPath, p.setFaults)
 	h.GET(countsPath, p.getCounts)
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -10,7 +10,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
-	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const contentBytes = "application/octet-stream"
@@ -26,12 +26,12 @@
 	err    error
 	status int
 }{
-	{platform.ErrNotFound, 404},
-	{platform.ErrConflict, 409},
-	{platform.ErrCompacted, 410},
-	{platform.ErrTooLarge, 413},
-	{platform.ErrRateLimited, 429},
-	{platform.ErrUnavailable, 503},
+	{objectapi.ErrNotFound, 404},
+	{objectapi.ErrConflict, 409},
+	{objectapi.ErrCompacted, 410},
+	{objectapi.ErrTooLarge, 413},
+	{objectapi.ErrRateLimited, 429},
+	{objectapi.ErrUnavailable, 503},
 }
 
 func (p *Platform) get(_ context.Context, c *app.RequestContext) {
@@ -45,14 +45,14 @@
 }
 
 func (p *Platform) write(_ context.Context, c *app.RequestContext) {
-	ifVersion, err := strconv.ParseUint(c.Query(platform.IfVersionParam), 10, 64)
+	ifVersion, err := strconv.ParseUint(c.Query(objectapi.IfVersionParam), 10, 64)
 	if err != nil {
 		c.String(400, err.Error())
 		return
 	}
 	kind, name := param(c, "kind"), param(c, "name")
 	var version uint64
-	if c.Query(platform.DeleteParam) != "" {
+	if c.Query(objectapi.DeleteParam) != "" {
 		version, err = p.Delete(p.context, kind, name, ifVersion)
 	} else {
 		version, err = p.Put(p.context, kind, name, c.Request.Body(), ifVersion)
@@ -71,27 +71,27 @@
 		fail(c, err)
 		return
 	}
-	c.JSON(200, platform.ListAnswer{Objects: objects, Revision: revision})
+	c.JSON(200, objectapi.ListAnswer{Objects: objects, Revision: revision})
 }
 
 func (p *Platform) watch(_ context.Context, c *app.RequestContext) {
-	from, err := strconv.ParseUint(c.Query(platform.FromParam), 10, 64)
+	from, err := strconv.ParseUint(c.Query(objectapi.FromParam), 10, 64)
 	if err != nil {
 		c.String(400, err.Error())
 		return
 	}
-	waitMS, err := strconv.ParseInt(c.Query(platform.WaitParam), 10, 64)
+	waitMS, err := strconv.ParseInt(c.Query(objectapi.WaitParam), 10, 64)
 	if err != nil {
 		c.String(400, err.Error())
 		return
 	}
-	kinds := strings.Split(c.Query(platform.KindsParam), ",")
+	kinds := strings.Split(c.Query(objectapi.KindsParam), ",")
 	changes, revision, err := p.Watch(p.context, kinds, from, time.Duration(waitMS)*time.Millisecond)
 	if err != nil {
 		fail(c, err)
 		return
 	}
-	c.JSON(200, platform.WatchAnswer{Changes: changes, Revision: revision})
+	c.JSON(200, objectapi.WatchAnswer{Changes: changes, Revision: revision})
 }
 
 func (p *Platform) vms(_ context.Context, c *app.RequestContext) {
@@ -104,7 +104,7 @@
 }
 
 func (p *Platform) setVMs(_ context.Context, c *app.RequestContext) {
-	var vms []platform.VM
+	var vms []objectapi.VM
 	if err := json.Unmarshal(c.Request.Body(), &vms); err != nil {
 		c.String(400, err.Error())
 		return
@@ -140,7 +140,7 @@
 }
 
 func setVersion(c *app.RequestContext, version uint64) {
-	c.Response.Header.Set(platform.VersionHeader, strconv.FormatUint(version, 10))
+	c.Response.Header.Set(objectapi.VersionHeader, strconv.FormatUint(version, 10))
 }
 
 // fail answers with the error's status; a lost answer breaks the connection.
