--- a/placement/direct.go
+++ b/placement/direct.go
@@ -35,9 +35,9 @@
 
 // The reasons of a choice.
 const (
-	BasisKey       Basis = "key"
-	BasisOverflow  Basis = "overflow"
-	BasisLoad Basis = "least-load"
+	BasisKey      Basis = "key"
+	BasisOverflow Basis = "overflow"
+	BasisLoad     Basis = "least-load"
 )
 
 // Bounds of the load of the target that a key prefers.
