relay: a target that may lack a prompt's cache is told where to fetch it

Change: the first other target of the key's rendezvous order is named as the source where it ranks before the chosen one or that one joined lately; leaving targets serve as sources. Target reports count for 3 s, so that a router of a large fleet sees a hot target at all.

--- a/call/call.go
+++ b/call/call.go
@@ -57,6 +57,9 @@
 	Model bool
 	// After is the last event that the client has of the stream; zero if none.
 	After uint64
+	// CacheAddr is host:port of another target that probably holds the cache of
+	// the prompt; empty if there is none.
+	CacheAddr string
 }
 
 // Load is a target's own count of its work.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -206,6 +206,8 @@
 	// Config is nil until one is known.
 	Config  *Config
 	Targets Targets
+	// Leaving are the targets that finish their work and take no more.
+	Leaving Targets
 	// TargetsKnown says that the targets were read at least once.
 	TargetsKnown bool
 	// TargetsRevision is the store's revision up to which Targets holds.
--- a/catalog/members.go
+++ b/catalog/members.go
@@ -125,18 +125,22 @@
 	return next
 }
 
-// Serving returns the targets that take work.
-func (m *Members) Serving() Targets {
-	serving := Targets{}
+// Serving returns the targets that take work, and those that are leaving.
+func (m *Members) Serving() (serving, leaving Targets) {
+	serving, leaving = Targets{}, Targets{}
 	for _, t := range m.targets {
-		if !t.Leaving {
-			serving[t.Service] = append(serving[t.Service], t)
+		into := serving
+		if t.Leaving {
+			into = leaving
 		}
+		into[t.Service] = append(into[t.Service], t)
 	}
-	for _, list := range serving {
-		slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, all := range []Targets{serving, leaving} {
+		for _, list := range all {
+			slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+		}
 	}
-	return serving
+	return serving, leaving
 }
 
 // Len is the number of targets, leaving ones included.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -265,8 +265,9 @@
 
 // publish makes a new view; d.mu is held.
 func (d *Directory) publish() {
+	serving, leaving := d.members.Serving()
 	d.view.Store(&catalog.View{
-		Config: d.config, Targets: d.members.Serving(), TargetsKnown: d.members.Known(),
+		Config: d.config, Targets: serving, Leaving: leaving, TargetsKnown: d.members.Known(),
 		TargetsRevision: d.members.Revision(),
 	})
 }
--- a/placement/direct.go
+++ b/placement/direct.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
@@ -16,6 +18,18 @@
 	Standing suspicion.Standing
 	// Tried says that the request has been at the target already.
 	Tried bool
+	// Leaving targets take no work, but their cache can still be fetched.
+	Leaving bool
+}
+
+// Choice is the target for a request; indexes are into the candidates.
+type Choice struct {
+	// Target is -1 if there is none left.
+	Target int
+	// Source is the target that probably holds the cache of the key's parts
+	// where Target may not; -1 if there is none.
+	Source int
+	Basis  Basis
 }
 
 // Ask is what the choice of a target depends on besides the candidates.
@@ -49,46 +63,84 @@
 	keyMargin   = 2
 )
 
-// Choose returns the index of the target for a request, or -1 if every target
-// was tried. It does not allocate.
+// recentJoin is how long after its start a target may lack the cache of keys
+// that it has taken over: longer than it takes for most keys to be asked for.
+const recentJoin = 30 * time.Second
+
+// Choose returns the target for a request at a time. It does not allocate.
 //
 // It answers steady load with hot keys: requests with the same key go to the
 // same target, the first of the key's rendezvous order that is not above its
 // share of the load. Requests without a key go to the least loaded target.
-func Choose(a Ask, candidates []Candidate) (int, Basis) {
+// Where another target than the one chosen probably holds the key's cache, it is
+// named as the source: fetching costs a fraction of reading the prompt again.
+func Choose(a Ask, candidates []Candidate, now time.Time) Choice {
 	standing := bestStanding(candidates)
 	if a.Key == 0 {
-		return leastLoaded(a, candidates, standing), BasisLoad
+		return Choice{leastLoaded(a, candidates, standing), -1, BasisLoad}
 	}
 	bound := keyMultiple*meanLoad(candidates) + keyMargin
 	best, bestScore, skipped := -1, 0.0, false
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Tried || c.Standing != standing {
+		if !c.takes(standing) {
 			continue
 		}
 		if c.Load >= bound {
 			skipped = true
 			continue
 		}
-		if s := score(mix(seed(string(c.Target.ID)), a.Key), 1); best < 0 || s > bestScore {
+		if s := c.score(a.Key); best < 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
+	basis := BasisKey
 	if best < 0 {
-		return leastLoaded(a, candidates, standing), BasisOverflow
+		best = leastLoaded(a, candidates, standing)
 	}
 	if skipped {
-		return best, BasisOverflow
+		basis = BasisOverflow
+	}
+	return Choice{best, source(a.Key, candidates, best, now), basis}
+}
+
+func (c *Candidate) takes(standing suspicion.Standing) bool {
+	return !c.Tried && !c.Leaving && c.Standing == standing
+}
+
+func (c *Candidate) score(key uint64) float64 {
+	return score(mix(seed(string(c.Target.ID)), key), 1)
+}
+
+// source returns the first of the key's rendezvous order besides the chosen
+// target, if it ranks before that, or if the chosen target joined lately; else
+// the chosen target holds the cache itself.
+func source(key uint64, candidates []Candidate, chosen int, now time.Time) int {
+	if chosen < 0 {
+		return -1
+	}
+	best, bestScore := -1, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if i == chosen || c.Tried || c.Standing == suspicion.Shunned {
+			continue
+		}
+		if s := c.score(key); best < 0 || s > bestScore {
+			best, bestScore = i, s
+		}
 	}
-	return best, BasisKey
+	joined := now.Sub(candidates[chosen].Target.Started) < recentJoin
+	if best >= 0 && (joined || bestScore > candidates[chosen].score(key)) {
+		return best
+	}
+	return -1
 }
 
 // bestStanding is the best standing among the targets that were not tried.
 func bestStanding(candidates []Candidate) suspicion.Standing {
 	best := suspicion.Shunned
 	for i := range candidates {
-		if !candidates[i].Tried {
+		if !candidates[i].Tried && !candidates[i].Leaving {
 			best = min(best, candidates[i].Standing)
 		}
 	}
@@ -99,11 +151,14 @@
 	if len(candidates) == 0 {
 		return 0
 	}
-	sum := 0.0
+	sum, n := 0.0, 0
 	for i := range candidates {
-		sum += candidates[i].Load
+		if !candidates[i].Leaving {
+			sum += candidates[i].Load
+			n++
+		}
 	}
-	return sum / float64(len(candidates))
+	return sum / float64(max(n, 1))
 }
 
 // leastLoaded chooses by load for each slot, then by failure domain, then at
@@ -114,7 +169,7 @@
 	var bestTie uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Tried || c.Standing != standing {
+		if !c.takes(standing) {
 			continue
 		}
 		load := c.Load / float64(max(c.Target.Slots, 1))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/suspicion"
@@ -65,37 +66,88 @@
 	}
 }
 
-// place chooses the next target; nil means that none is left.
-func (s *serving) place() *catalog.Target {
+// placed is the target of an attempt.
+type placed struct {
+	*catalog.Target
+	// cache is the address of another target that probably holds the cache of
+	// the prompt; empty if there is none.
+	cache string
+}
+
+// place chooses the next target; false means that none is left.
+func (s *serving) place() (placed, bool) {
 	view := s.view
 	if s.attempts > 0 {
 		view = s.relay.cfg.View()
 	}
-	targets := view.Targets[s.service]
 	now := time.Now()
-	candidates := make([]placement.Candidate, len(targets))
-	for i, t := range targets {
-		candidates[i] = placement.Candidate{
-			Target: t, Load: s.relay.load(t, now),
-			Standing: s.relay.book.Standing(t.ID, now), Tried: slices.Contains(s.tried, t.ID),
-		}
-	}
+	candidates := s.candidates(view, now)
 	ask := placement.Ask{Domain: s.relay.cfg.Domain, Random: random()}
 	if s.route.Affinity {
 		ask.Key = placement.KeyOf(s.call.Prompt)
 	}
-	i, why := placement.Choose(ask, candidates)
-	if i < 0 {
-		return nil
+	choice := placement.Choose(ask, candidates, now)
+	if choice.Target < 0 {
+		return placed{}, false
+	}
+	chosen := candidates[choice.Target]
+	at := placed{Target: chosen.Target}
+	line := s.log(event.RelayPlaced, nil)
+	if ask.Key != 0 {
+		if source := s.cacheSource(candidates, choice, now); source != nil {
+			at.cache = source.Addr
+			line.Str("cache_source", string(source.ID))
+		}
 	}
-	chosen := candidates[i]
 	s.attempts++
 	s.target = chosen.Target
 	s.tried = append(s.tried, chosen.Target.ID)
-	s.log(event.RelayPlaced, nil).Str("basis", string(why)).Float64("load", chosen.Load).
+	line.Str("target", string(chosen.Target.ID)).Str("basis", string(choice.Basis)).Float64("load", chosen.Load).
 		Str("standing", chosen.Standing.String()).Int("candidates", len(candidates)).
 		Uint64("targets_revision", view.TargetsRevision).Send()
-	return chosen.Target
+	return at, true
+}
+
+// cacheSource is another target that probably holds more of the prompt's cache
+// than the chosen one; nil if there is none.
+func (s *serving) cacheSource(candidates []placement.Candidate, choice placement.Choice, now time.Time) *catalog.Target {
+	chosen := candidates[choice.Target].Target.ID
+	var source *catalog.Target
+	if choice.Source >= 0 {
+		source = candidates[choice.Source].Target
+	}
+	s.relay.holders.Beyond(s.call.Prompt, chosen, now, func(id fleet.TargetID) bool {
+		for i := range candidates {
+			c := &candidates[i]
+			if c.Target.ID == id && id != chosen && !c.Tried && c.Standing != suspicion.Shunned {
+				source = c.Target
+				return true
+			}
+		}
+		return false
+	})
+	return source
+}
+
+// candidates are the targets of the request's service, as they are seen now;
+// those that are leaving count where their cache is of use.
+func (s *serving) candidates(view *catalog.View, now time.Time) []placement.Candidate {
+	serving := view.Targets[s.service]
+	var leaving []*catalog.Target
+	if s.route.Affinity {
+		leaving = view.Leaving[s.service]
+	}
+	candidates := make([]placement.Candidate, 0, len(serving)+len(leaving))
+	for _, t := range serving {
+		candidates = append(candidates, placement.Candidate{
+			Target: t, Load: s.relay.load(t, now),
+			Standing: s.relay.book.Standing(t.ID, now), Tried: slices.Contains(s.tried, t.ID),
+		})
+	}
+	for _, t := range leaving {
+		candidates = append(candidates, placement.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, now)})
+	}
+	return candidates
 }
 
 // load estimates the work before a target.
@@ -109,7 +161,7 @@
 
 // attempt sends the request to a target and passes the answer on as far as it
 // can be.
-func (s *serving) attempt(ctx context.Context, t *catalog.Target) *ended {
+func (s *serving) attempt(ctx context.Context, t placed) *ended {
 	done := s.relay.loads.begin(t.ID)
 	defer done()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -117,7 +169,7 @@
 	silence := newSilence(s.patience(), func() { cancel(errSilent) })
 	defer silence.stop()
 	e := s.send(ctx, t, silence)
-	s.note(ctx, t, e)
+	s.note(ctx, t.Target, e)
 	return e
 }
 
@@ -130,10 +182,10 @@
 	return max(objectives*s.route.Objective, leastSilence)
 }
 
-func (s *serving) send(ctx context.Context, t *catalog.Target, silence *silence) *ended {
+func (s *serving) send(ctx context.Context, t placed, silence *silence) *ended {
 	dialect := s.relay.cfg.Dialect
 	a := &call.Attempt{
-		Target: t, Left: time.Until(s.deadline), Rank: s.rank, After: s.last,
+		Target: t.Target, Left: time.Until(s.deadline), Rank: s.rank, After: s.last, CacheAddr: t.cache,
 		Model: s.view.Config.Services[s.service].Slots > 0,
 	}
 	if s.account != nil {
@@ -232,6 +284,7 @@
 	sign := suspicion.Served
 	switch {
 	case e.whole || e.left:
+		s.relay.holders.Note(s.call.Prompt, t.ID, time.Now())
 	case e.ending == retry.Unreached:
 		sign = suspicion.Unreachable
 		s.relay.pool.Forget(t.ID)
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -9,8 +9,8 @@
 )
 
 // reportLife is how long a target's own count says something of the work of
-// other routers: about the time that a request takes.
-const reportLife = time.Second
+// other routers: about twice the time that a long request takes.
+const reportLife = 3 * time.Second
 
 // loads counts this router's requests before each target and keeps the targets'
 // own counts.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/suspicion"
 	"ragwortpond.example/ragwortpond/targetconn"
@@ -56,6 +57,7 @@
 	pool    *targetconn.Pool
 	book    *suspicion.Book
 	loads   *loads
+	holders *placement.Holders
 	serving atomic.Int64
 	state   atomic.Int32
 
@@ -74,7 +76,7 @@
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
+	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), holders: placement.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
 }
@@ -115,9 +117,11 @@
 	r.pool.Sweep(now)
 	view := r.cfg.View()
 	named := map[fleet.TargetID]bool{}
-	for _, list := range view.Targets {
-		for _, t := range list {
-			named[t.ID] = true
+	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
+		for _, list := range targets {
+			for _, t := range list {
+				named[t.ID] = true
+			}
 		}
 	}
 	keep := func(id fleet.TargetID) bool { return named[id] }
@@ -159,4 +163,5 @@
 func (r *Relay) Renewed(id fleet.TargetID) {
 	r.book.Renew(id)
 	r.pool.Forget(id)
+	r.holders.Renewed(id)
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -164,8 +164,8 @@
 	s.life = retry.Life{Repetition: s.route.Repetition, MaxRuns: s.route.MaxTargets, Budget: allowance}
 	s.last = s.call.After
 	for {
-		target := s.place()
-		if target == nil {
+		target, ok := s.place()
+		if !ok {
 			s.end(s.life.Exhausted(), reason.NoTarget, nil)
 			return
 		}
