--- a/placement/holders.go
+++ b/placement/holders.go
@@ -81,25 +81,34 @@
 }
 
 // Beyond returns a target that holds more of a prompt than the chosen one is
-// known to; usable says which targets can be asked. It is empty if none is
-// known.
-func (h *Holders) Beyond(prompt []call.Part, chosen fleet.TargetID, now time.Time, usable func(fleet.TargetID) bool) fleet.TargetID {
+// known to: guess where it is set, unless this router knows a holder of the
+// whole shared prompt, else the holder of its longest beginning. usable says
+// which targets can be asked. The result is empty if none is known.
+func (h *Holders) Beyond(prompt []call.Part, chosen, guess fleet.TargetID, now time.Time, usable func(fleet.TargetID) bool) fleet.TargetID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	parts := shared(prompt)
 	for i := len(parts) - 1; i >= 0; i-- {
-		held := h.parts[parts[i].ID]
-		if held == nil {
-			continue
-		}
-		if held.has(chosen, now) {
-			return ""
-		}
-		for j, id := range held.ids {
-			if id != "" && now.Sub(held.at[j]) < holderLife && usable(id) {
+		if held := h.parts[parts[i].ID]; held != nil {
+			if held.has(chosen, now) {
+				return ""
+			}
+			if id := held.usable(now, usable); id != "" {
 				return id
 			}
 		}
+		if guess != "" {
+			return guess
+		}
+	}
+	return ""
+}
+
+func (h *holding) usable(now time.Time, usable func(fleet.TargetID) bool) fleet.TargetID {
+	for i, id := range h.ids {
+		if id != "" && now.Sub(h.at[i]) < holderLife && usable(id) {
+			return id
+		}
 	}
 	return ""
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -112,21 +112,21 @@
 // than the chosen one; nil if there is none.
 func (s *serving) cacheSource(candidates []placement.Candidate, choice placement.Choice, now time.Time) *catalog.Target {
 	chosen := candidates[choice.Target].Target.ID
-	var source *catalog.Target
+	var guess fleet.TargetID
 	if choice.Source >= 0 {
-		source = candidates[choice.Source].Target
+		guess = candidates[choice.Source].Target.ID
 	}
-	s.relay.holders.Beyond(s.call.Prompt, chosen, now, func(id fleet.TargetID) bool {
+	find := func(id fleet.TargetID) *catalog.Target {
 		for i := range candidates {
 			c := &candidates[i]
 			if c.Target.ID == id && id != chosen && !c.Tried && c.Standing != suspicion.Shunned {
-				source = c.Target
-				return true
+				return c.Target
 			}
 		}
-		return false
-	})
-	return source
+		return nil
+	}
+	usable := func(id fleet.TargetID) bool { return find(id) != nil }
+	return find(s.relay.holders.Beyond(s.call.Prompt, chosen, guess, now, usable))
 }
 
 // candidates are the targets of the request's service, as they are seen now;
