admission: a stopping router serves what can end in time

Change: requests are refused only if the bound of their answer does not fit into what is left of the grace.

--- a/node/drain.go
+++ b/node/drain.go
@@ -15,25 +15,26 @@
 	exitMargin = 600 * time.Millisecond
 	// drainPoll is how often a stopping router looks whether it is done.
 	drainPoll = 50 * time.Millisecond
+	// quiet is how long no request may have been in progress before the end;
+	// clients that were sent here before the router left the rotation come in
+	// that time.
+	quiet = 300 * time.Millisecond
 	// closeTimeout bounds the closing of idle connections.
 	closeTimeout = 200 * time.Millisecond
 )
 
-// drain stops as planned: not ready first, then no new requests, then the end of
-// those in progress, as far as the grace allows.
+// drain stops as planned: not ready first, then the end of the requests in
+// progress and of those that still come and can end in time.
 func (n *Node) drain(ctx context.Context) {
 	begun := time.Now()
 	n.draining.Store(true)
-	n.relay.CloseConnections()
 	event.NodeDraining.Log(n.log).Int("in_progress", n.relay.Serving()).Send()
 	last := begun.Add(max(n.start.Grace()-exitMargin, 0))
-	refuseAt := begun.Add(min(leaveRotation, n.start.Grace()/2))
+	n.relay.StopBy(last)
+	leave := begun.Add(min(leaveRotation, n.start.Grace()/2))
 	for now := begun; now.Before(last); now = time.Now() {
-		if now.After(refuseAt) {
-			n.relay.Refuse()
-			if n.relay.Serving() == 0 {
-				break
-			}
+		if now.After(leave) && n.relay.Idle(now) > quiet {
+			break
 		}
 		time.Sleep(drainPoll)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,21 +59,15 @@
 	loads   *loads
 	holders *placement.Holders
 	serving atomic.Int64
-	state   atomic.Int32
+	// lastEnd is the Unix time in ns of the end of the last request.
+	lastEnd atomic.Int64
+	// stopBy is nil until the process is told to stop.
+	stopBy atomic.Pointer[time.Time]
 
 	mu         sync.Mutex
 	allowances map[fleet.ServiceName]*retry.Allowance
 }
 
-// The states of a relay.
-const (
-	stateServing int32 = iota
-	// stateClosing relays serve and ask clients to leave the connection.
-	stateClosing
-	// stateRefusing relays refuse new requests.
-	stateRefusing
-)
-
 // New returns a relay.
 func New(cfg Config) *Relay {
 	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), holders: placement.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
@@ -86,14 +80,19 @@
 	return int(r.serving.Load())
 }
 
-// CloseConnections asks clients to leave their connections after the answer.
-func (r *Relay) CloseConnections() {
-	r.state.Store(stateClosing)
+// StopBy tells the relay that the process ends at a time: clients are asked to
+// leave their connections, and requests that can't be expected to end by then
+// are refused.
+func (r *Relay) StopBy(end time.Time) {
+	r.stopBy.Store(&end)
 }
 
-// Refuse refuses new requests from now on.
-func (r *Relay) Refuse() {
-	r.state.Store(stateRefusing)
+// Idle is how long no request was in progress; zero while one is.
+func (r *Relay) Idle(now time.Time) time.Duration {
+	if r.serving.Load() > 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, r.lastEnd.Load()))
 }
 
 // sweepInterval is how often idle connections and old beliefs are looked at.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
@@ -26,9 +27,12 @@
 // ServeHTTP serves one request of a client.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.serving.Add(1)
-	defer r.serving.Add(-1)
-	state := r.state.Load()
-	if state != stateServing {
+	defer func() {
+		r.lastEnd.Store(time.Now().UnixNano())
+		r.serving.Add(-1)
+	}()
+	stopBy := r.stopBy.Load()
+	if stopBy != nil {
 		w.Header().Set("Connection", "close")
 	}
 	s := &serving{relay: r, w: w, arrived: time.Now(), view: r.cfg.View()}
@@ -44,11 +48,14 @@
 		s.refuse(reason.NotReady, notReadyAfter)
 		return
 	}
-	if state == stateRefusing {
+	if !s.admit() {
+		return
+	}
+	if stopBy != nil && !admission.MayFinish(s.route, s.call.AnswerTokens, stopBy.Sub(s.arrived)) {
 		s.refuse(reason.Draining, drainingAfter)
 		return
 	}
-	if !s.admit() || !s.readBody(req) {
+	if !s.readBody(req) {
 		return
 	}
 	s.serve(req.Context())
