suspicion: targets whose open streams are all silent are given up

Cause: after a cut, streams that may be resumed waited 1.2 to 2 s for the next event although everything from the failure domain had stopped at once. Change: a target is mute once two open streams are silent for 0.4 s or one for 0.8 s, and a failure domain once two of its targets are mute with none heard.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -141,11 +141,11 @@
 	for _, t := range serving {
 		candidates = append(candidates, placement.Candidate{
 			Target: t, Load: s.relay.load(t, now),
-			Standing: s.relay.book.Standing(t.ID, now), Tried: slices.Contains(s.tried, t.ID),
+			Standing: s.relay.book.Standing(t.ID, t.Domain, now), Tried: slices.Contains(s.tried, t.ID),
 		})
 	}
 	for _, t := range leaving {
-		candidates = append(candidates, placement.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, now)})
+		candidates = append(candidates, placement.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, t.Domain, now)})
 	}
 	return candidates
 }
@@ -166,7 +166,8 @@
 	defer done()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := newSilence(s.patience(), func() { cancel(errSilent) })
+	mute := func() bool { return s.relay.book.Mute(t.ID, t.Domain, time.Now()) }
+	silence := newSilence(s.patience(), mute, func() { cancel(errSilent) })
 	defer silence.stop()
 	e := s.send(ctx, t, silence)
 	s.note(ctx, t.Target, e)
@@ -209,12 +210,12 @@
 	if e.reply.Load != nil {
 		s.relay.loads.report(t.ID, e.reply.Load, time.Now())
 	}
-	s.receive(e, silence)
+	s.receive(t, e, silence)
 	return e
 }
 
 // receive takes an answer from its head on.
-func (s *serving) receive(e *ended, silence *silence) {
+func (s *serving) receive(t placed, e *ended, silence *silence) {
 	reply := &e.reply
 	switch {
 	case reply.NotRun && (reply.ID == s.call.ID || !e.answer.Reused()):
@@ -230,7 +231,7 @@
 	case e.answer.Header.Get("Content-Encoding") != "":
 		e.ending, e.err = retry.Lost, errEncoded
 	case s.route.Stream:
-		s.receiveStream(e, silence)
+		s.receiveStream(t, e, silence)
 	default:
 		s.receiveBody(e)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -11,28 +12,49 @@
 	"ragwortpond.example/ragwortpond/retry"
 )
 
-// silence ends an attempt whose target says nothing for too long. It belongs to
-// one goroutine.
+// muteCheck is how often a silent target is compared with its other streams.
+const muteCheck = 100 * time.Millisecond
+
+// silence ends an attempt whose target says nothing for too long, or nothing on
+// any stream. It is safe for concurrent use.
 type silence struct {
-	timer *time.Timer
-	limit time.Duration
+	mu     sync.Mutex
+	timer  *time.Timer
+	until  time.Time
+	mute   func() bool
+	expire func()
 }
 
-// newSilence calls expire after limit without a sign; a limit of zero never
-// expires.
-func newSilence(limit time.Duration, expire func()) *silence {
-	s := &silence{limit: limit}
+// newSilence calls expire after limit without a sign, or earlier once the target
+// is mute; a limit of zero never expires.
+func newSilence(limit time.Duration, mute func() bool, expire func()) *silence {
+	s := &silence{mute: mute, expire: expire}
 	if limit > 0 {
-		s.timer = time.AfterFunc(limit, expire)
+		s.until = time.Now().Add(limit)
+		s.timer = time.AfterFunc(min(limit, muteCheck), s.check)
 	}
 	return s
 }
 
+func (s *silence) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := time.Until(s.until)
+	if left <= 0 || s.mute() {
+		s.expire()
+		return
+	}
+	s.timer.Reset(min(left, muteCheck))
+}
+
 // heard begins the wait anew, with another limit.
 func (s *silence) heard(limit time.Duration) {
-	if s.timer != nil {
-		s.timer.Reset(limit)
+	if s.timer == nil {
+		return
 	}
+	s.mu.Lock()
+	s.until = time.Now().Add(limit)
+	s.mu.Unlock()
 }
 
 func (s *silence) stop() {
@@ -43,8 +65,10 @@
 
 // receiveStream passes a stream on event by event, after those that the client
 // has. The head goes with the first event.
-func (s *serving) receiveStream(e *ended, silence *silence) {
+func (s *serving) receiveStream(t placed, e *ended, silence *silence) {
 	events := eventstream.NewReader(e.answer)
+	heard, streamEnded := s.relay.book.StreamBegan(t.ID, t.Domain, time.Now())
+	defer streamEnded()
 	pause := max(pauses*s.route.Pause, leastSilence)
 	for {
 		ev, err := events.Next()
@@ -57,6 +81,7 @@
 			return
 		}
 		silence.heard(pause)
+		heard(time.Now())
 		if ev.Numbered && ev.ID <= s.last {
 			continue
 		}
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -119,11 +119,15 @@
 	mu       sync.Mutex
 	records  map[fleet.TargetID]*record
 	services map[fleet.ServiceName]*rate
+	hearings map[fleet.TargetID]*hearing
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{records: map[fleet.TargetID]*record{}, services: map[fleet.ServiceName]*rate{}}
+	return &Book{
+		records: map[fleet.TargetID]*record{}, services: map[fleet.ServiceName]*rate{},
+		hearings: map[fleet.TargetID]*hearing{},
+	}
 }
 
 // Note takes a sign and returns the standing before and after it.
@@ -186,10 +190,13 @@
 	return b
 }
 
-// Standing judges a target.
-func (b *Book) Standing(id fleet.TargetID, now time.Time) Standing {
+// Standing judges a target of a failure domain.
+func (b *Book) Standing(id fleet.TargetID, domain fleet.DomainName, now time.Time) Standing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.mute(id, domain, now) {
+		return Shunned
+	}
 	r := b.records[id]
 	if r == nil {
 		return Sound
