suspicion: unreachable targets are tried in the background, cut failure domains avoided whole

Cause: each router found each target behind a cut by a request that waited 0.4 s for a connection, again at each trial. Change: an unreachable target is avoided until a connection of its own, kept for the next request, succeeds; two unreachable targets of a failure domain with no answer since stand for the domain. A stopping router takes all requests until it has left the rotation.

--- a/node/drain.go
+++ b/node/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/event"
 )
 
@@ -30,8 +31,8 @@
 	n.draining.Store(true)
 	event.NodeDraining.Log(n.log).Int("in_progress", n.relay.Serving()).Send()
 	last := begun.Add(max(n.start.Grace()-exitMargin, 0))
-	n.relay.StopBy(last)
 	leave := begun.Add(min(leaveRotation, n.start.Grace()/2))
+	n.relay.Stop(admission.Stop{Leave: leave, End: last})
 	for now := begun; now.Before(last); now = time.Now() {
 		if now.After(leave) && n.relay.Idle(now) > quiet {
 			break
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -296,7 +296,7 @@
 	default:
 		sign = suspicion.Broken
 	}
-	before, after := s.relay.book.Note(s.service, t.ID, sign, time.Now())
+	before, after := s.relay.book.Note(t, sign, time.Now())
 	if before != after {
 		s.log(event.RelayStanding, e.err).Str("before", before.String()).Str("after", after.String()).Send()
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,14 +6,17 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/placement"
@@ -61,8 +64,8 @@
 	serving atomic.Int64
 	// lastEnd is the Unix time in ns of the end of the last request.
 	lastEnd atomic.Int64
-	// stopBy is nil until the process is told to stop.
-	stopBy atomic.Pointer[time.Time]
+	// stop is nil until the process is told to stop.
+	stop atomic.Pointer[admission.Stop]
 
 	mu         sync.Mutex
 	allowances map[fleet.ServiceName]*retry.Allowance
@@ -80,11 +83,10 @@
 	return int(r.serving.Load())
 }
 
-// StopBy tells the relay that the process ends at a time: clients are asked to
-// leave their connections, and requests that can't be expected to end by then
-// are refused.
-func (r *Relay) StopBy(end time.Time) {
-	r.stopBy.Store(&end)
+// Stop tells the relay that the process ends: clients are asked to leave their
+// connections, and requests that cannot be expected to end in time are refused.
+func (r *Relay) Stop(s admission.Stop) {
+	r.stop.Store(&s)
 }
 
 // Idle is how long no request was in progress; zero while one is.
@@ -95,23 +97,61 @@
 	return now.Sub(time.Unix(0, r.lastEnd.Load()))
 }
 
-// sweepInterval is how often idle connections and old beliefs are looked at.
-const sweepInterval = time.Second
+const (
+	// sweepInterval is how often idle connections and old beliefs are looked at.
+	sweepInterval = time.Second
+	// reachInterval is how often unreachable targets are looked through for
+	// those that are due for a trial.
+	reachInterval = 100 * time.Millisecond
+)
 
 // Run keeps the relay's state small until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	reach := time.NewTicker(reachInterval)
+	defer reach.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case now := <-sweep.C:
 			r.sweep(now)
+		case now := <-reach.C:
+			r.reach(ctx, now)
 		}
 	}
 }
 
+// reach tries the unreachable targets that are due, without any request that
+// would have to wait for them.
+func (r *Relay) reach(ctx context.Context, now time.Time) {
+	due := r.book.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	for _, list := range r.cfg.View().Targets {
+		for _, t := range list {
+			if slices.Contains(due, t.ID) {
+				go r.tryReach(ctx, t)
+			}
+		}
+	}
+}
+
+func (r *Relay) tryReach(ctx context.Context, t *catalog.Target) {
+	sign := suspicion.Reached
+	err := r.pool.Reach(ctx, t.ID, t.Addr)
+	if err != nil {
+		sign = suspicion.Unreachable
+	}
+	before, after := r.book.Note(t, sign, time.Now())
+	if before != after {
+		event.RelayStanding.Log(r.cfg.Log).Str("target", string(t.ID)).Str("before", before.String()).
+			Str("after", after.String()).AnErr("error", err).Send()
+	}
+}
+
 func (r *Relay) sweep(now time.Time) {
 	r.pool.Sweep(now)
 	view := r.cfg.View()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
@@ -31,8 +30,8 @@
 		r.lastEnd.Store(time.Now().UnixNano())
 		r.serving.Add(-1)
 	}()
-	stopBy := r.stopBy.Load()
-	if stopBy != nil {
+	stop := r.stop.Load()
+	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
 	s := &serving{relay: r, w: w, arrived: time.Now(), view: r.cfg.View()}
@@ -51,7 +50,7 @@
 	if !s.admit() {
 		return
 	}
-	if stopBy != nil && !admission.MayFinish(s.route, s.call.AnswerTokens, stopBy.Sub(s.arrived)) {
+	if stop != nil && !stop.Takes(s.route, s.call.AnswerTokens, s.arrived) {
 		s.refuse(reason.Draining, drainingAfter)
 		return
 	}
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 )
 
@@ -28,13 +29,16 @@
 	Unreachable
 	// Full means that the target rejected the request.
 	Full
+	// Reached means that a connection came about, without a request.
+	Reached
 )
 
 // Times and shares of the judgement.
 const (
-	// firstShun is how long a target is avoided after it could not be reached;
-	// the time doubles with each further failure up to longestShun, which is
-	// about the time after which the store drops a silent target.
+	// firstShun is how long a target is avoided after its answers broke, and the
+	// time to the first trial whether an unreachable one can be reached again. It
+	// doubles with each further failure up to longestShun, which is about the time
+	// after which the store drops a silent target.
 	firstShun   = 400 * time.Millisecond
 	longestShun = 4 * time.Second
 	// fullShun is how long a target that was full is avoided.
@@ -48,6 +52,11 @@
 	// which a target is doubted; leastSigns is the weight of signs needed.
 	excess     = 0.2
 	leastSigns = 4
+	// cutTargets is how many targets of a failure domain must be unreachable, with
+	// no answer from the domain since, before all of it is avoided, for cutShun
+	// after the last of them.
+	cutTargets = 2
+	cutShun    = 1500 * time.Millisecond
 )
 
 // Standing is the judgement on a target.
@@ -76,12 +85,22 @@
 // record is what is known of one target.
 type record struct {
 	service fleet.ServiceName
+	domain  fleet.DomainName
 	rate
+	// unreachable counts trials in a row without a connection; the target is
+	// avoided until one succeeds, and the next trial is due at shunUntil.
 	unreachable int
 	broken      int
 	shunUntil   time.Time
 }
 
+// reach is what is known of the way to a failure domain.
+type reach struct {
+	// unreachable are the targets without a connection since the last answer.
+	unreachable map[fleet.TargetID]bool
+	last        time.Time
+}
+
 // rate is a pair of sums that decay with time.
 type rate struct {
 	signs, failures float64
@@ -120,43 +139,82 @@
 	records  map[fleet.TargetID]*record
 	services map[fleet.ServiceName]*rate
 	hearings map[fleet.TargetID]*hearing
+	domains  map[fleet.DomainName]*reach
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
 		records: map[fleet.TargetID]*record{}, services: map[fleet.ServiceName]*rate{},
-		hearings: map[fleet.TargetID]*hearing{},
+		hearings: map[fleet.TargetID]*hearing{}, domains: map[fleet.DomainName]*reach{},
 	}
 }
 
 // Note takes a sign and returns the standing before and after it.
-func (b *Book) Note(service fleet.ServiceName, id fleet.TargetID, s Sign, now time.Time) (before, after Standing) {
+func (b *Book) Note(t *catalog.Target, s Sign, now time.Time) (before, after Standing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[id]
+	r := b.records[t.ID]
 	if r == nil {
-		r = &record{service: service, rate: rate{at: now}}
-		b.records[id] = r
+		r = &record{service: t.Service, domain: t.Domain, rate: rate{at: now}}
+		b.records[t.ID] = r
 	}
-	usual := b.services[service]
+	usual := b.services[t.Service]
 	if usual == nil {
 		usual = &rate{at: now}
-		b.services[service] = usual
+		b.services[t.Service] = usual
 	}
 	before = b.standing(r, now)
-	if s != Full {
+	if s != Full && s != Reached {
 		failed := s != Served
 		r.add(now, failed)
 		usual.add(now, failed)
 	}
 	r.note(s, now)
+	b.noteReach(t, s, now)
 	return before, b.standing(r, now)
 }
 
+// noteReach keeps whether a failure domain can be reached.
+func (b *Book) noteReach(t *catalog.Target, s Sign, now time.Time) {
+	d := b.domains[t.Domain]
+	switch s {
+	case Broken:
+	case Unreachable:
+		if d == nil {
+			d = &reach{unreachable: map[fleet.TargetID]bool{}}
+			b.domains[t.Domain] = d
+		}
+		d.unreachable[t.ID] = true
+		d.last = now
+	default:
+		delete(b.domains, t.Domain)
+	}
+}
+
+func (b *Book) cut(domain fleet.DomainName, now time.Time) bool {
+	d := b.domains[domain]
+	return d != nil && len(d.unreachable) >= cutTargets && now.Sub(d.last) < cutShun
+}
+
+// Due returns the targets whose reachability is to be tried now; a target is
+// due again only after the time to its next trial.
+func (b *Book) Due(now time.Time) []fleet.TargetID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []fleet.TargetID
+	for id, r := range b.records {
+		if r.unreachable > 0 && !now.Before(r.shunUntil) {
+			r.shunUntil = now.Add(backoff(r.unreachable))
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
 func (r *record) note(s Sign, now time.Time) {
 	switch s {
-	case Served, Failure:
+	case Served, Failure, Reached:
 		r.unreachable, r.broken = 0, 0
 		r.shunUntil = time.Time{}
 	case Full:
@@ -197,6 +255,9 @@
 	if b.mute(id, domain, now) {
 		return Shunned
 	}
+	if b.cut(domain, now) {
+		return Shunned
+	}
 	r := b.records[id]
 	if r == nil {
 		return Sound
@@ -205,7 +266,7 @@
 }
 
 func (b *Book) standing(r *record, now time.Time) Standing {
-	if now.Before(r.shunUntil) {
+	if r.unreachable > 0 || now.Before(r.shunUntil) {
 		return Shunned
 	}
 	usual := b.services[r.service]
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -94,9 +94,13 @@
 		c.reused = true
 		return c, nil
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	return p.dial(ctx, id, addr)
+}
+
+func (p *Pool) dial(ctx context.Context, id fleet.TargetID, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := netconn.Dial(dialCtx, addr)
+	raw, err := netconn.Dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -104,6 +108,17 @@
 	return &conn{Conn: raw, target: id, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach tries whether a target can be reached; the connection is kept for the
+// next request.
+func (p *Pool) Reach(ctx context.Context, id fleet.TargetID, addr string) error {
+	c, err := p.dial(ctx, id, addr)
+	if err != nil {
+		return err
+	}
+	p.put(c, defaultKeep)
+	return nil
+}
+
 func (p *Pool) take(id fleet.TargetID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
