mesh: routers hear of each other, three watch the store for a failure domain

Ruled out: longer watches (a compacting store leaves them silent). Change: datagrams carry who is there, targets' own counts, and the changes that watchers see; the first three routers of a failure domain's order watch, any other one does as soon as it hears none; what is missed is fetched. Repeats are divided by the routers known within a minute.

--- a/catalog/members.go
+++ b/catalog/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,18 +47,8 @@
 	m.graceUntil = now.Add(returnGrace)
 }
 
-// Replace takes the whole list as of a revision.
-func (m *Members) Replace(targets []*Target, revision uint64, now time.Time) {
-	named := make(map[fleet.TargetID]bool, len(targets))
-	for _, t := range targets {
-		named[t.ID] = true
-		m.Put(t)
-	}
-	for id := range m.targets {
-		if !named[id] {
-			m.Remove(id, now)
-		}
-	}
+// Complete notes that the set holds all targets as of a revision.
+func (m *Members) Complete(revision uint64) {
 	m.revision = max(m.revision, revision)
 	m.known = true
 }
@@ -77,52 +68,41 @@
 	delete(m.missing, t.ID)
 }
 
-// Remove takes the deletion of an entry. A target that was not leaving is kept
-// through the grace after an outage.
-func (m *Members) Remove(id fleet.TargetID, now time.Time) {
+// Remove takes the deletion of an entry and reports whether the target is gone.
+// One that was not leaving is kept through the grace after an outage.
+func (m *Members) Remove(id fleet.TargetID, now time.Time) bool {
 	t, ok := m.targets[id]
 	if !ok {
-		return
+		return true
 	}
 	if !t.Leaving && now.Before(m.graceUntil) {
 		if _, waits := m.missing[id]; !waits {
 			m.missing[id] = m.graceUntil
 		}
-		return
+		return false
 	}
 	delete(m.targets, id)
 	delete(m.missing, id)
+	return true
 }
 
-// Advance moves the revision on after a batch of changes.
-func (m *Members) Advance(revision uint64) {
-	m.revision = max(m.revision, revision)
+// Names returns the names of all targets.
+func (m *Members) Names() []fleet.TargetID {
+	return slices.Collect(maps.Keys(m.targets))
 }
 
-// Expire gives up the targets whose grace has ended and reports whether there
-// were any.
-func (m *Members) Expire(now time.Time) bool {
-	changed := false
+// Expire gives up the targets whose grace has ended and returns their names.
+func (m *Members) Expire(now time.Time) []fleet.TargetID {
+	var expired []fleet.TargetID
 	for id, until := range m.missing {
 		if now.Before(until) {
 			continue
 		}
 		delete(m.missing, id)
 		delete(m.targets, id)
-		changed = true
-	}
-	return changed
-}
-
-// NextExpiry is when Expire has something to do; zero if never.
-func (m *Members) NextExpiry() time.Time {
-	var next time.Time
-	for _, until := range m.missing {
-		if next.IsZero() || until.Before(next) {
-			next = until
-		}
+		expired = append(expired, id)
 	}
-	return next
+	return expired
 }
 
 // Serving returns the targets that take work, and those that are leaving.
--- a/cmd/ragwort-router/main.go
+++ b/cmd/ragwort-router/main.go
@@ -89,7 +89,10 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	n := node.New(start, log)
+	n, err := node.New(start, log)
+	if err != nil {
+		return err
+	}
 	go n.WatchSettings(ctx, file, hup)
 	return n.Run(ctx)
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -43,30 +43,47 @@
 	log   zerolog.Logger
 	now   func() time.Time
 	view  atomic.Pointer[catalog.View]
-	// renewed is called with a target whose process started anew or whose entry
-	// is gone.
+	// renewed is called with a target whose process started anew.
 	renewed func(fleet.TargetID)
+	// changed is called with what this router has seen in the store; nil targets
+	// mean that only the configuration changed.
+	changed func([]platform.Change)
 
 	mu      sync.Mutex
 	members *catalog.Members
+	entries *entries
 	config  *catalog.Config
-	lost    map[string]bool
+	// document is the configuration as it stands in the store.
+	document platform.Object
+	// lost says of each kind whether the store does not answer for it.
+	lost map[string]bool
+	// watching says that this router watches the store; mode is closed when that
+	// changes.
+	watching bool
+	mode     chan struct{}
 }
 
-// New returns a directory with an empty view. store returns the store to ask;
-// renewed may be nil.
+// New returns a directory with an empty view that watches the store. store
+// returns the store to ask; renewed may be nil.
 func New(store func() Store, log zerolog.Logger, renewed func(fleet.TargetID)) *Directory {
 	if renewed == nil {
 		renewed = func(fleet.TargetID) {}
 	}
 	d := &Directory{
-		store: store, log: log, now: time.Now, renewed: renewed,
-		members: catalog.NewMembers(), lost: map[string]bool{},
+		store: store, log: log, now: time.Now, renewed: renewed, changed: func([]platform.Change) {},
+		members: catalog.NewMembers(), entries: newEntries(), lost: map[string]bool{},
+		watching: true, mode: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
 	return d
 }
 
+// OnChange sets what is called with the changes that this router sees in the
+// store. It is to be called before Run.
+func (d *Directory) OnChange(f func([]platform.Change)) {
+	d.changed = f
+}
+
 // View returns the present view.
 func (d *Directory) View() *catalog.View {
 	return d.view.Load()
@@ -82,49 +99,116 @@
 	return nil
 }
 
-// follow lists a kind and then watches it; after a gap in the history, or a
-// failure, it lists anew.
+// Watch says whether this router watches the store itself or relies on others
+// for changes.
+func (d *Directory) Watch(watching bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watching == watching {
+		return
+	}
+	d.watching = watching
+	close(d.mode)
+	d.mode = make(chan struct{})
+	if watching {
+		// What the others missed shows only now; it may be an outage of the store.
+		d.members.Returned(d.now())
+	}
+	event.DirectoryWatches.Log(d.log).Bool("watching", watching).Send()
+}
+
+// Hears reports whether this router watches the store and the store answers.
+func (d *Directory) Hears() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watching && d.members.Known() && d.config != nil &&
+		!d.lost[platform.KindConfig] && !d.lost[platform.KindTargets]
+}
+
+func (d *Directory) watches() (bool, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watching, d.mode
+}
+
+// follow lists a kind and then watches it, as long as this router watches the
+// store; after a gap in the history, or a failure, it lists anew.
 func (d *Directory) follow(ctx context.Context, kind string, listed func([]platform.Object, uint64), changed func([]platform.Change, uint64)) {
 	var revision uint64
 	known := false
 	wait := firstBackoff
 	for ctx.Err() == nil {
+		watching, mode := d.watches()
+		if !watching {
+			known = false
+			select {
+			case <-ctx.Done():
+			case <-mode:
+			}
+			continue
+		}
 		var err error
 		if known {
-			var changes []platform.Change
-			changes, revision, err = d.watch(ctx, kind, revision)
-			if err == nil && len(changes) > 0 {
-				changed(changes, revision)
-				sleep(ctx, settle)
-			}
-		} else {
-			var objects []platform.Object
-			if objects, revision, err = d.store().List(ctx, kind, false); err == nil {
-				d.answers(kind)
-				listed(objects, revision)
-				known = true
-			}
+			revision, err = d.watchOnce(ctx, mode, kind, revision, changed)
+		} else if revision, err = d.listOnce(ctx, kind, listed); err == nil {
+			known = true
 		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
+		case errors.Is(err, errModeChanged):
+		case err == nil:
 			d.answers(kind)
 			wait = firstBackoff
-			continue
+		case errors.Is(err, platform.ErrHistoryGone):
+			known = false
+		default:
+			known = false
+			d.silent(kind, err)
+			sleep(ctx, wait)
+			wait = min(2*wait, longestBackoff)
 		}
-		known = false
-		if errors.Is(err, platform.ErrHistoryGone) {
-			continue
-		}
-		d.silent(kind, err)
-		sleep(ctx, wait)
-		wait = min(2*wait, longestBackoff)
 	}
 }
 
-func (d *Directory) watch(ctx context.Context, kind string, from uint64) ([]platform.Change, uint64, error) {
-	return d.store().Watch(ctx, kind, from, watchWait)
+// errModeChanged ends a watch when this router need not watch any more.
+var errModeChanged = errors.New("directory: mode changed")
+
+func (d *Directory) listOnce(ctx context.Context, kind string, listed func([]platform.Object, uint64)) (uint64, error) {
+	objects, revision, err := d.store().List(ctx, kind, false)
+	if err != nil {
+		return 0, err
+	}
+	d.answers(kind)
+	listed(objects, revision)
+	return revision, nil
+}
+
+// watchOnce makes one watch; it ends early when the mode changes.
+func (d *Directory) watchOnce(ctx context.Context, mode <-chan struct{}, kind string, from uint64, changed func([]platform.Change, uint64)) (uint64, error) {
+	watchCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-mode:
+			cancel(errModeChanged)
+		case <-done:
+		}
+	}()
+	changes, revision, err := d.store().Watch(watchCtx, kind, from, watchWait)
+	if err != nil {
+		if errors.Is(context.Cause(watchCtx), errModeChanged) {
+			err = errModeChanged
+		}
+		return from, err
+	}
+	if len(changes) > 0 {
+		changed(changes, revision)
+		sleep(ctx, settle)
+	}
+	return revision, nil
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
@@ -162,78 +246,128 @@
 
 func (d *Directory) configListed(objects []platform.Object, _ uint64) {
 	for _, o := range objects {
-		d.takeConfig(o)
+		if d.takeConfig(o, "store") {
+			d.changed(nil)
+		}
 	}
 }
 
 func (d *Directory) configChanged(changes []platform.Change, _ uint64) {
 	for _, c := range changes {
-		if !c.Deleted {
-			d.takeConfig(c.Object)
+		if !c.Deleted && d.takeConfig(c.Object, "store") {
+			d.changed(nil)
 		}
 	}
 }
 
 // takeConfig puts a version of the configuration in force, never an older one.
-func (d *Directory) takeConfig(o platform.Object) {
+func (d *Directory) takeConfig(o platform.Object, from string) bool {
 	if o.Name != platform.ConfigName {
-		return
+		return false
+	}
+	d.mu.Lock()
+	known := d.config != nil && o.Revision <= d.config.Revision
+	d.mu.Unlock()
+	if known {
+		return false
 	}
 	config, err := platform.DecodeConfig(o)
 	if err != nil {
 		event.DirectoryRefused.Log(d.log).Str("kind", platform.KindConfig).Uint64("revision", o.Revision).Err(err).Send()
-		return
+		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.config != nil && config.Revision <= d.config.Revision {
-		return
+		return false
 	}
-	d.config = config
+	d.config, d.document = config, o
 	d.publish()
-	event.DirectoryConfig.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Send()
+	event.DirectoryConfig.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", from).Send()
+	return true
 }
 
+// targetsListed takes the store's whole list.
 func (d *Directory) targetsListed(objects []platform.Object, revision uint64) {
-	now := d.now()
-	targets := make([]*catalog.Target, 0, len(objects))
+	if changes := d.replace(objects, revision, "store"); len(changes) > 0 {
+		d.changed(changes)
+	}
+}
+
+// replace makes the view hold exactly the listed targets and returns what
+// changed.
+func (d *Directory) replace(objects []platform.Object, revision uint64, from string) []platform.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	named := make(map[string]bool, len(objects))
+	changes := make([]platform.Change, 0, len(objects))
 	for _, o := range objects {
-		if t := d.decode(o, now); t != nil {
-			targets = append(targets, t)
+		named[o.Name] = true
+		changes = append(changes, platform.Change{Object: o})
+	}
+	for _, id := range d.members.Names() {
+		if !named[string(id)] {
+			changes = append(changes, platform.Change{Object: platform.Object{Name: string(id), Revision: revision}, Deleted: true})
 		}
 	}
-	d.members.Replace(targets, revision, now)
+	applied := d.apply(changes, from)
+	d.members.Complete(revision)
 	d.publish()
-	event.DirectoryTarget.Log(d.log).Str("change", "listed").Int("targets", len(targets)).Uint64("revision", revision).Send()
+	event.DirectoryTarget.Log(d.log).Str("change", "listed").Int("targets", len(objects)).Uint64("revision", revision).
+		Str("from", from).Send()
+	return applied
 }
 
+// targetsChanged takes changes from a watch of the store.
 func (d *Directory) targetsChanged(changes []platform.Change, revision uint64) {
-	now := d.now()
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	applied := d.apply(changes, "store")
+	d.members.Complete(revision)
+	d.publish()
+	d.mu.Unlock()
+	if len(applied) > 0 {
+		d.changed(applied)
+	}
+}
+
+// apply takes changes in order and returns those that were news; d.mu is held.
+func (d *Directory) apply(changes []platform.Change, from string) []platform.Change {
+	now := d.now()
+	var applied []platform.Change
 	for _, c := range changes {
-		if c.Deleted {
-			d.members.Remove(fleet.TargetID(c.Object.Name), now)
-			event.DirectoryTarget.Log(d.log).Str("change", "deleted").Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Send()
-			continue
-		}
-		t := d.decode(c.Object, now)
-		if t == nil {
-			// An entry that cannot be used names no target any more.
-			d.members.Remove(fleet.TargetID(c.Object.Name), now)
-			continue
+		var t *catalog.Target
+		if !c.Deleted {
+			if t = d.decode(c.Object, now); t == nil {
+				// An entry that cannot be used names no target any more.
+				c.Deleted = true
+			}
 		}
-		if d.members.Renews(t) {
-			d.renewed(t.ID)
+		if c.Deleted {
+			if !d.members.Remove(fleet.TargetID(c.Object.Name), now) || !d.entries.remove(c.Object.Name, c.Object.Revision) {
+				continue
+			}
+		} else {
+			if !d.entries.put(c.Object) {
+				continue
+			}
+			if d.members.Renews(t) {
+				d.renewed(t.ID)
+			}
+			d.members.Put(t)
 		}
-		d.members.Put(t)
-		event.DirectoryTarget.Log(d.log).Str("change", "entry").Str("target", string(t.ID)).Bool("leaving", t.Leaving).
-			Uint64("revision", t.Revision).Send()
+		applied = append(applied, c)
+		d.logTarget(c, t, from)
 	}
-	d.members.Advance(revision)
-	d.publish()
+	return applied
+}
+
+func (d *Directory) logTarget(c platform.Change, t *catalog.Target, from string) {
+	line := event.DirectoryTarget.Log(d.log).Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Str("from", from)
+	if t == nil {
+		line.Str("change", "gone").Send()
+		return
+	}
+	line.Str("change", "entry").Bool("leaving", t.Leaving).Send()
 }
 
 // decode reads an entry; nil means that it cannot be used.
@@ -254,12 +388,20 @@
 func (d *Directory) expire(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, expiryInterval)
+		var changes []platform.Change
 		d.mu.Lock()
-		if d.members.Expire(d.now()) {
+		for _, id := range d.members.Expire(d.now()) {
+			d.entries.remove(string(id), 0)
+			changes = append(changes, platform.Change{Object: platform.Object{Name: string(id)}, Deleted: true})
+			event.DirectoryTarget.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Send()
+		}
+		if len(changes) > 0 {
 			d.publish()
-			event.DirectoryTarget.Log(d.log).Str("change", "lapsed").Int("targets", d.members.Len()).Send()
 		}
 		d.mu.Unlock()
+		if len(changes) > 0 {
+			d.changed(changes)
+		}
 	}
 }
 
--- /dev/null
+++ b/directory/share.go
@@ -0,0 +1,71 @@
+package directory
+
+import (
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+// Held is what a directory holds of the store, for another router.
+type Held struct {
+	Config platform.Object
+	// Targets are the entries as they stand in the store.
+	Targets []platform.Object
+	// Revision is the store's revision for which Targets holds; zero if nothing
+	// is known of them.
+	Revision uint64
+}
+
+// Held returns what the directory holds.
+func (d *Directory) Held() Held {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := Held{Config: d.document}
+	if !d.members.Known() {
+		return h
+	}
+	h.Revision = d.members.Revision()
+	h.Targets = make([]platform.Object, 0, len(d.entries.objects))
+	for _, o := range d.entries.objects {
+		h.Targets = append(h.Targets, o)
+	}
+	return h
+}
+
+// Marks returns the revision of the configuration and the digest of the targets,
+// by which routers compare what they hold; both are zero where nothing is known.
+func (d *Directory) Marks() (config, targets uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config != nil {
+		config = d.config.Revision
+	}
+	if d.members.Known() {
+		targets = max(d.entries.digest, 1)
+	}
+	return config, targets
+}
+
+// Take takes changes of targets that another router saw in the store.
+func (d *Directory) Take(changes []platform.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watching || !d.members.Known() {
+		return
+	}
+	if len(d.apply(changes, "router")) > 0 {
+		d.publish()
+	}
+}
+
+// TakeHeld takes all that another router holds, as far as it is newer. A router
+// that has heard the store itself believes only the configuration.
+func (d *Directory) TakeHeld(h Held) {
+	if h.Config.Revision > 0 {
+		d.takeConfig(h.Config, "router")
+	}
+	d.mu.Lock()
+	stale := h.Revision == 0 || h.Revision < d.members.Revision() || (d.watching && d.members.Known())
+	d.mu.Unlock()
+	if !stale {
+		d.replace(h.Targets, h.Revision, "router")
+	}
+}
--- a/event/relay.go
+++ b/event/relay.go
@@ -23,6 +23,7 @@
 	DirectoryTarget   = define(3101, zerolog.InfoLevel, "target-known", "A target's entry changed: ready, leaving, started anew or gone.")
 	DirectoryLost     = define(3102, zerolog.WarnLevel, "store-lost", "The store does not answer; the router serves by what it knows.")
 	DirectoryRegained = define(3103, zerolog.InfoLevel, "store-regained", "The store answers again.")
+	DirectoryWatches  = define(3105, zerolog.InfoLevel, "store-watch", "This router begins or ceases to watch the store for its failure domain.")
 	DirectoryRefused  = define(3104, zerolog.WarnLevel, "entry-unusable", "An entry of the store cannot be used and was left out.")
 )
 
@@ -35,3 +36,11 @@
 	NodeReloaded = define(3204, zerolog.InfoLevel, "settings-reloaded", "The settings file was read again; the fields say what changed.")
 	NodeFault    = define(3205, zerolog.ErrorLevel, "node-fault", "A part of the process failed unexpectedly.")
 )
+
+// Events of package mesh, 3300 to 3399.
+var (
+	MeshJoined  = define(3300, zerolog.InfoLevel, "router-heard", "Another router was heard for the first time, or again after a restart.")
+	MeshGone    = define(3301, zerolog.InfoLevel, "router-leaving", "Another router said that it leaves.")
+	MeshFetched = define(3302, zerolog.InfoLevel, "view-fetched", "This router took from another one what it had missed; the fields give both revisions.")
+	MeshFault   = define(3303, zerolog.WarnLevel, "mesh-fault", "A datagram could not be read or sent, or another router did not give what it holds.")
+)
--- /dev/null
+++ b/mesh/table.go
@@ -0,0 +1,207 @@
+// Package mesh joins the routers of a fleet by small datagrams: who is there,
+// who watches the platform's store for a failure domain, how busy targets are,
+// and what has changed. Whatever a router misses it asks another one for.
+//
+// Nothing depends on the mesh: a router that hears nobody watches the store
+// itself and serves by what it knows.
+package mesh
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+const (
+	// watchersEach is how many routers of a failure domain watch the store for
+	// it. Three leave one if two are lost or cut off within a moment.
+	watchersEach = 3
+	// watcherSilence is how long a router relies on a watcher that it does not
+	// hear: three of the watchers' intervals.
+	watcherSilence = 1200 * time.Millisecond
+	// presence is how long a router that nobody has heard is taken for a watcher
+	// to be.
+	presence = 4 * time.Second
+	// membership is how long it counts among those that share the fleet's
+	// repeats: longer than a cut lasts, since those behind a cut spend too.
+	membership = time.Minute
+	// mostMembers bounds the table; the two-year size has 2,500 routers.
+	mostMembers = 4096
+)
+
+// member is what is known of another router.
+type member struct {
+	id     fleet.RouterID
+	domain fleet.DomainName
+	addr   netip.AddrPort
+	// boot tells the processes of one router apart; later ones are larger.
+	boot int64
+	// heard is when anybody last heard it, direct when this router did.
+	heard, direct time.Time
+	// watches says that it hears the store itself.
+	watches bool
+	leaving bool
+}
+
+// Table is what a router knows of the others. It does no I/O; the time is passed
+// in. It belongs to one goroutine.
+type Table struct {
+	self    fleet.RouterID
+	domain  fleet.DomainName
+	members map[fleet.RouterID]*member
+}
+
+// NewTable returns the table of a router that knows nobody.
+func NewTable(self fleet.RouterID, domain fleet.DomainName) *Table {
+	return &Table{self: self, domain: domain, members: map[fleet.RouterID]*member{}}
+}
+
+// Hear takes a beat that came from addr.
+func (t *Table) Hear(b *Beat, addr netip.AddrPort, now time.Time) {
+	if b.From == t.self {
+		return
+	}
+	m := t.member(b.From)
+	if m == nil || b.Boot < m.boot {
+		return
+	}
+	m.domain, m.addr, m.boot = b.Domain, addr, b.Boot
+	m.heard, m.direct = now, now
+	m.watches, m.leaving = b.Watches, b.Leaving
+	for _, o := range b.Others {
+		t.gossip(o, now)
+	}
+}
+
+// gossip takes what another router says of a third.
+func (t *Table) gossip(o Other, now time.Time) {
+	if o.ID == t.self || !o.Addr.IsValid() {
+		return
+	}
+	m := t.member(o.ID)
+	if m == nil || o.Boot < m.boot {
+		return
+	}
+	if o.Boot > m.boot {
+		m.leaving, m.watches = false, false
+	}
+	m.domain, m.addr, m.boot = o.Domain, o.Addr, o.Boot
+	if at := now.Add(-time.Duration(o.AgeMS) * time.Millisecond); at.After(m.heard) {
+		m.heard = at
+	}
+}
+
+// member returns the record of a router, nil if there is no room for it.
+func (t *Table) member(id fleet.RouterID) *member {
+	m := t.members[id]
+	if m == nil && len(t.members) < mostMembers {
+		m = &member{id: id}
+		t.members[id] = m
+	}
+	return m
+}
+
+// Forget drops routers that nobody has heard for long.
+func (t *Table) Forget(now time.Time) {
+	for id, m := range t.members {
+		if now.Sub(m.heard) > membership {
+			delete(t.members, id)
+		}
+	}
+}
+
+// Fleet is the number of routers, this one included.
+func (t *Table) Fleet() int {
+	return len(t.members) + 1
+}
+
+// Watches decides whether this router watches the store: it is one of the first
+// of its failure domain's order, or it hears none that does.
+func (t *Table) Watches(now time.Time) bool {
+	before, hears := 0, false
+	own := rank(t.self)
+	for _, m := range t.members {
+		if m.domain != t.domain || m.leaving {
+			continue
+		}
+		if m.watches && now.Sub(m.direct) < watcherSilence {
+			hears = true
+		}
+		if now.Sub(m.heard) < presence && before <= watchersEach && less(rank(m.id), m.id, own, t.self) {
+			before++
+		}
+	}
+	return !hears || before < watchersEach
+}
+
+// rank orders the routers of a failure domain the same way everywhere.
+func rank(id fleet.RouterID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+func less(a uint64, aID fleet.RouterID, b uint64, bID fleet.RouterID) bool {
+	if c := cmp.Compare(a, b); c != 0 {
+		return c < 0
+	}
+	return aID < bID
+}
+
+// Domain returns the addresses of the routers of the same failure domain.
+func (t *Table) Domain(now time.Time) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, m := range t.members {
+		if m.domain == t.domain && now.Sub(m.heard) < membership {
+			addrs = append(addrs, m.addr)
+		}
+	}
+	return addrs
+}
+
+// Some returns the addresses of up to n routers that were heard lately.
+func (t *Table) Some(n int, now time.Time, random *rand.Rand) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, m := range t.pick(random) {
+		if now.Sub(m.heard) < presence && !m.leaving {
+			addrs = append(addrs, m.addr)
+		}
+		if len(addrs) == n {
+			break
+		}
+	}
+	return addrs
+}
+
+// Others returns up to n routers for a beat.
+func (t *Table) Others(n int, now time.Time, random *rand.Rand) []Other {
+	var others []Other
+	for _, m := range t.pick(random) {
+		if m.leaving || now.Sub(m.heard) >= presence {
+			continue
+		}
+		others = append(others, Other{
+			ID: m.id, Domain: m.domain, Addr: m.addr, Boot: m.boot,
+			AgeMS: uint32(now.Sub(m.heard).Milliseconds()),
+		})
+		if len(others) == n {
+			break
+		}
+	}
+	return others
+}
+
+// pick returns all members in a random order.
+func (t *Table) pick(random *rand.Rand) []*member {
+	list := make([]*member, 0, len(t.members))
+	for _, m := range t.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- a/node/drain.go
+++ b/node/drain.go
@@ -29,6 +29,7 @@
 func (n *Node) drain(ctx context.Context) {
 	begun := time.Now()
 	n.draining.Store(true)
+	n.mesh.Leave()
 	event.NodeDraining.Log(n.log).Int("in_progress", n.relay.Serving()).Send()
 	last := begun.Add(max(n.start.Grace()-exitMargin, 0))
 	leave := begun.Add(min(leaveRotation, n.start.Grace()/2))
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/ingress"
+	"ragwortpond.example/ragwortpond/mesh"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/relay"
@@ -45,31 +46,56 @@
 	store     atomic.Pointer[platform.Store]
 	directory *directory.Directory
 	relay     *relay.Relay
+	mesh      *mesh.Mesh
 	ingress   *ingress.Server
+	seedList  atomic.Pointer[[]string]
 	draining  atomic.Bool
 	listening []net.Listener
 }
 
 // New assembles a router.
-func New(start settings.Node, log zerolog.Logger) *Node {
+func New(start settings.Node, log zerolog.Logger) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(start.MemoryMB * memoryShare * (1 << 20)))
 	n := &Node{start: start, log: log, metrics: metrics.NewSet()}
 	n.useStore(start.StoreAddr)
+	n.seedList.Store(&start.Seeds)
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, log, n.renewed)
 	n.relay = relay.New(relay.Config{
 		Domain: start.Domain, Dialect: platform.Dialect{}, View: n.directory.View,
 		Allowance: retry.AllowanceTerms{Ratio: start.Repeats.Ratio, Extra: start.Repeats.Extra, Window: start.Repeats.Window()},
-		Routers:   func() int { return assumedRouters },
+		Routers:   n.routers,
+		Report:    func(id fleet.TargetID, work int, now time.Time) { n.mesh.Report(id, work, now) },
 		Metrics:   n.metrics, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
-	return n
+	var err error
+	n.mesh, err = mesh.New(mesh.Config{
+		Self: start.ID, Domain: start.Domain, Addr: start.PeerAddr, Seeds: n.seeds, Directory: n.directory,
+		Heard: n.relay.Heard, Bytes: n.countMeshBytes, Log: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.directory.OnChange(n.mesh.Changed)
+	return n, nil
 }
 
-// assumedRouters is the number of routers among which the repeats are divided
-// as long as nothing tells it.
-const assumedRouters = 9
+// fewestRouters is the least number of routers among which the repeats are
+// divided: a router that knows few others may be behind a cut.
+const fewestRouters = 9
+
+func (n *Node) routers() int {
+	return max(n.mesh.Fleet(), fewestRouters)
+}
+
+func (n *Node) seeds() []string {
+	return *n.seedList.Load()
+}
+
+func (n *Node) countMeshBytes(direction string, bytes int) {
+	n.metrics.ControlBytes.WithLabelValues("mesh", direction).Add(float64(bytes))
+}
 
 func (n *Node) useStore(addr string) {
 	old := n.store.Swap(platform.NewStore(addr, n.countStoreCall))
@@ -140,12 +166,15 @@
 	clients, err1 := listen(ctx, n.start.ClientAddr)
 	ready, err2 := listen(ctx, n.start.ReadyAddr)
 	exported, err3 := listen(ctx, n.start.MetricsAddr)
-	if err := errors.Join(err1, err2, err3); err != nil {
+	peers, err4 := listen(ctx, n.start.PeerAddr)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return err
 	}
-	n.listening = []net.Listener{ready, exported}
+	n.listening = []net.Listener{ready, exported, peers}
 	start("clients", func() error { return n.ingress.Serve(clients) })
 	start("ready", func() error { return serve(ready, http.HandlerFunc(n.answerReady)) })
+	start("peers", func() error { return serve(peers, n.mesh) })
+	start("mesh", func() error { return n.mesh.Run(ctx) })
 	start("metrics", func() error {
 		return serve(exported, promhttp.HandlerFor(n.metrics.Registry, promhttp.HandlerOpts{}))
 	})
--- a/node/reload.go
+++ b/node/reload.go
@@ -57,5 +57,6 @@
 		n.useStore(fresh.StoreAddr)
 	}
 	n.start.StoreAddr = fresh.StoreAddr
+	n.seedList.Store(&fresh.Seeds)
 	event.NodeReloaded.Log(n.log).Str("outcome", "applied").Bool("store_moved", moved).Send()
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -140,7 +140,7 @@
 	candidates := make([]placement.Candidate, 0, len(serving)+len(leaving))
 	for _, t := range serving {
 		candidates = append(candidates, placement.Candidate{
-			Target: t, Load: s.relay.load(t, now),
+			Target: t, Load: s.relay.loads.of(t.ID, now),
 			Standing: s.relay.book.Standing(t.ID, t.Domain, now), Tried: slices.Contains(s.tried, t.ID),
 		})
 	}
@@ -150,15 +150,6 @@
 	return candidates
 }
 
-// load estimates the work before a target.
-func (r *Relay) load(t *catalog.Target, now time.Time) float64 {
-	load := r.loads.of(t.ID, now)
-	if r.cfg.Remote != nil {
-		load += r.cfg.Remote(t.ID)
-	}
-	return load
-}
-
 // attempt sends the request to a target and passes the answer on as far as it
 // can be.
 func (s *serving) attempt(ctx context.Context, t placed) *ended {
@@ -208,7 +199,7 @@
 	}
 	e := &ended{answer: answer, reply: dialect.Reply(answer.Status, answer.Header)}
 	if e.reply.Load != nil {
-		s.relay.loads.report(t.ID, e.reply.Load, time.Now())
+		s.relay.report(t.ID, e.reply.Load)
 	}
 	s.receive(t, e, silence)
 	return e
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -62,6 +62,26 @@
 	t.at = now
 }
 
+// report takes a target's own count for this router and the others.
+func (r *Relay) report(id fleet.TargetID, l *call.Load) {
+	now := time.Now()
+	r.loads.report(id, l, now)
+	if r.cfg.Report != nil {
+		r.cfg.Report(id, l.Running+l.Waiting, now)
+	}
+}
+
+// heard takes a target's count that another router passed on, unless a newer
+// one is known.
+func (l *loads) heard(id fleet.TargetID, work int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.get(id); at.After(t.at) {
+		t.others = max(0, float64(work-t.own))
+		t.at = at
+	}
+}
+
 // of estimates the work before a target.
 func (l *loads) of(id fleet.TargetID, now time.Time) float64 {
 	l.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,9 +43,9 @@
 	Dialect Dialect
 	// View returns what to serve by; it is called once a request.
 	View func() *catalog.View
-	// Remote returns the work that other routers have before a target; nil means
-	// that nothing is known of it.
-	Remote func(fleet.TargetID) float64
+	// Report takes a target's own count of its work, for other routers; it may be
+	// nil.
+	Report func(id fleet.TargetID, work int, now time.Time)
 	// Allowance returns the terms for repeats.
 	Allowance retry.AllowanceTerms
 	// Routers returns the number of routers that share the allowance.
@@ -198,6 +198,11 @@
 	}
 }
 
+// Heard takes a target's count of its work that another router passed on.
+func (r *Relay) Heard(id fleet.TargetID, work int, at time.Time) {
+	r.loads.heard(id, work, at)
+}
+
 // Renewed drops what is known of a target whose process started anew.
 func (r *Relay) Renewed(id fleet.TargetID) {
 	r.book.Renew(id)
--- a/settings/node.go
+++ b/settings/node.go
@@ -18,6 +18,8 @@
 	ReadyAddr   string `json:"ready_addr"`
 	PeerAddr    string `json:"peer_addr"`
 	MetricsAddr string `json:"metrics_addr"`
+	// Seeds are addresses of routers to begin with; they may be stale.
+	Seeds []string `json:"seeds"`
 	// StoreAddr is host:port of the platform's store.
 	StoreAddr string `json:"store_addr"`
 	// MemoryMB is the memory that the process may use, in MB.
@@ -60,6 +62,7 @@
 	field{"ready_addr", true, addrCheck},
 	field{"peer_addr", true, addrCheck},
 	field{"metrics_addr", true, addrCheck},
+	field{"seeds", false, list(addrCheck)},
 	field{"store_addr", true, addrCheck},
 	field{"memory_mb", true, number(1, nodeLimit, false)},
 	field{"grace_s", true, number(0, nodeLimit, false)},
