--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,122 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+func TestRouteOfLongestPrefix(t *testing.T) {
+	short := &Route{Name: "short", Host: "A.example", Prefix: "/x/"}
+	long := &Route{Name: "long", Host: "a.example", Prefix: "/x/y/"}
+	other := &Route{Name: "other", Host: "b.example", Prefix: "/x/y/z/"}
+	c := NewConfig(1, 1, Limits{}, []*Route{short, long, other}, nil, nil)
+	for _, test := range []struct {
+		host, path, want string
+	}{
+		{"a.example", "/x/1", "short"},
+		{"a.example:8080", "/x/y/1", "long"},
+		{"A.EXAMPLE", "/x/y/z/1", "long"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+		{"a.example", "/", ""},
+	} {
+		r, ok := c.Route(test.host, test.path)
+		if ok != (test.want != "") || (ok && r.Name != test.want) {
+			t.Errorf("%s%s: got %v, want %q", test.host, test.path, r, test.want)
+		}
+	}
+}
+
+func TestServiceAtFollowsWeights(t *testing.T) {
+	r := &Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	counts := map[fleet.ServiceName]int{}
+	for i := range 1000 {
+		counts[r.ServiceAt(float64(i)/1000)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("got %v", counts)
+	}
+	if got := (&Route{}).ServiceAt(0.5); got != "" {
+		t.Errorf("a route without shares gave %q", got)
+	}
+}
+
+func TestConfigWithoutAccountsNeedsNoKey(t *testing.T) {
+	if NewConfig(1, 1, Limits{}, nil, nil, nil).Keyed() {
+		t.Error("keyed without accounts")
+	}
+	c := NewConfig(1, 1, Limits{}, nil, nil, map[string]*Account{"k": {Name: "n"}})
+	if a, ok := c.Account("k"); !ok || a.Name != "n" || !c.Keyed() {
+		t.Error("the key is not known")
+	}
+	if _, ok := c.Account(""); ok {
+		t.Error("the empty key is known")
+	}
+}
+
+var start = time.Unix(1000, 0)
+
+func ready(id string, revision uint64) *Target {
+	return &Target{ID: fleet.TargetID(id), Service: "s", Revision: revision, Started: start}
+}
+
+func TestMembersKeepLapsedEntriesThroughTheGrace(t *testing.T) {
+	m := NewMembers()
+	m.Put(ready("a", 1))
+	m.Put(ready("b", 2))
+	m.Put(&Target{ID: "c", Service: "s", Leaving: true, Revision: 3})
+	m.Complete(3)
+	m.Returned(start)
+	if m.Remove("a", start.Add(time.Second)) || m.Remove("b", start.Add(time.Second)) {
+		t.Error("an entry that lapsed during the outage was dropped at once")
+	}
+	if !m.Remove("c", start.Add(time.Second)) {
+		t.Error("a leaving target was kept")
+	}
+	m.Put(ready("b", 9))
+	if gone := m.Expire(start.Add(1900 * time.Millisecond)); len(gone) > 0 {
+		t.Errorf("%v given up within the grace", gone)
+	}
+	gone := m.Expire(start.Add(2 * time.Second))
+	if len(gone) != 1 || gone[0] != "a" {
+		t.Errorf("given up %v, want a: b came back", gone)
+	}
+	serving, leaving := m.Serving()
+	if len(serving["s"]) != 1 || serving["s"][0].ID != "b" || len(leaving["s"]) != 0 {
+		t.Errorf("serving %v, leaving %v", serving, leaving)
+	}
+}
+
+func TestMembersDropAtOnceWithoutAnOutage(t *testing.T) {
+	m := NewMembers()
+	m.Put(ready("a", 1))
+	if !m.Remove("a", start) || m.Len() != 0 {
+		t.Error("a deleted target was kept")
+	}
+}
+
+func TestMembersIgnoreOlderEntries(t *testing.T) {
+	m := NewMembers()
+	leaving := ready("a", 5)
+	leaving.Leaving = true
+	m.Put(leaving)
+	m.Put(ready("a", 4))
+	if serving, _ := m.Serving(); len(serving["s"]) != 0 {
+		t.Error("an older entry brought a leaving target back")
+	}
+}
+
+func TestMembersRenewsTellsANewProcess(t *testing.T) {
+	m := NewMembers()
+	m.Put(ready("a", 1))
+	if m.Renews(ready("a", 2)) || m.Renews(ready("b", 2)) {
+		t.Error("the same process, or an unknown one, counts as a new one")
+	}
+	again := ready("a", 3)
+	again.Started = start.Add(time.Second)
+	if !m.Renews(again) {
+		t.Error("a new process was not noticed")
+	}
+}
--- /dev/null
+++ b/eventstream/reader_test.go
@@ -0,0 +1,68 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func readAll(t *testing.T, in io.Reader) (events []string, ids []uint64, rest string, err error) {
+	t.Helper()
+	r := NewReader(in)
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return events, ids, string(e.Raw), err
+		}
+		events = append(events, string(e.Raw))
+		if e.Numbered {
+			ids = append(ids, e.ID)
+		}
+	}
+}
+
+func TestReaderCutsWholeEvents(t *testing.T) {
+	in := "id: 1\ndata: a\n\nweight-versions: 2\nid:2\r\ndata: b\r\n\r\ndata: none\n\nid: 4\ndata: cut"
+	for name, reader := range map[string]io.Reader{
+		"at once": strings.NewReader(in), "byte by byte": iotest.OneByteReader(strings.NewReader(in)),
+	} {
+		events, ids, rest, err := readAll(t, reader)
+		if !errors.Is(err, io.EOF) || len(events) != 3 || rest != "id: 4\ndata: cut" {
+			t.Errorf("%s: %q, rest %q, %v", name, events, rest, err)
+		}
+		if len(ids) != 2 || ids[0] != 1 || ids[1] != 2 {
+			t.Errorf("%s: ids %v", name, ids)
+		}
+	}
+}
+
+func TestReaderTellsABrokenStreamFromAnEnd(t *testing.T) {
+	_, _, _, err := readAll(t, io.MultiReader(strings.NewReader("id: 1\n\nid"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestReaderBoundsAnEvent(t *testing.T) {
+	_, _, _, err := readAll(t, strings.NewReader(strings.Repeat("x", maxEvent+2*readBuffer)))
+	if !errors.Is(err, ErrTooLong) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func FuzzReaderLosesNothing(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\nrest"))
+	f.Add([]byte("\n\n\r\n\nid:\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		events, _, rest, err := readAll(t, iotest.HalfReader(bytes.NewReader(in)))
+		if errors.Is(err, ErrTooLong) {
+			return
+		}
+		if got := strings.Join(events, "") + rest; got != string(in) {
+			t.Errorf("got %q of %q", got, in)
+		}
+	})
+}
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/event"
 )
 
 // Limits of a sink.
@@ -126,7 +128,8 @@
 	if total == s.reported {
 		return
 	}
-	line := fmt.Sprintf("{\"level\":\"warn\",\"event\":3090,\"name\":\"log-lines-dropped\",\"lines\":%d,\"total\":%d}\n", total-s.reported, total)
+	line := fmt.Sprintf("{\"level\":%q,\"event\":%d,\"name\":%q,\"lines\":%d,\"total\":%d}\n",
+		event.LogDropped.Level, event.LogDropped.Number, event.LogDropped.Name, total-s.reported, total)
 	s.reported = total
 	s.mu.Lock()
 	s.pending = append(s.pending, line...)
--- a/placement/direct.go
+++ b/placement/direct.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
@@ -61,6 +62,10 @@
 	// where the mean is low.
 	keyMultiple = 1.5
 	keyMargin   = 2
+	// spillMultiple and spillMargin bound a target that takes a key's overflow, so
+	// that what a hot key spills leaves room for the keys that belong there.
+	spillMultiple = 1
+	spillMargin   = 1
 )
 
 // recentJoin is how long after its start a target may lack the cache of keys
@@ -79,29 +84,32 @@
 	if a.Key == 0 {
 		return Choice{leastLoaded(a, candidates, standing), -1, BasisLoad}
 	}
-	bound := keyMultiple*meanLoad(candidates) + keyMargin
-	best, bestScore, skipped := -1, 0.0, false
+	mean := meanLoad(candidates)
+	first := highestRanked(a.Key, candidates, standing, math.Inf(1))
+	if first >= 0 && candidates[first].Load < keyMultiple*mean+keyMargin {
+		return Choice{first, source(a.Key, candidates, first, now), BasisKey}
+	}
+	best := highestRanked(a.Key, candidates, standing, spillMultiple*mean+spillMargin)
+	if best < 0 {
+		best = leastLoaded(a, candidates, standing)
+	}
+	return Choice{best, source(a.Key, candidates, best, now), BasisOverflow}
+}
+
+// highestRanked is the first of the key's rendezvous order with less load than
+// the bound; -1 if there is none.
+func highestRanked(key uint64, candidates []Candidate, standing suspicion.Standing, bound float64) int {
+	best, bestScore := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.takes(standing) {
+		if !c.takes(standing) || c.Load >= bound {
 			continue
 		}
-		if c.Load >= bound {
-			skipped = true
-			continue
-		}
-		if s := c.score(a.Key); best < 0 || s > bestScore {
+		if s := c.score(key); best < 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
-	basis := BasisKey
-	if best < 0 {
-		best = leastLoaded(a, candidates, standing)
-	}
-	if skipped {
-		basis = BasisOverflow
-	}
-	return Choice{best, source(a.Key, candidates, best, now), basis}
+	return best
 }
 
 func (c *Candidate) takes(standing suspicion.Standing) bool {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -22,6 +22,7 @@
 	Draining           Code = "draining"
 	NotReady           Code = "not-ready"
 	Deadline           Code = "deadline"
+	TimedOut           Code = "timed-out"
 	AccountRate        Code = "account-rate"
 	AccountConcurrency Code = "account-concurrency"
 	ServiceRate        Code = "service-rate"
@@ -82,6 +83,7 @@
 	Draining:           {503, true, "The router is stopping."},
 	NotReady:           {503, true, "The router has no settings yet."},
 	Deadline:           {504, true, "The deadline passed before the request was dispatched."},
+	TimedOut:           {504, true, "The route's timeout passed before the answer was whole."},
 	AccountRate:        {429, true, "The client account is over its request rate."},
 	AccountConcurrency: {429, true, "The client account has too many requests in flight."},
 	ServiceRate:        {429, true, "The service is over its request rate."},
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -206,11 +206,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.started {
-		s.cut(reason.Deadline, e)
+		s.cut(reason.TimedOut, e)
 	}
 	if s.life.Outcome() == outcome.NotDispatched && e.ending == retry.Unreached {
 		s.refuse(reason.NoTarget, refusedAfter)
 		return
 	}
-	s.fail(http.StatusGatewayTimeout, reason.Deadline)
+	s.fail(http.StatusGatewayTimeout, reason.TimedOut)
 }
