--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,234 @@
+package directory
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/platform/standin"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// scene is a directory before a stand-in of the store.
+func newScene(t *testing.T) (*standin.Store, *Directory) {
+	t.Helper()
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	store := platform.NewStore(server.Addr(), nil)
+	d := New(func() Store { return store }, zerolog.Nop(), nil)
+	return server, d
+}
+
+func runDirectory(t *testing.T, d *Directory) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for !f() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("waited in vain for " + what)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+func entry(addr, state string) map[string]any {
+	return map[string]any{"Service": "s", "Address": addr, "Zone": "z", "Slots": 8, "State": state, "born": 1}
+}
+
+func configSpec(version int) map[string]any {
+	return map[string]any{"Version": version, "Routes": []any{}, "Services": []any{}, "Limits": map[string]any{}}
+}
+
+func serving(d *Directory) int {
+	return len(d.View().Targets["s"])
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	server, d := newScene(t)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
+	runDirectory(t, d)
+	waitFor(t, "a view", func() bool { return d.View().Ready() && serving(d) == 1 })
+	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
+	waitFor(t, "the second target", func() bool { return serving(d) == 2 })
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "draining"))
+	waitFor(t, "the leaving target", func() bool { return serving(d) == 1 && len(d.View().Leaving["s"]) == 1 })
+	server.Delete(platform.KindTargets, "a")
+	server.Put(platform.KindTargets, "c", "not an entry")
+	server.Compact()
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(9))
+	waitFor(t, "the new version", func() bool { return d.View().Config.Version == 9 })
+	waitFor(t, "the end of the target", func() bool { return len(d.View().Leaving["s"]) == 0 && serving(d) == 1 })
+}
+
+func TestTheConfigurationNeverGoesBack(t *testing.T) {
+	server, d := newScene(t)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
+	runDirectory(t, d)
+	waitFor(t, "a configuration", func() bool { return d.View().Config != nil })
+	held := d.Held()
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(4))
+	waitFor(t, "the next version", func() bool { return d.View().Config.Version == 4 })
+	d.TakeHeld(held)
+	if d.View().Config.Version != 4 {
+		t.Error("another router's older version is in force")
+	}
+}
+
+func TestServesOnWhileTheStoreIsAway(t *testing.T) {
+	server, d := newScene(t)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
+	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
+	runDirectory(t, d)
+	waitFor(t, "a view", func() bool { return d.View().Ready() && serving(d) == 2 })
+	server.Fail(standin.Refusing)
+	waitFor(t, "the outage", func() bool { return !d.Hears() })
+	// The entries lapse while the store is away; one comes back in time.
+	server.Delete(platform.KindTargets, "a")
+	server.Delete(platform.KindTargets, "b")
+	server.Compact()
+	server.Fail(standin.Healthy)
+	waitFor(t, "the store's return", d.Hears)
+	if serving(d) != 2 {
+		t.Errorf("%d targets right after the outage", serving(d))
+	}
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
+	waitFor(t, "the end of the grace", func() bool { return serving(d) == 1 })
+	if d.View().Targets["s"][0].ID != "a" {
+		t.Error("the target that came back is gone")
+	}
+}
+
+func TestRelyingOnAnotherRouter(t *testing.T) {
+	server, watcher := newScene(t)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
+	_, other := newScene(t)
+	watcher.OnChange(other.Take)
+	other.Watch(false)
+	runDirectory(t, watcher)
+	runDirectory(t, other)
+	waitFor(t, "the watcher's view", func() bool { return watcher.View().Ready() })
+	other.TakeHeld(watcher.Held())
+	if !other.View().Ready() || serving(other) != 1 {
+		t.Fatal("what the other router holds was not taken")
+	}
+	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
+	server.Delete(platform.KindTargets, "a")
+	waitFor(t, "the changes", func() bool { return serving(other) == 1 && other.View().Targets["s"][0].ID == "b" })
+	_, here := watcher.Marks()
+	if _, there := other.Marks(); here != there {
+		t.Error("the digests differ although both hold the same")
+	}
+	if other.Hears() {
+		t.Error("a router that does not watch says that it hears the store")
+	}
+}
+
+// TestEntriesAgreeInAnyOrder plays the changes of a store to two routers, one of
+// which gets them late, twice and out of order: after all have arrived both hold
+// what the store holds, and their digests agree.
+func TestEntriesAgreeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		type op struct {
+			object  platform.Object
+			deleted bool
+		}
+		oracle := map[string]uint64{}
+		var ops []op
+		revision := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(r, "changes") {
+			revision++
+			name := fmt.Sprintf("o%d", rapid.IntRange(0, 5).Draw(r, "name"))
+			if _, exists := oracle[name]; exists && rapid.Bool().Draw(r, "delete") {
+				ops = append(ops, op{platform.Object{Name: name, Revision: revision}, true})
+				delete(oracle, name)
+				continue
+			}
+			oracle[name] = revision
+			ops = append(ops, op{platform.Object{Name: name, Revision: revision}, false})
+		}
+		apply := func(e *entries, o op) {
+			if o.deleted {
+				e.remove(o.object.Name, o.object.Revision)
+			} else {
+				e.put(o.object)
+			}
+		}
+		ordered, shuffled := newEntries(), newEntries()
+		for _, o := range ops {
+			apply(ordered, o)
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "order"), 1))
+		late := append(append([]op{}, ops...), ops[:len(ops)/2]...)
+		// A deletion of an entry that has not arrived yet finds nothing; the whole
+		// list that repairs such gaps is what the store holds.
+		random.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
+		for _, o := range late {
+			apply(shuffled, o)
+		}
+		for name := range shuffled.objects {
+			if _, ok := oracle[name]; !ok {
+				shuffled.remove(name, revision)
+			}
+		}
+		for name, revision := range oracle {
+			shuffled.put(platform.Object{Name: name, Revision: revision})
+		}
+		for _, e := range []*entries{ordered, shuffled} {
+			if len(e.objects) != len(oracle) {
+				r.Fatalf("holds %d of %d", len(e.objects), len(oracle))
+			}
+			for name, revision := range oracle {
+				if e.objects[name].Revision != revision {
+					r.Fatalf("%s at %d, want %d", name, e.objects[name].Revision, revision)
+				}
+			}
+		}
+		if ordered.digest != shuffled.digest {
+			r.Fatal("the digests differ")
+		}
+	})
+}
+
+func TestViewBeforeAnythingIsKnown(t *testing.T) {
+	_, d := newScene(t)
+	if d.View().Ready() || d.View().Targets != nil {
+		t.Error("an empty view is ready")
+	}
+	var none catalog.View
+	if none.Ready() {
+		t.Error("ready without a configuration")
+	}
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,171 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/directory"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/platform/standin"
+)
+
+// router is one router's mesh and directory, without its other parts.
+type router struct {
+	mesh      *Mesh
+	directory *directory.Directory
+	stop      func()
+	mu        sync.Mutex
+	heard     map[fleet.TargetID]int
+}
+
+// freeAddr is an address on loopback that is free for datagrams and connections.
+func freeAddr(t *testing.T, i int) string {
+	t.Helper()
+	// All routers of a deployment use the same port, so that each gets an address
+	// of its own.
+	return fmt.Sprintf("127.0.77.%d:17340", i+1)
+}
+
+func startRouter(t *testing.T, i int, store *platform.Store, seeds []string) *router {
+	t.Helper()
+	r := &router{heard: map[fleet.TargetID]int{}}
+	r.directory = directory.New(func() directory.Store { return store }, zerolog.Nop(), nil)
+	var err error
+	r.mesh, err = New(Config{
+		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: "d", Addr: freeAddr(t, i), Directory: r.directory,
+		Seeds: func() []string { return seeds }, Log: zerolog.Nop(),
+		Heard: func(id fleet.TargetID, work int, _ time.Time) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.heard[id] = work
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.directory.OnChange(r.mesh.Changed)
+	l, err := net.Listen("tcp4", freeAddr(t, i))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: r.mesh}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = server.Serve(l) })
+	tasks.Go(func() { _ = r.directory.Run(ctx) })
+	tasks.Go(func() { _ = r.mesh.Run(ctx) })
+	r.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = server.Close()
+		tasks.Wait()
+	})
+	t.Cleanup(r.stop)
+	return r
+}
+
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for !f() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("waited in vain for " + what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func entry(i int) map[string]any {
+	return map[string]any{"Service": "s", "Address": fmt.Sprintf("10.0.0.%d:80", i), "Zone": "z", "Slots": 8, "State": "ready", "born": 1}
+}
+
+func count(r *router) int {
+	return len(r.directory.View().Targets["s"])
+}
+
+// TestAFailureDomainWatchesWithFew starts a failure domain of seven routers: all
+// follow the store, three watch it, and others take over when those are lost.
+func TestAFailureDomainWatchesWithFew(t *testing.T) {
+	const n = 7
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server.Put(platform.KindTargets, "a", entry(1))
+	store := platform.NewStore(server.Addr(), nil)
+	seeds := []string{freeAddr(t, 0), "127.0.77.200:9"}
+	var routers []*router
+	for i := range n {
+		routers = append(routers, startRouter(t, i, store, seeds))
+	}
+	watching := func() (who []int) {
+		for i, r := range routers {
+			if r != nil && r.directory.Hears() {
+				who = append(who, i)
+			}
+		}
+		return who
+	}
+	waitFor(t, "three watchers", func() bool { return len(watching()) == watchersEach && routers[n-1].mesh.Fleet() == n })
+	all := func(what string, f func(r *router) bool) {
+		t.Helper()
+		for _, r := range routers {
+			if r != nil {
+				waitFor(t, what, func() bool { return f(r) })
+			}
+		}
+	}
+	all("the first target", func(r *router) bool { return r.directory.View().Ready() && count(r) == 1 })
+	server.Put(platform.KindTargets, "b", entry(2))
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 2})
+	all("the changes", func(r *router) bool { return count(r) == 2 && r.directory.View().Config.Version == 2 })
+	for _, i := range watching() {
+		routers[i].stop()
+		routers[i] = nil
+	}
+	server.Put(platform.KindTargets, "c", entry(3))
+	all("a change after the loss of all watchers", func(r *router) bool { return count(r) == 3 })
+	var one *router
+	for _, r := range routers {
+		if r != nil {
+			one = r
+		}
+	}
+	// A count is passed on for two seconds; it is given again until all have it.
+	all("a target's load", func(r *router) bool {
+		one.mesh.Report("a", 7, time.Now())
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r == one || r.heard["a"] == 7
+	})
+}
+
+// TestAStartingRouterServesByAnothersView starts a router while the store is
+// away.
+func TestAStartingRouterServesByAnothersView(t *testing.T) {
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 4})
+	server.Put(platform.KindTargets, "a", entry(1))
+	store := platform.NewStore(server.Addr(), nil)
+	first := startRouter(t, 20, store, nil)
+	waitFor(t, "the first router", func() bool { return first.directory.View().Ready() })
+	server.Fail(standin.Refusing)
+	second := startRouter(t, 21, store, []string{freeAddr(t, 20)})
+	waitFor(t, "the second router", func() bool {
+		v := second.directory.View()
+		return v.Ready() && v.Config.Version == 4 && count(second) == 1
+	})
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/platform/standin"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// scene is one router before stand-ins of store and target.
+type scene struct {
+	store  *standin.Store
+	target *standin.Target
+	start  settings.Node
+	node   *Node
+	stop   context.CancelFunc
+	done   chan error
+}
+
+func configOf(version int) map[string]any {
+	return map[string]any{
+		"Version":  version,
+		"Routes":   []any{map[string]any{"Name": "r", "Host": "h", "PathPrefix": "/p/", "RouteType": "non_idempotent", "Service": "s", "TimeoutMs": 5000}},
+		"Services": []any{map[string]any{"Name": "s"}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1000, "IdleTimeoutMs": 300},
+	}
+}
+
+func startScene(t *testing.T, address string) *scene {
+	t.Helper()
+	s := &scene{target: &standin.Target{ID: "t", Service: "s", Zone: "d"}, done: make(chan error, 1)}
+	var err error
+	if s.store, err = standin.StartStore(""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.store.Close)
+	if err := s.target.Start(""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.target.Close)
+	s.store.Put(platform.KindConfig, platform.ConfigName, configOf(1))
+	s.store.Put(platform.KindTargets, "t", s.target.Entry("ready"))
+	s.start = settings.Node{
+		ID: "n", Domain: "d", ClientAddr: address + ":18001", ReadyAddr: address + ":18002", PeerAddr: address + ":18003",
+		MetricsAddr: address + ":18004", StoreAddr: s.store.Addr(), MemoryMB: 200, GraceS: 3,
+		Repeats: settings.Repeats{Ratio: 0.2, Extra: 50, WindowS: 10},
+	}
+	if s.node, err = New(s.start, zerolog.Nop()); err != nil {
+		t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(context.Background())
+	go func() { s.done <- s.node.Run(ctx) }()
+	t.Cleanup(s.stop)
+	waitFor(t, "the router to be ready", func() bool { return s.ready() })
+	return s
+}
+
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for !f() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("waited in vain for " + what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (s *scene) ready() bool {
+	response, err := http.Get("http://" + s.start.ReadyAddr + "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *scene) post(client *http.Client, id string) (*http.Response, string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.start.ClientAddr+"/p/x", strings.NewReader("body"))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	response, err := client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func TestServesAndStopsAsPlanned(t *testing.T) {
+	s := startScene(t, "127.0.78.1")
+	if response, body, err := s.post(http.DefaultClient, "a1"); err != nil || response.StatusCode != http.StatusOK || body != s.target.PlainBody() {
+		t.Fatalf("%v %q %v", response, body, err)
+	}
+	s.target.Work = 300 * time.Millisecond
+	type result struct {
+		body string
+		err  error
+	}
+	slow := make(chan result, 1)
+	go func() {
+		_, body, err := s.post(http.DefaultClient, "a2")
+		slow <- result{body, err}
+	}()
+	waitFor(t, "the slow request", func() bool { return len(s.target.Runs()) == 2 })
+	s.stop()
+	waitFor(t, "the router to leave the rotation", func() bool { return !s.ready() })
+	if response, _, err := s.post(&http.Client{Transport: &http.Transport{}}, "a3"); err != nil || response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("a request that came before the rotation changed: %v %v", response, err)
+	}
+	if got := <-slow; got.err != nil || got.body != s.target.PlainBody() {
+		t.Errorf("the request in progress: %+v", got)
+	}
+	if err := <-s.done; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	if _, _, err := s.post(http.DefaultClient, "a4"); err == nil {
+		t.Error("the router still listens")
+	}
+}
+
+func TestExportsMetrics(t *testing.T) {
+	s := startScene(t, "127.0.78.2")
+	if _, _, err := s.post(http.DefaultClient, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Get("http://" + s.start.MetricsAddr + "/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	for _, name := range []string{"ragwort_requests_total", "ragwort_store_calls_total", "ragwort_target_connections_total", "ragwort_first_byte_seconds_bucket"} {
+		if err != nil || !strings.Contains(string(text), name) {
+			t.Errorf("%s is not exported: %v", name, err)
+		}
+	}
+}
+
+// TestASettingsFileChangesWithoutASignal moves the store; findings change
+// nothing.
+func TestASettingsFileChangesWithoutASignal(t *testing.T) {
+	s := startScene(t, "127.0.78.3")
+	file := filepath.Join(t.TempDir(), "node.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text := func(store string) string {
+		return fmt.Sprintf(`{"id":"n","failure_domain":"d","client_addr":%q,"ready_addr":%q,"peer_addr":%q,"metrics_addr":%q,
+			"seeds":[],"store_addr":%q,"memory_mb":200,"grace_s":3,"repeats":{"ratio":0.2,"extra":50,"window_s":10}}`,
+			s.start.ClientAddr, s.start.ReadyAddr, s.start.PeerAddr, s.start.MetricsAddr, store)
+	}
+	write(text(s.store.Addr()))
+	hup := make(chan os.Signal)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.node.WatchSettings(ctx, file, hup)
+	hup <- os.Interrupt
+	write("{")
+	hup <- os.Interrupt
+	other, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	// The other store's revisions go on from those of the first.
+	for range 20 {
+		other.Put("filler", "x", 1)
+	}
+	other.Put(platform.KindTargets, "t", s.target.Entry("ready"))
+	other.Put(platform.KindConfig, platform.ConfigName, configOf(5))
+	write(text(other.Addr()))
+	s.store.Fail(standin.Refusing)
+	waitFor(t, "the other store's configuration", func() bool { return s.node.directory.View().Config.Version == 5 })
+	if response, _, err := s.post(http.DefaultClient, "a1"); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("%v %v", response, err)
+	}
+}
+
+func TestTheTemplateRendersSettings(t *testing.T) {
+	text, err := os.ReadFile("../deploy/node.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rendered := string(text)
+	for placeholder, value := range map[string]string{
+		"{{Node|json}}": `"edge-recife-a-1"`, "{{Zone|json}}": `"recife-a"`, "{{Listen.Front|json}}": `"10.1.0.40:8227"`,
+		"{{Listen.Ready|json}}": `"10.1.0.40:8220"`, "{{Ip}}": "10.1.0.40", "{{InternalPorts.0}}": "7340", "{{InternalPorts.1}}": "7355",
+		"{{#Seeds}}{{.|json}}{{,}}{{/Seeds}}": `"10.1.0.40:8229","10.2.0.29:8229"`, "{{Platform.Address|json}}": `"10.200.1.7:8223"`,
+		"{{Limits.MemoryMb|json}}": "284", "{{Bounds.GraceS|json}}": "8", "{{Bounds.RetryBudgetRatio|json}}": "0.2",
+		"{{Bounds.RetryBudgetExtra|json}}": "58", "{{Bounds.BudgetWindowS|json}}": "10",
+	} {
+		rendered = strings.ReplaceAll(rendered, placeholder, value)
+	}
+	if strings.Contains(rendered, "{{") {
+		t.Fatalf("placeholders are left:\n%s", rendered)
+	}
+	file := filepath.Join(t.TempDir(), "node.json")
+	if err := os.WriteFile(file, []byte(rendered), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start, findings := settings.LoadNode(file)
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	if start.PeerAddr != "10.1.0.40:7340" || len(start.Seeds) != 2 || start.Grace() != 8*time.Second || start.Repeats.Window() != 10*time.Second {
+		t.Errorf("got %+v", start)
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -184,14 +184,17 @@
 		change func(r *http.Request)
 		status int
 	}{
-		"no key":        {func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
-		"unknown key":   {func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, http.StatusUnauthorized},
-		"other scheme":  {func(r *http.Request) { r.Header.Set("Authorization", "Bearer key") }, http.StatusUnauthorized},
-		"unknown host":  {func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
-		"unknown path":  {func(r *http.Request) { r.URL.Path = "/q" }, http.StatusNotFound},
-		"no id":         {func(r *http.Request) { r.Header.Del("Attempt-Id") }, http.StatusBadRequest},
-		"bad deadline":  {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
-		"body too long": {func(r *http.Request) { r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20+1))); r.ContentLength = -1 }, http.StatusRequestEntityTooLarge},
+		"no key":       {func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
+		"unknown key":  {func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, http.StatusUnauthorized},
+		"other scheme": {func(r *http.Request) { r.Header.Set("Authorization", "Bearer key") }, http.StatusUnauthorized},
+		"unknown host": {func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		"unknown path": {func(r *http.Request) { r.URL.Path = "/q" }, http.StatusNotFound},
+		"no id":        {func(r *http.Request) { r.Header.Del("Attempt-Id") }, http.StatusBadRequest},
+		"bad deadline": {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
+		"body too long": {func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20+1)))
+			r.ContentLength = -1
+		}, http.StatusRequestEntityTooLarge},
 	} {
 		r := s.request(http.MethodPost, "x")
 		test.change(r)
