mesh: views are fetched without what is known, deflated, from strong VMs first

Ruled out: the store, whose watchers had the version in time. Change: a router names what it holds and gets the rest, the configuration deflated once for all; stronger VMs watch first; a neighbour that is slow for 0.7 s is passed over for the store.

--- a/directory/share.go
+++ b/directory/share.go
@@ -1,6 +1,9 @@
 package directory
 
 import (
+	"context"
+
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/platform"
 )
 
@@ -69,3 +72,22 @@
 		d.replace(h.Targets, h.Revision, "router")
 	}
 }
+
+// Refresh reads the store once, for a router that does not watch it and gets
+// nothing from those that do.
+func (d *Directory) Refresh(ctx context.Context) {
+	configs, _, err := d.store().List(ctx, platform.KindConfig, false)
+	if err == nil {
+		for _, o := range configs {
+			d.takeConfig(o, "store")
+		}
+		var targets []platform.Object
+		var revision uint64
+		if targets, revision, err = d.store().List(ctx, platform.KindTargets, false); err == nil {
+			d.replace(targets, revision, "store")
+		}
+	}
+	if err != nil {
+		event.DirectoryLost.Log(d.log).Str("kind", "both").Err(err).Send()
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,8 +40,9 @@
 	// repairAfter is how long a difference from what another router holds may
 	// last before this one asks for it; changes on their way end most.
 	repairAfter = 300 * time.Millisecond
-	// fetchTimeout bounds the fetching of what another router holds.
-	fetchTimeout = 2 * time.Second
+	// fetchTimeout bounds the fetching of what another router holds; after it the
+	// store is asked.
+	fetchTimeout = 700 * time.Millisecond
 	// joinTicks is how many ticks a starting router asks the seeds.
 	joinTicks = 10
 )
@@ -52,6 +54,8 @@
 	// Addr is host:port of datagrams and of the listener for those who ask for
 	// what this router holds.
 	Addr string
+	// Strength ranks this VM by what it can do for others.
+	Strength uint8
 	// Seeds are addresses to begin with; they may be stale.
 	Seeds     func() []string
 	Directory *directory.Directory
@@ -80,6 +84,11 @@
 	differ time.Time
 	// fetching says that an answer of another router is awaited.
 	fetching bool
+	// deflated is the configuration of a revision for other routers.
+	deflated struct {
+		revision uint64
+		data     []byte
+	}
 }
 
 type sample struct {
@@ -102,7 +111,7 @@
 	}
 	m := &Mesh{
 		cfg: cfg, boot: time.Now().UnixNano(), conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		table: NewTable(cfg.Self, cfg.Domain), loads: map[fleet.TargetID]sample{}, names: map[uint32]fleet.TargetID{},
+		table: NewTable(cfg.Self, cfg.Domain, cfg.Strength), loads: map[fleet.TargetID]sample{}, names: map[uint32]fleet.TargetID{},
 	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return netconn.Dial(ctx, addr) },
@@ -254,7 +263,7 @@
 	config, targets := m.cfg.Directory.Marks()
 	return &Beat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Boot: m.boot, Watches: m.cfg.Directory.Hears(),
-		Leaving: m.leave.Load(), Config: config, Targets: targets,
+		Leaving: m.leave.Load(), Config: config, Targets: targets, Strength: m.cfg.Strength,
 	}
 }
 
@@ -379,8 +388,8 @@
 func (m *Mesh) compare(ctx context.Context, b *Beat, from netip.AddrPort, now time.Time) {
 	config, targets := m.cfg.Directory.Marks()
 	lacks := (config == 0 && b.Config > 0) || (targets == 0 && b.Targets > 0)
-	behind := b.Watches && b.Domain == m.cfg.Domain && !m.cfg.Directory.Hears() &&
-		(b.Config > config || (b.Targets > 0 && b.Targets != targets))
+	near := b.Domain == m.cfg.Domain && !m.cfg.Directory.Hears()
+	behind := near && (b.Config > config || (b.Watches && b.Targets > 0 && b.Targets != targets))
 	m.mu.Lock()
 	switch {
 	case lacks:
@@ -401,33 +410,31 @@
 	}
 }
 
-// fetch takes from another router what it holds.
+// fetch takes from another router what it holds, or from the store if that
+// router does not give it in time.
 func (m *Mesh) fetch(ctx context.Context, from netip.AddrPort) {
 	defer func() {
 		m.mu.Lock()
 		m.fetching, m.differ = false, time.Time{}
 		m.mu.Unlock()
 	}()
-	held, err := m.ask(ctx, from)
+	config, targets := m.cfg.Directory.Marks()
+	held, err := m.ask(ctx, from, config, targets)
 	if err != nil {
 		event.MeshFault.Log(m.cfg.Log).Str("what", "fetch").Str("from", from.String()).Err(err).Send()
+		m.cfg.Directory.Refresh(ctx)
 		return
 	}
-	before, _ := m.cfg.Directory.Marks()
-	h := directory.Held{
-		Config:   platform.Object{Name: platform.ConfigName, Revision: held.ConfigRevision, Spec: held.Config},
-		Revision: held.Revision,
-	}
-	for _, c := range held.Targets {
-		h.Targets = append(h.Targets, platform.Object{Name: c.Name, Revision: c.Revision, Spec: c.Spec})
-	}
-	m.cfg.Directory.TakeHeld(h)
-	event.MeshFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", before).
-		Uint64("config", held.ConfigRevision).Uint64("targets_revision", held.Revision).Send()
+	m.cfg.Directory.TakeHeld(*held)
+	event.MeshFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", config).
+		Uint64("config", held.Config.Revision).Uint64("targets_revision", held.Revision).Send()
 }
 
-func (m *Mesh) ask(ctx context.Context, from netip.AddrPort) (*Held, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+"/held", nil)
+// ask asks another router for what it holds beyond a configuration's revision
+// and a digest of targets.
+func (m *Mesh) ask(ctx context.Context, from netip.AddrPort, config, targets uint64) (*directory.Held, error) {
+	url := fmt.Sprintf("http://%s/held?config=%d&targets=%d", from, config, targets)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -441,18 +448,41 @@
 		return nil, err
 	}
 	m.cfg.Bytes("received", len(data))
-	held := &Held{}
-	return held, cbor.Unmarshal(data, held)
+	var held Held
+	if err := cbor.Unmarshal(data, &held); err != nil {
+		return nil, err
+	}
+	return heldOf(&held)
 }
 
-// ServeHTTP tells another router what this one holds.
-func (m *Mesh) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	h := m.cfg.Directory.Held()
-	held := Held{ConfigRevision: h.Config.Revision, Config: h.Config.Spec, Revision: h.Revision}
-	for _, o := range h.Targets {
-		held.Targets = append(held.Targets, Change{Name: o.Name, Revision: o.Revision, Spec: o.Spec})
+func heldOf(held *Held) (*directory.Held, error) {
+	document, err := inflate(held.Config)
+	if err != nil {
+		return nil, err
+	}
+	h := &directory.Held{Revision: held.Revision}
+	if len(document) > 0 {
+		h.Config = platform.Object{Name: platform.ConfigName, Revision: held.ConfigRevision, Spec: document}
+	}
+	for _, c := range held.Targets {
+		h.Targets = append(h.Targets, platform.Object{Name: c.Name, Revision: c.Revision, Spec: c.Spec})
+	}
+	return h, nil
+}
+
+// ServeHTTP tells another router what this one holds and that one lacks.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	config, err1 := strconv.ParseUint(r.URL.Query().Get("config"), 10, 64)
+	targets, err2 := strconv.ParseUint(r.URL.Query().Get("targets"), 10, 64)
+	if err1 != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	held, err := m.beyond(config, targets)
+	var data []byte
+	if err == nil {
+		data, err = cbor.Marshal(held)
 	}
-	data, err := cbor.Marshal(&held)
 	if err != nil {
 		event.MeshFault.Log(m.cfg.Log).Str("what", "encode").Err(err).Send()
 		w.WriteHeader(http.StatusInternalServerError)
@@ -462,3 +492,39 @@
 	// The asking router notices what it does not get.
 	_, _ = w.Write(data)
 }
+
+// beyond is what this router holds beyond the given marks.
+func (m *Mesh) beyond(config, targets uint64) (*Held, error) {
+	h := m.cfg.Directory.Held()
+	_, digest := m.cfg.Directory.Marks()
+	held := &Held{ConfigRevision: h.Config.Revision}
+	if h.Config.Revision > config {
+		var err error
+		if held.Config, err = m.deflate(h.Config); err != nil {
+			return nil, err
+		}
+	}
+	if digest == targets {
+		return held, nil
+	}
+	held.Revision = h.Revision
+	for _, o := range h.Targets {
+		held.Targets = append(held.Targets, Change{Name: o.Name, Revision: o.Revision, Spec: o.Spec})
+	}
+	return held, nil
+}
+
+// deflate compresses a configuration once for all that ask.
+func (m *Mesh) deflate(o platform.Object) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.deflated.revision == o.Revision {
+		return m.deflated.data, nil
+	}
+	data, err := deflate(o.Spec)
+	if err != nil {
+		return nil, err
+	}
+	m.deflated.revision, m.deflated.data = o.Revision, data
+	return data, nil
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,6 +32,8 @@
 	// Changes are changes of targets that the sender has just seen in the store;
 	// Targets is the digest after them.
 	Changes []Change `cbor:"11,keyasint,omitempty"`
+	// Strength ranks VMs by what they can do for others; stronger ones watch.
+	Strength uint8 `cbor:"12,keyasint,omitempty"`
 }
 
 // Other is what a router passes on of another one.
@@ -39,7 +44,8 @@
 	Addr   netip.AddrPort
 	Boot   int64
 	// AgeMS is how long ago it was heard.
-	AgeMS uint32
+	AgeMS    uint32
+	Strength uint8
 }
 
 // Load is a target's own count of its work.
@@ -61,13 +67,16 @@
 	Spec []byte
 }
 
-// Held is all that a router holds of the store, in answer to another one.
+// Held is what a router holds of the store and the asking one lacks.
 type Held struct {
-	ConfigRevision uint64   `cbor:"1,keyasint"`
-	Config         []byte   `cbor:"2,keyasint,omitempty"`
-	Targets        []Change `cbor:"3,keyasint"`
+	ConfigRevision uint64 `cbor:"1,keyasint"`
+	// Config is the configuration as the store has it, deflated; empty if the
+	// asking router holds it.
+	Config []byte `cbor:"2,keyasint,omitempty"`
+	// Targets are empty, and Revision zero, if the asking router holds them.
+	Targets []Change `cbor:"3,keyasint,omitempty"`
 	// Revision is the store's revision for which the targets hold.
-	Revision uint64 `cbor:"4,keyasint"`
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -79,6 +88,33 @@
 
 var errTooLong = errors.New("mesh: datagram too long")
 
+// deflate compresses a configuration, whose routes repeat most of their text.
+func deflate(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("mesh: deflate: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("mesh: deflate: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("mesh: deflate: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func inflate(data []byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxHeld))
+	if err != nil {
+		return nil, fmt.Errorf("mesh: inflate: %w", err)
+	}
+	return out, nil
+}
+
 func encode(b *Beat) ([]byte, error) {
 	data, err := cbor.Marshal(b)
 	if err != nil {
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -45,21 +45,23 @@
 	// heard is when anybody last heard it, direct when this router did.
 	heard, direct time.Time
 	// watches says that it hears the store itself.
-	watches bool
-	leaving bool
+	watches  bool
+	leaving  bool
+	strength uint8
 }
 
 // Table is what a router knows of the others. It does no I/O; the time is passed
 // in. It belongs to one goroutine.
 type Table struct {
-	self    fleet.RouterID
-	domain  fleet.DomainName
-	members map[fleet.RouterID]*member
+	self     fleet.RouterID
+	domain   fleet.DomainName
+	strength uint8
+	members  map[fleet.RouterID]*member
 }
 
 // NewTable returns the table of a router that knows nobody.
-func NewTable(self fleet.RouterID, domain fleet.DomainName) *Table {
-	return &Table{self: self, domain: domain, members: map[fleet.RouterID]*member{}}
+func NewTable(self fleet.RouterID, domain fleet.DomainName, strength uint8) *Table {
+	return &Table{self: self, domain: domain, strength: strength, members: map[fleet.RouterID]*member{}}
 }
 
 // Hear takes a beat that came from addr.
@@ -73,7 +75,7 @@
 	}
 	m.domain, m.addr, m.boot = b.Domain, addr, b.Boot
 	m.heard, m.direct = now, now
-	m.watches, m.leaving = b.Watches, b.Leaving
+	m.watches, m.leaving, m.strength = b.Watches, b.Leaving, b.Strength
 	for _, o := range b.Others {
 		t.gossip(o, now)
 	}
@@ -91,7 +93,7 @@
 	if o.Boot > m.boot {
 		m.leaving, m.watches = false, false
 	}
-	m.domain, m.addr, m.boot = o.Domain, o.Addr, o.Boot
+	m.domain, m.addr, m.boot, m.strength = o.Domain, o.Addr, o.Boot, o.Strength
 	if at := now.Add(-time.Duration(o.AgeMS) * time.Millisecond); at.After(m.heard) {
 		m.heard = at
 	}
@@ -125,7 +127,7 @@
 // of its failure domain's order, or it hears none that does.
 func (t *Table) Watches(now time.Time) bool {
 	before, hears := 0, false
-	own := rank(t.self)
+	own := place{t.strength, rank(t.self), t.self}
 	for _, m := range t.members {
 		if m.domain != t.domain || m.leaving {
 			continue
@@ -133,23 +135,27 @@
 		if m.watches && now.Sub(m.direct) < watcherSilence {
 			hears = true
 		}
-		if now.Sub(m.heard) < presence && before <= watchersEach && less(rank(m.id), m.id, own, t.self) {
+		if now.Sub(m.heard) < presence && before <= watchersEach && (place{m.strength, rank(m.id), m.id}).before(own) {
 			before++
 		}
 	}
 	return !hears || before < watchersEach
 }
 
-// rank orders the routers of a failure domain the same way everywhere.
-func rank(id fleet.RouterID) uint64 {
-	return xxhash.Sum64String(string(id))
+// place is a router's place in the order in which those of a failure domain
+// watch the store, the same at all of them: stronger ones first.
+type place struct {
+	strength uint8
+	hash     uint64
+	id       fleet.RouterID
 }
 
-func less(a uint64, aID fleet.RouterID, b uint64, bID fleet.RouterID) bool {
-	if c := cmp.Compare(a, b); c != 0 {
-		return c < 0
-	}
-	return aID < bID
+func (p place) before(o place) bool {
+	return cmp.Or(cmp.Compare(o.strength, p.strength), cmp.Compare(p.hash, o.hash), cmp.Compare(p.id, o.id)) < 0
+}
+
+func rank(id fleet.RouterID) uint64 {
+	return xxhash.Sum64String(string(id))
 }
 
 // Domain returns the addresses of the routers of the same failure domain.
@@ -186,7 +192,7 @@
 		}
 		others = append(others, Other{
 			ID: m.id, Domain: m.domain, Addr: m.addr, Boot: m.boot,
-			AgeMS: uint32(now.Sub(m.heard).Milliseconds()),
+			AgeMS: uint32(now.Sub(m.heard).Milliseconds()), Strength: m.strength,
 		})
 		if len(others) == n {
 			break
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +19,7 @@
 }
 
 func beatOf(i int, watches bool) *Beat {
-	return &Beat{From: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: "d", Boot: 1, Watches: watches}
+	return &Beat{From: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: "d", Boot: 1, Watches: watches, Strength: 1}
 }
 
 // TestThreeRoutersWatch lets all routers of a failure domain hear each other and
@@ -31,7 +33,7 @@
 			if lost[i] {
 				continue
 			}
-			table := NewTable(fleet.RouterID(fmt.Sprintf("r%d", i)), "d")
+			table := NewTable(fleet.RouterID(fmt.Sprintf("r%d", i)), "d", 1)
 			for j := range n {
 				if !lost[j] {
 					table.Hear(beatOf(j, true), addrOf(j), now)
@@ -53,8 +55,43 @@
 	}
 }
 
+func TestStrongRoutersWatchFirst(t *testing.T) {
+	table := NewTable("r0", "d", 0)
+	for i := 1; i <= watchersEach; i++ {
+		b := beatOf(i, true)
+		b.Strength = 1
+		table.Hear(b, addrOf(i), t0)
+	}
+	if table.Watches(t0) {
+		t.Error("a weak router watches beside strong ones")
+	}
+	strong := NewTable("r0", "d", 2)
+	for i := 1; i < 20; i++ {
+		b := beatOf(i, true)
+		b.Strength = 1
+		strong.Hear(b, addrOf(i), t0)
+	}
+	if !strong.Watches(t0) {
+		t.Error("the strongest router does not watch")
+	}
+}
+
+func TestDeflatedConfigurationsComeBack(t *testing.T) {
+	text := []byte(strings.Repeat(`{"Name":"r-1","Host":"h.example","PathPrefix":"/a/"}`, 2000))
+	small, err := deflate(text)
+	if err != nil || len(small) > len(text)/10 {
+		t.Fatalf("%d bytes of %d, %v", len(small), len(text), err)
+	}
+	if back, err := inflate(small); err != nil || !bytes.Equal(back, text) {
+		t.Errorf("%d bytes, %v", len(back), err)
+	}
+	if _, err := inflate(small[:len(small)/2]); err == nil {
+		t.Error("half a configuration was taken")
+	}
+}
+
 func TestARouterThatHearsNoWatcherWatches(t *testing.T) {
-	table := NewTable("r0", "d")
+	table := NewTable("r0", "d", 1)
 	if !table.Watches(t0) {
 		t.Error("a router alone does not watch")
 	}
@@ -76,7 +113,7 @@
 }
 
 func TestWatchersOfOtherDomainsDoNotCount(t *testing.T) {
-	table := NewTable("r0", "d")
+	table := NewTable("r0", "d", 1)
 	for i := 1; i < 20; i++ {
 		b := beatOf(i, true)
 		b.Domain = "e"
@@ -88,7 +125,7 @@
 }
 
 func TestAnOlderProcessIsNotHeard(t *testing.T) {
-	table := NewTable("r0", "d")
+	table := NewTable("r0", "d", 1)
 	fresh := beatOf(1, false)
 	fresh.Boot = 5
 	table.Hear(fresh, addrOf(1), t0)
@@ -99,7 +136,7 @@
 }
 
 func TestGossipSpreadsButDoesNotRejuvenate(t *testing.T) {
-	table := NewTable("r0", "d")
+	table := NewTable("r0", "d", 1)
 	b := beatOf(1, false)
 	b.Others = []Other{
 		{ID: "r2", Domain: "d", Addr: addrOf(2), Boot: 1, AgeMS: 3900},
@@ -124,7 +161,7 @@
 }
 
 func TestALeavingRouterIsNoWatcher(t *testing.T) {
-	table := NewTable("r0", "d")
+	table := NewTable("r0", "d", 1)
 	for i := 1; i < 20; i++ {
 		b := beatOf(i, true)
 		b.Leaving = true
@@ -165,6 +202,6 @@
 		if err != nil {
 			return
 		}
-		NewTable("r0", "d").Hear(b, addrOf(1), t0)
+		NewTable("r0", "d", 1).Hear(b, addrOf(1), t0)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -71,7 +71,7 @@
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
 	n.mesh, err = mesh.New(mesh.Config{
-		Self: start.ID, Domain: start.Domain, Addr: start.PeerAddr, Seeds: n.seeds, Directory: n.directory,
+		Self: start.ID, Domain: start.Domain, Addr: start.PeerAddr, Strength: start.Strength(), Seeds: n.seeds, Directory: n.directory,
 		Heard: n.relay.Heard, Bytes: n.countMeshBytes, Log: log,
 	})
 	if err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -166,7 +166,7 @@
 	}
 	text := func(store string) string {
 		return fmt.Sprintf(`{"id":"n","failure_domain":"d","client_addr":%q,"ready_addr":%q,"peer_addr":%q,"metrics_addr":%q,
-			"seeds":[],"store_addr":%q,"memory_mb":200,"grace_s":3,"repeats":{"ratio":0.2,"extra":50,"window_s":10}}`,
+			"seeds":[],"store_addr":%q,"memory_mb":200,"cores":0.4,"link_mbps":100,"grace_s":3,"repeats":{"ratio":0.2,"extra":50,"window_s":10}}`,
 			s.start.ClientAddr, s.start.ReadyAddr, s.start.PeerAddr, s.start.MetricsAddr, store)
 	}
 	write(text(s.store.Addr()))
@@ -206,7 +206,7 @@
 		"{{Node|json}}": `"edge-recife-a-1"`, "{{Zone|json}}": `"recife-a"`, "{{Listen.Front|json}}": `"10.1.0.40:8227"`,
 		"{{Listen.Ready|json}}": `"10.1.0.40:8220"`, "{{Ip}}": "10.1.0.40", "{{InternalPorts.0}}": "7340", "{{InternalPorts.1}}": "7355",
 		"{{#Seeds}}{{.|json}}{{,}}{{/Seeds}}": `"10.1.0.40:8229","10.2.0.29:8229"`, "{{Platform.Address|json}}": `"10.200.1.7:8223"`,
-		"{{Limits.MemoryMb|json}}": "284", "{{Bounds.GraceS|json}}": "8", "{{Bounds.RetryBudgetRatio|json}}": "0.2",
+		"{{Limits.MemoryMb|json}}": "284", "{{Limits.CpuShare|json}}": "0.4", "{{Limits.LinkMbps|json}}": "1000.0", "{{Bounds.GraceS|json}}": "8", "{{Bounds.RetryBudgetRatio|json}}": "0.2",
 		"{{Bounds.RetryBudgetExtra|json}}": "58", "{{Bounds.BudgetWindowS|json}}": "10",
 	} {
 		rendered = strings.ReplaceAll(rendered, placeholder, value)
@@ -222,7 +222,7 @@
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
-	if start.PeerAddr != "10.1.0.40:7340" || len(start.Seeds) != 2 || start.Grace() != 8*time.Second || start.Repeats.Window() != 10*time.Second {
+	if start.PeerAddr != "10.1.0.40:7340" || len(start.Seeds) != 2 || start.Grace() != 8*time.Second || start.Repeats.Window() != 10*time.Second || start.Strength() != 2 {
 		t.Errorf("got %+v", start)
 	}
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -24,6 +24,10 @@
 	StoreAddr string `json:"store_addr"`
 	// MemoryMB is the memory that the process may use, in MB.
 	MemoryMB float64 `json:"memory_mb"`
+	// Cores and LinkMbps are the VM's processor and network; they decide which
+	// routers do work for others.
+	Cores    float64 `json:"cores"`
+	LinkMbps float64 `json:"link_mbps"`
 	// GraceS is the time from the signal to stop to the kill, in seconds.
 	GraceS  float64 `json:"grace_s"`
 	Repeats Repeats `json:"repeats"`
@@ -42,6 +46,25 @@
 	WindowS float64 `json:"window_s"`
 }
 
+// Thresholds between weak, middling and strong VMs.
+const (
+	middlingCores, strongCores = 0.25, 0.35
+	middlingMbps, strongMbps   = 40, 90
+)
+
+// Strength ranks the VM by what it can do for others: 0 weak, 1 middling, 2
+// strong.
+func (n *Node) Strength() uint8 {
+	switch {
+	case n.Cores >= strongCores && n.LinkMbps >= strongMbps:
+		return 2
+	case n.Cores >= middlingCores && n.LinkMbps >= middlingMbps:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Grace is the time from the signal to stop to the kill.
 func (n *Node) Grace() time.Duration {
 	return time.Duration(n.GraceS * float64(time.Second))
@@ -65,6 +88,8 @@
 	field{"seeds", false, list(addrCheck)},
 	field{"store_addr", true, addrCheck},
 	field{"memory_mb", true, number(1, nodeLimit, false)},
+	field{"cores", true, number(0, nodeLimit, false)},
+	field{"link_mbps", true, number(0, nodeLimit, false)},
 	field{"grace_s", true, number(0, nodeLimit, false)},
 	field{"repeats", true, object(
 		field{"ratio", true, number(0, nodeLimit, false)},
