--- a/cmd/ragwort-router/main.go
+++ b/cmd/ragwort-router/main.go
@@ -84,7 +84,7 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Close(logFlush)
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
-	log := zerolog.New(sink).Level(level(start.LogLevel)).With().Timestamp().Logger()
+	log := zerolog.New(sink).Level(level(start.LogLevel)).With().Str("router", string(start.ID)).Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -92,6 +92,7 @@
 	}
 	chosen := candidates[choice.Target]
 	at := placed{Target: chosen.Target}
+	s.target = chosen.Target
 	line := s.log(event.RelayPlaced, nil)
 	if ask.Key != 0 {
 		if source := s.cacheSource(candidates, choice, now); source != nil {
@@ -100,9 +101,8 @@
 		}
 	}
 	s.attempts++
-	s.target = chosen.Target
 	s.tried = append(s.tried, chosen.Target.ID)
-	line.Str("target", string(chosen.Target.ID)).Str("basis", string(choice.Basis)).Float64("load", chosen.Load).
+	line.Str("basis", string(choice.Basis)).Float64("load", chosen.Load).
 		Str("standing", chosen.Standing.String()).Int("candidates", len(candidates)).
 		Uint64("targets_revision", view.TargetsRevision).Send()
 	return at, true
