--- a/cmd/ragwort/init.go
+++ b/cmd/ragwort/init.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/settings"
 )
 
@@ -39,7 +40,7 @@
 	if findings = append(findings, more...); len(findings) > 0 {
 		return cli.Exit(under(args[0], findings), exitBadInput)
 	}
-	store := objectapi.NewClient(objectapi.ClientConfig{Addr: cmd.String("platform")})
+	store := objectclient.NewClient(objectclient.ClientConfig{Addr: cmd.String("platform")})
 	defer store.Close()
 	created, err := createAll(ctx, store, objects)
 	if err != nil {
--- a/cmd/ragwortd/main.go
+++ b/cmd/ragwortd/main.go
@@ -22,7 +22,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
-	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/settings"
@@ -150,7 +150,7 @@
 // serve runs a router until SIGTERM or SIGINT, then stops it as planned.
 func serve(ctx context.Context, cfg router.Config, start settings.Start, log zerolog.Logger) error {
 	set := metrics.NewSet()
-	store := objectapi.NewClient(objectapi.ClientConfig{Addr: start.PlatformAddr, Metrics: set})
+	store := objectclient.NewClient(objectclient.ClientConfig{Addr: start.PlatformAddr, Metrics: set})
 	r, err := router.New(cfg, router.Deps{
 		Store: store, VMs: store, Metrics: set, Log: log,
 		Engine:  engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}),
--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -22,7 +22,7 @@
 	"ragwortpond.example/ragwortpond/examples"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
-	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/standin"
 )
@@ -37,7 +37,7 @@
 	t         testing.TB
 	dir       string
 	authority *keys.Authority
-	store     *objectapi.Client
+	store     *objectclient.Client
 	platform  string
 	client    *http.Client
 }
@@ -218,7 +218,7 @@
 	p.client = &http.Client{Timeout: processLimit, Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
 	t.Cleanup(p.client.CloseIdleConnections)
 	p.platform = p.startStandin("platform")
-	p.store = objectapi.NewClient(objectapi.ClientConfig{Addr: p.platform})
+	p.store = objectclient.NewClient(objectclient.ClientConfig{Addr: p.platform})
 	p.loadSettings()
 	return p
 }
--- a/placement/direct.go
+++ b/dispatch/choose.go
@@ -1,4 +1,4 @@
-package placement
+package dispatch
 
 import (
 	"math"
@@ -7,6 +7,7 @@
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 	"ragwortpond.example/ragwortpond/suspicion"
 )
 
@@ -117,7 +118,7 @@
 }
 
 func (c *Candidate) score(key uint64) float64 {
-	return score(mix(seed(string(c.Target.ID)), key), 1)
+	return rendezvous.Score(rendezvous.Mix(rendezvous.Seed(string(c.Target.ID)), key), 1)
 }
 
 // source returns the first of the key's rendezvous order besides the chosen
@@ -181,7 +182,7 @@
 			continue
 		}
 		load := c.Load / float64(max(c.Target.Slots, 1))
-		tie := mix(seed(string(c.Target.ID)), a.Random) >> 1
+		tie := rendezvous.Mix(rendezvous.Seed(string(c.Target.ID)), a.Random) >> 1
 		if c.Target.Domain != a.Domain {
 			tie |= 1 << 63
 		}
--- a/placement/direct_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,4 +1,4 @@
-package placement
+package dispatch
 
 import (
 	"fmt"
--- a/measure/bed/bed.go
+++ b/measure/bed/bed.go
@@ -18,6 +18,7 @@
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/orders"
@@ -63,7 +64,7 @@
 	rand      *rand.Rand
 
 	Platform *standin.Platform
-	Store    *objectapi.Client
+	Store    *objectclient.Client
 	// AccountKeys holds a key for each client account, OperatorTokens a token
 	// for each operator.
 	AccountKeys    map[fleet.AccountName]string
@@ -104,7 +105,7 @@
 	if b.Platform, err = standin.StartPlatform(b.cfg.Platform); err != nil {
 		return fmt.Errorf("bed: platform: %w", err)
 	}
-	b.Store = objectapi.NewClient(objectapi.ClientConfig{Addr: b.Platform.Addr()})
+	b.Store = objectclient.NewClient(objectclient.ClientConfig{Addr: b.Platform.Addr()})
 	if err := b.load(ctx); err != nil {
 		return err
 	}
--- a/measure/bed/load.go
+++ b/measure/bed/load.go
@@ -14,6 +14,7 @@
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/router"
 	"ragwortpond.example/ragwortpond/router/orders"
@@ -175,7 +176,7 @@
 		return nil, err
 	}
 	set := metrics.NewSet()
-	store := objectapi.NewClient(objectapi.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
+	store := objectclient.NewClient(objectclient.ClientConfig{Addr: b.Platform.Addr(), Metrics: set})
 	client := engine.Client(engine.NewClient(engine.ClientConfig{Discarded: set.Discarded, Probed: set.Probed}))
 	if b.cfg.EngineClient != nil {
 		client = b.cfg.EngineClient(client)
--- a/measure/settings_fleet.go
+++ b/measure/settings_fleet.go
@@ -10,7 +10,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
 	"ragwortpond.example/ragwortpond/metrics"
-	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
@@ -32,7 +32,7 @@
 	options   Options
 	authority *keys.Authority
 	platform  *standin.Platform
-	store     *objectapi.Client
+	store     *objectclient.Client
 	pool      *task.Pool
 	version   uint64
 	burst     int
@@ -48,7 +48,7 @@
 type settingsRouter struct {
 	self    fleet.Router
 	node    *peer.Node
-	store   *objectapi.Client
+	store   *objectclient.Client
 	service *propagate.Service
 	metrics *metrics.Set
 	cancel  context.CancelFunc
@@ -78,7 +78,7 @@
 	if s.platform, err = standin.StartPlatform(standin.PlatformConfig{Seed: s.options.Seed}); err != nil {
 		return err
 	}
-	s.store = objectapi.NewClient(objectapi.ClientConfig{Addr: s.platform.Addr()})
+	s.store = objectclient.NewClient(objectclient.ClientConfig{Addr: s.platform.Addr()})
 	for _, object := range chatFleet(document{}) {
 		if _, err := s.store.Put(ctx, object.Kind, object.Name, object.Data, 0); err != nil {
 			return err
@@ -115,7 +115,7 @@
 		return err
 	}
 	r.self = fleet.Router{ID: id, Domain: domain, PeerAddr: r.node.Addr()}
-	r.store = objectapi.NewClient(objectapi.ClientConfig{Addr: s.platform.Addr(), Metrics: r.metrics})
+	r.store = objectclient.NewClient(objectclient.ClientConfig{Addr: s.platform.Addr(), Metrics: r.metrics})
 	r.service = propagate.New(propagate.Config{
 		Self: r.self, Store: r.store, Caller: r.node, Members: s.members,
 		Log: s.options.Log, Metrics: r.metrics, Watchers: s.watchers(),
--- a/objectapi/platform.go
+++ b/objectapi/platform.go
@@ -1,4 +1,4 @@
-// Package objectapi is the client of the platform: its object API and its
+// Package objectapi is the face of the platform: its object API and its
 // lagging list of VMs.
 //
 // Versions: the platform gives every accepted change one number from a single
--- a/objectapi/wire.go
+++ b/objectapi/wire.go
@@ -30,13 +30,3 @@
 	Changes  []Change `json:"changes"`
 	Revision uint64   `json:"revision"`
 }
-
-// HTTP statuses of the API's errors.
-var statusErrors = map[int]error{
-	404: ErrNotFound,
-	409: ErrConflict,
-	410: ErrCompacted,
-	413: ErrTooLarge,
-	429: ErrRateLimited,
-	503: ErrUnavailable,
-}
--- a/objectapi/client_call.go
+++ b/objectclient/call.go
@@ -1,4 +1,4 @@
-package objectapi
+package objectclient
 
 import (
 	"context"
@@ -10,8 +10,20 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
+// HTTP statuses of the API's errors.
+var statusErrors = map[int]error{
+	404: objectapi.ErrNotFound,
+	409: objectapi.ErrConflict,
+	410: objectapi.ErrCompacted,
+	413: objectapi.ErrTooLarge,
+	429: objectapi.ErrRateLimited,
+	503: objectapi.ErrUnavailable,
+}
+
 // answer is the part of an HTTP answer that calls use.
 type answer struct {
 	status  int
@@ -53,10 +65,10 @@
 	if a.status != 200 {
 		return callResult{err: statusError(a.status)}
 	}
-	if text := response.Header.Get(VersionHeader); text != "" {
+	if text := response.Header.Get(objectapi.VersionHeader); text != "" {
 		version, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return callResult{err: fmt.Errorf("%s: %w", VersionHeader, err)}
+			return callResult{err: fmt.Errorf("%s: %w", objectapi.VersionHeader, err)}
 		}
 		a.version = version
 	}
@@ -91,7 +103,7 @@
 }
 
 // readError classifies the error of a read: whatever is not one of the
-// package's errors or the context's is ErrUnavailable.
+// package's errors or the context's is objectapi.ErrUnavailable.
 func readError(verb string, err error) error {
 	if err == nil {
 		return nil
@@ -99,11 +111,11 @@
 	if definite(err) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("%s: %w", verb, err)
 	}
-	return fmt.Errorf("%s: %w: %w", verb, ErrUnavailable, err)
+	return fmt.Errorf("%s: %w: %w", verb, objectapi.ErrUnavailable, err)
 }
 
 // writeError classifies the error of a write: without a definite answer it is
-// ErrUnknown, unless nothing was sent.
+// objectapi.ErrUnknown, unless nothing was sent.
 func writeError(verb string, err error) error {
 	if err == nil {
 		return nil
@@ -112,9 +124,9 @@
 		return fmt.Errorf("%s: %w", verb, err)
 	}
 	if unsent(err) {
-		return fmt.Errorf("%s: %w: %w", verb, ErrUnavailable, err)
+		return fmt.Errorf("%s: %w: %w", verb, objectapi.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%s: %w: %w", verb, ErrUnknown, err)
+	return fmt.Errorf("%s: %w: %w", verb, objectapi.ErrUnknown, err)
 }
 
 func definite(err error) bool {
@@ -136,19 +148,19 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		return "not-found"
-	case errors.Is(err, ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return "conflict"
-	case errors.Is(err, ErrUnknown):
+	case errors.Is(err, objectapi.ErrUnknown):
 		return "unknown"
-	case errors.Is(err, ErrRateLimited):
+	case errors.Is(err, objectapi.ErrRateLimited):
 		return "rate-limited"
-	case errors.Is(err, ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		return "too-large"
-	case errors.Is(err, ErrCompacted):
+	case errors.Is(err, objectapi.ErrCompacted):
 		return "compacted"
-	case errors.Is(err, ErrUnavailable):
+	case errors.Is(err, objectapi.ErrUnavailable):
 		return "unavailable"
 	default:
 		return "cancelled"
--- a/objectapi/client.go
+++ b/objectclient/client.go
@@ -1,4 +1,6 @@
-package objectapi
+// Package objectclient is the HTTP client of the object API and of the lagging
+// list of VMs.
+package objectclient
 
 import (
 	"context"
@@ -14,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
 
 	"ragwortpond.example/ragwortpond/metrics"
+	"ragwortpond.example/ragwortpond/objectapi"
 )
 
 const (
@@ -33,7 +36,7 @@
 	Metrics *metrics.Set
 }
 
-// Client speaks to the platform over HTTP. It implements Store and VMLister
+// Client speaks to the platform over HTTP. It implements objectapi.Store and objectapi.VMLister
 // and is safe for concurrent use.
 //
 // A call whose context ends returns at once; its connection is released when
@@ -45,8 +48,8 @@
 }
 
 var (
-	_ Store    = (*Client)(nil)
-	_ VMLister = (*Client)(nil)
+	_ objectapi.Store    = (*Client)(nil)
+	_ objectapi.VMLister = (*Client)(nil)
 )
 
 // NewClient returns a client; it connects at the first call.
@@ -76,66 +79,66 @@
 	return c.http.Close()
 }
 
-// Get implements Store.
-func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+// Get implements objectapi.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	a, err := c.read(ctx, "get", objectPath(kind, name), 0)
 	if err != nil {
-		return Object{}, err
+		return objectapi.Object{}, err
 	}
-	return Object{Kind: kind, Name: name, Version: a.version, Data: a.body}, nil
+	return objectapi.Object{Kind: kind, Name: name, Version: a.version, Data: a.body}, nil
 }
 
-// List implements Store.
-func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
-	a, err := c.read(ctx, "list", ObjectsPath+url.PathEscape(kind), 0)
+// List implements objectapi.Store.
+func (c *Client) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
+	a, err := c.read(ctx, "list", objectapi.ObjectsPath+url.PathEscape(kind), 0)
 	if err != nil {
 		return nil, 0, err
 	}
-	var list ListAnswer
+	var list objectapi.ListAnswer
 	if err := decode("list", a.body, &list); err != nil {
 		return nil, 0, err
 	}
 	return list.Objects, list.Revision, nil
 }
 
-// Put implements Store.
+// Put implements objectapi.Store.
 func (c *Client) Put(ctx context.Context, kind, name string, data []byte, ifVersion uint64) (uint64, error) {
-	if len(data) > MaxValueBytes {
-		return 0, fmt.Errorf("put %s/%s: %w", kind, name, ErrTooLarge)
+	if len(data) > objectapi.MaxValueBytes {
+		return 0, fmt.Errorf("put %s/%s: %w", kind, name, objectapi.ErrTooLarge)
 	}
 	return c.write(ctx, "put", objectPath(kind, name)+ifVersionQuery(ifVersion), data)
 }
 
-// Delete implements Store.
+// Delete implements objectapi.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
-	path := objectPath(kind, name) + ifVersionQuery(ifVersion) + "&" + DeleteParam + "=1"
+	path := objectPath(kind, name) + ifVersionQuery(ifVersion) + "&" + objectapi.DeleteParam + "=1"
 	return c.write(ctx, "delete", path, nil)
 }
 
-// Watch implements Store as one long poll.
-func (c *Client) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]Change, uint64, error) {
+// Watch implements objectapi.Store as one long poll.
+func (c *Client) Watch(ctx context.Context, kinds []string, from uint64, wait time.Duration) ([]objectapi.Change, uint64, error) {
 	query := url.Values{}
-	query.Set(KindsParam, strings.Join(kinds, ","))
-	query.Set(FromParam, strconv.FormatUint(from, 10))
-	query.Set(WaitParam, strconv.FormatInt(wait.Milliseconds(), 10))
-	a, err := c.read(ctx, "watch", WatchPath+"?"+query.Encode(), wait)
+	query.Set(objectapi.KindsParam, strings.Join(kinds, ","))
+	query.Set(objectapi.FromParam, strconv.FormatUint(from, 10))
+	query.Set(objectapi.WaitParam, strconv.FormatInt(wait.Milliseconds(), 10))
+	a, err := c.read(ctx, "watch", objectapi.WatchPath+"?"+query.Encode(), wait)
 	if err != nil {
 		return nil, 0, err
 	}
-	var watch WatchAnswer
+	var watch objectapi.WatchAnswer
 	if err := decode("watch", a.body, &watch); err != nil {
 		return nil, 0, err
 	}
 	return watch.Changes, watch.Revision, nil
 }
 
-// VMs implements VMLister.
-func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	a, err := c.read(ctx, "vms", VMsPath, 0)
+// VMs implements objectapi.VMLister.
+func (c *Client) VMs(ctx context.Context) ([]objectapi.VM, error) {
+	a, err := c.read(ctx, "vms", objectapi.VMsPath, 0)
 	if err != nil {
 		return nil, err
 	}
-	var vms []VM
+	var vms []objectapi.VM
 	return vms, decode("vms", a.body, &vms)
 }
 
@@ -171,16 +174,16 @@
 }
 
 func objectPath(kind, name string) string {
-	return ObjectsPath + url.PathEscape(kind) + "/" + url.PathEscape(name)
+	return objectapi.ObjectsPath + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
 func ifVersionQuery(version uint64) string {
-	return "?" + IfVersionParam + "=" + strconv.FormatUint(version, 10)
+	return "?" + objectapi.IfVersionParam + "=" + strconv.FormatUint(version, 10)
 }
 
 func decode(verb string, body []byte, into any) error {
 	if err := json.Unmarshal(body, into); err != nil {
-		return fmt.Errorf("%s: %w: bad answer: %w", verb, ErrUnavailable, err)
+		return fmt.Errorf("%s: %w: bad answer: %w", verb, objectapi.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/objectapi/client_dial.go
+++ b/objectclient/dial.go
@@ -1,4 +1,4 @@
-package objectapi
+package objectclient
 
 import (
 	"crypto/tls"
--- a/placement/chattable.go
+++ b/placement/chattable.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 )
 
 // Context says where a chat's context is believed to be.
@@ -149,7 +150,7 @@
 }
 
 func (t *ChatTable) bucket(chat fleet.ChatKey) *[tableWays]chatEntry {
-	return &t.buckets[mix(0, uint64(chat))%uint64(len(t.buckets))]
+	return &t.buckets[rendezvous.Mix(0, uint64(chat))%uint64(len(t.buckets))]
 }
 
 func (t *ChatTable) find(chat fleet.ChatKey) *chatEntry {
--- a/placement/home.go
+++ b/placement/home.go
@@ -1,13 +1,16 @@
 package placement
 
-import "ragwortpond.example/ragwortpond/fleet"
+import (
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
+)
 
 // Home returns the home router of a target: the winner by rendezvous hashing
 // among the live routers of the target's failure domain, else among those of
 // its region, else among all. It returns false when routers is empty. The
 // result does not depend on the order of routers.
 func Home(target fleet.Target, routers []fleet.Router, region func(fleet.DomainName) fleet.RegionName) (fleet.Router, bool) {
-	home := highest(seed(string(target.ID)), newHomeIndex(nil, routers, region).pool(target.Domain))
+	home := highest(rendezvous.Seed(string(target.ID)), newHomeIndex(nil, routers, region).pool(target.Domain))
 	if home == nil {
 		return fleet.Router{}, false
 	}
@@ -45,7 +48,7 @@
 		s, ok := before[r.ID]
 		if !ok || *s.router != r {
 			record := r
-			s = seeded{&record, seed(string(r.ID))}
+			s = seeded{&record, rendezvous.Seed(string(r.ID))}
 		}
 		x.known[r.ID] = s
 		x.domains[r.Domain] = append(x.domains[r.Domain], s)
@@ -75,9 +78,9 @@
 
 // higher is highest among best and routers; best may be empty.
 func higher(key uint64, best seeded, routers []seeded) *fleet.Router {
-	bestHash := mix(best.seed, key)
+	bestHash := rendezvous.Mix(best.seed, key)
 	for _, s := range routers {
-		h := mix(s.seed, key)
+		h := rendezvous.Mix(s.seed, key)
 		if best.router == nil || h > bestHash || (h == bestHash && s.router.ID < best.router.ID) {
 			best, bestHash = s, h
 		}
--- a/placement/next_test.go
+++ b/placement/next_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 )
 
 // world is a fleet that a test changes at random.
@@ -172,7 +173,7 @@
 }
 
 func homeHash(target fleet.Target, r fleet.Router) uint64 {
-	return mix(seed(string(r.ID)), seed(string(target.ID)))
+	return rendezvous.Mix(rendezvous.Seed(string(r.ID)), rendezvous.Seed(string(target.ID)))
 }
 
 func comparePlans(t *rapid.T, v View, got, want *Picker) {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -1,6 +1,9 @@
 package placement
 
-import "ragwortpond.example/ragwortpond/fleet"
+import (
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
+)
 
 // contextProbes is how many candidates besides the anchor are asked for the
 // context of a returning chat that brought no token.
@@ -13,7 +16,7 @@
 		return uint64(r.Chat)
 	}
 	slot := jump(uint64(r.Chat), max(r.Spread, 1))
-	return mix(uint64(r.Prefix), uint64(slot)+1)
+	return rendezvous.Mix(uint64(r.Prefix), uint64(slot)+1)
 }
 
 // jump is jump consistent hashing: it maps a key to one of n slots so that few
@@ -32,15 +35,15 @@
 // worked out where a bound on it, which costs no logarithm, exceeds the floor.
 func (t *serviceTable) offer(r *ranking, i int, key uint64) {
 	e := &t.entries[i]
-	hash := mix(e.seed, key)
+	hash := rendezvous.Mix(e.seed, key)
 	if t.uniform {
 		if s := float64(hash >> 12); s > r.floor {
 			r.offer(s, int32(i))
 		}
 		return
 	}
-	if mayExceed(hash, e.weight, r.floor) {
-		r.offer(score(hash, e.weight), int32(i))
+	if rendezvous.MayExceed(hash, e.weight, r.floor) {
+		r.offer(rendezvous.Score(hash, e.weight), int32(i))
 	}
 }
 
@@ -59,7 +62,7 @@
 	var r ranking
 	for i := range t.entries {
 		e := &t.entries[i]
-		tie := float64(mix(e.seed, req.Random)>>11) / (1 << 53)
+		tie := float64(rendezvous.Mix(e.seed, req.Random)>>11) / (1 << 53)
 		r.offer(-req.Load(e.target.ID)/e.weight+tie/2, int32(i))
 	}
 	return &r
@@ -131,7 +134,7 @@
 		if e.standing(r.Now) != Settled {
 			continue
 		}
-		if s := score(mix(e.seed, uint64(r.Chat)), e.weight); best < 0 || s > top {
+		if s := rendezvous.Score(rendezvous.Mix(e.seed, uint64(r.Chat)), e.weight); best < 0 || s > top {
 			best, top = int32(i), s
 		}
 	}
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -2,46 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 )
 
-// seed returns the fixed hash of a member's name.
-func seed(name string) uint64 {
-	return xxhash.Sum64String(name)
-}
-
-// mix combines a member's seed with a key into a uniform 64-bit value.
-func mix(seed, key uint64) uint64 {
-	h := seed ^ (key * 0x9e3779b97f4a7c15)
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
-// unit maps a uniform hash into the open interval from 0 to 1.
-func unit(hash uint64) float64 {
-	return (float64(hash>>12) + 0.5) / (1 << 52)
-}
-
-// score turns a uniform hash into a weighted rendezvous score; the member with
-// the highest score wins with a probability proportional to its weight.
-func score(hash uint64, weight float64) float64 {
-	return -weight / math.Log(unit(hash))
-}
-
-// mayExceed reports whether score(hash, weight) may exceed floor. It rests on
-// -log(u) >= 1-u and errs to true only.
-func mayExceed(hash uint64, weight, floor float64) bool {
-	return floor*(1-unit(hash)) < weight
-}
-
 // normalWeight returns the weight to reckon with: 1 where none is set.
 func normalWeight(w float64) float64 {
 	if w <= 0 {
@@ -52,7 +18,7 @@
 
 // targetScore is the weighted rendezvous score of a target for a key.
 func targetScore(t *fleet.Target, key uint64) float64 {
-	return score(mix(seed(string(t.ID)), key), normalWeight(t.Weight))
+	return rendezvous.Score(rendezvous.Mix(rendezvous.Seed(string(t.ID)), key), normalWeight(t.Weight))
 }
 
 // Order appends targets to dst in the chat's candidate order, the preferred
--- a/placement/rendezvous_test.go
+++ b/placement/rendezvous_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 )
 
 func TestMain(m *testing.M) {
@@ -131,15 +132,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		hash := rapid.Uint64().Draw(t, "hash")
 		weight := rapid.Float64Range(0.01, 100).Draw(t, "weight")
-		floor := score(hash, weight) * rapid.Float64Range(0, 0.9999).Draw(t, "part")
-		if !mayExceed(hash, weight, floor) {
-			t.Fatalf("a score of %v is said not to exceed %v", score(hash, weight), floor)
+		floor := rendezvous.Score(hash, weight) * rapid.Float64Range(0, 0.9999).Draw(t, "part")
+		if !rendezvous.MayExceed(hash, weight, floor) {
+			t.Fatalf("a score of %v is said not to exceed %v", rendezvous.Score(hash, weight), floor)
 		}
 	})
 }
 
 func TestScoreOfTheHighestHashIsFinite(t *testing.T) {
-	if s := score(^uint64(0), 1); math.IsInf(s, 0) || s < score(0, 1) {
+	if s := rendezvous.Score(^uint64(0), 1); math.IsInf(s, 0) || s < rendezvous.Score(0, 1) {
 		t.Errorf("the highest hash scores %v", s)
 	}
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/rendezvous"
 )
 
 // entry is one live target, ready for picking.
@@ -99,7 +100,7 @@
 	e := entry{target: t, weight: normalWeight(t.Weight)}
 	var home *fleet.Router
 	if old == nil {
-		e.seed = seed(string(t.ID))
+		e.seed = rendezvous.Seed(string(t.ID))
 	} else {
 		e.seed = old.seed
 		if old.target.Domain == t.Domain {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -15,6 +15,7 @@
 	UnknownService     Code = "unknown-service"
 	UnknownPath        Code = "unknown-path"
 	BodyTooLarge       Code = "body-too-large"
+	HeaderTooLarge     Code = "header-too-large"
 	MalformedBody      Code = "malformed-body"
 	MalformedRequest   Code = "malformed-request"
 	Unauthenticated    Code = "unauthenticated"
@@ -75,6 +76,7 @@
 	UnknownModel:       {404, false, "No service of that name takes chat requests."},
 	UnknownService:     {404, false, "No plain service of that name is configured."},
 	UnknownPath:        {404, false, "The path is not served."},
+	HeaderTooLarge:     {431, false, "The request head is over the limit."},
 	BodyTooLarge:       {413, false, "The request body is over the limit."},
 	MalformedBody:      {400, false, "The request body is not the JSON that the path takes."},
 	MalformedRequest:   {400, false, "The request cannot be read."},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -12,9 +12,9 @@
 
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/dispatch"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/suspicion"
 	"ragwortpond.example/ragwortpond/targetconn"
@@ -82,11 +82,11 @@
 	}
 	now := time.Now()
 	candidates := s.candidates(view, now)
-	ask := placement.Ask{Domain: s.relay.cfg.Domain, Random: random()}
+	ask := dispatch.Ask{Domain: s.relay.cfg.Domain, Random: random()}
 	if s.route.Affinity {
-		ask.Key = placement.KeyOf(s.call.Prompt)
+		ask.Key = dispatch.KeyOf(s.call.Prompt)
 	}
-	choice := placement.Choose(ask, candidates, now)
+	choice := dispatch.Choose(ask, candidates, now)
 	if choice.Target < 0 {
 		return placed{}, false
 	}
@@ -110,7 +110,7 @@
 
 // cacheSource is another target that probably holds more of the prompt's cache
 // than the chosen one; nil if there is none.
-func (s *serving) cacheSource(candidates []placement.Candidate, choice placement.Choice, now time.Time) *catalog.Target {
+func (s *serving) cacheSource(candidates []dispatch.Candidate, choice dispatch.Choice, now time.Time) *catalog.Target {
 	chosen := candidates[choice.Target].Target.ID
 	var guess fleet.TargetID
 	if choice.Source >= 0 {
@@ -131,21 +131,21 @@
 
 // candidates are the targets of the request's service, as they are seen now;
 // those that are leaving count where their cache is of use.
-func (s *serving) candidates(view *catalog.View, now time.Time) []placement.Candidate {
+func (s *serving) candidates(view *catalog.View, now time.Time) []dispatch.Candidate {
 	serving := view.Targets[s.service]
 	var leaving []*catalog.Target
 	if s.route.Affinity {
 		leaving = view.Leaving[s.service]
 	}
-	candidates := make([]placement.Candidate, 0, len(serving)+len(leaving))
+	candidates := make([]dispatch.Candidate, 0, len(serving)+len(leaving))
 	for _, t := range serving {
-		candidates = append(candidates, placement.Candidate{
+		candidates = append(candidates, dispatch.Candidate{
 			Target: t, Load: s.relay.loads.of(t.ID, now),
 			Standing: s.relay.book.Standing(t.ID, t.Domain, now), Tried: slices.Contains(s.tried, t.ID),
 		})
 	}
 	for _, t := range leaving {
-		candidates = append(candidates, placement.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, t.Domain, now)})
+		candidates = append(candidates, dispatch.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, t.Domain, now)})
 	}
 	return candidates
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,10 +16,10 @@
 	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/dispatch"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
-	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/suspicion"
 	"ragwortpond.example/ragwortpond/targetconn"
@@ -60,7 +60,7 @@
 	pool    *targetconn.Pool
 	book    *suspicion.Book
 	loads   *loads
-	holders *placement.Holders
+	holders *dispatch.Holders
 	serving atomic.Int64
 	// lastEnd is the Unix time in ns of the end of the last request.
 	lastEnd atomic.Int64
@@ -73,7 +73,7 @@
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), holders: placement.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
+	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), holders: dispatch.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -48,7 +48,7 @@
 	route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
 	route.MaxTargets = max(route.MaxTargets, 1)
 	accounts := map[string]*catalog.Account{"key": {Name: "account"}}
-	s.config = catalog.NewConfig(1, 1, catalog.Limits{BodyBytes: 1 << 20}, []*catalog.Route{&route}, []catalog.Service{{Name: "s", Slots: 8}}, accounts)
+	s.config = catalog.NewConfig(1, 1, catalog.Limits{BodyBytes: 1 << 20, HeaderBytes: 8 << 10}, []*catalog.Route{&route}, []catalog.Service{{Name: "s", Slots: 8}}, accounts)
 	for i := range n {
 		target := &standin.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "d"}
 		if setup != nil {
@@ -184,13 +184,14 @@
 		change func(r *http.Request)
 		status int
 	}{
-		"no key":       {func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
-		"unknown key":  {func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, http.StatusUnauthorized},
-		"other scheme": {func(r *http.Request) { r.Header.Set("Authorization", "Bearer key") }, http.StatusUnauthorized},
-		"unknown host": {func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
-		"unknown path": {func(r *http.Request) { r.URL.Path = "/q" }, http.StatusNotFound},
-		"no id":        {func(r *http.Request) { r.Header.Del("Attempt-Id") }, http.StatusBadRequest},
-		"bad deadline": {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
+		"no key":        {func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
+		"unknown key":   {func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, http.StatusUnauthorized},
+		"other scheme":  {func(r *http.Request) { r.Header.Set("Authorization", "Bearer key") }, http.StatusUnauthorized},
+		"unknown host":  {func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		"unknown path":  {func(r *http.Request) { r.URL.Path = "/q" }, http.StatusNotFound},
+		"no id":         {func(r *http.Request) { r.Header.Del("Attempt-Id") }, http.StatusBadRequest},
+		"bad deadline":  {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
+		"head too long": {func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 9<<10)) }, http.StatusRequestHeaderFieldsTooLarge},
 		"body too long": {func(r *http.Request) {
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20+1)))
 			r.ContentLength = -1
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -47,7 +47,7 @@
 		s.refuse(reason.NotReady, notReadyAfter)
 		return
 	}
-	if !s.admit() {
+	if !s.withinHead(req) || !s.admit() {
 		return
 	}
 	if stop != nil && !stop.Takes(s.route, s.call.AnswerTokens, s.arrived) {
@@ -86,6 +86,28 @@
 	first time.Duration
 }
 
+// withinHead holds the request's head to the configuration's limit.
+func (s *serving) withinHead(req *http.Request) bool {
+	limit := s.view.Config.Limits.HeaderBytes
+	if limit <= 0 {
+		return true
+	}
+	size := len(req.Method) + len(req.RequestURI) + len(req.Host)
+	for name, values := range req.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldBytes
+		}
+	}
+	if size > limit {
+		s.refuse(reason.HeaderTooLarge, 0)
+		return false
+	}
+	return true
+}
+
+// fieldBytes is what a header field takes besides its name and value.
+const fieldBytes = len(": \r\n")
+
 // admit finds route and client account.
 func (s *serving) admit() bool {
 	config := s.view.Config
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -8,20 +8,21 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/objectapi"
+	"ragwortpond.example/ragwortpond/objectclient"
 	"ragwortpond.example/ragwortpond/standin"
 )
 
 const callTimeout = 150 * time.Millisecond
 
 // start returns a platform and a client of it.
-func start(t *testing.T, config standin.PlatformConfig) (*standin.Platform, *objectapi.Client) {
+func start(t *testing.T, config standin.PlatformConfig) (*standin.Platform, *objectclient.Client) {
 	t.Helper()
 	config.Addr = "127.0.0.1:0"
 	p, err := standin.StartPlatform(config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := objectapi.NewClient(objectapi.ClientConfig{Addr: p.Addr(), Timeout: callTimeout})
+	client := objectclient.NewClient(objectclient.ClientConfig{Addr: p.Addr(), Timeout: callTimeout})
 	t.Cleanup(func() {
 		_ = client.Close()
 		p.Close()
