ragwort soak: the router as processes under faults from outside

A checker that knows nothing of the routers holds the promises against what clients and targets saw; a router built with a planted fault is found.

--- a/cmd/ragwort/main.go
+++ b/cmd/ragwort/main.go
@@ -33,7 +33,7 @@
 }
 
 func root() *cli.Command {
-	commands := []*cli.Command{demoCommand(), measureCommand(), settingsCommand(), keysCommand(), explainCommand()}
+	commands := []*cli.Command{demoCommand(), measureCommand(), settingsCommand(), keysCommand(), explainCommand(), soakCommand()}
 	commands = append(commands, adminCommands()...)
 	return usageErrors(&cli.Command{
 		Name:                  "ragwort",
--- a/retry/life.go
+++ b/retry/life.go
@@ -122,7 +122,8 @@
 func (l *Life) ran(left time.Duration, now time.Time, otherwise Verdict, why reason.Code) (Verdict, reason.Code) {
 	l.runs++
 	l.outcome = outcome.Join(l.outcome, outcome.Dispatched)
-	if l.Repetition == catalog.Once || l.runs >= l.MaxRuns || left < leastLeft {
+	once := l.Repetition == catalog.Once && !repeatsOnce
+	if once || (l.runs >= l.MaxRuns && !repeatsOnce) || left < leastLeft {
 		return otherwise, why
 	}
 	if !l.Budget.Take(now) {
--- /dev/null
+++ b/soak/history_test.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	began  = time.Unix(1000, 0)
+	order  = Kind{Name: "order", Once: true, MaxRuns: 1}
+	lookup = Kind{Name: "lookup", MaxRuns: 2}
+	stream = Kind{Name: "stream", Stream: true, Resumable: true, MaxRuns: 2}
+)
+
+func at(ms int) time.Time {
+	return began.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// good is a history that keeps all promises.
+func good() *History {
+	return &History{
+		Requests: []Request{
+			{ID: "a", Kind: order, Account: "x", Sent: at(0), Ended: at(50), Status: 200, Seal: "seal-t1", Body: "plain t1"},
+			{ID: "b", Kind: lookup, Account: "x", Sent: at(0), Ended: at(50), Status: 200, Seal: "seal-t2", Body: "plain t2"},
+			{ID: "c", Kind: stream, Account: "y", Sent: at(0), Ended: at(50), After: 1, Status: 200, Seal: "seal-t1", Body: "e2e3"},
+			{ID: "d", Kind: order, Account: "x", Sent: at(9500), Ended: at(9900), Status: 503},
+		},
+		Runs: []Run{
+			{Target: "t1", ID: "a", Account: "x", At: at(10)},
+			{Target: "t1", ID: "b", Account: "x", At: at(10)}, {Target: "t2", ID: "b", Account: "x", At: at(20)},
+			{Target: "t1", ID: "c", Account: "y", At: at(10)},
+		},
+		Faults: []Span{{"kill", at(9000), at(10_000)}}, Marks: []Mark{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
+		Events:    3,
+		PlainBody: func(target string) string { return "plain " + target },
+		Event:     func(i int) string { return fmt.Sprintf("e%d", i) },
+	}
+}
+
+func TestAGoodHistoryBreaksNothing(t *testing.T) {
+	if found := Check(good()); len(found) != 0 {
+		t.Errorf("%+v", found)
+	}
+}
+
+// TestEachBrokenPromiseIsFound breaks each promise in turn.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	for promise, breakIt := range map[string]func(h *History){
+		"at most once":      func(h *History) { h.Runs = append(h.Runs, Run{Target: "t2", ID: "a", Account: "x"}) },
+		"most targets":      func(h *History) { h.Runs = append(h.Runs, Run{Target: "t3", ID: "b", Account: "x"}) },
+		"refusals are true": func(h *History) { h.Runs = append(h.Runs, Run{Target: "t1", ID: "d", Account: "x", At: at(500)}) },
+		"client account":    func(h *History) { h.Runs[0].Account = "y" },
+		"own answers":       func(h *History) { h.Requests[0].Seal = "seal-t9" },
+		"whole answers":     func(h *History) { h.Requests[2].Body = "e2" },
+		"asked for":         func(h *History) { h.Runs = append(h.Runs, Run{Target: "t1", ID: "z"}) },
+		"in force":          func(h *History) { h.Runs[0].At = at(4000) },
+		"calm":              func(h *History) { h.Requests[1].Status = 502 },
+	} {
+		h := good()
+		breakIt(h)
+		found := Check(h)
+		if len(found) == 0 || found[0].Promise != promise {
+			t.Errorf("%s: found %+v", promise, found)
+		}
+	}
+}
+
+func TestAKeyThatReachesATargetIsFound(t *testing.T) {
+	h := good()
+	h.Runs[0].Credential = "Token k"
+	if found := Check(h); len(found) != 1 || found[0].Promise != "client account" {
+		t.Errorf("%+v", found)
+	}
+}
+
+func TestBoundsInTimeHoldOnlyInCalm(t *testing.T) {
+	h := good()
+	h.Runs[0].At = at(4000)
+	h.Faults = append(h.Faults, Span{"store-silent", at(500), at(1000)})
+	if found := Check(h); len(found) != 0 {
+		t.Errorf("%+v", found)
+	}
+}
