directory: changes settle for 0.25 s; weak routers begin by another one's view

Change: a watcher waits 0.25 s after a change; a router that is not strong gives others 0.4 s at its start. A target's own count holds in full for 1 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,8 +30,8 @@
 	// watch is noticed within the time in which a change must be in force.
 	watchWait = 3 * time.Second
 	// settle is waited after a change, so that changes in quick succession cost
-	// one call.
-	settle = 80 * time.Millisecond
+	// one call; it is an eighth of the time in which a change must be in force.
+	settle = 250 * time.Millisecond
 	// firstBackoff and longestBackoff bound the wait after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
@@ -63,16 +63,16 @@
 	mode     chan struct{}
 }
 
-// New returns a directory with an empty view that watches the store. store
-// returns the store to ask; renewed may be nil.
-func New(store func() Store, log zerolog.Logger, renewed func(fleet.TargetID)) *Directory {
+// New returns a directory with an empty view; watching says whether it begins by
+// watching the store. store returns the store to ask; renewed may be nil.
+func New(store func() Store, watching bool, log zerolog.Logger, renewed func(fleet.TargetID)) *Directory {
 	if renewed == nil {
 		renewed = func(fleet.TargetID) {}
 	}
 	d := &Directory{
 		store: store, log: log, now: time.Now, renewed: renewed, changed: func([]platform.Change) {},
 		members: catalog.NewMembers(), entries: newEntries(), lost: map[string]bool{},
-		watching: true, mode: make(chan struct{}),
+		watching: watching, mode: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
 	return d
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -32,7 +32,7 @@
 	}
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Addr(), nil)
-	d := New(func() Store { return store }, zerolog.Nop(), nil)
+	d := New(func() Store { return store }, true, zerolog.Nop(), nil)
 	return server, d
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -61,8 +61,8 @@
 	// keyMultiple is the load that a preferred target may carry, as a multiple
 	// of the mean of its service, with keyMargin requests on top, which matter
 	// where the mean is low.
-	keyMultiple = 1.7
-	keyMargin   = 3
+	keyMultiple = 1.5
+	keyMargin   = 2
 	// spillMultiple and spillMargin bound a target that takes a key's overflow, so
 	// that what a hot key spills leaves room for the keys that belong there.
 	spillMultiple = 1
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -43,10 +43,16 @@
 	// fetchTimeout bounds the fetching of what another router holds; after it the
 	// store is asked.
 	fetchTimeout = 700 * time.Millisecond
+	// patientTicks is for how many ticks a starting router that is not strong waits
+	// for another one's view before it asks the store.
+	patientTicks = 1
 	// joinTicks is how many ticks a starting router asks the seeds.
 	joinTicks = 10
 )
 
+// Strong is the strength from which a VM does work for others first.
+const Strong = 2
+
 // Config is what a mesh needs.
 type Config struct {
 	Self   fleet.RouterID
@@ -225,7 +231,9 @@
 	joins := m.ticks <= joinTicks || len(some) == 0
 	m.rename()
 	m.mu.Unlock()
-	m.cfg.Directory.Watch(watches)
+	if m.ticks > patientTicks || m.cfg.Strength >= Strong || !watches {
+		m.cfg.Directory.Watch(watches)
+	}
 	if m.cfg.Directory.Hears() {
 		m.send(m.beat(), domain)
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -37,7 +37,7 @@
 func startRouter(t *testing.T, i int, store *platform.Store, seeds []string) *router {
 	t.Helper()
 	r := &router{heard: map[fleet.TargetID]int{}}
-	r.directory = directory.New(func() directory.Store { return store }, zerolog.Nop(), nil)
+	r.directory = directory.New(func() directory.Store { return store }, true, zerolog.Nop(), nil)
 	var err error
 	r.mesh, err = New(Config{
 		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: "d", Addr: freeAddr(t, i), Directory: r.directory,
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,7 @@
 	n := &Node{start: start, log: log, metrics: metrics.NewSet()}
 	n.useStore(start.StoreAddr)
 	n.seedList.Store(&start.Seeds)
-	n.directory = directory.New(func() directory.Store { return n.store.Load() }, log, n.renewed)
+	n.directory = directory.New(func() directory.Store { return n.store.Load() }, start.Strength() >= mesh.Strong, log, n.renewed)
 	n.relay = relay.New(relay.Config{
 		Domain: start.Domain, Dialect: platform.Dialect{}, View: n.directory.View,
 		Allowance: retry.AllowanceTerms{Ratio: start.Repeats.Ratio, Extra: start.Repeats.Extra, Window: start.Repeats.Window()},
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -8,9 +8,13 @@
 	"ragwortpond.example/ragwortpond/fleet"
 )
 
-// reportLife is how long a target's own count says something of the work of
-// other routers: about twice the time that a long request takes.
-const reportLife = 3 * time.Second
+// reportFull is how long a target's own count says in full what work of other
+// routers is there: about the time that a request takes. From then on it counts
+// less, until reportLife.
+const (
+	reportFull = time.Second
+	reportLife = 3 * time.Second
+)
 
 // loads counts this router's requests before each target and keeps the targets'
 // own counts.
@@ -90,11 +94,19 @@
 	if t == nil {
 		return 0
 	}
-	age := now.Sub(t.at)
-	if age >= reportLife {
-		return float64(t.own)
+	return float64(t.own) + t.others*weightAt(now.Sub(t.at))
+}
+
+// weightAt is how much a count of an age still says.
+func weightAt(age time.Duration) float64 {
+	switch {
+	case age <= reportFull:
+		return 1
+	case age >= reportLife:
+		return 0
+	default:
+		return float64(reportLife-age) / float64(reportLife-reportFull)
 	}
-	return float64(t.own) + t.others*(1-age.Seconds()/reportLife.Seconds())
 }
 
 // forget drops idle targets that keep does not name.
