--- a/call/call.go
+++ b/call/call.go
@@ -28,18 +28,16 @@
 	Method, URI, Host, Path string
 	// Key authenticates a client account; empty where there is none.
 	Key string
-	// Patience is how long the client waits, from Arrived on; zero means that
-	// the client did not say.
+	// Patience is how long the client waits; zero means that it did not say.
 	Patience time.Duration
-	Arrived  time.Time
 	// Header is what is passed on to the target besides the fields that the
 	// router sets.
 	Header http.Header
 	Body   []byte
 	// Prompt is the parts of the prompt in order, the request's own part last.
 	Prompt []Part
-	// PromptTokens and AnswerTokens are the sizes of prompt and longest answer.
-	PromptTokens, AnswerTokens int
+	// AnswerTokens bounds the answer of a stream; zero if the client did not say.
+	AnswerTokens int
 	// After is the last event that the client has of a stream; zero if none.
 	After uint64
 }
@@ -76,8 +74,6 @@
 	Signed bool
 	// NotRun says that the target did not run the request and never will.
 	NotRun bool
-	// Elsewhere says that another target than the expected one answered.
-	Elsewhere bool
 	// Load is nil where the target does not tell.
 	Load *Load
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,12 +95,6 @@
 	// Slots is the number of requests that one of its engines batches; zero for
 	// plain services.
 	Slots int
-	// CacheTokens is the memory of one of its engines in tokens; zero for plain
-	// services.
-	CacheTokens int
-	// MaxConns is the number of connections that one of its targets accepts
-	// from all routers together; zero means no limit.
-	MaxConns int
 }
 
 // Account is a client account.
@@ -112,10 +106,9 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration.
@@ -191,8 +184,6 @@
 	// Started is the start of its process; a change means that it knows nothing
 	// of before.
 	Started time.Time
-	// ColdUntil is when it is up to speed after its start.
-	ColdUntil time.Time
 	// Revision is the store's revision of the description.
 	Revision uint64
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -256,7 +256,7 @@
 	for _, c := range changes {
 		var t *catalog.Target
 		if !c.Deleted {
-			if t = d.decode(c.Object, now); t == nil {
+			if t = d.decode(c.Object); t == nil {
 				// An entry that cannot be used names no target any more.
 				c.Deleted = true
 			}
@@ -291,8 +291,8 @@
 }
 
 // decode reads an entry; nil means that it cannot be used.
-func (d *Directory) decode(o platform.Object, now time.Time) *catalog.Target {
-	t, err := platform.DecodeTarget(o, now)
+func (d *Directory) decode(o platform.Object) *catalog.Target {
+	t, err := platform.DecodeTarget(o)
 	if err != nil {
 		event.DirectoryRefused.Log(d.log).Str("kind", platform.KindTargets).Str("target", o.Name).Err(err).Send()
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -110,10 +110,6 @@
 	case err == nil:
 	case errors.Is(err, platform.ErrHistoryGone):
 		result = "compacted"
-	case errors.Is(err, platform.ErrConflict):
-		result = "conflict"
-	case errors.Is(err, platform.ErrNotFound):
-		result = "not-found"
 	default:
 		result = "unavailable"
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -41,7 +41,6 @@
 		s.refuse(reason.MalformedRequest, 0)
 		return
 	}
-	c.Arrived = s.arrived
 	s.call = c
 	if !s.view.Ready() {
 		s.refuse(reason.NotReady, notReadyAfter)
