--- a/directory/directory.go
+++ b/directory/directory.go
@@ -120,6 +120,11 @@
 func (d *Directory) Hears() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.hears()
+}
+
+// hears is Hears with d.mu held.
+func (d *Directory) hears() bool {
 	return d.watching && d.members.Known() && d.config != nil &&
 		!d.lost[platform.KindConfig] && !d.lost[platform.KindTargets]
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -157,6 +157,37 @@
 	}
 }
 
+// TestAWatcherThatIsCutOffBelievesOthers cuts a watching router off from the
+// store: what another one saw there holds for it too, until it hears the store
+// again.
+func TestAWatcherThatIsCutOffBelievesOthers(t *testing.T) {
+	server, d := newScene(t)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
+	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
+	runDirectory(t, d)
+	waitFor(t, "a view", func() bool { return d.View().Ready() && d.Hears() })
+	spec, err := json.Marshal(entry("10.0.0.2:1", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	push := []platform.Change{{Object: platform.Object{Name: "b", Revision: 1000, Spec: spec}}}
+	d.Take(push)
+	if serving(d) != 1 {
+		t.Error("a router that hears the store believes another one")
+	}
+	server.Fail(standin.Refusing)
+	waitFor(t, "the outage", func() bool { return !d.Hears() })
+	d.Take(push)
+	if serving(d) != 2 {
+		t.Error("a push is not believed while the store is away")
+	}
+	held := Held{Targets: []platform.Object{push[0].Object}, Revision: 1001}
+	d.TakeHeld(held)
+	if serving(d) != 1 || d.View().Targets["s"][0].ID != "b" {
+		t.Error("a list is not believed while the store is away")
+	}
+}
+
 // TestEntriesAgreeInAnyOrder plays the changes of a store to two routers, one of
 // which gets them late, twice and out of order: after all have arrived both hold
 // what the store holds, and their digests agree.
--- a/directory/share.go
+++ b/directory/share.go
@@ -47,11 +47,12 @@
 	return config, targets
 }
 
-// Take takes changes of targets that another router saw in the store.
+// Take takes changes of targets that another router saw in the store, unless this
+// one hears the store itself.
 func (d *Directory) Take(changes []platform.Change) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.watching || !d.members.Known() {
+	if d.hears() || !d.members.Known() {
 		return
 	}
 	if len(d.apply(changes, "router")) > 0 {
@@ -60,13 +61,13 @@
 }
 
 // TakeHeld takes all that another router holds, as far as it is newer. A router
-// that has heard the store itself believes only the configuration.
+// that hears the store itself believes only the configuration.
 func (d *Directory) TakeHeld(h Held) {
 	if h.Config.Revision > 0 {
 		d.takeConfig(h.Config, "router")
 	}
 	d.mu.Lock()
-	stale := h.Revision == 0 || h.Revision < d.members.Revision() || (d.watching && d.members.Known())
+	stale := h.Revision == 0 || h.Revision < d.members.Revision() || d.hears()
 	d.mu.Unlock()
 	if !stale {
 		d.replace(h.Targets, h.Revision, "router")
