--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -18,7 +21,7 @@
 	return &cli.Command{
 		Name: "soak", Usage: "run router processes under faults and check what clients and targets see",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "program", Value: "target/ragwort-router", Usage: "the router's `FILE`"},
+			&cli.StringFlag{Name: "program", Usage: "the router's `FILE`; without it the router is built from the working directory"},
 			&cli.UintFlag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.UintFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after another"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "time of each seed"},
@@ -33,10 +36,23 @@
 }
 
 func runSoak(ctx context.Context, cmd *cli.Command) error {
+	program := cmd.String("program")
+	if program == "" {
+		dir, err := os.MkdirTemp("", "ragwort-router-")
+		if err != nil {
+			return fmt.Errorf("soak: %w", err)
+		}
+		defer os.RemoveAll(dir)
+		program = filepath.Join(dir, "ragwort-router")
+		build := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/ragwort-router")
+		if out, err := build.CombinedOutput(); err != nil {
+			return fmt.Errorf("soak: build the router: %w\n%s", err, out)
+		}
+	}
 	broken := 0
 	for i := range cmd.Uint("seeds") {
 		report, err := soak.Play(ctx, soak.Options{
-			Program: cmd.String("program"), Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
+			Program: program, Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), Lanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
 		})
 		if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,6 +39,11 @@
 
 // newScene starts n targets of service "s"; each may be set up before it starts.
 func newScene(t *testing.T, n int, route catalog.Route, setup func(i int, target *standin.Target)) *scene {
+	t.Helper()
+	return newLoggedScene(t, n, route, zerolog.Nop(), setup)
+}
+
+func newLoggedScene(t *testing.T, n int, route catalog.Route, log zerolog.Logger, setup func(i int, target *standin.Target)) *scene {
 	t.Helper()
 	s := &scene{t: t}
 	route.Host, route.Prefix = testHost, "/p/"
@@ -64,7 +69,7 @@
 	s.relay = relay.New(relay.Config{
 		Domain: "d", Dialect: platform.Dialect{}, View: s.view.Load,
 		Allowance: retry.AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second},
-		Metrics:   metrics.NewSet(), Log: zerolog.Nop(),
+		Metrics:   metrics.NewSet(), Log: log,
 	})
 	server := httptest.NewServer(s.relay)
 	t.Cleanup(server.Close)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,8 +22,11 @@
 	return Options{Program: program, Seed: seed, Duration: 14 * time.Second, Routers: 6, Clients: 16, Lanes: 3}
 }
 
-// failed are the seeds that ever found something, with the cause.
-var failed = []uint64{}
+// failed are the seeds that ever found something.
+var failed = []uint64{
+	// The stand-in's foreign and extra answers to streams were plain bodies.
+	108,
+}
 
 // TestSoak plays a short run of one seed, and of each seed that ever failed.
 func TestSoak(t *testing.T) {
