ragwortd: the processes' test never shows a starting router half a file

Cause: the test wrote the shared authority file anew for each router, truncating it, while the router before was reading it. Ruled out: the router, whose log has nothing else. Files are now written aside and renamed; the check is unchanged.

--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -160,7 +160,13 @@
 
 func (p *processes) file(name string, data []byte) string {
 	path := filepath.Join(p.dir, name)
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	// Routers that start meanwhile read files that all of them share; a rename
+	// never shows them half a file.
+	whole := path + ".new"
+	if err := os.WriteFile(whole, data, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.Rename(whole, path); err != nil {
 		p.t.Fatal(err)
 	}
 	return path
