suspicion, targetconn: a field that nothing reads; who may close an answer

The record kept its failure domain beside the map of domains, which alone is read. Answer.Close is not synchronised with Read, so that its comment promised too much; no caller relied on it. Behaviour is unchanged; vet, staticcheck and the tests of the three packages passed.

--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -85,7 +85,6 @@
 // record is what is known of one target.
 type record struct {
 	service fleet.ServiceName
-	domain  fleet.DomainName
 	rate
 	// unreachable counts trials in a row without a connection; the target is
 	// avoided until one succeeds, and the next trial is due at shunUntil.
@@ -156,7 +155,7 @@
 	defer b.mu.Unlock()
 	r := b.records[t.ID]
 	if r == nil {
-		r = &record{service: t.Service, domain: t.Domain, rate: rate{at: now}}
+		r = &record{service: t.Service, rate: rate{at: now}}
 		b.records[t.ID] = r
 	}
 	usual := b.services[t.Service]
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -36,8 +36,8 @@
 	Owns func(status int, h http.Header) bool
 }
 
-// Answer is one answer under way. Close may be called at any time and from any
-// goroutine, more than once; Read belongs to one goroutine.
+// Answer is one answer under way. It belongs to one goroutine; Close may be called
+// more than once. The exchange's context aborts it from elsewhere.
 type Answer struct {
 	Status int
 	Header http.Header
