ingress: the configuration's limit on the time of a head is applied

Cause: the header timeout of the configuration was decoded nowhere; the server had a fixed 10 s for the first request of a connection, and on kept ones the idle timeout. A client that sends half a head kept its connection that long. The read deadline now follows the phase of a connection: idle timeout until the first byte, header timeout and 2 s for lost packets from then on. TestAHeadThatTakesTooLongEndsItsConnection failed before (10 s and the idle timeout), and passes. Open connections are counted for the metrics to come.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -70,6 +70,14 @@
 	Affinity bool
 }
 
+// Kind names the kind of route for logs and metrics.
+func (r *Route) Kind() string {
+	if r.Stream {
+		return r.Repetition.String() + "-stream"
+	}
+	return r.Repetition.String()
+}
+
 // ServiceAt returns the service for a point in [0, 1) of the route's shares.
 func (r *Route) ServiceAt(point float64) fleet.ServiceName {
 	sum := 0.0
@@ -108,7 +116,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	IdleTimeout time.Duration
+	// HeaderTimeout bounds the time from the first byte of a request's head to its
+	// last, IdleTimeout that between requests; zero means no limit.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// headerTimeout bounds the head of a request; configurations ask for about
-	// 3 s, and one that asks for more is not cut short by this.
+	// headerTimeout bounds the head of a request until the configuration is known.
 	headerTimeout = 10 * time.Second
+	// headerSlack is given beyond the configuration's own limit: a lost packet of
+	// the head is sent again after a second or two.
+	headerSlack = 2 * time.Second
 	// defaultIdle is the idle timeout until the configuration is known.
 	defaultIdle = 30 * time.Second
 	// headerBytes bounds a head before the configuration's own limit is applied.
@@ -31,6 +33,7 @@
 type Server struct {
 	http   http.Server
 	limits func() catalog.Limits
+	open   atomic.Int64
 }
 
 // New returns a server for h; limits returns those in force.
@@ -38,7 +41,7 @@
 	s := &Server{limits: limits}
 	s.http = http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdle, MaxHeaderBytes: headerBytes,
-		ConnState: noteState, ErrorLog: log.New(logger, "", 0), DisableGeneralOptionsHandler: true,
+		ConnState: s.noteState, ErrorLog: log.New(logger, "", 0), DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
@@ -77,28 +80,80 @@
 	return &conn{Conn: c, limits: l.limits}, nil
 }
 
-// conn is a client's connection. While it is idle, the read deadline follows the
-// configuration in force.
+// The phases of a client's connection.
+const (
+	// waiting connections have sent nothing of their next request.
+	waiting int32 = iota
+	// inHead connections have sent a part of a request's head.
+	inHead
+	// inRequest connections have a request in progress.
+	inRequest
+)
+
+// conn is a client's connection. While it waits and while a head is read, the
+// read deadline follows the configuration in force.
 type conn struct {
 	net.Conn
 	limits func() catalog.Limits
-	idle   atomic.Bool
+	phase  atomic.Int32
+	// headEnd is the Unix time in ns by which the present head must be read.
+	headEnd atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.phase.CompareAndSwap(waiting, inHead) {
+		if limit := c.limits().HeaderTimeout; limit > 0 {
+			end := time.Now().Add(limit + headerSlack)
+			c.headEnd.Store(end.UnixNano())
+			_ = c.Conn.SetReadDeadline(end)
+		}
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if c.idle.Load() && !t.IsZero() {
+	if t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	switch c.phase.Load() {
+	case waiting:
 		if idle := c.limits().IdleTimeout; idle > 0 {
 			t = time.Now().Add(idle)
 		}
+	case inHead:
+		if end := c.headEnd.Load(); end > 0 {
+			t = time.Unix(0, end)
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// noteState keeps whether a connection is idle; the server says so before it
-// sets the deadline for the next request.
-func noteState(c net.Conn, state http.ConnState) {
-	if own, ok := c.(*conn); ok {
-		own.idle.Store(state == http.StateIdle)
+// Conns is the number of open connections.
+func (s *Server) Conns() int {
+	return int(s.open.Load())
+}
+
+// noteState follows the phases of a connection; the server says that it is idle
+// before it sets the deadline for the next request.
+func (s *Server) noteState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+	own, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		own.phase.Store(inRequest)
+	case http.StateIdle:
+		own.headEnd.Store(0)
+		own.phase.Store(waiting)
 	}
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -28,13 +28,15 @@
 func TestTheIdleTimeoutFollowsTheConfiguration(t *testing.T) {
 	limits := catalog.Limits{IdleTimeout: time.Hour}
 	under := &recorder{}
-	c := &conn{Conn: under, limits: func() catalog.Limits { return limits }}
+	s := New(nil, func() catalog.Limits { return limits }, zerolog.Nop())
+	c := &conn{Conn: under, limits: s.limits}
+	s.noteState(c, http.StateActive)
 	asked := time.Now().Add(time.Second)
 	_ = c.SetReadDeadline(asked)
 	if !under.deadline.Equal(asked) {
 		t.Error("the deadline of a request was changed")
 	}
-	noteState(c, http.StateIdle)
+	s.noteState(c, http.StateIdle)
 	_ = c.SetReadDeadline(asked)
 	if under.deadline.Before(asked.Add(time.Minute)) {
 		t.Error("an idle connection keeps the server's own deadline")
@@ -48,21 +50,53 @@
 	if !under.deadline.IsZero() {
 		t.Error("a removed deadline was set")
 	}
-	noteState(c, http.StateActive)
+	s.noteState(c, http.StateActive)
 	_ = c.SetReadDeadline(asked)
 	if !under.deadline.Equal(asked) {
 		t.Error("an active connection has the idle deadline")
 	}
 }
 
+// TestAHeadThatTakesTooLongEndsItsConnection sends the beginning of a head on a
+// new connection and on one that served a request before.
+func TestAHeadThatTakesTooLongEndsItsConnection(t *testing.T) {
+	limits := catalog.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: time.Hour}
+	for name, before := range map[string]string{"new connection": "", "kept connection": "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startLimited(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits)
+			r := bufio.NewReader(c)
+			if before != "" {
+				if _, err := io.WriteString(c, before); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := http.ReadResponse(r, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := io.WriteString(c, "GET /b HTTP/1.1\r\nHost: h\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, r); err != nil && !strings.Contains(err.Error(), "reset") {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // startServer serves h and returns a connection to it.
 func startServer(t *testing.T, h http.Handler) net.Conn {
+	t.Helper()
+	return startLimited(t, h, catalog.Limits{})
+}
+
+func startLimited(t *testing.T, h http.Handler, limits catalog.Limits) net.Conn {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(h, func() catalog.Limits { return catalog.Limits{} }, zerolog.Nop())
+	s := New(h, func() catalog.Limits { return limits }, zerolog.Nop())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
