Latency by kind and outcome, ages, connections and peak memory on the metrics address

TestEveryEventIsLogged found one event of the catalogue that nothing logged (node-ready); the router logs it now when its answer to the platform changes. Ages say how long ago it was last known that the store holds nothing newer, directly or through a router that hears it and agrees.

--- a/cmd/ragwort-router/main.go
+++ b/cmd/ragwort-router/main.go
@@ -89,7 +89,7 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	n, err := node.New(start, log)
+	n, err := node.New(start, log, sink.Dropped)
 	if err != nil {
 		return err
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -54,8 +54,10 @@
 	config  *catalog.Config
 	// document is the configuration as it stands in the store.
 	document platform.Object
-	// lost says of each kind whether the store does not answer for it.
-	lost map[string]bool
+	// lost says of each kind whether the store does not answer for it, and
+	// confirmed when it last did, to this router or to one that agrees with it.
+	lost      map[string]bool
+	confirmed map[string]time.Time
 	// watching says that this router watches the store; mode is closed when that
 	// changes.
 	watching bool
@@ -70,7 +72,7 @@
 	}
 	d := &Directory{
 		store: store, log: log, now: time.Now, renewed: renewed, changed: func([]platform.Change) {},
-		members: catalog.NewMembers(), entries: newEntries(), lost: map[string]bool{},
+		members: catalog.NewMembers(), entries: newEntries(), lost: map[string]bool{}, confirmed: map[string]time.Time{},
 		watching: watching, mode: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
@@ -158,6 +160,7 @@
 func (d *Directory) answers(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.confirmed[kind] = d.now()
 	if !d.lost[kind] {
 		return
 	}
@@ -168,6 +171,30 @@
 	event.DirectoryRegained.Log(d.log).Str("kind", kind).Send()
 }
 
+// Agreed notes that a router which hears the store holds the same configuration
+// and targets.
+func (d *Directory) Agreed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.confirmed[platform.KindConfig], d.confirmed[platform.KindTargets] = now, now
+}
+
+// Ages returns how long ago it was last known that the store holds nothing newer
+// of the configuration and of the targets; -1 s where it never was.
+func (d *Directory) Ages() (config, targets time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	age := func(kind string) time.Duration {
+		at, ok := d.confirmed[kind]
+		if !ok {
+			return -time.Second
+		}
+		return d.now().Sub(at)
+	}
+	return age(platform.KindConfig), age(platform.KindTargets)
+}
+
 func (d *Directory) configListed(objects []platform.Object, _ uint64) {
 	for _, o := range objects {
 		if d.takeConfig(o, "store") {
--- a/mesh/repair.go
+++ b/mesh/repair.go
@@ -36,6 +36,9 @@
 	case b.Watches && !behind:
 		m.differ = time.Time{}
 	}
+	if b.Watches && config == b.Config && targets == b.Targets {
+		m.cfg.Directory.Agreed()
+	}
 	fetch := (lacks || behind) && !m.fetching && now.Sub(m.differ) >= repairAfter
 	m.fetching = m.fetching || fetch
 	m.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -50,23 +50,27 @@
 	ingress   *ingress.Server
 	seedList  atomic.Pointer[[]string]
 	draining  atomic.Bool
+	// saidReady is the last answer to the platform's question.
+	saidReady atomic.Bool
 	listening []net.Listener
 }
 
-// New assembles a router.
-func New(start settings.Node, log zerolog.Logger) (*Node, error) {
+// New assembles a router; dropped returns the number of log lines that were
+// dropped.
+func New(start settings.Node, log zerolog.Logger, dropped func() uint64) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(start.MemoryMB * memoryShare * (1 << 20)))
 	n := &Node{start: start, log: log, metrics: metrics.NewSet()}
 	n.useStore(start.StoreAddr)
 	n.seedList.Store(&start.Seeds)
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, start.Strength() >= mesh.Strong, log, n.renewed)
+	latency := metrics.NewDirect(n.metrics.Registry, n.sources(dropped))
 	n.relay = relay.New(relay.Config{
 		Domain: start.Domain, Dialect: platform.Dialect{}, View: n.directory.View,
 		Allowance: retry.AllowanceTerms{Ratio: start.Repeats.Ratio, Extra: start.Repeats.Extra, Window: start.Repeats.Window()},
 		Routers:   n.routers,
 		Report:    func(id fleet.TargetID, work int, now time.Time) { n.mesh.Report(id, work, now) },
-		Metrics:   n.metrics, Log: log,
+		Metrics:   n.metrics, Latency: latency, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
@@ -93,6 +97,23 @@
 	return *n.seedList.Load()
 }
 
+// sources are the values that metrics read.
+func (n *Node) sources(dropped func() uint64) metrics.Sources {
+	return metrics.Sources{
+		ConfigAge: func() float64 {
+			config, _ := n.directory.Ages()
+			return config.Seconds()
+		},
+		TargetsAge: func() float64 {
+			_, targets := n.directory.Ages()
+			return targets.Seconds()
+		},
+		ClientConns:  func() float64 { return float64(n.ingress.Conns()) },
+		TargetConns:  func() float64 { return float64(n.relay.TargetConns()) },
+		LinesDropped: func() float64 { return float64(dropped()) },
+	}
+}
+
 func (n *Node) countMeshBytes(direction string, bytes int) {
 	n.metrics.ControlBytes.WithLabelValues("mesh", direction).Add(float64(bytes))
 }
@@ -200,7 +221,12 @@
 
 // answerReady tells the platform whether the router takes new connections.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if n.draining.Load() || !n.directory.View().Ready() {
+	ready := !n.draining.Load() && n.directory.View().Ready()
+	if n.saidReady.Swap(ready) != ready {
+		event.NodeReady.Log(n.log).Bool("ready", ready).Bool("draining", n.draining.Load()).
+			Uint64("targets_revision", n.directory.View().TargetsRevision).Send()
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -56,7 +56,7 @@
 		MetricsAddr: address + ":18004", StoreAddr: s.store.Addr(), MemoryMB: 200, GraceS: 3,
 		Repeats: settings.Repeats{Ratio: 0.2, Extra: 50, WindowS: 10},
 	}
-	if s.node, err = New(s.start, zerolog.Nop()); err != nil {
+	if s.node, err = New(s.start, zerolog.Nop(), func() uint64 { return 0 }); err != nil {
 		t.Fatal(err)
 	}
 	var ctx context.Context
@@ -146,7 +146,10 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	for _, name := range []string{"ragwort_requests_total", "ragwort_store_calls_total", "ragwort_target_connections_total", "ragwort_first_byte_seconds_bucket"} {
+	for _, name := range []string{"ragwort_requests_total", "ragwort_store_calls_total", "ragwort_target_connections_total", "ragwort_first_byte_seconds_bucket",
+		"ragwort_whole_seconds_bucket{kind=\"once\",outcome=\"completed\"", "ragwort_head_seconds_bucket", "ragwort_placed_seconds_bucket",
+		"ragwort_config_age_seconds 0", "ragwort_targets_age_seconds 0", "ragwort_client_connections 1", "ragwort_target_connections 1", "ragwort_memory_peak_bytes",
+		"ragwort_log_lines_dropped_total 0"} {
 		if err != nil || !strings.Contains(string(text), name) {
 			t.Errorf("%s is not exported: %v", name, err)
 		}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -31,6 +31,42 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
+// conclusion is how a request ended, as metrics name it.
+type conclusion string
+
+// The conclusions.
+const (
+	completed conclusion = "completed"
+	// failed means that a target's own failure was passed on.
+	failed conclusion = "failed"
+	notRun conclusion = "not-run"
+	// unknown means that the client was told that its request may have run.
+	unknown conclusion = "unknown"
+	// cut means that an answer under way was broken off.
+	cut        conclusion = "cut"
+	clientGone conclusion = "client-gone"
+)
+
+// noRoute is the kind of requests that ended before their route was found.
+const noRoute = "none"
+
+// conclude counts the request and its times.
+func (s *serving) conclude(c conclusion) {
+	s.relay.cfg.Metrics.Requests.WithLabelValues(string(s.service), string(c)).Inc()
+	kind := noRoute
+	if s.route != nil {
+		kind = s.route.Kind()
+	}
+	latency := s.relay.cfg.Latency
+	if s.placed > 0 {
+		latency.PlacedSeconds.WithLabelValues(kind, string(c)).Observe(s.placed.Seconds())
+	}
+	if s.first > 0 {
+		latency.HeadSeconds.WithLabelValues(kind, string(c)).Observe(s.first.Seconds())
+	}
+	latency.WholeSeconds.WithLabelValues(kind, string(c)).Observe(time.Since(s.arrived).Seconds())
+}
+
 // startAnswer passes on the head of a target's answer; length is the size of the
 // body as far as it was read, or -1 for a stream.
 func (s *serving) startAnswer(e *ended, length int64) {
@@ -66,9 +102,8 @@
 
 // done ends a request whose client has its whole answer.
 func (s *serving) done(e *ended) {
-	m := s.relay.cfg.Metrics
-	m.Requests.WithLabelValues(string(s.service), "completed").Inc()
-	m.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.first.Seconds())
+	s.relay.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.first.Seconds())
+	s.conclude(completed)
 	s.log(event.RelayDone, nil).Int("status", e.answer.Status).Dur("first", s.first).
 		Dur("whole", time.Since(s.arrived)).Int("events", s.events).Int("attempts", s.attempts).Send()
 }
@@ -95,7 +130,7 @@
 	s.startAnswer(e, int64(len(e.body)))
 	// A client that is gone does not need the failure.
 	_, _ = s.w.Write(e.body)
-	s.relay.cfg.Metrics.Requests.WithLabelValues(string(s.service), "failed").Inc()
+	s.conclude(failed)
 	s.log(event.RelayPassedOn, nil).Int("status", e.answer.Status).Int("attempts", s.attempts).Send()
 }
 
@@ -105,7 +140,7 @@
 	if e != nil {
 		err = e.err
 	}
-	s.relay.cfg.Metrics.Requests.WithLabelValues(string(s.service), "cut").Inc()
+	s.conclude(cut)
 	s.log(event.RelayCut, err).Str("reason", string(why)).Int("events", s.events).Int("attempts", s.attempts).
 		Dur("whole", time.Since(s.arrived)).Send()
 	panic(http.ErrAbortHandler)
@@ -114,9 +149,8 @@
 // refuse tells the client that its request has not run, or what is wrong with
 // it. after is when to come back; zero means that it is no use.
 func (s *serving) refuse(why reason.Code, after time.Duration) {
-	m := s.relay.cfg.Metrics
-	m.Refused(why)
-	m.Requests.WithLabelValues(string(s.service), "not-run").Inc()
+	s.relay.cfg.Metrics.Refused(why)
+	s.conclude(notRun)
 	if after > 0 {
 		after = time.Duration(float64(after) * (0.5 + rand.Float64()))
 		s.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -127,7 +161,7 @@
 
 // fail tells the client that its request failed and may have run.
 func (s *serving) fail(status int, why reason.Code) {
-	s.relay.cfg.Metrics.Requests.WithLabelValues(string(s.service), "unknown").Inc()
+	s.conclude(unknown)
 	s.log(event.RelayFailed, nil).Str("reason", string(why)).Int("attempts", s.attempts).
 		Dur("whole", time.Since(s.arrived)).Send()
 	s.answer(status, why)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -100,6 +100,9 @@
 			line.Str("cache_source", string(source.ID))
 		}
 	}
+	if s.attempts == 0 {
+		s.placed = time.Since(s.arrived)
+	}
 	s.attempts++
 	s.tried = append(s.tried, chosen.Target.ID)
 	line.Str("basis", string(choice.Basis)).Float64("load", chosen.Load).
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,7 @@
 	// Routers returns the number of routers that share the allowance.
 	Routers func() int
 	Metrics *metrics.Set
+	Latency *metrics.Direct
 	Log     zerolog.Logger
 }
 
@@ -83,6 +84,11 @@
 	return int(r.serving.Load())
 }
 
+// TargetConns is the number of open connections to targets.
+func (r *Relay) TargetConns() int {
+	return r.pool.Open()
+}
+
 // Stop tells the relay that the process ends: clients are asked to leave their
 // connections, and requests that cannot be expected to end in time are refused.
 func (r *Relay) Stop(s admission.Stop) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,10 +66,11 @@
 		s.targets = append(s.targets, target)
 	}
 	s.publish(s.targets...)
+	set := metrics.NewSet()
 	s.relay = relay.New(relay.Config{
 		Domain: "d", Dialect: platform.Dialect{}, View: s.view.Load,
 		Allowance: retry.AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second},
-		Metrics:   metrics.NewSet(), Log: log,
+		Metrics:   set, Latency: metrics.NewDirect(set.Registry, metrics.Sources{}), Log: log,
 	})
 	server := httptest.NewServer(s.relay)
 	t.Cleanup(server.Close)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -81,8 +81,9 @@
 	events   int
 	attempts int
 	target   *catalog.Target
-	// first is the time to the head of the answer.
-	first time.Duration
+	// placed is the time to the first attempt, first that to the head of the
+	// answer; zero where it did not come so far.
+	placed, first time.Duration
 }
 
 // withinHead holds the request's head to the configuration's limit.
@@ -222,7 +223,7 @@
 func (s *serving) interrupted(ctx context.Context, e *ended) {
 	e.close()
 	if e.left || !errors.Is(context.Cause(ctx), errTimedOut) {
-		s.relay.cfg.Metrics.Requests.WithLabelValues(string(s.service), "client-gone").Inc()
+		s.conclude(clientGone)
 		s.log(event.RelayClientGone, nil).Int("events", s.events).Send()
 		panic(http.ErrAbortHandler)
 	}
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -52,13 +53,16 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[fleet.TargetID][]*conn
-	// opened counts the connections made.
+	// opened counts the connections made, open those that are not closed.
 	opened func()
+	open   atomic.Int64
 }
 
 // conn is one connection; it serves one exchange at a time.
 type conn struct {
 	net.Conn
+	pool   *Pool
+	closed atomic.Bool
 	target fleet.TargetID
 	addr   string
 	reader *bufio.Reader
@@ -68,6 +72,14 @@
 	reused          bool
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // NewPool returns an empty pool; opened is called for each new connection and
 // may be nil.
 func NewPool(opened func()) *Pool {
@@ -105,7 +117,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.opened()
-	return &conn{Conn: raw, target: id, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	p.open.Add(1)
+	return &conn{Conn: raw, pool: p, target: id, addr: addr, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // Reach tries whether a target can be reached; the connection is kept for the
@@ -192,6 +205,11 @@
 	}
 }
 
+// Open is the number of connections that are not closed.
+func (p *Pool) Open() int {
+	return int(p.open.Load())
+}
+
 // Idle is the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
