--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -4,8 +4,10 @@
 package logsink
 
 import (
-	"fmt"
+	"bytes"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,8 @@
 	linesPerSecond = 400
 	// warningsPerSecond bounds the lines from the warning level on, on top.
 	warningsPerSecond = 200
+	// bytesPerSecond bounds the bytes of both: lines of 400 bytes on average.
+	bytesPerSecond = (linesPerSecond + warningsPerSecond) * 400
 	// bufferBytes bounds what waits for the output.
 	bufferBytes = 256 << 10
 	// reportEvery is the interval of the report of dropped lines.
@@ -41,19 +45,25 @@
 	second   int64
 	ordinary int
 	warnings int
-	dropped  atomic.Uint64
-	reported uint64
+	bytes    int
+	// kinds counts the lines dropped since the last report by their event.
+	kinds   map[string]int
+	dropped atomic.Uint64
 }
 
 var _ zerolog.LevelWriter = (*Sink)(nil)
 
 // New returns a sink that writes to out until it is closed.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, now: time.Now, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	s := newSink(out, time.Now)
 	go s.run()
 	return s
 }
 
+func newSink(out io.Writer, now func() time.Time) *Sink {
+	return &Sink{out: out, now: now, wake: make(chan struct{}, 1), done: make(chan struct{}), kinds: map[string]int{}}
+}
+
 // Write implements io.Writer for lines without a level.
 func (s *Sink) Write(line []byte) (int, error) {
 	return s.WriteLevel(zerolog.InfoLevel, line)
@@ -62,9 +72,11 @@
 // WriteLevel implements zerolog.LevelWriter. It never blocks and never fails.
 func (s *Sink) WriteLevel(level zerolog.Level, line []byte) (int, error) {
 	s.mu.Lock()
-	kept := !s.closed && s.admit(level) && len(s.pending)+len(line) <= bufferBytes
+	kept := !s.closed && s.admit(level, len(line)) && len(s.pending)+len(line) <= bufferBytes
 	if kept {
 		s.pending = append(s.pending, line...)
+	} else {
+		s.kinds[kindOf(line)]++
 	}
 	s.mu.Unlock()
 	if !kept {
@@ -79,16 +91,35 @@
 }
 
 // admit takes a line from the second's budget of its level.
-func (s *Sink) admit(level zerolog.Level) bool {
+func (s *Sink) admit(level zerolog.Level, size int) bool {
 	if second := s.now().Unix(); second != s.second {
-		s.second, s.ordinary, s.warnings = second, 0, 0
+		s.second, s.ordinary, s.warnings, s.bytes = second, 0, 0, 0
 	}
+	lines, most := &s.ordinary, linesPerSecond
 	if level >= zerolog.WarnLevel && level < zerolog.NoLevel {
-		s.warnings++
-		return s.warnings <= warningsPerSecond
+		lines, most = &s.warnings, warningsPerSecond
+	}
+	if *lines >= most || s.bytes+size > bytesPerSecond {
+		return false
+	}
+	*lines++
+	s.bytes += size
+	return true
+}
+
+var (
+	beforeKind = []byte(`"name":"`)
+	afterKind  = []byte(`"`)
+)
+
+// kindOf returns the event's name in a line; lines without one are "other".
+func kindOf(line []byte) string {
+	_, rest, ok := bytes.Cut(line, beforeKind)
+	name, _, closed := bytes.Cut(rest, afterKind)
+	if !ok || !closed {
+		return "other"
 	}
-	s.ordinary++
-	return s.ordinary <= linesPerSecond
+	return string(name)
 }
 
 // Dropped is the number of lines dropped so far.
@@ -122,18 +153,30 @@
 	}
 }
 
-// report adds a line on what was dropped since the last one.
+// report adds a line on what was dropped since the last one, by kind.
 func (s *Sink) report() {
-	total := s.dropped.Load()
-	if total == s.reported {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.kinds) == 0 {
 		return
 	}
-	line := fmt.Sprintf("{\"level\":%q,\"event\":%d,\"name\":%q,\"lines\":%d,\"total\":%d}\n",
-		event.LogDropped.Level, event.LogDropped.Number, event.LogDropped.Name, total-s.reported, total)
-	s.reported = total
-	s.mu.Lock()
-	s.pending = append(s.pending, line...)
-	s.mu.Unlock()
+	kinds, lines := zerolog.Dict(), 0
+	for _, kind := range slices.Sorted(maps.Keys(s.kinds)) {
+		kinds.Int(kind, s.kinds[kind])
+		lines += s.kinds[kind]
+	}
+	clear(s.kinds)
+	event.LogDropped.Log(zerolog.New(appender{s})).Int("lines", lines).Dict("kinds", kinds).
+		Uint64("total", s.dropped.Load()).Send()
+}
+
+// appender adds a line whatever the budget; s.mu is held.
+type appender struct{ s *Sink }
+
+// Write implements io.Writer.
+func (a appender) Write(line []byte) (int, error) {
+	a.s.pending = append(a.s.pending, line...)
+	return len(line), nil
 }
 
 // Close writes what waits and ends the sink; wait bounds how long an output that
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/event"
 )
 
 // TestUnreadOutputBlocksNobody floods a sink whose output is never read: every
@@ -48,29 +52,58 @@
 }
 
 func TestWarningsHaveABudgetOfTheirOwn(t *testing.T) {
-	s := &Sink{now: func() time.Time { return time.Unix(7, 0) }}
+	now := time.Unix(7, 0)
+	s := newSink(io.Discard, func() time.Time { return now })
 	kept := 0
 	for range 2 * linesPerSecond {
-		if s.admit(zerolog.InfoLevel) {
+		if s.admit(zerolog.InfoLevel, 100) {
 			kept++
 		}
 	}
-	if kept != linesPerSecond || !s.admit(zerolog.WarnLevel) {
+	if kept != linesPerSecond || !s.admit(zerolog.WarnLevel, 100) {
 		t.Errorf("%d ordinary lines kept; a warning after them has to pass", kept)
 	}
-	s.now = func() time.Time { return time.Unix(8, 0) }
-	if !s.admit(zerolog.InfoLevel) {
+	now = time.Unix(8, 0)
+	if !s.admit(zerolog.InfoLevel, 100) {
 		t.Error("the next second begins without a budget")
 	}
 }
 
-func TestDroppedLinesAreReported(t *testing.T) {
-	var out bytes.Buffer
-	s := &Sink{out: &out, now: time.Now, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	s.dropped.Add(3)
+func TestBytesHaveABudget(t *testing.T) {
+	s := newSink(io.Discard, func() time.Time { return time.Unix(7, 0) })
+	kept := 0
+	for s.admit(zerolog.InfoLevel, 10_000) {
+		kept += 10_000
+	}
+	if kept > bytesPerSecond || kept < bytesPerSecond/2 {
+		t.Errorf("%d bytes kept in a second", kept)
+	}
+}
+
+func TestDroppedLinesAreReportedByKind(t *testing.T) {
+	s := newSink(io.Discard, func() time.Time { return time.Unix(7, 0) })
+	log := zerolog.New(s)
+	for range linesPerSecond {
+		log.Info().Send()
+	}
+	event.RelayDone.Log(log).Str("request", "a").Send()
+	event.RelayDone.Log(log).Str("request", "b").Send()
+	event.RelayPlaced.Log(log).Str("request", "b").Send()
+	log.Info().Str("text", "no event").Send()
 	s.report()
 	s.report()
-	if got := string(s.pending); strings.Count(got, "log-lines-dropped") != 1 || !strings.Contains(got, `"lines":3`) {
-		t.Errorf("got %q", got)
+	var got struct {
+		Name  string
+		Lines int
+		Total int
+		Kinds map[string]int
+	}
+	lines := strings.Split(strings.TrimSpace(string(s.pending)), "\n")
+	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]int{event.RelayDone.Name: 2, event.RelayPlaced.Name: 1, "other": 1}
+	if len(lines) != linesPerSecond+1 || got.Name != event.LogDropped.Name || got.Lines != 4 || got.Total != 4 || !maps.Equal(got.Kinds, want) {
+		t.Errorf("%d lines, the last %+v", len(lines), got)
 	}
 }
