--- a/cmd/ragwort/settings.go
+++ b/cmd/ragwort/settings.go
@@ -71,8 +71,7 @@
 	if kind, name, ok := settings.ObjectOf(path); ok {
 		return checkDocument(path, kind, name)
 	}
-	_, findings := settings.LoadStart(path)
-	return findings
+	return settings.CheckStart(path)
 }
 
 func checkDocument(path, kind, name string) settings.Findings {
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -101,23 +100,5 @@
 
 // LoadNode reads and checks the start file of a router that dispatches directly.
 func LoadNode(file string) (Node, Findings) {
-	c := &checker{file: file}
-	data, err := readFile(file)
-	if err != nil {
-		c.add("", "%v", err)
-		return Node{}, c.findings
-	}
-	v, ok := c.decode(data)
-	if !ok {
-		return Node{}, c.findings
-	}
-	nodeShape(c, "", v)
-	if len(c.findings) > 0 {
-		return Node{}, c.findings.sorted()
-	}
-	var node Node
-	if err := json.Unmarshal(data, &node); err != nil {
-		c.add("", "%v", err)
-	}
-	return node, c.findings
+	return loadFile[Node](file, nodeShape)
 }
--- a/settings/start.go
+++ b/settings/start.go
@@ -67,23 +67,50 @@
 // LoadStart reads and checks a router's start file. File names in it are left
 // as they stand, relative to the working directory.
 func LoadStart(file string) (Start, Findings) {
+	return loadFile[Start](file, startShape)
+}
+
+// CheckStart checks a start file of either daemon: one that names client_addr is
+// a Node, any other one a Start.
+func CheckStart(file string) Findings {
 	c := &checker{file: file}
-	data, err := readFile(file)
-	if err != nil {
-		c.add("", "%v", err)
-		return Start{}, c.findings
+	v, _, ok := c.read()
+	if !ok {
+		return c.findings
+	}
+	if document, ok := v.(map[string]any); ok && document["client_addr"] != nil {
+		_, findings := LoadNode(file)
+		return findings
 	}
-	v, ok := c.decode(data)
+	_, findings := LoadStart(file)
+	return findings
+}
+
+// loadFile reads a file of a shape.
+func loadFile[T any](file string, shape check) (T, Findings) {
+	var value, none T
+	c := &checker{file: file}
+	v, data, ok := c.read()
 	if !ok {
-		return Start{}, c.findings
+		return none, c.findings
 	}
-	startShape(c, "", v)
+	shape(c, "", v)
 	if len(c.findings) > 0 {
-		return Start{}, c.findings.sorted()
+		return none, c.findings.sorted()
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		c.add("", "%v", err)
 	}
-	var start Start
-	if err := json.Unmarshal(data, &start); err != nil {
+	return value, c.findings
+}
+
+// read reads the checker's file; false means that it cannot be decoded.
+func (c *checker) read() (v any, data []byte, ok bool) {
+	data, err := readFile(c.file)
+	if err != nil {
 		c.add("", "%v", err)
+		return nil, nil, false
 	}
-	return start, c.findings
+	v, ok = c.decode(data)
+	return v, data, ok
 }
