settings: a deployment that lacks a figure gets its default

Cause: the template renders a field that a deployment does not give as null, which the check refused, so that no router would have started there.

--- a/settings/node.go
+++ b/settings/node.go
@@ -77,28 +77,48 @@
 // nodeLimit bounds the numbers of a node's start file.
 const nodeLimit = 1e6
 
+// platformName checks a name that the platform gives.
+var platformName = text("a name", func(s string) bool { return s != "" })
+
 var nodeShape = object(
-	field{"id", true, text("a name", func(s string) bool { return s != "" })},
-	field{"failure_domain", true, nameCheck},
+	field{"id", true, platformName},
+	field{"failure_domain", true, platformName},
 	field{"client_addr", true, addrCheck},
 	field{"ready_addr", true, addrCheck},
 	field{"peer_addr", true, addrCheck},
 	field{"metrics_addr", true, addrCheck},
 	field{"seeds", false, list(addrCheck)},
 	field{"store_addr", true, addrCheck},
-	field{"memory_mb", true, number(1, nodeLimit, false)},
-	field{"cores", true, number(0, nodeLimit, false)},
-	field{"link_mbps", true, number(0, nodeLimit, false)},
-	field{"grace_s", true, number(0, nodeLimit, false)},
+	field{"memory_mb", true, given(number(1, nodeLimit, false))},
+	field{"cores", true, given(number(0, nodeLimit, false))},
+	field{"link_mbps", true, given(number(0, nodeLimit, false))},
+	field{"grace_s", true, given(number(0, nodeLimit, false))},
 	field{"repeats", true, object(
-		field{"ratio", true, number(0, nodeLimit, false)},
-		field{"extra", true, number(0, nodeLimit, false)},
-		field{"window_s", true, number(0, nodeLimit, false)},
+		field{"ratio", true, given(number(0, nodeLimit, false))},
+		field{"extra", true, given(number(0, nodeLimit, false))},
+		field{"window_s", true, given(number(0, nodeLimit, false))},
 	)},
 	field{"log_level", false, text("a log level", validLevel)},
 )
 
+// defaultNode holds the figures of deployments that do not give one (null): the
+// smallest VM and the shortest grace of the users' deployments, and the usual
+// terms for repeats.
+var defaultNode = Node{
+	MemoryMB: 184, Cores: 0.2, LinkMbps: 10, GraceS: 8,
+	Repeats: Repeats{Ratio: 0.2, Extra: 50, WindowS: 10},
+}
+
+// given checks a figure; null stands for one that the deployment does not give.
+func given(c check) check {
+	return func(k *checker, at string, v any) {
+		if v != nil {
+			c(k, at, v)
+		}
+	}
+}
+
 // LoadNode reads and checks the start file of a router that dispatches directly.
 func LoadNode(file string) (Node, Findings) {
-	return loadFile[Node](file, nodeShape)
+	return loadFile(file, nodeShape, defaultNode)
 }
--- a/settings/start.go
+++ b/settings/start.go
@@ -67,7 +67,7 @@
 // LoadStart reads and checks a router's start file. File names in it are left
 // as they stand, relative to the working directory.
 func LoadStart(file string) (Start, Findings) {
-	return loadFile[Start](file, startShape)
+	return loadFile(file, startShape, Start{})
 }
 
 // CheckStart checks a start file of either daemon: one that names client_addr is
@@ -86,9 +86,9 @@
 	return findings
 }
 
-// loadFile reads a file of a shape.
-func loadFile[T any](file string, shape check) (T, Findings) {
-	var value, none T
+// loadFile reads a file of a shape into value, which holds the defaults.
+func loadFile[T any](file string, shape check, value T) (T, Findings) {
+	var none T
 	c := &checker{file: file}
 	v, data, ok := c.read()
 	if !ok {
