--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,7 +105,7 @@
 	}
 	s.attempts++
 	s.tried = append(s.tried, chosen.Target.ID)
-	line.Str("basis", string(choice.Basis)).Float64("load", chosen.Load).
+	line.Str("basis", string(choice.Basis)).Float64("load", chosen.Load).Dur("load_age", s.relay.loads.age(chosen.Target.ID, now)).
 		Str("standing", chosen.Standing.String()).Int("candidates", len(candidates)).
 		Uint64("targets_revision", view.TargetsRevision).Send()
 	return at, true
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -97,6 +97,17 @@
 	return float64(t.own) + t.others*weightAt(now.Sub(t.at))
 }
 
+// age is how old the last report on a target is; -1 ms where there is none.
+func (l *loads) age(id fleet.TargetID, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.targets[id]
+	if t == nil || t.at.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(t.at)
+}
+
 // weightAt is how much a count of an age still says.
 func weightAt(age time.Duration) float64 {
 	switch {
