--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
@@ -95,6 +96,7 @@
 	s.target = chosen.Target
 	line := s.log(event.RelayPlaced, nil)
 	if ask.Key != 0 {
+		line.Str("key", strconv.FormatUint(ask.Key, 36))
 		if source := s.cacheSource(candidates, choice, now); source != nil {
 			at.cache = source.Addr
 			line.Str("cache_source", string(source.ID))
