mesh: many changes at once are fetched, not pushed; what is fetched is deflated

Cause: a router that listed the store pushed every entry to every router of its failure domain, three a datagram. Up to 48 changes are still pushed; of more only the digest goes out, and a list is compressed once for all that ask for it. Ruled out: a fetch of what changed since a revision, which would miss deletions.

--- a/directory/share.go
+++ b/directory/share.go
@@ -12,9 +12,9 @@
 	Config platform.Object
 	// Targets are the entries as they stand in the store.
 	Targets []platform.Object
-	// Revision is the store's revision for which Targets holds; zero if nothing
-	// is known of them.
-	Revision uint64
+	// Revision is the store's revision for which Targets holds, Digest their mark;
+	// both are zero if nothing is known of them.
+	Revision, Digest uint64
 }
 
 // Held returns what the directory holds.
@@ -25,7 +25,7 @@
 	if !d.members.Known() {
 		return h
 	}
-	h.Revision = d.members.Revision()
+	h.Revision, h.Digest = d.members.Revision(), d.digest()
 	h.Targets = make([]platform.Object, 0, len(d.entries.objects))
 	for _, o := range d.entries.objects {
 		h.Targets = append(h.Targets, o)
@@ -42,11 +42,16 @@
 		config = d.config.Revision
 	}
 	if d.members.Known() {
-		targets = max(d.entries.digest, 1)
+		targets = d.digest()
 	}
 	return config, targets
 }
 
+// digest marks the entries; it is never zero. d.mu is held.
+func (d *Directory) digest() uint64 {
+	return max(d.entries.digest, 1)
+}
+
 // Take takes changes of targets that another router saw in the store, unless this
 // one hears the store itself.
 func (d *Directory) Take(changes []platform.Change) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -87,11 +87,16 @@
 	differ time.Time
 	// fetching says that an answer of another router is awaited.
 	fetching bool
-	// deflated is the configuration of a revision for other routers.
-	deflated struct {
-		revision uint64
-		data     []byte
-	}
+	// copies guards config and targets: what this router holds, deflated for others,
+	// by the configuration's revision and the targets' digest.
+	copies          sync.Mutex
+	config, targets deflated
+}
+
+// deflated is a compressed copy of something with the mark of its version.
+type deflated struct {
+	mark uint64
+	data []byte
 }
 
 type sample struct {
@@ -140,12 +145,15 @@
 }
 
 // Changed passes on what this router has seen in the store; nil means that only
-// the configuration changed.
+// the configuration changed. Of many changes at once only the marks are passed on.
 func (m *Mesh) Changed(changes []platform.Change) {
 	m.mu.Lock()
 	addrs := m.table.Domain(time.Now())
 	m.mu.Unlock()
 	b := m.beat()
+	if len(changes) > mostPushed {
+		changes = nil
+	}
 	for _, c := range changes {
 		change := Change{Name: c.Object.Name, Revision: c.Object.Revision, Deleted: c.Deleted}
 		if !c.Deleted {
@@ -162,8 +170,14 @@
 	}
 }
 
-// changesEach is how many changes fit into a datagram.
-const changesEach = 3
+const (
+	// changesEach is how many changes fit into a datagram.
+	changesEach = 3
+	// mostPushed is how many changes are passed on one by one: those of a release
+	// of a third of a service's targets. Of more, such as a whole list, only the
+	// digest is passed on, and those who lack them ask.
+	mostPushed = 48
+)
 
 // Leave tells the others that this router stops.
 func (m *Mesh) Leave() {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +26,8 @@
 	stop      func()
 	mu        sync.Mutex
 	heard     map[fleet.TargetID]int
+	// sent counts the bytes sent.
+	sent atomic.Int64
 }
 
 // freeAddr is an address on loopback that is free for datagrams and connections.
@@ -47,6 +51,11 @@
 			defer r.mu.Unlock()
 			r.heard[id] = work
 		},
+		Bytes: func(direction string, n int) {
+			if direction == "sent" {
+				r.sent.Add(int64(n))
+			}
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -169,3 +178,69 @@
 		return v.Ready() && v.Config.Version == 4 && count(second) == 1
 	})
 }
+
+// TestAFleetWithManyTargetsStartsCheaply starts a failure domain at once before a
+// store with thousands of targets: what the routers send each other on the way to
+// the same view is a fraction of the entries' own size for each of them.
+func TestAFleetWithManyTargetsStartsCheaply(t *testing.T) {
+	const n, targets = 8, 3000
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	size := 0
+	for i := range targets {
+		spec := entry(i % 250)
+		data, err := json.Marshal(spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += len(data)
+		server.Put(platform.KindTargets, fmt.Sprintf("i-%010d", i), spec)
+	}
+	store := platform.NewStore(server.Addr(), nil)
+	var routers []*router
+	for i := range n {
+		routers = append(routers, startRouter(t, i, store, []string{freeAddr(t, 0)}))
+	}
+	for _, r := range routers {
+		waitFor(t, "all targets", func() bool { return count(r) == targets })
+	}
+	var sent int64
+	for _, r := range routers {
+		sent += r.sent.Load()
+	}
+	if most := int64(n * size / 3); sent > most {
+		t.Errorf("%d KB sent for %d KB of entries at %d routers", sent>>10, size>>10, n)
+	}
+}
+
+// TestManyChangesAtOnceReachAll releases more targets at once than are passed on
+// one by one.
+func TestManyChangesAtOnceReachAll(t *testing.T) {
+	const n = 5
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server.Put(platform.KindTargets, "a", entry(1))
+	store := platform.NewStore(server.Addr(), nil)
+	var routers []*router
+	for i := range n {
+		routers = append(routers, startRouter(t, i, store, []string{freeAddr(t, 0)}))
+	}
+	for _, r := range routers {
+		waitFor(t, "the first target", func() bool { return count(r) == 1 && r.mesh.Fleet() == n })
+	}
+	for i := range 2 * mostPushed {
+		server.Put(platform.KindTargets, fmt.Sprintf("t%d", i), entry(i))
+	}
+	server.Delete(platform.KindTargets, "a")
+	for _, r := range routers {
+		waitFor(t, "the changes", func() bool { return count(r) == 2*mostPushed })
+	}
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -73,8 +73,9 @@
 	// Config is the configuration as the store has it, deflated; empty if the
 	// asking router holds it.
 	Config []byte `cbor:"2,keyasint,omitempty"`
-	// Targets are empty, and Revision zero, if the asking router holds them.
-	Targets []Change `cbor:"3,keyasint,omitempty"`
+	// Targets is a list of Change, deflated; it is empty, and Revision zero, if the
+	// asking router holds them.
+	Targets []byte `cbor:"3,keyasint,omitempty"`
 	// Revision is the store's revision for which the targets hold.
 	Revision uint64 `cbor:"4,keyasint,omitempty"`
 }
@@ -88,7 +89,8 @@
 
 var errTooLong = errors.New("mesh: datagram too long")
 
-// deflate compresses a configuration, whose routes repeat most of their text.
+// deflate compresses a configuration or a list of targets, which repeat most of
+// their text.
 func deflate(data []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
--- a/mesh/repair.go
+++ b/mesh/repair.go
@@ -101,7 +101,17 @@
 	if len(document) > 0 {
 		h.Config = platform.Object{Name: platform.ConfigName, Revision: held.ConfigRevision, Spec: document}
 	}
-	for _, c := range held.Targets {
+	list, err := inflate(held.Targets)
+	if err != nil {
+		return nil, err
+	}
+	var changes []Change
+	if len(list) > 0 {
+		if err := cbor.Unmarshal(list, &changes); err != nil {
+			return nil, fmt.Errorf("mesh: targets: %w", err)
+		}
+	}
+	for _, c := range changes {
 		h.Targets = append(h.Targets, platform.Object{Name: c.Name, Revision: c.Revision, Spec: c.Spec})
 	}
 	return h, nil
@@ -133,35 +143,45 @@
 // beyond is what this router holds beyond the given marks.
 func (m *Mesh) beyond(config, targets uint64) (*Held, error) {
 	h := m.cfg.Directory.Held()
-	_, digest := m.cfg.Directory.Marks()
 	held := &Held{ConfigRevision: h.Config.Revision}
 	if h.Config.Revision > config {
 		var err error
-		if held.Config, err = m.deflate(h.Config); err != nil {
+		plain := func() ([]byte, error) { return h.Config.Spec, nil }
+		if held.Config, err = m.deflated(&m.config, h.Config.Revision, plain); err != nil {
 			return nil, err
 		}
 	}
-	if digest == targets {
+	if h.Digest == targets {
 		return held, nil
 	}
 	held.Revision = h.Revision
-	for _, o := range h.Targets {
-		held.Targets = append(held.Targets, Change{Name: o.Name, Revision: o.Revision, Spec: o.Spec})
-	}
-	return held, nil
+	var err error
+	held.Targets, err = m.deflated(&m.targets, h.Digest, func() ([]byte, error) {
+		list := make([]Change, 0, len(h.Targets))
+		for _, o := range h.Targets {
+			list = append(list, Change{Name: o.Name, Revision: o.Revision, Spec: o.Spec})
+		}
+		return cbor.Marshal(list)
+	})
+	return held, err
 }
 
-// deflate compresses a configuration once for all that ask.
-func (m *Mesh) deflate(o platform.Object) ([]byte, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.deflated.revision == o.Revision {
-		return m.deflated.data, nil
+// deflated compresses what plain returns, once for all that ask for the same
+// version.
+func (m *Mesh) deflated(kept *deflated, mark uint64, plain func() ([]byte, error)) ([]byte, error) {
+	m.copies.Lock()
+	defer m.copies.Unlock()
+	if kept.mark == mark && kept.data != nil {
+		return kept.data, nil
+	}
+	text, err := plain()
+	if err != nil {
+		return nil, fmt.Errorf("mesh: %w", err)
 	}
-	data, err := deflate(o.Spec)
+	data, err := deflate(text)
 	if err != nil {
 		return nil, err
 	}
-	m.deflated.revision, m.deflated.data = o.Revision, data
+	*kept = deflated{mark, data}
 	return data, nil
 }
