--- /dev/null
+++ b/relay/place_bench_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/call"
+	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/metrics"
+)
+
+// BenchmarkPlace measures the choice of a target for a request with a prompt, with
+// all that it reads, at several numbers of targets.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{12, 146, 3000, 10_000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			targets := make([]*catalog.Target, n)
+			for i := range targets {
+				targets[i] = &catalog.Target{ID: fleet.TargetID(fmt.Sprintf("i-%010d", i)), Slots: 12, Domain: "d", Started: time.Now().Add(-time.Hour)}
+			}
+			view := &catalog.View{Config: &catalog.Config{}, Targets: catalog.Targets{"s": targets}, TargetsKnown: true}
+			set := metrics.NewSet()
+			r := New(Config{View: func() *catalog.View { return view }, Metrics: set, Log: zerolog.Nop()})
+			for i := range targets {
+				r.loads.report(targets[i].ID, &call.Load{Running: i % 7}, time.Now())
+			}
+			route := &catalog.Route{Affinity: true}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s := &serving{relay: r, view: view, route: route, service: "s", call: &call.Call{Prompt: []call.Part{{ID: uint64(i % 500), Tokens: 100}, {ID: uint64(i), Tokens: 10}}}}
+				if _, ok := s.place(); !ok {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
