One course of a request: own interface and platform share loop, life cycle and allowance

Cause: there were two request loops, two life cycles (retry.Request for dispatch by homes, retry.Life for direct dispatch) and two budgets for repeats. Package course holds the one loop; a Path makes the attempts: relay directly, router/entry through homes. retry.Request is the one life cycle, its Terms say what differs: bounds by kind of end, whether a target's refusal proves that nothing ran, whether a target that could not be reached costs a repeat. retry.Allowance is the one budget; a router that shares with nobody has a reserve that does not refill.

Decisions of the own interface are now logged by the same events, a line each, on standard output through logsink; before, ragwortd wrote two lines at debug level to standard error and could be held up by it. request-done and request-refused go with that. Package daemon has the exit codes and the log that both programs repeated; the console format of ragwortd's log is gone, since ragwort explain reads JSON.

Checks: the table and the random play of direct dispatch run against the one life cycle, as strict; that only a failure is passed on unchanged is checked in relay, where it is decided. A request refused by all targets is now told target-refused instead of no-target, which its test expects.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -81,6 +81,7 @@
 	return func(ctx context.Context, c *app.RequestContext) {
 		f.inFlight.Add(1)
 		defer f.inFlight.Add(-1)
+		c.Response.Header.Set(HeaderRequest, string(entry.NewRequestID()))
 		req, bad := read(c)
 		if bad != nil {
 			f.notRun(c, bad.code, bad.detail)
@@ -97,6 +98,7 @@
 		f.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(req.Service)).Observe(time.Since(arrived).Seconds())
 	}}
 	result := f.cfg.Server.Do(ctx, req, out)
+	defer f.logEnd(req, result, arrived)
 	switch {
 	case out.writer != nil:
 		f.endStream(out, result)
@@ -109,10 +111,27 @@
 		c.Response.SetBodyRaw(out.body)
 	default:
 		f.refuse(c, result.Reason, result.Outcome.Word(), "", result.RetryAfter)
-		event.RequestRefused.Log(f.cfg.Log).Str("request", string(req.ID)).Str("reason", string(result.Reason)).Send()
-		return
 	}
-	event.RequestDone.Log(f.cfg.Log).Str("request", string(req.ID)).Int("attempts", result.Attempts).Send()
+}
+
+// logEnd logs how a request ended.
+func (f *Face) logEnd(req *entry.Request, result entry.Result, arrived time.Time) {
+	endEvent(result).Log(f.cfg.Log).Str("request", string(req.ID)).Str("service", string(req.Service)).
+		Str("account", string(req.Account)).Str("target", string(result.Target)).Str("reason", string(result.Reason)).
+		Dur("retry_after", result.RetryAfter).Int("attempts", result.Attempts).Dur("whole", time.Since(arrived)).Send()
+}
+
+func endEvent(result entry.Result) event.Event {
+	switch {
+	case result.Whole():
+		return event.RequestServed
+	case result.Started:
+		return event.AnswerCut
+	case result.Outcome == outcome.NotDispatched:
+		return event.RequestNotRun
+	default:
+		return event.RequestUnknown
+	}
 }
 
 // endStream ends a stream with [DONE] only if it is whole.
--- a/caller/refuse.go
+++ b/caller/refuse.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 )
@@ -75,6 +76,8 @@
 }
 
 func (f *Face) notRun(c *app.RequestContext, code reason.Code, detail string) {
+	event.RequestNotRun.Log(f.cfg.Log).Str("request", string(requestID(c))).Str("reason", string(code)).
+		Str("detail", detail).Int("attempts", 0).Send()
 	f.refuse(c, code, outcome.NotRun, detail, 0)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -93,9 +93,13 @@
 		return nil, bad
 	}
 	req := &entry.Request{
-		ID: entry.NewRequestID(), Account: account, Service: s.Name, Kind: s.Kind, Values: v, Deadline: due,
+		ID: requestID(c), Account: account, Service: s.Name, Kind: s.Kind, Values: v, Deadline: due,
 		IdempotencyKey: key,
 	}
-	c.Response.Header.Set(HeaderRequest, string(req.ID))
 	return req, nil
 }
+
+// requestID is the id that the answer names the request by.
+func requestID(c *app.RequestContext) fleet.RequestID {
+	return fleet.RequestID(c.Response.Header.Peek(HeaderRequest))
+}
--- a/cmd/ragwortd/main.go
+++ b/cmd/ragwortd/main.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/pprof"
@@ -18,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"ragwortpond.example/ragwortpond/daemon"
 	"ragwortpond.example/ragwortpond/engine"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keys"
@@ -29,20 +29,8 @@
 	"ragwortpond.example/ragwortpond/weights"
 )
 
-const (
-	exitFailed   = 1
-	exitFindings = 2
-)
-
 func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		var coded cli.ExitCoder
-		if errors.As(err, &coded) {
-			os.Exit(coded.ExitCode())
-		}
-		os.Exit(exitFailed)
-	}
+	daemon.Main(command())
 }
 
 func command() *cli.Command {
@@ -53,29 +41,28 @@
 			&cli.StringFlag{Name: "config", Usage: "start `FILE` of the router", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the start file and exit"},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error; overrides the start file"},
-			&cli.StringFlag{Name: "log-format", Value: "json", Usage: "json or console"},
 			&cli.StringFlag{Name: "cpu-profile", Usage: "write a processor profile of the whole run to `FILE`"},
 		},
-		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Action:         run,
+		Action: run,
 	}
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
 	start, findings := settings.LoadStart(cmd.String("config"))
 	if len(findings) > 0 {
-		return cli.Exit(findings.Error(), exitFindings)
+		return cli.Exit(findings.Error(), daemon.ExitFindings)
 	}
 	if level := cmd.String("log-level"); level != "" {
 		start.LogLevel = level
 	}
-	log, err := logger(os.Stderr, start.LogLevel, cmd.String("log-format"))
+	log, err := daemon.NewLog(os.Stdout, start.LogLevel)
 	if err != nil {
-		return cli.Exit(err.Error(), exitFindings)
+		return cli.Exit(err.Error(), daemon.ExitFindings)
 	}
+	defer log.Close()
 	cfg, err := configOf(start)
 	if err != nil {
-		return cli.Exit(err.Error(), exitFindings)
+		return cli.Exit(err.Error(), daemon.ExitFindings)
 	}
 	if cmd.Bool("check") {
 		fmt.Println("ok")
@@ -86,7 +73,7 @@
 		return err
 	}
 	defer stop()
-	return serve(ctx, cfg, start, log)
+	return serve(ctx, cfg, start, log.Logger)
 }
 
 // profile starts a processor profile where a file is named; the function that
@@ -109,25 +96,6 @@
 	}, nil
 }
 
-func logger(w io.Writer, level, format string) (zerolog.Logger, error) {
-	parsed := zerolog.InfoLevel
-	if level != "" {
-		var err error
-		parsed, err = zerolog.ParseLevel(level)
-		if err != nil {
-			return zerolog.Nop(), fmt.Errorf("ragwortd: log level %q: %w", level, err)
-		}
-	}
-	switch format {
-	case "json":
-	case "console":
-		w = zerolog.ConsoleWriter{Out: w}
-	default:
-		return zerolog.Nop(), fmt.Errorf("ragwortd: log format %q is neither json nor console", format)
-	}
-	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
-}
-
 // configOf reads the files that a start file names.
 func configOf(s settings.Start) (router.Config, error) {
 	cert, err1 := os.ReadFile(s.TLS.Cert)
--- a/cmd/ragwortd/processes_test.go
+++ b/cmd/ragwortd/processes_test.go
@@ -152,7 +152,7 @@
 		args = append(args, "--cpu-profile", filepath.Join(dir, id+".prof"))
 	}
 	r.cmd = exec.Command(filepath.Join(p.dir, "ragwortd"), args...)
-	r.cmd.Stderr = r.log
+	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
 	p.run(r.cmd)
 	p.t.Cleanup(func() { r.cmd.Process.Signal(syscall.SIGTERM); r.cmd.Wait() })
 	return r
--- a/event/router.go
+++ b/event/router.go
@@ -12,6 +12,4 @@
 	HomeSilent          = define(1005, zerolog.WarnLevel, "home-silent", "A home router could not be reached or did not take an attempt in time; others stand in for it for a moment.")
 	RouterHandOverFault = define(1006, zerolog.WarnLevel, "router-hand-over-fault", "A stopping router could not hand chats over; they are read anew when they return.")
 	StreamLost          = define(1007, zerolog.InfoLevel, "stream-lost", "The stream of an attempt broke between entry and home; the life cycle of the request goes on.")
-	RequestDone         = define(1010, zerolog.DebugLevel, "request-done", "A caller's request has its final answer.")
-	RequestRefused      = define(1011, zerolog.DebugLevel, "request-refused", "A caller's request was refused; the reason says why.")
 )
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -96,8 +96,8 @@
 // belief reports whether an event says what a router believes.
 func belief(number int) bool {
 	switch number {
-	case event.RelayStanding.Number, event.DirectoryConfig.Number, event.DirectoryTarget.Number, event.DirectoryLost.Number,
-		event.DirectoryRegained.Number, event.NodeStarted.Number, event.NodeDraining.Number, event.NodeStopped.Number:
+	case event.TargetStanding.Number, event.DirectoryConfig.Number, event.DirectoryTarget.Number, event.DirectoryLost.Number,
+		event.DirectoryRegained.Number, event.DirectoryWatches.Number, event.NodeStarted.Number, event.NodeReady.Number, event.NodeDraining.Number, event.NodeStopped.Number:
 		return true
 	default:
 		return false
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -86,9 +86,9 @@
 	for range linesPerSecond {
 		log.Info().Send()
 	}
-	event.RelayDone.Log(log).Str("request", "a").Send()
-	event.RelayDone.Log(log).Str("request", "b").Send()
-	event.RelayPlaced.Log(log).Str("request", "b").Send()
+	event.RequestServed.Log(log).Str("request", "a").Send()
+	event.RequestServed.Log(log).Str("request", "b").Send()
+	event.RequestPlaced.Log(log).Str("request", "b").Send()
 	log.Info().Str("text", "no event").Send()
 	s.report()
 	s.report()
@@ -102,7 +102,7 @@
 	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &got); err != nil {
 		t.Fatal(err)
 	}
-	want := map[string]int{event.RelayDone.Name: 2, event.RelayPlaced.Name: 1, "other": 1}
+	want := map[string]int{event.RequestServed.Name: 2, event.RequestPlaced.Name: 1, "other": 1}
 	if len(lines) != linesPerSecond+1 || got.Name != event.LogDropped.Name || got.Lines != 4 || got.Total != 4 || !maps.Equal(got.Kinds, want) {
 		t.Errorf("%d lines, the last %+v", len(lines), got)
 	}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/retry"
 )
@@ -101,47 +102,45 @@
 }
 
 // done ends a request whose client has its whole answer.
-func (s *serving) done(e *ended) {
+func (s *serving) done() {
 	s.relay.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.first.Seconds())
 	s.conclude(completed)
-	s.log(event.RelayDone, nil).Int("status", e.answer.Status).Dur("first", s.first).
+	s.Log(event.RequestServed).Int("status", s.present.answer.Status).Dur("first", s.first).
 		Dur("whole", time.Since(s.arrived)).Int("events", s.events).Int("attempts", s.attempts).Send()
 }
 
-// end gives the final answer that a verdict asks for.
-func (s *serving) end(v retry.Verdict, why reason.Code, e *ended) {
-	if e != nil {
-		defer e.close()
+// end gives the final answer to a request without a whole one.
+func (s *serving) end(step retry.Step) {
+	why, status := step.Reason, http.StatusBadGateway
+	if why == reason.Deadline {
+		why, status = reason.TimedOut, http.StatusGatewayTimeout
 	}
 	switch {
 	case s.started:
-		s.cut(why, e)
-	case v == retry.PassOn:
-		s.passOn(e)
-	case v == retry.RefuseNotRun:
-		s.refuse(why, refusedAfter)
+		s.cut(why)
+	case s.present.why == reason.TargetFailed:
+		s.passOn()
+	case step.Outcome == outcome.NotDispatched:
+		s.refuseAs(http.StatusServiceUnavailable, why, refusedAfter)
 	default:
-		s.fail(http.StatusBadGateway, why)
+		s.fail(status, why)
 	}
 }
 
 // passOn gives the client a target's failure unchanged.
-func (s *serving) passOn(e *ended) {
+func (s *serving) passOn() {
+	e := s.present
 	s.startAnswer(e, int64(len(e.body)))
 	// A client that is gone does not need the failure.
 	_, _ = s.w.Write(e.body)
 	s.conclude(failed)
-	s.log(event.RelayPassedOn, nil).Int("status", e.answer.Status).Int("attempts", s.attempts).Send()
+	s.Log(event.FailurePassedOn).Int("status", e.answer.Status).Int("attempts", s.attempts).Send()
 }
 
 // cut breaks off an answer that cannot become whole.
-func (s *serving) cut(why reason.Code, e *ended) {
-	var err error
-	if e != nil {
-		err = e.err
-	}
+func (s *serving) cut(why reason.Code) {
 	s.conclude(cut)
-	s.log(event.RelayCut, err).Str("reason", string(why)).Int("events", s.events).Int("attempts", s.attempts).
+	s.Log(event.AnswerCut).AnErr("error", s.present.err).Str("reason", string(why)).Int("events", s.events).Int("attempts", s.attempts).
 		Dur("whole", time.Since(s.arrived)).Send()
 	panic(http.ErrAbortHandler)
 }
@@ -149,20 +148,25 @@
 // refuse tells the client that its request has not run, or what is wrong with
 // it. after is when to come back; zero means that it is no use.
 func (s *serving) refuse(why reason.Code, after time.Duration) {
+	s.refuseAs(reason.Describe(why).Status, why, after)
+}
+
+// refuseAs refuses with another status than the reason's usual one.
+func (s *serving) refuseAs(status int, why reason.Code, after time.Duration) {
 	s.relay.cfg.Metrics.Refused(why)
 	s.conclude(notRun)
 	if after > 0 {
 		after = time.Duration(float64(after) * (0.5 + rand.Float64()))
 		s.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
-	s.log(event.RelayRefused, nil).Str("reason", string(why)).Dur("retry_after", after).Int("attempts", s.attempts).Send()
-	s.answer(reason.Describe(why).Status, why)
+	s.Log(event.RequestNotRun).AnErr("error", s.present.err).Str("reason", string(why)).Dur("retry_after", after).Int("attempts", s.attempts).Send()
+	s.answer(status, why)
 }
 
 // fail tells the client that its request failed and may have run.
 func (s *serving) fail(status int, why reason.Code) {
 	s.conclude(unknown)
-	s.log(event.RelayFailed, nil).Str("reason", string(why)).Int("attempts", s.attempts).
+	s.Log(event.RequestUnknown).AnErr("error", s.present.err).Str("reason", string(why)).Int("target_status", s.present.reply.Status).Int("attempts", s.attempts).
 		Dur("whole", time.Since(s.arrived)).Send()
 	s.answer(status, why)
 }
@@ -171,7 +175,7 @@
 func (s *serving) answer(status int, why reason.Code) {
 	body, err := json.Marshal(map[string]any{"error": map[string]string{"code": string(why), "message": reason.Describe(why).Text}})
 	if err != nil {
-		s.log(event.RelayFailed, err).Send()
+		s.Log(event.RequestUnknown).Err(err).Send()
 	}
 	h := s.w.Header()
 	s.relay.cfg.Dialect.Mark(h, s.call.ID)
@@ -182,8 +186,8 @@
 	_, _ = s.w.Write(body)
 }
 
-// log begins a line about the request.
-func (s *serving) log(e event.Event, err error) *zerolog.Event {
+// Log implements course.Path.
+func (s *serving) Log(e event.Event) *zerolog.Event {
 	line := e.Log(s.relay.cfg.Log).Str("request", string(s.call.ID))
 	if s.route != nil {
 		line = line.Str("route", s.route.Name).Str("service", string(s.service)).Uint64("config", s.view.Config.Version)
@@ -191,8 +195,5 @@
 	if s.target != nil {
 		line = line.Str("target", string(s.target.ID))
 	}
-	if err != nil {
-		line = line.Err(err)
-	}
 	return line
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,8 @@
 	"ragwortpond.example/ragwortpond/dispatch"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/outcome"
+	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/suspicion"
 	"ragwortpond.example/ragwortpond/targetconn"
@@ -50,8 +52,9 @@
 // ended is how an attempt ended.
 type ended struct {
 	// whole says that the client has the whole answer.
-	whole  bool
-	ending retry.Ending
+	whole bool
+	// why says how an attempt without one ended.
+	why    reason.Code
 	reply  call.Reply
 	answer *targetconn.Answer
 	// body is what was read of the answer before any of it was passed on.
@@ -61,12 +64,34 @@
 	left bool
 }
 
+// end is the attempt as the life cycle of its request sees it.
+func (e *ended) end(events int) retry.End {
+	end := retry.End{Outcome: outcome.Dispatched, Reason: e.why, Whole: e.whole, Events: uint64(events), CallerGone: e.left}
+	if !e.whole && (e.why == reason.TargetDown || e.why == reason.TargetRefused) {
+		end.Outcome = outcome.NotDispatched
+	}
+	return end
+}
+
 func (e *ended) close() {
 	if e.answer != nil {
 		e.answer.Close()
 	}
 }
 
+// Attempt implements course.Path.
+func (s *serving) Attempt(ctx context.Context, _ retry.Step) (retry.End, bool) {
+	target, ok := s.place()
+	if !ok {
+		return retry.End{}, false
+	}
+	s.present.close()
+	s.present = s.attempt(ctx, target)
+	end := s.present.end(s.events)
+	end.CallerGone = end.CallerGone || errors.Is(ctx.Err(), context.Canceled)
+	return end, true
+}
+
 // placed is the target of an attempt.
 type placed struct {
 	*catalog.Target
@@ -94,7 +119,7 @@
 	chosen := candidates[choice.Target]
 	at := placed{Target: chosen.Target}
 	s.target = chosen.Target
-	line := s.log(event.RelayPlaced, nil)
+	line := s.Log(event.RequestPlaced)
 	if ask.Key != 0 {
 		line.Str("key", strconv.FormatUint(ask.Key, 36))
 		if source := s.cacheSource(candidates, choice, now); source != nil {
@@ -197,10 +222,10 @@
 		},
 	})
 	if errors.Is(err, targetconn.ErrNotSent) {
-		return &ended{ending: retry.Unreached, err: err}
+		return &ended{why: reason.TargetDown, err: err}
 	}
 	if err != nil {
-		return &ended{ending: retry.Lost, err: err}
+		return &ended{why: reason.AnswerTruncated, err: err}
 	}
 	e := &ended{answer: answer, reply: dialect.Reply(answer.Status, answer.Header)}
 	if e.reply.Load != nil {
@@ -215,23 +240,23 @@
 	reply := &e.reply
 	switch {
 	case reply.NotRun && (reply.ID == s.call.ID || !e.answer.Reused()):
-		e.ending = retry.Rejected
+		e.why = reason.TargetRefused
 		_, _ = io.Copy(io.Discard, io.LimitReader(e.answer, wholeBody))
 		e.close()
 	case !reply.Success():
 		s.receiveFailure(e)
 	case !reply.Signed:
-		e.ending, e.err = retry.Lost, errUnsigned
+		e.why, e.err = reason.AnswerMismatch, errUnsigned
 	case reply.ID != s.call.ID:
-		e.ending, e.err = retry.Lost, targetconn.ErrForeign
+		e.why, e.err = reason.AnswerMismatch, targetconn.ErrForeign
 	case e.answer.Header.Get("Content-Encoding") != "":
-		e.ending, e.err = retry.Lost, errEncoded
+		e.why, e.err = reason.AnswerMismatch, errEncoded
 	case s.route.Stream:
 		s.receiveStream(t, e, silence)
 	default:
 		s.receiveBody(e)
 	}
-	if !e.whole && e.ending != retry.Failed {
+	if !e.whole && e.why != reason.TargetFailed {
 		e.close()
 	}
 }
@@ -239,14 +264,14 @@
 // receiveFailure reads a failure, so that it can be passed on if nothing better
 // follows. A status that promises what the target did not say is no answer.
 func (s *serving) receiveFailure(e *ended) {
-	e.ending = retry.Failed
+	e.why = reason.TargetFailed
 	body, err := io.ReadAll(io.LimitReader(e.answer, wholeBody+1))
 	e.body = body
 	switch {
 	case err != nil:
-		e.ending, e.err = retry.Lost, err
+		e.why, e.err = reason.AnswerTruncated, err
 	case len(body) > wholeBody || call.PromisesNotRun(e.reply.Status):
-		e.ending, e.err = retry.Lost, fmt.Errorf("relay: status %d cannot be passed on", e.reply.Status)
+		e.why, e.err = reason.AnswerTruncated, fmt.Errorf("relay: status %d cannot be passed on", e.reply.Status)
 	}
 }
 
@@ -255,7 +280,7 @@
 func (s *serving) receiveBody(e *ended) {
 	body, err := io.ReadAll(io.LimitReader(e.answer, wholeBody+1))
 	if err != nil {
-		e.ending, e.err = retry.Lost, err
+		e.why, e.err = reason.AnswerTruncated, err
 		return
 	}
 	e.body = body
@@ -266,7 +291,7 @@
 	}
 	if len(body) > wholeBody {
 		if _, err := io.Copy(s.w, e.answer); err != nil {
-			e.ending, e.err = retry.Lost, err
+			e.why, e.err = reason.AnswerTruncated, err
 			return
 		}
 	}
@@ -282,18 +307,18 @@
 	switch {
 	case e.whole || e.left:
 		s.relay.holders.Note(s.call.Prompt, t.ID, time.Now())
-	case e.ending == retry.Unreached:
+	case e.why == reason.TargetDown:
 		sign = suspicion.Unreachable
 		s.relay.pool.Forget(t.ID)
-	case e.ending == retry.Rejected:
+	case e.why == reason.TargetRefused:
 		sign = suspicion.Full
-	case e.ending == retry.Failed:
+	case e.why == reason.TargetFailed:
 		sign = suspicion.Failure
 	default:
 		sign = suspicion.Broken
 	}
 	before, after := s.relay.book.Note(t, sign, time.Now())
 	if before != after {
-		s.log(event.RelayStanding, e.err).Str("before", before.String()).Str("after", after.String()).Send()
+		s.Log(event.TargetStanding).AnErr("error", e.err).Str("before", before.String()).Str("after", after.String()).Send()
 	}
 }
--- a/relay/explained_test.go
+++ b/relay/explained_test.go
@@ -51,7 +51,7 @@
 		reason string
 		placed bool
 	}{
-		"refused by all targets":  {once, standin.Reject, nil, "request-not-run", "no-target", true},
+		"refused by all targets":  {once, standin.Reject, nil, "request-not-run", "target-refused", true},
 		"unknown key":             {once, standin.Serve, func(r *http.Request) { r.Header.Del("Authorization") }, "request-not-run", "unauthenticated", false},
 		"unknown path":            {once, standin.Serve, func(r *http.Request) { r.URL.Path = "/q" }, "request-not-run", "unknown-path", false},
 		"lost":                    {once, standin.CutBefore, nil, "request-unknown", "answer-truncated", true},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,7 +153,7 @@
 	}
 	before, after := r.book.Note(t, sign, time.Now())
 	if before != after {
-		event.RelayStanding.Log(r.cfg.Log).Str("target", string(t.ID)).Str("before", before.String()).
+		event.TargetStanding.Log(r.cfg.Log).Str("target", string(t.ID)).Str("before", before.String()).
 			Str("after", after.String()).AnErr("error", err).Send()
 	}
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -9,9 +9,9 @@
 
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/course"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/retry"
 )
@@ -34,7 +34,7 @@
 	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
-	s := &serving{relay: r, w: w, arrived: time.Now(), view: r.cfg.View()}
+	s := &serving{relay: r, w: w, arrived: time.Now(), view: r.cfg.View(), present: &ended{}}
 	c, err := r.cfg.Dialect.Decode(req)
 	if err != nil {
 		s.call = &call.Call{Method: req.Method, Host: req.Host, Path: req.URL.Path}
@@ -70,8 +70,10 @@
 	account *catalog.Account
 	service fleet.ServiceName
 	rank    int
-	life    retry.Life
+	life    *retry.Request
 	tried   []fleet.TargetID
+	// present is the present attempt; there is an empty one before the first.
+	present *ended
 	// deadline is the time of the final answer.
 	deadline time.Time
 	// started says that the head of the answer was passed on, last the number of
@@ -152,10 +154,10 @@
 	body, err := readAll(req, limit)
 	if err != nil {
 		if req.Context().Err() != nil {
-			s.log(event.RelayClientGone, nil).Send()
+			s.Log(event.ClientGone).Send()
 			return false
 		}
-		s.log(event.RelayBadBody, err).Send()
+		s.Log(event.RequestBodyUnread).Err(err).Send()
 		s.refuse(reason.MalformedRequest, 0)
 		return false
 	}
@@ -181,58 +183,39 @@
 	return body, err
 }
 
+// Bounds of one request's attempts beside those of its route.
+const (
+	// mostUnreached is how many targets that cannot be reached are passed over.
+	mostUnreached = 4
+	// mostRejections is how many targets may reject a request; each rejection is
+	// an arrival that counts as a repeat.
+	mostRejections = 3
+)
+
 // serve makes the attempts and ends the request.
 func (s *serving) serve(ctx context.Context) {
 	r := s.relay
 	_ = http.NewResponseController(s.w).SetWriteDeadline(s.deadline.Add(time.Second))
 	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, errTimedOut)
 	defer cancel()
-	allowance := r.allowance(s.service)
-	allowance.Deposit(s.arrived)
-	s.life = retry.Life{Repetition: s.route.Repetition, MaxRuns: s.route.MaxTargets, Budget: allowance}
 	s.last = s.call.After
-	for {
-		target, ok := s.place()
-		if !ok {
-			s.end(s.life.Exhausted(), reason.NoTarget, nil)
-			return
-		}
-		e := s.attempt(ctx, target)
-		if e.whole {
-			s.done(e)
-			return
-		}
-		if e.left || ctx.Err() != nil {
-			s.interrupted(ctx, e)
-			return
-		}
-		left := time.Until(s.deadline)
-		verdict, why := s.life.Next(e.ending, left, time.Now())
-		if verdict != retry.TryAgain {
-			s.end(verdict, why, e)
-			return
-		}
-		e.close()
-		r.cfg.Metrics.Retried(why)
-		s.log(event.RelayTryAgain, e.err).Str("ending", e.ending.String()).Str("reason", string(why)).
-			Int("status", e.reply.Status).Uint64("after", s.last).Dur("left", left).Send()
-	}
-}
-
-// interrupted ends a request whose client left or whose time is over.
-func (s *serving) interrupted(ctx context.Context, e *ended) {
-	e.close()
-	if e.left || !errors.Is(context.Cause(ctx), errTimedOut) {
+	s.life = retry.New(retry.Config{
+		Repeatable: s.route.Repetition != catalog.Once, Deadline: s.deadline,
+		Terms: retry.Terms{
+			Runs: s.route.MaxTargets, Unreached: mostUnreached, Rejections: mostRejections,
+			UnreachedFree: true, RejectionsProve: true, Share: r.cfg.Allowance.Share(),
+		},
+	}, r.allowance(s.service), s.arrived)
+	step := course.Run(ctx, s.life, s, r.cfg.Metrics)
+	defer s.present.close()
+	switch {
+	case step.Action == retry.Finish:
+		s.done()
+	case s.present.left || (ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut)):
 		s.conclude(clientGone)
-		s.log(event.RelayClientGone, nil).Int("events", s.events).Send()
+		s.Log(event.ClientGone).Int("events", s.events).Send()
 		panic(http.ErrAbortHandler)
+	default:
+		s.end(step)
 	}
-	if s.started {
-		s.cut(reason.TimedOut, e)
-	}
-	if s.life.Outcome() == outcome.NotDispatched && e.ending == retry.Unreached {
-		s.refuse(reason.NoTarget, refusedAfter)
-		return
-	}
-	s.fail(http.StatusGatewayTimeout, reason.TimedOut)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,7 +9,7 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/eventstream"
-	"ragwortpond.example/ragwortpond/retry"
+	"ragwortpond.example/ragwortpond/reason"
 )
 
 // muteCheck is how often a silent target is compared with its other streams.
@@ -77,7 +77,7 @@
 			return
 		}
 		if err != nil {
-			e.ending, e.err = retry.Lost, err
+			e.why, e.err = reason.AnswerTruncated, err
 			return
 		}
 		silence.heard(pause)
@@ -96,7 +96,7 @@
 // event belongs to the answer where nothing can go on after it.
 func (s *serving) endStream(e *ended, rest []byte) {
 	if len(rest) > 0 && s.route.Repetition == catalog.Resumable {
-		e.ending, e.err = retry.Lost, errPartial
+		e.why, e.err = reason.AnswerTruncated, errPartial
 		return
 	}
 	if !s.started {
--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -11,8 +11,16 @@
 	Ratio float64
 	// Extra is the repeats allowed on top in each window.
 	Extra float64
-	// Window is the span over which repeats are counted.
+	// Window is the span over which repeats are counted; the extra ones refill over
+	// it. Zero means that they do not refill.
 	Window time.Duration
+	// Saved is how often over the reserve requests may add up to; zero means twice.
+	Saved float64
+}
+
+// Share is the part of a repeat that each request adds to its router's allowance.
+func (t AllowanceTerms) Share() float64 {
+	return t.Ratio * ratioShare
 }
 
 // Margins of a router's share.
@@ -37,6 +45,17 @@
 	filled  time.Time
 }
 
+// Reserve is what the allowance of a router of its own holds at its start, so that
+// one which has seen few requests can still repeat some.
+const Reserve = 10
+
+// NewReserve returns the allowance of a router that shares none with others: its
+// requests' parts and Reserve, of which up to ten times as much is saved for a
+// burst of failures.
+func NewReserve(now time.Time) *Allowance {
+	return NewAllowance(AllowanceTerms{Extra: 2 * Reserve / extraShare, Saved: 10}, 1, now)
+}
+
 // NewAllowance returns an allowance with its reserve.
 func NewAllowance(terms AllowanceTerms, routers int, now time.Time) *Allowance {
 	a := &Allowance{terms: terms, routers: max(routers, 1), filled: now}
@@ -58,17 +77,21 @@
 	return max(a.terms.Extra*extraShare/float64(a.routers)/2, leastDepth)
 }
 
-// ceiling bounds what requests add up to: no more than they add in a window.
+// ceiling bounds what requests add up to: about what they add in a window.
 func (a *Allowance) ceiling() float64 {
-	return 2 * a.depth()
+	saved := a.terms.Saved
+	if saved == 0 {
+		saved = 2
+	}
+	return saved * a.depth()
 }
 
-// Deposit adds the part of one request.
-func (a *Allowance) Deposit(now time.Time) {
+// Deposit adds one request's part of a repeat.
+func (a *Allowance) Deposit(now time.Time, share float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.fill(now)
-	a.tokens = min(a.tokens+a.terms.Ratio*ratioShare, a.ceiling())
+	a.tokens = min(a.tokens+share, a.ceiling())
 }
 
 // Take takes one repeat and reports whether there was one.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -8,7 +8,6 @@
 
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
-	"ragwortpond.example/ragwortpond/settings"
 )
 
 // Action says what follows an attempt.
@@ -20,8 +19,7 @@
 	Finish Action = iota
 	// GiveUp means that no further attempt is made.
 	GiveUp
-	// Elsewhere means that the request is sent anew to the next candidate;
-	// the caller has no byte of an answer yet.
+	// Elsewhere means that the request is sent to the next candidate.
 	Elsewhere
 	// ResumeSame means that the attempt's stream is taken up again at its
 	// offset, on the same target.
@@ -60,34 +58,42 @@
 	// and GiveUp they are final.
 	Outcome outcome.State
 	Reason  reason.Code
-	// Charged says that the step took from the retry budget.
+	// Charged says that the step took from the allowance.
 	Charged bool
 }
 
+// Final reports whether no attempt follows.
+func (s Step) Final() bool {
+	return s.Action == Finish || s.Action == GiveUp
+}
+
 // Config describes a request.
 type Config struct {
 	// Repeatable says that running the request twice does no harm.
 	Repeatable bool
-	// Stream says that the answer comes as numbered events that can be resumed.
+	// Stream says that the answer comes as numbered events that can be taken up
+	// again at their target.
 	Stream bool
 	// Begun says that the request was dispatched before and that the caller may
 	// have a part of the answer: the first attempt is a resumption.
 	Begun bool
 	// Deadline is zero where there is none.
 	Deadline time.Time
-	Limits   settings.Retry
+	Terms    Terms
 }
 
+// leastLeft is the least time in which another attempt is worth while: a way to
+// a target and back in another failure domain, and the least work there.
+const leastLeft = 30 * time.Millisecond
+
 // Request is the life cycle of one request through its attempts. It is used by
 // one goroutine.
 type Request struct {
-	config  Config
-	budget  *Budget
-	outcome outcome.State
-	reason  reason.Code
-	// failures counts attempts given up at or behind a target; attempts that a
-	// home refused are not among them.
-	failures int
+	config    Config
+	allowance *Allowance
+	outcome   outcome.State
+	reason    reason.Code
+	counts    counts
 	// resuming says that the present attempt was taken up again at events and
 	// has not advanced since.
 	resuming bool
@@ -97,10 +103,10 @@
 }
 
 // New returns the life cycle of a request. It deposits the request's share in
-// the budget.
-func New(c Config, b *Budget) *Request {
-	b.Deposit(c.Limits.BudgetRatio)
-	r := &Request{config: c, budget: b, reason: reason.NoTarget}
+// the allowance.
+func New(c Config, a *Allowance, now time.Time) *Request {
+	a.Deposit(now, c.Terms.Share)
+	r := &Request{config: c, allowance: a, reason: reason.NoTarget}
 	if c.Begun {
 		r.begun, r.resuming = true, true
 		r.outcome, r.reason = outcome.Dispatched, reason.StreamBroken
@@ -108,6 +114,26 @@
 	return r
 }
 
+// First is the step before the first attempt.
+func (r *Request) First() Step {
+	if r.config.Begun {
+		return r.step(ResumeSame, r.reason)
+	}
+	return r.step(Elsewhere, reason.None)
+}
+
+// Outcome is how far the request got.
+func (r *Request) Outcome() outcome.State {
+	return r.outcome
+}
+
+// MayRepeat reports whether another run would be allowed after one that is
+// under way, as far as the request itself goes.
+func (r *Request) MayRepeat() bool {
+	terms := r.config.Terms
+	return r.config.Repeatable && (terms.Runs == 0 || r.counts.runs+1 < terms.Runs)
+}
+
 // Next takes the end of an attempt and says what follows. Jitter is uniform in
 // [0, 1).
 func (r *Request) Next(now time.Time, e End, jitter float64) Step {
@@ -166,9 +192,9 @@
 	return !r.config.Deadline.IsZero() && !now.Before(r.config.Deadline)
 }
 
-// action chooses what would follow, were there budget and time.
+// action chooses what would follow, were there allowance and time.
 func (r *Request) action(e End) Action {
-	if !r.config.Repeatable {
+	if !r.config.Repeatable && !repeatsOnce {
 		return r.onceOnly(e)
 	}
 	if !r.config.Stream {
@@ -183,10 +209,10 @@
 	return Elsewhere
 }
 
-// onceOnly goes on with a request that must not run twice: only as long as no
-// byte of it left for a target.
+// onceOnly goes on with a request that must not run twice: only as long as it
+// is certain that it has not run.
 func (r *Request) onceOnly(e End) Action {
-	if r.outcome != outcome.NotDispatched || e.Reason == reason.TargetRefused {
+	if r.outcome != outcome.NotDispatched || (classOf(e) == rejected && !r.config.Terms.RejectionsProve) {
 		return GiveUp
 	}
 	return Elsewhere
@@ -196,51 +222,30 @@
 // the next candidate after a home's refusal costs nothing, since no target was
 // touched.
 func (r *Request) leave(now time.Time, a Action, e End, jitter float64) Step {
-	free := redirect(e) && !r.resuming
+	class := classOf(e)
+	free := class == untouched && !r.resuming
 	r.resuming = false
 	r.events = 0
 	if free {
 		return r.step(a, e.Reason)
 	}
-	r.failures++
-	if r.failures >= r.config.Limits.Attempts {
+	terms := r.config.Terms
+	r.counts.add(class)
+	if r.counts.over(terms) {
 		return r.step(GiveUp, r.reason)
 	}
-	wait := Backoff(r.config.Limits, r.failures, jitter)
-	if r.expired(now.Add(wait)) {
+	wait := terms.Wait(r.counts.all, jitter)
+	if r.expired(now.Add(wait + leastLeft)) {
 		return r.step(GiveUp, reason.Deadline)
 	}
-	if !r.budget.Take() {
-		return r.step(GiveUp, reason.RetryBudget)
-	}
 	s := r.step(a, e.Reason)
 	s.Wait = wait
-	s.Charged = true
-	return s
-}
-
-// redirect reports whether an attempt ended before it touched a target.
-func redirect(e End) bool {
-	if e.Outcome != outcome.NotDispatched {
-		return false
-	}
-	switch e.Reason {
-	case reason.TargetDown, reason.TargetRefused, reason.HomeUnreachable:
-		return false
-	default:
-		return true
+	if class == unreached && terms.UnreachedFree {
+		return s
 	}
-}
-
-// Backoff returns the wait before the attempt after the given number of
-// failures, 1 or more: its mean doubles with each failure up to the limit, and
-// jitter in [0, 1) spreads it from half the mean to one and a half times it.
-func Backoff(l settings.Retry, failures int, jitter float64) time.Duration {
-	mean := l.BackoffMS.Duration()
-	longest := l.BackoffMaxMS.Duration()
-	for i := 1; i < failures && mean < longest; i++ {
-		mean *= 2
+	if !r.allowance.Take(now) {
+		return r.step(GiveUp, reason.RetryBudget)
 	}
-	mean = min(mean, longest)
-	return time.Duration(float64(mean) * (0.5 + jitter))
+	s.Charged = true
+	return s
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -144,8 +144,8 @@
 	if s.Action == retry.Elsewhere && w.received > 0 {
 		w.t.Fatal("sent anew though the caller has a part of the answer")
 	}
-	if w.retries >= w.Limits.Attempts {
-		w.t.Fatalf("%d retries with %d attempts allowed", w.retries, w.Limits.Attempts)
+	if w.retries >= w.Terms.Attempts {
+		w.t.Fatalf("%d retries with %d attempts allowed", w.retries, w.Terms.Attempts)
 	}
 }
 
@@ -171,25 +171,25 @@
 	}
 }
 
-// TestLifeCycle runs many requests through one budget against faults drawn at
+// TestLifeCycle runs many requests through one allowance against faults drawn at
 // random and compares what is told with what ran.
 func TestLifeCycle(t *testing.T) {
 	steps := 0
 	rapid.Check(t, func(t *rapid.T) {
 		limits := settings.Defaults().Retry
 		limits.Attempts = rapid.IntRange(1, 5).Draw(t, "attempts")
-		budget := retry.NewBudget()
+		allowance := retry.NewReserve(start)
 		requests := rapid.IntRange(1, 40).Draw(t, "requests")
 		retries := 0
 		for range requests {
 			w := &world{t: t, now: start, length: rapid.IntRange(1, 30).Draw(t, "length")}
 			w.Config = retry.Config{
-				Repeatable: rapid.Bool().Draw(t, "repeatable"), Stream: rapid.Bool().Draw(t, "stream"), Limits: limits,
+				Repeatable: rapid.Bool().Draw(t, "repeatable"), Stream: rapid.Bool().Draw(t, "stream"), Terms: retry.TermsOf(limits),
 			}
 			if rapid.Bool().Draw(t, "has deadline") {
 				w.Deadline = start.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "deadline")) * time.Millisecond)
 			}
-			w.req = retry.New(w.Config, budget)
+			w.req = retry.New(w.Config, allowance, w.now)
 			w.checkFinal(w.serve())
 			retries += w.retries
 			steps += w.steps
@@ -202,13 +202,13 @@
 }
 
 func TestBackoffGrowsAndSpreads(t *testing.T) {
-	l := settings.Retry{BackoffMS: 20, BackoffMaxMS: 100}
+	terms := retry.TermsOf(settings.Retry{BackoffMS: 20, BackoffMaxMS: 100})
 	for failures, mean := range map[int]time.Duration{1: 20, 2: 40, 3: 80, 4: 100, 60: 100} {
 		mean *= time.Millisecond
-		if got := retry.Backoff(l, failures, 0.5); got != mean {
+		if got := terms.Wait(failures, 0.5); got != mean {
 			t.Errorf("after %d: %v, want %v", failures, got, mean)
 		}
-		if low := retry.Backoff(l, failures, 0); low != mean/2 {
+		if low := terms.Wait(failures, 0); low != mean/2 {
 			t.Errorf("after %d: lowest %v", failures, low)
 		}
 	}
--- a/router/entry/attempt.go
+++ b/router/entry/attempt.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/course"
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
@@ -18,7 +21,6 @@
 type serving struct {
 	entry    *Entry
 	req      *Request
-	cycle    *retry.Request
 	delivery *delivery
 	walk     *walk
 	// at, sink and fwd are of the present attempt.
@@ -36,47 +38,43 @@
 	s := &serving{
 		entry: e, req: req, walk: e.newWalk(req),
 		delivery: newDelivery(out, req.Stream, func() { e.cfg.Metrics.Discarded(reason.AnswerMismatch) }),
-		cycle: retry.New(retry.Config{
-			Repeatable: req.Repeatable, Stream: req.Stream && req.Kind == fleet.KindEngine,
-			Deadline: req.Deadline, Limits: req.Values.Retry, Begun: req.Resume != "",
-		}, e.budget),
-	}
-	if ctx.Err() != nil {
-		return s.result(s.cycle.Expired())
-	}
-	end, ok := s.first(ctx)
-	for {
-		if !ok {
-			return s.result(s.cycle.Exhausted())
-		}
-		upcoming := s.next(ctx, end)
-		if upcoming.Action == retry.Finish || upcoming.Action == retry.GiveUp {
-			return s.result(upcoming)
-		}
-		e.cfg.Metrics.Retried(upcoming.Reason)
-		if !s.wait(ctx, upcoming.Wait) {
-			return s.result(s.cycle.Expired())
-		}
-		end, ok = s.act(ctx, upcoming)
 	}
+	life := retry.New(retry.Config{
+		Repeatable: req.Repeatable, Stream: req.Stream && req.Kind == fleet.KindEngine,
+		Deadline: req.Deadline, Terms: retry.TermsOf(req.Values.Retry), Begun: req.Resume != "",
+	}, e.allowance, time.Now())
+	return s.result(course.Run(ctx, life, s, e.cfg.Metrics))
 }
 
-func (s *serving) wait(ctx context.Context, d time.Duration) bool {
-	if d > 0 {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
+// Attempt implements course.Path. There is none where no candidate is left, or
+// where no target can go on from the text so far.
+func (s *serving) Attempt(ctx context.Context, step retry.Step) (retry.End, bool) {
+	end, ok := s.act(ctx, step)
+	if !ok {
+		return retry.End{}, false
 	}
-	return ctx.Err() == nil
+	return s.ended(ctx, end), true
 }
 
-// act carries a step out; false means that there is no further candidate, or
-// that no target can go on from the text so far.
+// Log implements course.Path.
+func (s *serving) Log(e event.Event) *zerolog.Event {
+	line := e.Log(s.entry.cfg.Log).Str("request", string(s.req.ID)).Str("service", string(s.req.Service)).
+		Str("account", string(s.req.Account))
+	if s.at.Target != nil {
+		line = line.Str("target", string(s.at.Target.ID))
+	}
+	if s.fwd != nil {
+		line = line.Str("attempt", string(s.fwd.Attempt))
+	}
+	return line
+}
+
+// act carries a step out; false means that it cannot be.
 func (s *serving) act(ctx context.Context, upcoming retry.Step) (wire.End, bool) {
 	if upcoming.Action == retry.ResumeSame {
+		if s.fwd == nil {
+			return s.takeUp(ctx)
+		}
 		return s.resume(ctx), true
 	}
 	body := s.req.Body
@@ -109,11 +107,22 @@
 	s.fwd.Spread = s.walk.spread
 	s.sink = s.entry.withToken(s.req, at, s.delivery)
 	s.attempts++
+	s.logPlaced()
 	s.offerResume()
 	s.delivery.attempt()
 	return s.forward(ctx)
 }
 
+// logPlaced logs the choice of a target with what it rests on.
+func (s *serving) logPlaced() {
+	line := s.Log(event.RequestPlaced).Str("basis", s.at.Why.String()).
+		Float64("load", s.entry.loads.of(s.at.Target.ID)).Int("spread", s.walk.spread).Dur("wait", s.at.wait)
+	if s.at.Home != nil {
+		line = line.Str("home", string(s.at.Home.ID))
+	}
+	line.Uint64("revision", s.entry.cfg.Snapshot().Revision).Send()
+}
+
 // resume takes the present attempt's stream up again where it broke: through
 // the router that is the target's home now, and through this one where the home
 // was lost.
@@ -152,8 +161,8 @@
 	return wire.End{Outcome: outcome.Answered}
 }
 
-// next lets the life cycle decide what follows an end.
-func (s *serving) next(ctx context.Context, end wire.End) retry.Step {
+// ended takes the end of an attempt for what follows.
+func (s *serving) ended(ctx context.Context, end wire.End) retry.End {
 	d := s.delivery
 	if end.Whole() && !d.received() {
 		end = wire.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
@@ -165,10 +174,10 @@
 	if end.Reason == reason.AnswerMismatch || end.Reason == reason.AnswerTruncated {
 		s.entry.cfg.Metrics.Discarded(end.Reason)
 	}
-	return s.cycle.Next(time.Now(), retry.End{
+	return retry.End{
 		Outcome: end.Outcome, Reason: end.Reason, Whole: end.Whole() || d.complete(), Events: d.next,
 		CallerGone: d.gone || errors.Is(ctx.Err(), context.Canceled),
-	}, rand.Float64())
+	}
 }
 
 func (s *serving) result(last retry.Step) Result {
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -103,8 +103,8 @@
 
 // Entry serves requests. It is safe for concurrent use.
 type Entry struct {
-	cfg    Config
-	budget *retry.Budget
+	cfg       Config
+	allowance *retry.Allowance
 	groups groups
 	loads  loads
 	limits *limits
@@ -113,7 +113,7 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, budget: retry.NewBudget(), limits: newLimits(cfg.Peers)}
+	return &Entry{cfg: cfg, allowance: retry.NewReserve(cfg.Clock()), limits: newLimits(cfg.Peers)}
 }
 
 // Do serves one request and passes the answer to out. It returns when the
--- a/router/entry/resume.go
+++ b/router/entry/resume.go
@@ -12,7 +12,6 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/plain"
 	"ragwortpond.example/ragwortpond/reason"
-	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/router/wire"
 	"ragwortpond.example/ragwortpond/settings"
 )
@@ -109,11 +108,3 @@
 	}
 	return end, true
 }
-
-// first makes the first attempt, or takes up the one that the caller names.
-func (s *serving) first(ctx context.Context) (wire.End, bool) {
-	if s.req.Resume != "" {
-		return s.takeUp(ctx)
-	}
-	return s.act(ctx, retry.Step{Action: retry.Elsewhere})
-}
