dispatch: a choice costs the same among thousands of targets as among a hundred

Bounds and order are unchanged: TestHotKeyLoad as before; TestChooseFindsTheFewSoundTargets and TestRanksGoThroughAllTargets check what the short walk could miss.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,7 +1,8 @@
 package dispatch
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
@@ -11,30 +12,20 @@
 	"ragwortpond.example/ragwortpond/suspicion"
 )
 
-// Candidate is a target as a router sees it at one moment.
-type Candidate struct {
-	Target *catalog.Target
-	// Load is the estimated number of requests before the target, those of other
-	// routers included.
-	Load     float64
-	Standing suspicion.Standing
-	// Tried says that the request has been at the target already.
-	Tried bool
-	// Leaving targets take no work, but their cache can still be fetched.
-	Leaving bool
-}
-
-// Choice is the target for a request; indexes are into the candidates.
+// Choice is the target for a request.
 type Choice struct {
-	// Target is -1 if there is none left.
-	Target int
+	// Target is nil if there is none left.
+	Target *catalog.Target
 	// Source is the target that probably holds the cache of the key's parts
-	// where Target may not; -1 if there is none.
-	Source int
+	// where Target may not; nil if there is none.
+	Source *catalog.Target
 	Basis  Basis
+	// Load and Standing are those of Target, for logs.
+	Load     float64
+	Standing suspicion.Standing
 }
 
-// Ask is what the choice of a target depends on besides the candidates.
+// Ask is what the choice of a target depends on besides the field and its signs.
 type Ask struct {
 	// Key is the part of the prompt by which requests are kept together; zero
 	// means that the request has none.
@@ -42,6 +33,10 @@
 	// Domain is the router's failure domain, which is preferred among targets
 	// that are equal otherwise.
 	Domain fleet.DomainName
+	// Tried are the targets at which the request has been already.
+	Tried []fleet.TargetID
+	// Mean is the mean load of the targets that take work.
+	Mean float64
 	// Random decides between equal targets.
 	Random uint64
 }
@@ -73,6 +68,16 @@
 // that it has taken over: longer than it takes for most keys to be asked for.
 const recentJoin = 30 * time.Second
 
+// Bounds of what one choice looks at, so that it costs about as much with
+// thousands of targets as with a hundred.
+const (
+	// mostRanks is how many targets of a key's order are asked for their load and
+	// standing.
+	mostRanks = 16
+	// mostSampled is how many targets are compared by load.
+	mostSampled = 256
+)
+
 // Choose returns the target for a request at a time. It does not allocate.
 //
 // It answers steady load with hot keys: requests with the same key go to the
@@ -80,119 +85,149 @@
 // share of the load. Requests without a key go to the least loaded target.
 // Where another target than the one chosen probably holds the key's cache, it is
 // named as the source: fetching costs a fraction of reading the prompt again.
-func Choose(a Ask, candidates []Candidate, now time.Time) Choice {
-	standing := bestStanding(candidates)
+func Choose(a Ask, f *Field, signs Signs, now time.Time) Choice {
+	p := pick{ask: a, field: f, signs: signs}
+	at, basis := -1, BasisLoad
 	if a.Key == 0 {
-		return Choice{leastLoaded(a, candidates, standing), -1, BasisLoad}
+		at = p.leastLoaded()
+	} else {
+		at, basis = p.byKey()
 	}
-	mean := meanLoad(candidates)
-	first := highestRanked(a.Key, candidates, standing, math.Inf(1))
-	if first >= 0 && candidates[first].Load < keyMultiple*mean+keyMargin {
-		return Choice{first, source(a.Key, candidates, first, now), BasisKey}
+	if at < 0 {
+		return Choice{Basis: basis}
 	}
-	best := highestRanked(a.Key, candidates, standing, spillMultiple*mean+spillMargin)
-	if best < 0 {
-		best = leastLoaded(a, candidates, standing)
+	t := f.targets[at]
+	choice := Choice{Target: t, Basis: basis, Load: signs.Load(t), Standing: signs.Standing(t)}
+	if a.Key != 0 {
+		choice.Source = p.source(at, now)
 	}
-	return Choice{best, source(a.Key, candidates, best, now), BasisOverflow}
+	return choice
 }
 
-// highestRanked is the first of the key's rendezvous order with less load than
-// the bound; -1 if there is none.
-func highestRanked(key uint64, candidates []Candidate, standing suspicion.Standing, bound float64) int {
-	best, bestScore := -1, 0.0
-	for i := range candidates {
-		c := &candidates[i]
-		if !c.takes(standing) || c.Load >= bound {
-			continue
-		}
-		if s := c.score(key); best < 0 || s > bestScore {
-			best, bestScore = i, s
-		}
-	}
-	return best
-}
-
-func (c *Candidate) takes(standing suspicion.Standing) bool {
-	return !c.Tried && !c.Leaving && c.Standing == standing
+// pick is one choice under way.
+type pick struct {
+	ask   Ask
+	field *Field
+	signs Signs
 }
 
-func (c *Candidate) score(key uint64) float64 {
-	return rendezvous.Score(rendezvous.Mix(rendezvous.Seed(string(c.Target.ID)), key), 1)
+func (p *pick) tried(i int) bool {
+	return slices.Contains(p.ask.Tried, p.field.targets[i].ID)
 }
 
-// source returns the first of the key's rendezvous order besides the chosen
-// target, if it ranks before that, or if the chosen target joined lately; else
-// the chosen target holds the cache itself.
-func source(key uint64, candidates []Candidate, chosen int, now time.Time) int {
-	if chosen < 0 {
-		return -1
+// byKey returns the first target of the key's order, unless it has more than its
+// share of the load; then the first that has room for what others spill.
+func (p *pick) byKey() (int, Basis) {
+	standing, first := p.firstOf()
+	if first < 0 {
+		return -1, BasisKey
 	}
-	best, bestScore := -1, 0.0
-	for i := range candidates {
-		c := &candidates[i]
-		if i == chosen || c.Tried || c.Standing == suspicion.Shunned {
-			continue
+	if p.signs.Load(p.field.targets[first]) < keyMultiple*p.ask.Mean+keyMargin {
+		return first, BasisKey
+	}
+	order := ranks{field: p.field, key: p.ask.Key, among: p.field.serving, last: first}
+	for range mostRanks {
+		i := order.next()
+		if i < 0 {
+			break
 		}
-		if s := c.score(key); best < 0 || s > bestScore {
-			best, bestScore = i, s
+		t := p.field.targets[i]
+		if !p.tried(i) && p.signs.Standing(t) == standing && p.signs.Load(t) < spillMultiple*p.ask.Mean+spillMargin {
+			return i, BasisOverflow
 		}
 	}
-	joined := now.Sub(candidates[chosen].Target.Started) < recentJoin
-	if best >= 0 && (joined || bestScore > candidates[chosen].score(key)) {
-		return best
-	}
-	return -1
+	return p.leastLoaded(), BasisOverflow
 }
 
-// bestStanding is the best standing among the targets that were not tried.
-func bestStanding(candidates []Candidate) suspicion.Standing {
-	best := suspicion.Shunned
-	for i := range candidates {
-		if !candidates[i].Tried && !candidates[i].Leaving {
-			best = min(best, candidates[i].Standing)
+// firstOf returns the best standing that a target has, and the first of the key's
+// order that has it; -1 if there is no target.
+func (p *pick) firstOf() (suspicion.Standing, int) {
+	order := ranks{field: p.field, key: p.ask.Key, among: p.field.serving, last: -1}
+	for range mostRanks {
+		i := order.next()
+		if i < 0 {
+			break
+		}
+		if !p.tried(i) && p.signs.Standing(p.field.targets[i]) == suspicion.Sound {
+			return suspicion.Sound, i
 		}
 	}
-	return best
+	return p.bestOf()
 }
 
-func meanLoad(candidates []Candidate) float64 {
-	if len(candidates) == 0 {
-		return 0
+// bestOf is firstOf for a field in which few targets are sound.
+func (p *pick) bestOf() (suspicion.Standing, int) {
+	best, bestRank, bestStanding := -1, uint64(0), suspicion.Shunned
+	for i := range p.field.serving {
+		if p.tried(i) {
+			continue
+		}
+		standing, rank := p.signs.Standing(p.field.targets[i]), p.field.rank(i, p.ask.Key)
+		if best < 0 || standing < bestStanding || (standing == bestStanding && rank > bestRank) {
+			best, bestRank, bestStanding = i, rank, standing
+		}
 	}
-	sum, n := 0.0, 0
-	for i := range candidates {
-		if !candidates[i].Leaving {
-			sum += candidates[i].Load
-			n++
+	return bestStanding, best
+}
+
+// source returns the first of the key's order besides the chosen target, if it
+// ranks before that, or if the chosen target joined lately; else the chosen
+// target holds the cache itself.
+func (p *pick) source(chosen int, now time.Time) *catalog.Target {
+	joined := now.Sub(p.field.targets[chosen].Started) < recentJoin
+	order := ranks{field: p.field, key: p.ask.Key, among: len(p.field.targets), last: -1}
+	for range mostRanks {
+		i := order.next()
+		switch {
+		case i < 0, i == chosen && !joined:
+			return nil
+		case i != chosen && !p.tried(i) && p.signs.Standing(p.field.targets[i]) != suspicion.Shunned:
+			return p.field.targets[i]
 		}
 	}
-	return sum / float64(max(n, 1))
+	return nil
 }
 
-// leastLoaded chooses by load for each slot, then by failure domain, then at
-// random.
-func leastLoaded(a Ask, candidates []Candidate, standing suspicion.Standing) int {
-	best := -1
-	var bestLoad float64
-	var bestTie uint64
-	for i := range candidates {
-		c := &candidates[i]
-		if !c.takes(standing) {
-			continue
+// leastLoaded chooses by standing, load for each slot, failure domain, and then
+// at random; among many targets it looks at some of them.
+func (p *pick) leastLoaded() int {
+	n := p.field.serving
+	best, bestSeen := -1, seen{}
+	for k := range min(n, mostSampled) {
+		i := k
+		if n > mostSampled {
+			i = int(rendezvous.Mix(uint64(k), p.ask.Random) % uint64(n))
 		}
-		load := c.Load / float64(max(c.Target.Slots, 1))
-		tie := rendezvous.Mix(rendezvous.Seed(string(c.Target.ID)), a.Random) >> 1
-		if c.Target.Domain != a.Domain {
-			tie |= 1 << 63
+		if p.tried(i) {
+			continue
 		}
-		if best < 0 || load < bestLoad || (load == bestLoad && tie < bestTie) {
-			best, bestLoad, bestTie = i, load, tie
+		if s := p.see(i); best < 0 || s.before(bestSeen) {
+			best, bestSeen = i, s
 		}
 	}
 	return best
 }
 
+// seen is a target as it is compared with others by load.
+type seen struct {
+	standing suspicion.Standing
+	load     float64
+	tie      uint64
+}
+
+func (p *pick) see(i int) seen {
+	t := p.field.targets[i]
+	s := seen{p.signs.Standing(t), p.signs.Load(t) / float64(max(t.Slots, 1)), rendezvous.Mix(p.field.seeds[i], p.ask.Random) >> 1}
+	if t.Domain != p.ask.Domain {
+		s.tie |= 1 << 63
+	}
+	return s
+}
+
+func (s seen) before(o seen) bool {
+	return cmp.Or(cmp.Compare(s.standing, o.standing), cmp.Compare(s.load, o.load), cmp.Compare(s.tie, o.tie)) < 0
+}
+
 // KeyOf returns the key by which a prompt's requests are kept together: its last
 // shared part. The last part of all belongs to the request itself.
 func KeyOf(prompt []call.Part) uint64 {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,27 +16,78 @@
 
 var playStart = time.Unix(100_000, 0)
 
+// fleetState is a fleet of targets with the signs that tests set.
+type fleetState struct {
+	targets  []*catalog.Target
+	at       map[fleet.TargetID]int
+	load     []float64
+	standing []suspicion.Standing
+	tried    []fleet.TargetID
+	// leaving holds the places of targets that take no more work.
+	leaving map[int]bool
+	// total is the sum of the loads.
+	total float64
+}
+
+func (f *fleetState) Load(t *catalog.Target) float64                { return f.load[f.at[t.ID]] }
+func (f *fleetState) Standing(t *catalog.Target) suspicion.Standing { return f.standing[f.at[t.ID]] }
+
+// field is the first n targets.
+func (f *fleetState) field(n int) *Field {
+	var serving, leaving []*catalog.Target
+	for i, t := range f.targets[:n] {
+		if f.leaving[i] {
+			leaving = append(leaving, t)
+		} else {
+			serving = append(serving, t)
+		}
+	}
+	return NewField(serving, leaving)
+}
+
+// choose asks for a target among the first n and returns its place.
+func (f *fleetState) choose(a Ask, n int) (Choice, int) {
+	a.Tried = f.tried
+	for i := range n {
+		if !f.leaving[i] {
+			a.Mean += f.load[i] / float64(n-len(f.leaving))
+		}
+	}
+	choice := Choose(a, f.field(n), f, playStart)
+	return choice, f.place(choice.Target)
+}
+
+func (f *fleetState) place(t *catalog.Target) int {
+	if t == nil {
+		return -1
+	}
+	return f.at[t.ID]
+}
+
 // fleetOf returns n targets that have been up for long.
-func fleetOf(n int) []Candidate {
-	candidates := make([]Candidate, n)
-	for i := range candidates {
-		candidates[i] = Candidate{Target: &catalog.Target{
-			ID: fleet.TargetID(fmt.Sprintf("t-%d", i)), Slots: 12, Started: playStart.Add(-time.Hour),
-			Domain: fleet.DomainName(fmt.Sprintf("d-%d", i%3)),
-		}}
+func fleetOf(n int) *fleetState {
+	f := &fleetState{
+		at: map[fleet.TargetID]int{}, load: make([]float64, n), standing: make([]suspicion.Standing, n), leaving: map[int]bool{},
 	}
-	return candidates
+	for i := range n {
+		id := fleet.TargetID(fmt.Sprintf("t-%d", i))
+		f.at[id] = i
+		f.targets = append(f.targets, &catalog.Target{
+			ID: id, Slots: 12, Started: playStart.Add(-time.Hour), Domain: fleet.DomainName(fmt.Sprintf("d-%d", i%3)),
+		})
+	}
+	return f
 }
 
 func TestChooseKeepsAKeyThroughJoinsAndLeaves(t *testing.T) {
-	candidates := fleetOf(12)
+	f := fleetOf(12)
 	moved := 0
 	for key := range uint64(500) {
-		all := Choose(Ask{Key: key + 1}, candidates, playStart)
-		without := Choose(Ask{Key: key + 1}, candidates[:11], playStart)
-		if all.Target != without.Target {
+		_, all := f.choose(Ask{Key: key + 1}, 12)
+		_, without := f.choose(Ask{Key: key + 1}, 11)
+		if all != without {
 			moved++
-			if all.Target != 11 {
+			if all != 11 {
 				t.Fatalf("key %d moved between targets that stayed", key)
 			}
 		}
@@ -45,63 +98,104 @@
 }
 
 func TestChooseNamesWhoHoldsTheCache(t *testing.T) {
-	candidates := fleetOf(6)
-	first := Choose(Ask{Key: 7}, candidates, playStart)
-	if first.Source != -1 || first.Basis != BasisKey {
+	f := fleetOf(6)
+	first, at := f.choose(Ask{Key: 7}, 6)
+	if first.Source != nil || first.Basis != BasisKey {
 		t.Fatalf("the key's own target needs no source: %+v", first)
 	}
-	candidates[first.Target].Load = 1000
-	over := Choose(Ask{Key: 7}, candidates, playStart)
+	f.load[at] = 1000
+	over, _ := f.choose(Ask{Key: 7}, 6)
 	if over.Target == first.Target || over.Source != first.Target || over.Basis != BasisOverflow {
 		t.Errorf("overflow %+v of %+v", over, first)
 	}
-	candidates[first.Target].Load = 0
-	candidates[first.Target].Leaving = true
-	after := Choose(Ask{Key: 7}, candidates, playStart)
+	f.load[at] = 0
+	f.leaving[at] = true
+	after, _ := f.choose(Ask{Key: 7}, 6)
 	if after.Target == first.Target || after.Source != first.Target {
 		t.Errorf("a leaving target is chosen, or is no source: %+v", after)
 	}
-	candidates[first.Target].Standing = suspicion.Shunned
-	if dead := Choose(Ask{Key: 7}, candidates, playStart); dead.Source == first.Target {
+	f.standing[at] = suspicion.Shunned
+	if dead, _ := f.choose(Ask{Key: 7}, 6); dead.Source == first.Target {
 		t.Error("a target that cannot be reached is a source")
 	}
 }
 
 func TestChooseNamesASourceForATargetThatJoined(t *testing.T) {
-	candidates := fleetOf(6)
-	first := Choose(Ask{Key: 7}, candidates, playStart).Target
-	candidates[first].Target.Started = playStart.Add(-time.Second)
-	choice := Choose(Ask{Key: 7}, candidates, playStart)
-	if choice.Target != first || choice.Source < 0 || choice.Source == first {
+	f := fleetOf(6)
+	_, first := f.choose(Ask{Key: 7}, 6)
+	f.targets[first].Started = playStart.Add(-time.Second)
+	choice, at := f.choose(Ask{Key: 7}, 6)
+	if at != first || choice.Source == nil || choice.Source == choice.Target {
 		t.Errorf("got %+v for the new target %d", choice, first)
 	}
 }
 
 func TestChooseAvoidsTriedAndShunned(t *testing.T) {
-	candidates := fleetOf(3)
-	candidates[0].Standing = suspicion.Shunned
-	candidates[1].Tried = true
+	f := fleetOf(3)
+	f.standing[0] = suspicion.Shunned
+	f.tried = []fleet.TargetID{"t-1"}
 	for _, key := range []uint64{0, 5} {
-		if choice := Choose(Ask{Key: key}, candidates, playStart); choice.Target != 2 {
-			t.Errorf("key %d: got %d", key, choice.Target)
+		if _, at := f.choose(Ask{Key: key}, 3); at != 2 {
+			t.Errorf("key %d: got %d", key, at)
 		}
 	}
-	candidates[2].Tried = true
-	if choice := Choose(Ask{}, candidates, playStart); choice.Target != 0 {
-		t.Errorf("a shunned target is better than none: got %d", choice.Target)
+	f.tried = append(f.tried, "t-2")
+	for _, key := range []uint64{0, 5} {
+		if _, at := f.choose(Ask{Key: key}, 3); at != 0 {
+			t.Errorf("key %d: a shunned target is better than none: got %d", key, at)
+		}
+	}
+	f.tried = append(f.tried, "t-0")
+	if _, at := f.choose(Ask{Key: 5}, 3); at != -1 {
+		t.Errorf("no target is left: got %d", at)
+	}
+}
+
+// TestChooseFindsTheFewSoundTargets has most of a large fleet shunned: a sound
+// target is found wherever it stands in the key's order.
+func TestChooseFindsTheFewSoundTargets(t *testing.T) {
+	f := fleetOf(400)
+	for i := range f.standing {
+		f.standing[i] = suspicion.Shunned
 	}
-	candidates[0].Tried = true
-	if choice := Choose(Ask{Key: 5}, candidates, playStart); choice.Target != -1 {
-		t.Errorf("no target is left: got %d", choice.Target)
+	for _, sound := range []int{3, 177, 399} {
+		f.standing[sound] = suspicion.Doubtful
+		for key := range uint64(50) {
+			if _, at := f.choose(Ask{Key: key + 1}, 400); at != sound {
+				t.Fatalf("key %d: got %d", key, at)
+			}
+		}
+		f.standing[sound] = suspicion.Shunned
 	}
 }
 
 func TestChoosePrefersTheOwnDomainAmongEquals(t *testing.T) {
-	candidates := fleetOf(6)
+	f := fleetOf(6)
 	for i := range uint64(50) {
-		c := Choose(Ask{Domain: "d-1", Random: i}, candidates, playStart)
-		if candidates[c.Target].Target.Domain != "d-1" {
-			t.Fatalf("got %d", c.Target)
+		choice, _ := f.choose(Ask{Domain: "d-1", Random: i}, 6)
+		if choice.Target.Domain != "d-1" {
+			t.Fatalf("got %+v", choice)
+		}
+	}
+}
+
+// TestRanksGoThroughAllTargets compares the order with one that is sorted.
+func TestRanksGoThroughAllTargets(t *testing.T) {
+	field := fleetOf(50).field(50)
+	for key := range uint64(20) {
+		want := make([]int, 50)
+		for i := range want {
+			want[i] = i
+		}
+		slices.SortFunc(want, func(a, b int) int { return cmp.Compare(field.rank(b, key), field.rank(a, key)) })
+		order := ranks{field: field, key: key, among: 50, last: -1}
+		for _, w := range want {
+			if got := order.next(); got != w {
+				t.Fatalf("got %d, want %d", got, w)
+			}
+		}
+		if got := order.next(); got != -1 {
+			t.Fatalf("%d after the last", got)
 		}
 	}
 }
@@ -117,21 +211,23 @@
 		keys    = 400
 	)
 	random := rand.New(rand.NewPCG(1, 2))
-	candidates := fleetOf(targets)
+	f := fleetOf(targets)
+	field := f.field(targets)
 	var ends [rounds + 2*stay + 1][]int
 	over, moved, plain := 0, 0, 0
 	for round := range rounds {
 		for _, target := range ends[round] {
-			candidates[target].Load--
+			f.load[target]--
+			f.total--
 		}
 		key := uint64(random.IntN(keys)) + 2
 		if random.Float64() < 0.28 {
 			key = 1
 		}
-		choice := Choose(Ask{Key: key, Random: random.Uint64()}, candidates, playStart)
+		mean := f.total / targets
+		choice := Choose(Ask{Key: key, Random: random.Uint64(), Mean: mean}, field, f, playStart)
 		if round > stay {
-			mean := meanLoad(candidates)
-			if candidates[choice.Target].Load > 2*mean+3 {
+			if choice.Load > 2*mean+3 {
 				over++
 			}
 			if key > 1 {
@@ -141,9 +237,11 @@
 				}
 			}
 		}
-		candidates[choice.Target].Load++
+		at := f.place(choice.Target)
+		f.load[at]++
+		f.total++
 		end := round + 1 + random.IntN(2*stay)
-		ends[end] = append(ends[end], choice.Target)
+		ends[end] = append(ends[end], at)
 	}
 	if over > 0 {
 		t.Errorf("%d requests met a target over the bound", over)
@@ -155,18 +253,24 @@
 }
 
 func TestChooseDoesNotAllocate(t *testing.T) {
-	candidates := fleetOf(140)
+	f := fleetOf(140)
+	field := f.field(140)
 	ask := Ask{Key: 77, Domain: "d-1", Random: 5}
-	if n := testing.AllocsPerRun(100, func() { Choose(ask, candidates, playStart) }); n > 0 {
+	if n := testing.AllocsPerRun(100, func() { Choose(ask, field, f, playStart) }); n > 0 {
 		t.Errorf("%v allocations", n)
 	}
 }
 
-func BenchmarkChoose140(b *testing.B) {
-	candidates := fleetOf(140)
-	b.ReportAllocs()
-	for b.Loop() {
-		Choose(Ask{Key: 77, Random: 5}, candidates, playStart)
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{140, 10_000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			f := fleetOf(n)
+			field := f.field(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				Choose(Ask{Key: uint64(i) + 1, Random: 5}, field, f, playStart)
+			}
+		})
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -107,22 +107,22 @@
 		view = s.relay.cfg.View()
 	}
 	now := time.Now()
-	candidates := s.candidates(view, now)
-	ask := dispatch.Ask{Domain: s.relay.cfg.Domain, Random: random()}
+	field, mean := s.relay.field(view, s.service, now)
+	signs := &signs{s.relay, now}
+	ask := dispatch.Ask{Domain: s.relay.cfg.Domain, Tried: s.tried, Mean: mean, Random: random()}
 	if s.route.Affinity {
 		ask.Key = dispatch.KeyOf(s.call.Prompt)
 	}
-	choice := dispatch.Choose(ask, candidates, now)
-	if choice.Target < 0 {
+	choice := dispatch.Choose(ask, field, signs, now)
+	if choice.Target == nil {
 		return placed{}, false
 	}
-	chosen := candidates[choice.Target]
-	at := placed{Target: chosen.Target}
-	s.target = chosen.Target
+	at := placed{Target: choice.Target}
+	s.target = choice.Target
 	line := s.Log(event.RequestPlaced)
 	if ask.Key != 0 {
 		line.Str("key", strconv.FormatUint(ask.Key, 36))
-		if source := s.cacheSource(candidates, choice, now); source != nil {
+		if source := s.cacheSource(field, choice, signs); source != nil {
 			at.cache = source.Addr
 			line.Str("cache_source", string(source.ID))
 		}
@@ -131,53 +131,32 @@
 		s.placed = time.Since(s.arrived)
 	}
 	s.attempts++
-	s.tried = append(s.tried, chosen.Target.ID)
-	line.Str("basis", string(choice.Basis)).Float64("load", chosen.Load).Dur("load_age", s.relay.loads.age(chosen.Target.ID, now)).
-		Str("standing", chosen.Standing.String()).Int("candidates", len(candidates)).
+	s.tried = append(s.tried, choice.Target.ID)
+	line.Str("basis", string(choice.Basis)).Float64("load", choice.Load).Dur("load_age", s.relay.loads.age(choice.Target.ID, now)).
+		Float64("mean", mean).Str("standing", choice.Standing.String()).Int("candidates", len(field.Serving())).
 		Uint64("targets_revision", view.TargetsRevision).Send()
 	return at, true
 }
 
 // cacheSource is another target that probably holds more of the prompt's cache
 // than the chosen one; nil if there is none.
-func (s *serving) cacheSource(candidates []dispatch.Candidate, choice dispatch.Choice, now time.Time) *catalog.Target {
-	chosen := candidates[choice.Target].Target.ID
+func (s *serving) cacheSource(field *dispatch.Field, choice dispatch.Choice, signs *signs) *catalog.Target {
 	var guess fleet.TargetID
-	if choice.Source >= 0 {
-		guess = candidates[choice.Source].Target.ID
+	if choice.Source != nil {
+		guess = choice.Source.ID
 	}
 	find := func(id fleet.TargetID) *catalog.Target {
-		for i := range candidates {
-			c := &candidates[i]
-			if c.Target.ID == id && id != chosen && !c.Tried && c.Standing != suspicion.Shunned {
-				return c.Target
-			}
+		if id == "" || id == choice.Target.ID || slices.Contains(s.tried, id) {
+			return nil
 		}
-		return nil
+		t := field.Find(id)
+		if t == nil || signs.Standing(t) == suspicion.Shunned {
+			return nil
+		}
+		return t
 	}
 	usable := func(id fleet.TargetID) bool { return find(id) != nil }
-	return find(s.relay.holders.Beyond(s.call.Prompt, chosen, guess, now, usable))
-}
-
-// candidates are the targets of the request's service, as they are seen now;
-// those that are leaving count where their cache is of use.
-func (s *serving) candidates(view *catalog.View, now time.Time) []dispatch.Candidate {
-	serving := view.Targets[s.service]
-	var leaving []*catalog.Target
-	if s.route.Affinity {
-		leaving = view.Leaving[s.service]
-	}
-	candidates := make([]dispatch.Candidate, 0, len(serving)+len(leaving))
-	for _, t := range serving {
-		candidates = append(candidates, dispatch.Candidate{
-			Target: t, Load: s.relay.loads.of(t.ID, now),
-			Standing: s.relay.book.Standing(t.ID, t.Domain, now), Tried: slices.Contains(s.tried, t.ID),
-		})
-	}
-	for _, t := range leaving {
-		candidates = append(candidates, dispatch.Candidate{Target: t, Leaving: true, Standing: s.relay.book.Standing(t.ID, t.Domain, now)})
-	}
-	return candidates
+	return find(s.relay.holders.Beyond(s.call.Prompt, choice.Target.ID, guess, signs.now, usable))
 }
 
 // attempt sends the request to a target and passes the answer on as far as it
--- a/relay/loads.go
+++ b/relay/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
+	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 )
 
@@ -90,6 +91,11 @@
 func (l *loads) of(id fleet.TargetID, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.estimate(id, now)
+}
+
+// estimate is of with l.mu held.
+func (l *loads) estimate(id fleet.TargetID, now time.Time) float64 {
 	t := l.targets[id]
 	if t == nil {
 		return 0
@@ -97,6 +103,17 @@
 	return float64(t.own) + t.others*weightAt(now.Sub(t.at))
 }
 
+// mean is the mean estimate of targets.
+func (l *loads) mean(targets []*catalog.Target, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0.0
+	for _, t := range targets {
+		sum += l.estimate(t.ID, now)
+	}
+	return sum / float64(max(len(targets), 1))
+}
+
 // age is how old the last report on a target is; -1 ms where there is none.
 func (l *loads) age(id fleet.TargetID, now time.Time) time.Duration {
 	l.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,6 +69,7 @@
 	stop atomic.Pointer[admission.Stop]
 
 	mu         sync.Mutex
+	fields     fields
 	allowances map[fleet.ServiceName]*retry.Allowance
 }
 
