--- a/node/node.go
+++ b/node/node.go
@@ -182,20 +182,31 @@
 func (n *Node) listen(ctx context.Context, start func(string, func() error)) error {
 	clients, err1 := listen(ctx, n.start.ClientAddr)
 	ready, err2 := listen(ctx, n.start.ReadyAddr)
-	exported, err3 := listen(ctx, n.start.MetricsAddr)
-	peers, err4 := listen(ctx, n.start.PeerAddr)
-	if err := errors.Join(err1, err2, err3, err4); err != nil {
+	peers, err3 := listen(ctx, n.start.PeerAddr)
+	if err := errors.Join(err1, err2, err3); err != nil {
 		return err
 	}
-	n.listening = []net.Listener{ready, exported, peers}
+	n.listening = []net.Listener{ready, peers}
 	start("clients", func() error { return n.ingress.Serve(clients) })
 	start("ready", func() error { return serve(ready, http.HandlerFunc(n.answerReady)) })
 	start("peers", func() error { return serve(peers, n.mesh) })
 	start("mesh", func() error { return n.mesh.Run(ctx) })
+	n.exportMetrics(ctx, start)
+	return nil
+}
+
+// exportMetrics serves metrics; a router whose address for them is taken serves
+// clients all the same.
+func (n *Node) exportMetrics(ctx context.Context, start func(string, func() error)) {
+	exported, err := listen(ctx, n.start.MetricsAddr)
+	if err != nil {
+		event.NodeFault.Log(n.log).Str("part", "metrics").Err(err).Send()
+		return
+	}
+	n.listening = append(n.listening, exported)
 	start("metrics", func() error {
 		return serve(exported, promhttp.HandlerFor(n.metrics.Registry, promhttp.HandlerOpts{}))
 	})
-	return nil
 }
 
 func listen(ctx context.Context, addr string) (net.Listener, error) {
