mesh: a failure domain cut off from the store takes over what others hold

Cause: a router that does not hear the store believed only routers of its own failure domain. Where the whole domain is cut off from the store, and not from the other domains, it kept its configuration and targets until the end of the cut, though the others knew better. It now relies on any domain while nobody of its own hears the store. TestACutOffDomainHearsOfConfigurations failed before.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -39,12 +39,17 @@
 }
 
 func startRouter(t *testing.T, i int, store *platform.Store, seeds []string) *router {
+	t.Helper()
+	return startRouterIn(t, "d", i, store, seeds)
+}
+
+func startRouterIn(t *testing.T, domain fleet.DomainName, i int, store *platform.Store, seeds []string) *router {
 	t.Helper()
 	r := &router{heard: map[fleet.TargetID]int{}}
 	r.directory = directory.New(func() directory.Store { return store }, true, zerolog.Nop(), nil)
 	var err error
 	r.mesh, err = New(Config{
-		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: "d", Addr: freeAddr(t, i), Directory: r.directory,
+		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: domain, Addr: freeAddr(t, i), Directory: r.directory,
 		Seeds: func() []string { return seeds }, Log: zerolog.Nop(),
 		Heard: func(id fleet.TargetID, work int, _ time.Time) {
 			r.mu.Lock()
@@ -244,3 +249,35 @@
 		waitFor(t, "the changes", func() bool { return count(r) == 2*mostPushed })
 	}
 }
+
+// TestACutOffDomainHearsOfConfigurations cuts all routers of a failure domain off
+// from the store: they take a new configuration from those of another one.
+func TestACutOffDomainHearsOfConfigurations(t *testing.T) {
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server.Put(platform.KindTargets, "a", entry(1))
+	refusing, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(refusing.Close)
+	refusing.Fail(standin.Refusing)
+	seeds := []string{freeAddr(t, 0)}
+	near := startRouterIn(t, "d", 0, platform.NewStore(server.Addr(), nil), seeds)
+	waitFor(t, "the view of the first", func() bool { return near.directory.View().Ready() })
+	var cut []*router
+	for i := 1; i <= 3; i++ {
+		cut = append(cut, startRouterIn(t, "e", i, platform.NewStore(refusing.Addr(), nil), seeds))
+	}
+	for _, r := range cut {
+		waitFor(t, "the first configuration", func() bool { return r.directory.View().Ready() })
+	}
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 2})
+	for _, r := range cut {
+		waitFor(t, "the second configuration", func() bool { return r.directory.View().Config.Version == 2 })
+	}
+}
--- a/mesh/repair.go
+++ b/mesh/repair.go
@@ -17,14 +17,16 @@
 )
 
 // compare looks whether another router holds what this one lacks, and asks for
-// it. A router that watches the store asks only while it has nothing to serve
-// by.
+// it. A router that hears the store asks only while it has nothing to serve by;
+// the others rely on their failure domain, and on any other one while nobody there
+// hears the store.
 func (m *Mesh) compare(ctx context.Context, b *Beat, from netip.AddrPort, now time.Time) {
 	config, targets := m.cfg.Directory.Marks()
 	lacks := (config == 0 && b.Config > 0) || (targets == 0 && b.Targets > 0)
-	near := b.Domain == m.cfg.Domain && !m.cfg.Directory.Hears()
-	behind := near && (b.Config > config || (b.Watches && b.Targets > 0 && b.Targets != targets))
+	hears := m.cfg.Directory.Hears()
 	m.mu.Lock()
+	relies := !hears && (b.Domain == m.cfg.Domain || !m.table.HearsWatcher(now))
+	behind := relies && (b.Config > config || (b.Watches && b.Targets > 0 && b.Targets != targets))
 	switch {
 	case lacks:
 		m.differ = now.Add(-repairAfter)
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -130,21 +130,29 @@
 // Watches decides whether this router watches the store: it is one of the first
 // of its failure domain's order, or it hears none that does.
 func (t *Table) Watches(now time.Time) bool {
-	before, hears := 0, false
-	silence := t.silence()
+	before := 0
 	own := place{t.strength, rank(t.self), t.self}
 	for _, m := range t.members {
 		if m.domain != t.domain || m.leaving {
 			continue
 		}
-		if m.watches && now.Sub(m.direct) < silence {
-			hears = true
-		}
 		if now.Sub(m.heard) < presence && before <= watchersEach && (place{m.strength, rank(m.id), m.id}).before(own) {
 			before++
 		}
 	}
-	return !hears || before < watchersEach
+	return before < watchersEach || !t.HearsWatcher(now)
+}
+
+// HearsWatcher reports whether a router of the same failure domain that hears the
+// store was heard lately.
+func (t *Table) HearsWatcher(now time.Time) bool {
+	silence := t.silence()
+	for _, m := range t.members {
+		if m.domain == t.domain && m.watches && !m.leaving && now.Sub(m.direct) < silence {
+			return true
+		}
+	}
+	return false
 }
 
 // silence is how long this router relies on watchers that it does not hear.
