retry: an allowance begins empty, and a starting router takes the fleet for large

The reserve at the start let every restart spend once more what the process before it had spent in the same window, and the few routers known at first made each share too large. The test of the bound restarts routers now and failed before. The test of a small share had a repeat at the start, which is what was wrong; it now has none at the start, one earned by requests and one in a window. The node's tests use an address once, so that they can be run several times.

--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 // Node is one router process.
 type Node struct {
 	start     settings.Node
+	started   time.Time
 	log       zerolog.Logger
 	metrics   *metrics.Set
 	store     atomic.Pointer[platform.Store]
@@ -60,7 +61,7 @@
 func New(start settings.Node, log zerolog.Logger, dropped func() uint64) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(start.MemoryMB * memoryShare * (1 << 20)))
-	n := &Node{start: start, log: log, metrics: metrics.NewSet()}
+	n := &Node{start: start, started: time.Now(), log: log, metrics: metrics.NewSet()}
 	n.useStore(start.StoreAddr)
 	n.seedList.Store(&start.Seeds)
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, start.Strength() >= mesh.Strong, log, n.renewed)
@@ -85,12 +86,23 @@
 	return n, nil
 }
 
-// fewestRouters is the least number of routers among which the repeats are
-// divided: a router that knows few others may be behind a cut.
-const fewestRouters = 9
+// The number of routers among which the repeats are divided.
+const (
+	// fewestRouters is the least: a router that knows few others may be behind a
+	// cut.
+	fewestRouters = 9
+	// unknownRouters is the least until a router had fleetKnown to hear of the
+	// others: a grown deployment has 78, all of which may have started at once.
+	unknownRouters = 100
+	fleetKnown     = 4 * time.Second
+)
 
 func (n *Node) routers() int {
-	return max(n.mesh.Fleet(), fewestRouters)
+	least := fewestRouters
+	if time.Since(n.started) < fleetKnown {
+		least = unknownRouters
+	}
+	return max(n.mesh.Fleet(), least)
 }
 
 func (n *Node) seeds() []string {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,14 @@
 	done   chan error
 }
 
+var scenes atomic.Int32
+
+// nextAddress is an address on loopback that no scene before has used: a stopping
+// router keeps its listeners for a while.
+func nextAddress() string {
+	return fmt.Sprintf("127.0.78.%d", scenes.Add(1))
+}
+
 func configOf(version int) map[string]any {
 	return map[string]any{
 		"Version":  version,
@@ -105,7 +114,7 @@
 }
 
 func TestServesAndStopsAsPlanned(t *testing.T) {
-	s := startScene(t, "127.0.78.1")
+	s := startScene(t, nextAddress())
 	if response, body, err := s.post(http.DefaultClient, "a1"); err != nil || response.StatusCode != http.StatusOK || body != s.target.PlainBody() {
 		t.Fatalf("%v %q %v", response, body, err)
 	}
@@ -139,19 +148,20 @@
 // TestServesWithoutAnAddressForMetrics starts a router whose address for
 // metrics is taken.
 func TestServesWithoutAnAddressForMetrics(t *testing.T) {
-	taken, err := net.Listen("tcp4", "127.0.78.4:18004")
+	address := nextAddress()
+	taken, err := net.Listen("tcp4", address+":18004")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer taken.Close()
-	s := startScene(t, "127.0.78.4")
+	s := startScene(t, address)
 	if response, _, err := s.post(http.DefaultClient, "a1"); err != nil || response.StatusCode != http.StatusOK {
 		t.Errorf("%v %v", response, err)
 	}
 }
 
 func TestExportsMetrics(t *testing.T) {
-	s := startScene(t, "127.0.78.2")
+	s := startScene(t, nextAddress())
 	if _, _, err := s.post(http.DefaultClient, "a1"); err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +184,7 @@
 // TestASettingsFileChangesWithoutASignal moves the store; findings change
 // nothing.
 func TestASettingsFileChangesWithoutASignal(t *testing.T) {
-	s := startScene(t, "127.0.78.3")
+	s := startScene(t, nextAddress())
 	file := filepath.Join(t.TempDir(), "node.json")
 	write := func(text string) {
 		t.Helper()
@@ -244,3 +254,16 @@
 		t.Errorf("got %+v", start)
 	}
 }
+
+// TestAStartingRouterTakesTheFleetForLarge: until it has heard of the others, its
+// share of the repeats is that of a router among many.
+func TestAStartingRouterTakesTheFleetForLarge(t *testing.T) {
+	s := startScene(t, nextAddress())
+	if got := s.node.routers(); got != unknownRouters {
+		t.Errorf("%d routers right after the start", got)
+	}
+	s.node.started = s.node.started.Add(-fleetKnown)
+	if got := s.node.routers(); got != fewestRouters {
+		t.Errorf("%d routers once it had time to hear of others", got)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,7 @@
 	book    *suspicion.Book
 	loads   *loads
 	holders *dispatch.Holders
+	started time.Time
 	serving atomic.Int64
 	// lastEnd is the Unix time in ns of the end of the last request.
 	lastEnd atomic.Int64
@@ -75,7 +76,7 @@
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, book: suspicion.NewBook(), loads: newLoads(), holders: dispatch.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
+	r := &Relay{cfg: cfg, started: time.Now(), book: suspicion.NewBook(), loads: newLoads(), holders: dispatch.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
 }
@@ -184,7 +185,7 @@
 	defer r.mu.Unlock()
 	a := r.allowances[s]
 	if a == nil {
-		a = retry.NewAllowance(r.cfg.Allowance, r.routers(), time.Now())
+		a = retry.NewAllowance(r.cfg.Allowance, r.routers(), r.started)
 		r.allowances[s] = a
 	}
 	return a
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,7 +69,8 @@
 	set := metrics.NewSet()
 	s.relay = relay.New(relay.Config{
 		Domain: "d", Dialect: platform.Dialect{}, View: s.view.Load,
-		Allowance: retry.AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second},
+		// The reserve is there a moment after the start.
+		Allowance: retry.AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: time.Millisecond},
 		Metrics:   set, Latency: metrics.NewDirect(set.Registry, metrics.Sources{}), Log: log,
 	})
 	server := httptest.NewServer(s.relay)
--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -53,14 +53,15 @@
 // requests' parts and Reserve, of which up to ten times as much is saved for a
 // burst of failures.
 func NewReserve(now time.Time) *Allowance {
-	return NewAllowance(AllowanceTerms{Extra: 2 * Reserve / extraShare, Saved: 10}, 1, now)
+	a := NewAllowance(AllowanceTerms{Extra: 2 * Reserve / extraShare, Saved: 10}, 1, now)
+	a.tokens = a.depth()
+	return a
 }
 
-// NewAllowance returns an allowance with its reserve.
+// NewAllowance returns an empty allowance: what the process before it has spent
+// counts in the same window.
 func NewAllowance(terms AllowanceTerms, routers int, now time.Time) *Allowance {
-	a := &Allowance{terms: terms, routers: max(routers, 1), filled: now}
-	a.tokens = a.depth()
-	return a
+	return &Allowance{terms: terms, routers: max(routers, 1), filled: now}
 }
 
 // Share sets the number of routers among which the reserve is divided.
--- a/retry/direct_test.go
+++ b/retry/direct_test.go
@@ -14,7 +14,7 @@
 var lifeStart = time.Unix(5000, 0)
 
 func plenty() *Allowance {
-	return NewAllowance(AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, 1, lifeStart)
+	return NewAllowance(AllowanceTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, 1, lifeStart.Add(-time.Minute))
 }
 
 // direct are the terms of direct dispatch.
@@ -120,23 +120,35 @@
 }
 
 // TestAllowanceHoldsOverAllRouters plays a burst of failures at every router of a
-// fleet: in no window are there more repeats than the terms allow.
+// fleet, of which some or all start anew now and then: in no window are there more
+// repeats than the terms allow.
 func TestAllowanceHoldsOverAllRouters(t *testing.T) {
 	const step = 100 * time.Millisecond
 	terms := AllowanceTerms{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}
 	rapid.Check(t, func(r *rapid.T) {
-		routers := rapid.IntRange(1, 20).Draw(r, "routers")
+		routers := rapid.IntRange(1, 80).Draw(r, "routers")
+		terms.Extra = max(58, 2.5*float64(routers))
 		fleet := make([]*Allowance, routers)
+		start := func(i int, now time.Time) {
+			fleet[i] = NewAllowance(terms, routers, now)
+		}
 		for i := range fleet {
-			fleet[i] = NewAllowance(terms, routers, lifeStart)
+			start(i, lifeStart)
 		}
 		steps := 300
 		requests := make([]int, steps)
 		repeats := make([]int, steps)
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 1))
+		restarts := rapid.SampledFrom([]float64{0, 0.002, 0.02}).Draw(r, "restarts")
+		together := rapid.Bool().Draw(r, "together")
 		for i := range steps {
 			now := lifeStart.Add(time.Duration(i) * step)
-			for _, a := range fleet {
+			all := together && random.Float64() < restarts
+			for k := range fleet {
+				if all || (!together && random.Float64() < restarts) {
+					start(k, now)
+				}
+				a := fleet[k]
 				for range random.IntN(3) {
 					a.Deposit(now, terms.Share())
 					requests[i]++
@@ -166,14 +178,18 @@
 }
 
 func TestAllowanceLetsASmallShareThrough(t *testing.T) {
-	a := NewAllowance(AllowanceTerms{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}, 500, lifeStart)
-	if !a.Take(lifeStart) || a.Take(lifeStart) {
-		t.Error("a router of a large fleet has one repeat at its start")
+	terms := AllowanceTerms{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}
+	a := NewAllowance(terms, 500, lifeStart)
+	if a.Take(lifeStart) {
+		t.Error("a router that has just started spends what the process before it may have spent")
 	}
 	for range 10 {
-		a.Deposit(lifeStart, a.terms.Share())
+		a.Deposit(lifeStart, terms.Share())
 	}
 	if !a.Take(lifeStart) {
 		t.Error("its requests earn no repeat")
 	}
+	if later := lifeStart.Add(2 * terms.Window); !a.Take(later) || a.Take(later) {
+		t.Error("a router of a large fleet has one repeat in a window without requests")
+	}
 }
