--- a/course/course.go
+++ b/course/course.go
@@ -51,7 +51,8 @@
 		line = path.Log(event.RequestRedirected)
 	}
 	line = line.Str("action", step.Action.String()).Str("reason", string(step.Reason)).
-		Str("outcome", end.Outcome.String()).Uint64("events", end.Events).Dur("wait", step.Wait)
+		Str("outcome", end.Outcome.String()).Int("status", end.Status).AnErr("error", end.Err).
+		Uint64("events", end.Events).Dur("wait", step.Wait)
 	if deadline, ok := ctx.Deadline(); ok {
 		line = line.Dur("left", time.Until(deadline))
 	}
--- a/course/course_test.go
+++ b/course/course_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 }
 
 var (
-	lost  = retry.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated}
+	lost  = retry.End{Outcome: outcome.Dispatched, Reason: reason.AnswerTruncated, Status: 200, Err: errors.New("reset by the target")}
 	full  = retry.End{Reason: reason.LoadBound}
 	whole = retry.End{Outcome: outcome.Answered, Whole: true}
 )
@@ -64,7 +65,7 @@
 	}
 	text := out.String()
 	if strings.Count(text, "request-redirected") != 1 || strings.Count(text, "request-tried-again") != 1 ||
-		!strings.Contains(text, string(reason.AnswerTruncated)) {
+		!strings.Contains(text, string(reason.AnswerTruncated)) || !strings.Contains(text, "reset by the target") {
 		t.Errorf("logged %s", text)
 	}
 	counted := make(chan prometheus.Metric, 8)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,7 +66,10 @@
 
 // end is the attempt as the life cycle of its request sees it.
 func (e *ended) end(events int) retry.End {
-	end := retry.End{Outcome: outcome.Dispatched, Reason: e.why, Whole: e.whole, Events: uint64(events), CallerGone: e.left}
+	end := retry.End{
+		Outcome: outcome.Dispatched, Reason: e.why, Whole: e.whole, Events: uint64(events), CallerGone: e.left,
+		Status: e.reply.Status, Err: e.err,
+	}
 	if !e.whole && (e.why == reason.TargetDown || e.why == reason.TargetRefused) {
 		end.Outcome = outcome.NotDispatched
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -47,6 +47,10 @@
 	Events uint64
 	// CallerGone says that the caller no longer waits.
 	CallerGone bool
+	// Status is the target's HTTP status, zero if there is none, and Err what broke;
+	// both are for logs only.
+	Status int
+	Err    error
 }
 
 // Step is a decision.
