--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -105,10 +105,10 @@
 type Entry struct {
 	cfg       Config
 	allowance *retry.Allowance
-	groups groups
-	loads  loads
-	limits *limits
-	ring   tokenRing
+	groups    groups
+	loads     loads
+	limits    *limits
+	ring      tokenRing
 }
 
 // New returns an entry.
