--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -8,11 +8,11 @@
 	"math/rand/v2"
 	"os"
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
@@ -51,17 +51,6 @@
 	})
 }
 
-func waitFor(t *testing.T, what string, f func() bool) {
-	t.Helper()
-	for !f() {
-		select {
-		case <-t.Context().Done():
-			t.Fatal("waited in vain for " + what)
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
-
 func entry(addr, state string) map[string]any {
 	return map[string]any{"Service": "s", "Address": addr, "Zone": "z", "Slots": 8, "State": state, "born": 1}
 }
@@ -79,27 +68,27 @@
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
 	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
 	runDirectory(t, d)
-	waitFor(t, "a view", func() bool { return d.View().Ready() && serving(d) == 1 })
+	await.Until(t, "a view", func() bool { return d.View().Ready() && serving(d) == 1 })
 	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
-	waitFor(t, "the second target", func() bool { return serving(d) == 2 })
+	await.Until(t, "the second target", func() bool { return serving(d) == 2 })
 	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "draining"))
-	waitFor(t, "the leaving target", func() bool { return serving(d) == 1 && len(d.View().Leaving["s"]) == 1 })
+	await.Until(t, "the leaving target", func() bool { return serving(d) == 1 && len(d.View().Leaving["s"]) == 1 })
 	server.Delete(platform.KindTargets, "a")
 	server.Put(platform.KindTargets, "c", "not an entry")
 	server.Compact()
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(9))
-	waitFor(t, "the new version", func() bool { return d.View().Config.Version == 9 })
-	waitFor(t, "the end of the target", func() bool { return len(d.View().Leaving["s"]) == 0 && serving(d) == 1 })
+	await.Until(t, "the new version", func() bool { return d.View().Config.Version == 9 })
+	await.Until(t, "the end of the target", func() bool { return len(d.View().Leaving["s"]) == 0 && serving(d) == 1 })
 }
 
 func TestTheConfigurationNeverGoesBack(t *testing.T) {
 	server, d := newScene(t)
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
 	runDirectory(t, d)
-	waitFor(t, "a configuration", func() bool { return d.View().Config != nil })
+	await.Until(t, "a configuration", func() bool { return d.View().Config != nil })
 	held := d.Held()
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(4))
-	waitFor(t, "the next version", func() bool { return d.View().Config.Version == 4 })
+	await.Until(t, "the next version", func() bool { return d.View().Config.Version == 4 })
 	d.TakeHeld(held)
 	if d.View().Config.Version != 4 {
 		t.Error("another router's older version is in force")
@@ -112,20 +101,20 @@
 	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
 	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
 	runDirectory(t, d)
-	waitFor(t, "a view", func() bool { return d.View().Ready() && serving(d) == 2 })
+	await.Until(t, "a view", func() bool { return d.View().Ready() && serving(d) == 2 })
 	server.Fail(standin.Refusing)
-	waitFor(t, "the outage", func() bool { return !d.Hears() })
+	await.Until(t, "the outage", func() bool { return !d.Hears() })
 	// The entries lapse while the store is away; one comes back in time.
 	server.Delete(platform.KindTargets, "a")
 	server.Delete(platform.KindTargets, "b")
 	server.Compact()
 	server.Fail(standin.Healthy)
-	waitFor(t, "the store's return", d.Hears)
+	await.Until(t, "the store's return", d.Hears)
 	if serving(d) != 2 {
 		t.Errorf("%d targets right after the outage", serving(d))
 	}
 	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
-	waitFor(t, "the end of the grace", func() bool { return serving(d) == 1 })
+	await.Until(t, "the end of the grace", func() bool { return serving(d) == 1 })
 	if d.View().Targets["s"][0].ID != "a" {
 		t.Error("the target that came back is gone")
 	}
@@ -140,14 +129,14 @@
 	other.Watch(false)
 	runDirectory(t, watcher)
 	runDirectory(t, other)
-	waitFor(t, "the watcher's view", func() bool { return watcher.View().Ready() })
+	await.Until(t, "the watcher's view", func() bool { return watcher.View().Ready() })
 	other.TakeHeld(watcher.Held())
 	if !other.View().Ready() || serving(other) != 1 {
 		t.Fatal("what the other router holds was not taken")
 	}
 	server.Put(platform.KindTargets, "b", entry("10.0.0.2:1", "ready"))
 	server.Delete(platform.KindTargets, "a")
-	waitFor(t, "the changes", func() bool { return serving(other) == 1 && other.View().Targets["s"][0].ID == "b" })
+	await.Until(t, "the changes", func() bool { return serving(other) == 1 && other.View().Targets["s"][0].ID == "b" })
 	_, here := watcher.Marks()
 	if _, there := other.Marks(); here != there {
 		t.Error("the digests differ although both hold the same")
@@ -165,7 +154,7 @@
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
 	server.Put(platform.KindTargets, "a", entry("10.0.0.1:1", "ready"))
 	runDirectory(t, d)
-	waitFor(t, "a view", func() bool { return d.View().Ready() && d.Hears() })
+	await.Until(t, "a view", func() bool { return d.View().Ready() && d.Hears() })
 	spec, err := json.Marshal(entry("10.0.0.2:1", "ready"))
 	if err != nil {
 		t.Fatal(err)
@@ -176,7 +165,7 @@
 		t.Error("a router that hears the store believes another one")
 	}
 	server.Fail(standin.Refusing)
-	waitFor(t, "the outage", func() bool { return !d.Hears() })
+	await.Until(t, "the outage", func() bool { return !d.Hears() })
 	d.Take(push)
 	if serving(d) != 2 {
 		t.Error("a push is not believed while the store is away")
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -34,7 +34,6 @@
 			return
 		case errors.Is(err, errModeChanged):
 		case err == nil:
-			d.answers(kind)
 			wait = firstBackoff
 		case errors.Is(err, platform.ErrHistoryGone):
 			known = false
@@ -80,6 +79,7 @@
 		}
 		return from, err
 	}
+	d.answers(kind)
 	if len(changes) > 0 {
 		changed(changes, revision)
 		sleep(ctx, settle)
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/peer"
@@ -84,17 +85,6 @@
 	return settings.Membership{HeartbeatMS: 20, Fanout: 3, SuspectMS: 300, RemoveMS: 300, VMListMS: 100}
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for range 4000 {
-		if ok() {
-			return
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-	t.Fatalf("never: %s", what)
-}
-
 func TestServicesMeetLeaveAndEnd(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	const n = 4
@@ -126,15 +116,15 @@
 		})
 	}
 	for _, s := range services {
-		waitFor(t, "all routers are heard of", func() bool { return heardOf(s.View()) == n })
+		await.Until(t, "all routers are heard of", func() bool { return heardOf(s.View()) == n })
 	}
 	if err := services[0].Leave(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	changes := services[1].Subscribe()
-	waitFor(t, "the leaving is known", func() bool { return len(services[1].View().Routers) == n-1 })
+	await.Until(t, "the leaving is known", func() bool { return len(services[1].View().Routers) == n-1 })
 	stops[0]()
-	waitFor(t, "the end is known", func() bool { return stateOf(services[1].View(), "router-0") == Gone })
+	await.Until(t, "the end is known", func() bool { return stateOf(services[1].View(), "router-0") == Gone })
 	<-changes
 	for _, stop := range stops {
 		stop()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -154,9 +154,7 @@
 // Changed passes on what this router has seen in the store; nil means that only
 // the configuration changed. Of many changes at once only the marks are passed on.
 func (m *Mesh) Changed(changes []platform.Change) {
-	m.mu.Lock()
-	addrs := m.table.Domain(time.Now())
-	m.mu.Unlock()
+	addrs := m.domain()
 	b := m.beat()
 	if len(changes) > mostPushed {
 		changes = nil
@@ -189,10 +187,14 @@
 // Leave tells the others that this router stops.
 func (m *Mesh) Leave() {
 	m.leave.Store(true)
+	m.send(m.beat(), m.domain())
+}
+
+// domain returns the addresses of the routers of the same failure domain.
+func (m *Mesh) domain() []netip.AddrPort {
 	m.mu.Lock()
-	addrs := m.table.Domain(time.Now())
-	m.mu.Unlock()
-	m.send(m.beat(), addrs)
+	defer m.mu.Unlock()
+	return m.table.Domain(time.Now())
 }
 
 // Run takes part until ctx ends.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/directory"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
@@ -85,17 +86,6 @@
 	return r
 }
 
-func waitFor(t *testing.T, what string, f func() bool) {
-	t.Helper()
-	for !f() {
-		select {
-		case <-t.Context().Done():
-			t.Fatal("waited in vain for " + what)
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
 func entry(i int) map[string]any {
 	return map[string]any{"Service": "s", "Address": fmt.Sprintf("10.0.0.%d:80", i), "Zone": "z", "Slots": 8, "State": "ready", "born": 1}
 }
@@ -129,12 +119,12 @@
 		}
 		return who
 	}
-	waitFor(t, "three watchers", func() bool { return len(watching()) == watchersEach && routers[n-1].mesh.Fleet() == n })
+	await.Until(t, "three watchers", func() bool { return len(watching()) == watchersEach && routers[n-1].mesh.Fleet() == n })
 	all := func(what string, f func(r *router) bool) {
 		t.Helper()
 		for _, r := range routers {
 			if r != nil {
-				waitFor(t, what, func() bool { return f(r) })
+				await.Until(t, what, func() bool { return f(r) })
 			}
 		}
 	}
@@ -175,10 +165,10 @@
 	server.Put(platform.KindTargets, "a", entry(1))
 	store := platform.NewStore(server.Addr(), nil)
 	first := startRouter(t, 20, store, nil)
-	waitFor(t, "the first router", func() bool { return first.directory.View().Ready() })
+	await.Until(t, "the first router", func() bool { return first.directory.View().Ready() })
 	server.Fail(standin.Refusing)
 	second := startRouter(t, 21, store, []string{freeAddr(t, 20)})
-	waitFor(t, "the second router", func() bool {
+	await.Until(t, "the second router", func() bool {
 		v := second.directory.View()
 		return v.Ready() && v.Config.Version == 4 && count(second) == 1
 	})
@@ -211,7 +201,7 @@
 		routers = append(routers, startRouter(t, i, store, []string{freeAddr(t, 0)}))
 	}
 	for _, r := range routers {
-		waitFor(t, "all targets", func() bool { return count(r) == targets })
+		await.Until(t, "all targets", func() bool { return count(r) == targets })
 	}
 	var sent int64
 	for _, r := range routers {
@@ -239,14 +229,14 @@
 		routers = append(routers, startRouter(t, i, store, []string{freeAddr(t, 0)}))
 	}
 	for _, r := range routers {
-		waitFor(t, "the first target", func() bool { return count(r) == 1 && r.mesh.Fleet() == n })
+		await.Until(t, "the first target", func() bool { return count(r) == 1 && r.mesh.Fleet() == n })
 	}
 	for i := range 2 * mostPushed {
 		server.Put(platform.KindTargets, fmt.Sprintf("t%d", i), entry(i))
 	}
 	server.Delete(platform.KindTargets, "a")
 	for _, r := range routers {
-		waitFor(t, "the changes", func() bool { return count(r) == 2*mostPushed })
+		await.Until(t, "the changes", func() bool { return count(r) == 2*mostPushed })
 	}
 }
 
@@ -268,16 +258,16 @@
 	refusing.Fail(standin.Refusing)
 	seeds := []string{freeAddr(t, 0)}
 	near := startRouterIn(t, "d", 0, platform.NewStore(server.Addr(), nil), seeds)
-	waitFor(t, "the view of the first", func() bool { return near.directory.View().Ready() })
+	await.Until(t, "the view of the first", func() bool { return near.directory.View().Ready() })
 	var cut []*router
 	for i := 1; i <= 3; i++ {
 		cut = append(cut, startRouterIn(t, "e", i, platform.NewStore(refusing.Addr(), nil), seeds))
 	}
 	for _, r := range cut {
-		waitFor(t, "the first configuration", func() bool { return r.directory.View().Ready() })
+		await.Until(t, "the first configuration", func() bool { return r.directory.View().Ready() })
 	}
 	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 2})
 	for _, r := range cut {
-		waitFor(t, "the second configuration", func() bool { return r.directory.View().Config.Version == 2 })
+		await.Until(t, "the second configuration", func() bool { return r.directory.View().Config.Version == 2 })
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 	"ragwortpond.example/ragwortpond/settings"
@@ -73,21 +74,10 @@
 	ctx, s.stop = context.WithCancel(context.Background())
 	go func() { s.done <- s.node.Run(ctx) }()
 	t.Cleanup(s.stop)
-	waitFor(t, "the router to be ready", func() bool { return s.ready() })
+	await.Until(t, "the router to be ready", func() bool { return s.ready() })
 	return s
 }
 
-func waitFor(t *testing.T, what string, f func() bool) {
-	t.Helper()
-	for !f() {
-		select {
-		case <-t.Context().Done():
-			t.Fatal("waited in vain for " + what)
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
 func (s *scene) ready() bool {
 	response, err := http.Get("http://" + s.start.ReadyAddr + "/ready")
 	if err != nil {
@@ -128,9 +118,9 @@
 		_, body, err := s.post(http.DefaultClient, "a2")
 		slow <- result{body, err}
 	}()
-	waitFor(t, "the slow request", func() bool { return len(s.target.Runs()) == 2 })
+	await.Until(t, "the slow request", func() bool { return len(s.target.Runs()) == 2 })
 	s.stop()
-	waitFor(t, "the router to leave the rotation", func() bool { return !s.ready() })
+	await.Until(t, "the router to leave the rotation", func() bool { return !s.ready() })
 	if response, _, err := s.post(&http.Client{Transport: &http.Transport{}}, "a3"); err != nil || response.StatusCode != http.StatusOK || !response.Close {
 		t.Errorf("a request that came before the rotation changed: %v %v", response, err)
 	}
@@ -218,7 +208,7 @@
 	other.Put(platform.KindConfig, platform.ConfigName, configOf(5))
 	write(text(other.Addr()))
 	s.store.Fail(standin.Refusing)
-	waitFor(t, "the other store's configuration", func() bool { return s.node.directory.View().Config.Version == 5 })
+	await.Until(t, "the other store's configuration", func() bool { return s.node.directory.View().Config.Version == 5 })
 	if response, _, err := s.post(http.DefaultClient, "a1"); err != nil || response.StatusCode != http.StatusOK {
 		t.Errorf("%v %v", response, err)
 	}
--- a/relay/explained_test.go
+++ b/relay/explained_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/explain"
 	"ragwortpond.example/ragwortpond/platform/standin"
@@ -72,7 +73,7 @@
 			t.Errorf("%s: the client saw no failure", name)
 		}
 		id := r.Header.Get("Attempt-Id")
-		waitFor(t, func() bool { return s.relay.Serving() == 0 })
+		await.Until(t, "the request to end", func() bool { return s.relay.Serving() == 0 })
 		lines := log.story(t, id)
 		if len(lines) == 0 {
 			t.Errorf("%s: no line", name)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/admission"
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/metrics"
@@ -408,11 +409,11 @@
 			defer close(done)
 			_, _, _ = s.do(s.request(http.MethodPost, "x").WithContext(ctx))
 		}()
-		waitFor(t, func() bool { return len(s.runs()) == 1 })
+		await.Until(t, "the run", func() bool { return len(s.runs()) == 1 })
 		cancel()
 		<-done
-		waitFor(t, func() bool { return s.runs()[0].Cancelled })
-		waitFor(t, func() bool { return s.relay.Serving() == 0 })
+		await.Until(t, "the cancelled run", func() bool { return s.runs()[0].Cancelled })
+		await.Until(t, "the request to end", func() bool { return s.relay.Serving() == 0 })
 		if len(s.runs()) != 1 {
 			t.Errorf("%s: sent again after the client had left", name)
 		}
@@ -420,17 +421,6 @@
 }
 
 // waitFor waits until f holds; the test's own timeout bounds it.
-func waitFor(t *testing.T, f func() bool) {
-	t.Helper()
-	for !f() {
-		select {
-		case <-t.Context().Done():
-			t.Fatal("waited in vain")
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
-
 func TestTheRoutesTimeoutEndsARequest(t *testing.T) {
 	route := once
 	route.Timeout = 100 * time.Millisecond
@@ -439,7 +429,7 @@
 	if err != nil || response.StatusCode != http.StatusGatewayTimeout {
 		t.Errorf("%v %v", response, err)
 	}
-	waitFor(t, func() bool { return s.runs()[0].Cancelled })
+	await.Until(t, "the cancelled run", func() bool { return s.runs()[0].Cancelled })
 }
 
 func TestAStoppingRouterAsksClientsToLeave(t *testing.T) {
