admission: a plain service over its capacity is asked for less, so that what is taken is on time

Cause: when targets of a plain service leave and the rest has more work than it can do, their queues stay full. Each router now takes a share of a plain service's requests that falls while its targets reject and answer later than 0.8 of the objective, and refuses the others at once with a time to come back. Slow answers without a rejection begin nothing. Model engines queue by urgency and tell their load; they are left out. Ruled out: choosing the least loaded of the targets by latency, which herds with reports as old as a second.

--- a/event/request.go
+++ b/event/request.go
@@ -9,6 +9,7 @@
 	RequestServed     = define(3001, zerolog.InfoLevel, "request-served", "A client has its whole answer.")
 	RequestTriedAgain = define(3002, zerolog.WarnLevel, "request-tried-again", "An attempt did not give the answer and another one follows; the fields say how it ended and why.")
 	RequestRedirected = define(3010, zerolog.InfoLevel, "request-redirected", "An attempt ended before it took anything from the allowance and the next candidate is asked: a home refused or knew better, or the target could not be reached.")
+	RequestShed       = define(3011, zerolog.InfoLevel, "request-shed", "A request to a plain service was not taken, since its targets reject requests and answer late; the field is the share that is taken.")
 	RequestNotRun     = define(3003, zerolog.WarnLevel, "request-not-run", "A request was refused and has not run; the reason says why.")
 	RequestUnknown    = define(3004, zerolog.WarnLevel, "request-unknown", "A request failed and may have run; the reason says why.")
 	FailurePassedOn   = define(3005, zerolog.InfoLevel, "request-failure-passed-on", "A target's own failure was passed on to the client.")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -172,11 +172,26 @@
 	mute := func() bool { return s.relay.book.Mute(t.ID, t.Domain, time.Now()) }
 	silence := newSilence(s.patience(), mute, func() { cancel(errSilent) })
 	defer silence.stop()
+	sent := time.Now()
 	e := s.send(ctx, t, silence)
 	s.note(ctx, t.Target, e)
+	if !s.model() {
+		s.notePace(e, time.Since(sent))
+	}
 	return e
 }
 
+// notePace takes what the attempt shows of the work before a plain service.
+func (s *serving) notePace(e *ended, took time.Duration) {
+	shedder := s.relay.shedder(s.service)
+	switch {
+	case e.why == reason.TargetRefused:
+		shedder.Rejected(time.Now())
+	case e.whole || e.why == reason.TargetFailed:
+		shedder.Answered(took, s.route.Objective, time.Now())
+	}
+}
+
 // patience is how long the target may be silent; zero means that another
 // attempt would not be allowed, so that there is no point in giving this one up.
 func (s *serving) patience() time.Duration {
@@ -190,7 +205,7 @@
 	dialect := s.relay.cfg.Dialect
 	a := &call.Attempt{
 		Target: t.Target, Left: time.Until(s.deadline), Rank: s.rank, After: s.last, CacheAddr: t.cache,
-		Model: s.view.Config.Services[s.service].Slots > 0,
+		Model: s.model(),
 	}
 	if s.account != nil {
 		a.Account = s.account.Name
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,11 +72,14 @@
 	mu         sync.Mutex
 	fields     fields
 	allowances map[fleet.ServiceName]*retry.Allowance
+	// shedders are those of plain services; model engines queue by urgency and tell
+	// their load.
+	shedders map[fleet.ServiceName]*admission.Shedder
 }
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, started: time.Now(), book: suspicion.NewBook(), loads: newLoads(), holders: dispatch.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}}
+	r := &Relay{cfg: cfg, started: time.Now(), book: suspicion.NewBook(), loads: newLoads(), holders: dispatch.NewHolders(), allowances: map[fleet.ServiceName]*retry.Allowance{}, shedders: map[fleet.ServiceName]*admission.Shedder{}}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
 }
@@ -191,6 +194,18 @@
 	return a
 }
 
+// shedder returns that of a plain service.
+func (r *Relay) shedder(s fleet.ServiceName) *admission.Shedder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.shedders[s]
+	if d == nil {
+		d = admission.NewShedder()
+		r.shedders[s] = d
+	}
+	return d
+}
+
 func (r *Relay) routers() int {
 	if r.cfg.Routers == nil {
 		return 1
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -53,7 +54,7 @@
 		s.refuse(reason.Draining, drainingAfter)
 		return
 	}
-	if !s.readBody(req) {
+	if !s.readBody(req) || !s.take() {
 		return
 	}
 	s.serve(req.Context())
@@ -128,7 +129,7 @@
 			s.rank = *s.account.Priority
 		}
 	}
-	s.service = route.ServiceAt(float64(random()>>11) / (1 << 53))
+	s.service = route.ServiceAt(rand.Float64())
 	s.deadline = s.arrived.Add(defaultLimit)
 	if s.call.Patience > 0 {
 		s.deadline = s.arrived.Add(s.call.Patience)
@@ -139,6 +140,26 @@
 	return true
 }
 
+// take refuses a part of the requests while the targets of a plain service have
+// more work than they can do in time.
+func (s *serving) take() bool {
+	if s.model() {
+		return true
+	}
+	shedder := s.relay.shedder(s.service)
+	if shedder.Take(rand.Float64()) {
+		return true
+	}
+	s.Log(event.RequestShed).Float64("taken", shedder.Taken()).Send()
+	s.refuse(reason.Overload, refusedAfter)
+	return false
+}
+
+// model says whether the request is for a model engine.
+func (s *serving) model() bool {
+	return s.view.Config.Services[s.service].Slots > 0
+}
+
 // readBody reads the whole body, so that a request can be sent again and a
 // target that answers early never waits for the rest of it.
 func (s *serving) readBody(req *http.Request) bool {
