--- a/measure/bed/bed_test.go
+++ b/measure/bed/bed_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"ragwortpond.example/ragwortpond/examples"
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/outcome"
@@ -36,7 +34,6 @@
 	if cfg.RoutersPerDomain == 0 {
 		cfg.RoutersPerDomain = 1
 	}
-	cfg.Log = zerolog.Nop()
 	b, err := Start(ctx, cfg)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/measure/bed/explained_test.go
@@ -0,0 +1,91 @@
+package bed
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/caller"
+	"ragwortpond.example/ragwortpond/explain"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/standin"
+)
+
+// logBuffer keeps what is logged.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *logBuffer) story(t *testing.T, id string) []explain.Line {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lines, err := explain.Story(id, bytes.NewReader(b.text.Bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// TestRequestsAreExplained follows requests of callers from the id in the answer
+// to how they ended and why.
+func TestRequestsAreExplained(t *testing.T) {
+	log := &logBuffer{}
+	b, client, ctx := startBed(t, Config{Log: zerolog.New(log).With().Timestamp().Logger()})
+	const chat = `{"model":"assistente","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`
+	for _, test := range []struct {
+		name    string
+		account string
+		path    string
+		body    string
+		engines standin.EngineFaults
+		service standin.ServiceFaults
+		last    string
+		reason  string
+		placed  bool
+	}{
+		{name: "served", account: "balcao-natal", path: "/v1/chat/completions", body: chat, last: "request-served", placed: true},
+		{name: "unknown key", account: "nobody", path: "/v1/chat/completions", body: chat, last: "request-not-run", reason: "unauthenticated"},
+		{name: "unknown model", account: "balcao-natal", path: "/v1/chat/completions", body: `{"model":"m","messages":[{"role":"user","content":"x"}]}`,
+			last: "request-not-run", reason: "unknown-model"},
+		{name: "crossed everywhere", account: "balcao-natal", path: "/v1/chat/completions", body: chat, engines: standin.EngineFaults{CrossedRate: 1},
+			last: "request-unknown", reason: "answer-mismatch", placed: true},
+		{name: "order lost", account: "balcao-natal", path: "/s/pedidos/pedidos", body: `{}`, service: standin.ServiceFaults{LostRate: 1},
+			last: "request-unknown", reason: "not-repeatable", placed: true},
+	} {
+		for _, e := range b.Engines() {
+			e.SetFaults(test.engines)
+		}
+		for _, s := range b.Services() {
+			s.SetFaults(test.service)
+		}
+		response, err := client.send(ctx, b.Members()[0], fleet.AccountName(test.account), http.MethodPost, test.path, http.Header{}, []byte(test.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		id := response.Header.Get(caller.HeaderRequest)
+		var lines []explain.Line
+		await.Until(t, "the last line", func() bool {
+			lines = log.story(t, id)
+			return len(lines) > 0 && lines[len(lines)-1].Name == test.last
+		})
+		if got := string(lines[len(lines)-1].Fields["reason"]); test.reason != "" && got != `"`+test.reason+`"` {
+			t.Errorf("%s: reason %s", test.name, got)
+		}
+		if test.placed && (lines[0].Name != "request-placed" || len(lines[0].Fields["target"]) == 0) {
+			t.Errorf("%s: the first line is %+v", test.name, lines[0])
+		}
+	}
+}
