soak: keys taken away, and the bound of repeats over the whole fleet

The checker counts arrivals at targets, rejected ones included, against the terms that the routers share; a planted history breaks the new promise. The extra repeats are those of the small site (58) instead of 500, so that the bound can be reached.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,6 +53,7 @@
 	{"target-act", (*injector).misbehave},
 	{"release", (*injector).release},
 	{"config", (*injector).config},
+	{"revoke", (*injector).revoke},
 }
 
 // run plays faults until ctx ends.
@@ -227,3 +228,12 @@
 	i.planned("config")
 	i.world.putConfig()
 }
+
+// revoke takes the keys of one client account away, for good.
+func (i *injector) revoke() {
+	const account = "account-3"
+	if i.world.revoke(account) {
+		i.planned("revoke")
+		i.mark(Mark{At: time.Now(), Account: account})
+	}
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -6,9 +6,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/platform/standin"
+	"ragwortpond.example/ragwortpond/settings"
 )
 
 // Kind is a kind of request.
@@ -54,6 +56,13 @@
 	At         time.Time
 }
 
+// Arrival is one request that reached a target of a service.
+type Arrival struct {
+	Service string
+	ID      string
+	At      time.Time
+}
+
 // Span is a time in which something was wrong.
 type Span struct {
 	Kind     string
@@ -73,6 +82,10 @@
 	Runs     []Run
 	Faults   []Span
 	Marks    []Mark
+	// Arrivals are all requests that reached a target, rejected ones included, and
+	// Repeats the terms for those beyond the first of each request.
+	Arrivals []Arrival
+	Repeats  settings.Repeats
 	// Events is the number of events of each stream.
 	Events int
 	// PlainBody and Event give what targets answer.
@@ -108,6 +121,7 @@
 		c.request(&h.Requests[i])
 	}
 	c.foreign()
+	c.repeats()
 	for _, m := range h.Marks {
 		c.mark(m)
 	}
@@ -194,6 +208,43 @@
 	}
 }
 
+// repeats checks that no service gets more arrivals beyond the first of each
+// request than the terms allow in a window.
+func (c *checker) repeats() {
+	if c.h.Repeats.WindowS == 0 {
+		return
+	}
+	slices.SortFunc(c.h.Arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
+	known := map[string]bool{}
+	first, again := map[string][]time.Time{}, map[string][]time.Time{}
+	for _, a := range c.h.Arrivals {
+		list := first
+		if known[a.ID] {
+			list = again
+		}
+		known[a.ID] = true
+		list[a.Service] = append(list[a.Service], a.At)
+	}
+	window := c.h.Repeats.Window()
+	for service, times := range again {
+		for i, to := range times {
+			n := i + 1 - before(times, to.Add(-window))
+			asked := func(to time.Time) int { return before(first[service], to) - before(first[service], to.Add(-window)) }
+			most := max(asked(to), asked(to.Add(-window/2)), asked(to.Add(-window)))
+			if allowed := c.h.Repeats.Ratio*float64(most) + c.h.Repeats.Extra; float64(n) > allowed {
+				c.add("repeats", "", "%d at %s in %v for %d requests", n, service, window, most)
+				break
+			}
+		}
+	}
+}
+
+// before is the number of times, in order, that lie before a moment.
+func before(times []time.Time, moment time.Time) int {
+	n, _ := slices.BinarySearchFunc(times, moment, time.Time.Compare)
+	return n
+}
+
 // mark checks that a change is in force in time.
 func (c *checker) mark(m Mark) {
 	for _, run := range c.h.Runs {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/settings"
 )
 
 var (
@@ -31,7 +33,11 @@
 			{Target: "t1", ID: "b", Account: "x", At: at(10)}, {Target: "t2", ID: "b", Account: "x", At: at(20)},
 			{Target: "t1", ID: "c", Account: "y", At: at(10)},
 		},
-		Faults: []Span{{"kill", at(9000), at(10_000)}}, Marks: []Mark{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
+		Arrivals: []Arrival{
+			{"s", "a", at(10)}, {"s", "b", at(10)}, {"s", "b", at(20)}, {"s", "c", at(10)},
+		},
+		Repeats: settings.Repeats{Ratio: 0.5, Extra: 1, WindowS: 1},
+		Faults:  []Span{{"kill", at(9000), at(10_000)}}, Marks: []Mark{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
 		Events:    3,
 		PlainBody: func(target string) string { return "plain " + target },
 		Event:     func(i int) string { return fmt.Sprintf("e%d", i) },
@@ -56,6 +62,9 @@
 		"asked for":         func(h *History) { h.Runs = append(h.Runs, Run{Target: "t1", ID: "z"}) },
 		"in force":          func(h *History) { h.Runs[0].At = at(4000) },
 		"calm":              func(h *History) { h.Requests[1].Status = 502 },
+		"repeats": func(h *History) {
+			h.Arrivals = append(h.Arrivals, Arrival{"s", "a", at(500)}, Arrival{"s", "c", at(600)}, Arrival{"s", "b", at(900)})
+		},
 	} {
 		h := good()
 		breakIt(h)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,6 +80,7 @@
 	h := &History{
 		Events: streamSize, Event: standin.EventText,
 		PlainBody: func(id string) string { return (&standin.Target{ID: id}).PlainBody() },
+		Repeats:   repeats,
 	}
 	planned := map[string]int{}
 	// The routers' start is no promise yet.
@@ -124,21 +125,25 @@
 		})
 	}
 	all.Wait()
-	h.Runs = w.runs()
+	h.Runs, h.Arrivals = w.seen()
 	return h, planned
 }
 
-// runs gathers what all targets saw.
-func (w *world) runs() []Run {
+// seen gathers what all targets saw.
+func (w *world) seen() ([]Run, []Arrival) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var all []Run
+	var arrivals []Arrival
 	for _, t := range append(append([]*target{}, w.serving...), w.past...) {
 		for _, r := range t.Runs() {
 			all = append(all, Run{Target: t.ID, ID: r.Request, Account: r.Account, Credential: r.Credential, At: r.At})
 		}
+		for _, a := range t.Arrivals() {
+			arrivals = append(arrivals, Arrival{Service: t.Service, ID: a.Request, At: a.At})
+		}
 	}
-	return all
+	return all, arrivals
 }
 
 func reportOf(o Options, h *History, planned map[string]int) *Report {
--- a/soak/world.go
+++ b/soak/world.go
@@ -35,6 +35,9 @@
 	pauseAim     = 100 * time.Millisecond
 )
 
+// repeats are the terms of the whole fleet.
+var repeats = settings.Repeats{Ratio: 0.2, Extra: 58, WindowS: 10}
+
 // The kinds of request.
 var kinds = []Kind{
 	{Name: "order", Path: "/order/", Once: true, MaxRuns: 1},
@@ -77,17 +80,20 @@
 	store   *standin.Store
 	routers []*router
 	// serving are the targets in the store, past those that were replaced.
-	mu       sync.Mutex
-	serving  []*target
-	past     []*target
+	mu      sync.Mutex
+	serving []*target
+	past    []*target
+	// accounts are the client accounts with a key each, revoked those whose keys are
+	// in no configuration any more.
 	accounts map[string]string
+	revoked  map[string]bool
 	version  int
 	made     int
 }
 
 // newWorld starts stand-ins and routers.
 func newWorld(dir, program string, routers int) (*world, error) {
-	w := &world{dir: dir, program: program, accounts: map[string]string{}}
+	w := &world{dir: dir, program: program, accounts: map[string]string{}, revoked: map[string]bool{}}
 	for i := range 4 {
 		w.accounts[fmt.Sprintf("account-%d", i)] = fmt.Sprintf("key-%d", i)
 	}
@@ -168,7 +174,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 1 + w.version%3
-	c := standin.Config{Version: w.version, Engines: []string{engineName}, Plain: []string{plainName}, Keys: w.accounts}
+	c := standin.Config{Version: w.version, Engines: []string{engineName}, Plain: []string{plainName}, Keys: map[string]string{}}
+	for name, key := range w.accounts {
+		if !w.revoked[name] {
+			c.Keys[name] = key
+		}
+	}
 	for _, k := range kinds {
 		route := standin.Route{
 			Name: k.Name, Host: host, Prefix: k.Path, Service: plainName, Repeatable: !k.Once, Stream: k.Stream,
@@ -187,6 +198,18 @@
 	w.store.Put(platform.KindConfig, platform.ConfigName, c.Spec())
 }
 
+// revoke takes the keys of a client account away; false if it has none any more.
+func (w *world) revoke(account string) bool {
+	w.mu.Lock()
+	news := !w.revoked[account]
+	w.revoked[account] = true
+	w.mu.Unlock()
+	if news {
+		w.putConfig()
+	}
+	return news
+}
+
 // newRouter writes the settings of a router; each has an address of its own and
 // a proxy on its way to the store.
 func (w *world) newRouter(i int) (*router, error) {
@@ -202,7 +225,7 @@
 		ID: fleet.RouterID(r.name), Domain: fleet.DomainName(domainName(i)), ClientAddr: r.clientAddr(), ReadyAddr: r.address + ":18802", PeerAddr: r.address + ":18803",
 		MetricsAddr: r.address + ":18804", StoreAddr: r.store.Addr(), Seeds: []string{"127.0.90.1:18803", "127.0.90.2:18803"},
 		MemoryMB: 284, Cores: 0.4, LinkMbps: 1000, GraceS: 8,
-		Repeats: settings.Repeats{Ratio: 0.2, Extra: 500, WindowS: 10},
+		Repeats: repeats,
 	}
 	data, err := json.Marshal(start)
 	if err != nil {
