soak: two lanes of faults never start a router twice

Cause: two lanes that stopped or killed the same router both waited for its end and both started it. The process is started again only by the lane that first sees its end, and a signal says which process it was for.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -100,16 +100,15 @@
 func (i *injector) kill() {
 	r := i.router()
 	i.spanOf("kill", func() {
-		r.signal(syscall.SIGKILL)
-		i.again(r)
+		i.again(r, r.signal(syscall.SIGKILL))
 	})
 }
 
-// again starts a router whose process is about to end.
-func (i *injector) again(r *router) {
-	<-r.ended()
+// again starts a router once its process, which is about to end, is gone.
+func (i *injector) again(r *router, gone <-chan struct{}) {
+	<-gone
 	time.Sleep(time.Duration(i.random.Int64N(int64(time.Second))))
-	if err := i.world.startRouter(r); err == nil {
+	if err := i.world.restartRouter(r, gone); err == nil {
 		time.Sleep(startTime)
 	}
 }
@@ -118,9 +117,9 @@
 func (i *injector) stop() {
 	r := i.router()
 	i.planned("stop")
-	r.signal(syscall.SIGTERM)
-	<-r.ended()
-	i.spanOf("down", func() { i.again(r) })
+	gone := r.signal(syscall.SIGTERM)
+	<-gone
+	i.spanOf("down", func() { i.again(r, gone) })
 }
 
 func (i *injector) pause() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -57,6 +57,8 @@
 	process *os.Process
 	// gone is closed when the process has ended.
 	gone chan struct{}
+	// starts counts the processes so far.
+	starts int
 }
 
 func (r *router) clientAddr() string {
@@ -235,16 +237,27 @@
 	return r, os.WriteFile(r.file, data, 0o600)
 }
 
+// startRouter starts a router's first process.
 func (w *world) startRouter(r *router) error {
+	return w.restartRouter(r, nil)
+}
+
+// restartRouter starts the process that follows the one whose end is gone, unless
+// another lane of faults has done so.
+func (w *world) restartRouter(r *router, ended <-chan struct{}) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ended != nil && ended != (<-chan struct{})(r.gone) {
+		return nil
+	}
 	command := exec.Command(w.program, "run", "--config", r.file)
 	command.Stdout, command.Stderr = r.log, r.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", r.name, err)
 	}
 	gone := make(chan struct{})
-	r.mu.Lock()
 	r.process, r.gone = command.Process, gone
-	r.mu.Unlock()
+	r.starts++
 	go func() {
 		// How it ended shows in its log; what matters is that it has.
 		_ = command.Wait()
@@ -253,14 +266,16 @@
 	return nil
 }
 
-// signal sends a signal to a router's process, by its id.
-func (r *router) signal(s syscall.Signal) {
+// signal sends a signal to a router's process, by its id, and returns the channel
+// that is closed when that process has ended.
+func (r *router) signal(s syscall.Signal) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.process != nil {
 		// A process that has just ended needs no signal.
 		_ = r.process.Signal(s)
 	}
+	return r.gone
 }
 
 // ended returns a channel that is closed when the router's process has ended.
