--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -45,8 +45,9 @@
 	// store is asked.
 	fetchTimeout = 700 * time.Millisecond
 	// patientTicks is for how many ticks a starting router that is not strong waits
-	// for another one's view before it asks the store.
-	patientTicks = 1
+	// for another one's view before it asks the store: two seconds of those in which
+	// a fleet has to serve again.
+	patientTicks = 5
 	// joinTicks is how many ticks a starting router asks the seeds, firstTicks how
 	// many once it knows joinedTo routers, from which it hears of the others.
 	joinTicks  = 10
