--- a/admission/shed_test.go
+++ b/admission/shed_test.go
@@ -66,8 +66,7 @@
 		targets[i] = &playTarget{}
 	}
 	var result served
-	var run func(t *playTarget, done func())
-	run = func(t *playTarget, done func()) {
+	run := func(t *playTarget, done func()) {
 		t.running++
 		at(time.Duration(float64(l.work)*(0.5+random.Float64())), func() {
 			t.running--
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -240,33 +240,50 @@
 	}
 }
 
+// onTick decides whether this router watches the store and sends its beats.
 func (m *Mesh) onTick() {
 	now := time.Now()
-	m.mu.Lock()
-	m.ticks++
-	m.table.Forget(now)
-	watches := m.table.Watches(now)
-	hears := m.cfg.Directory.Hears()
-	var turn []netip.AddrPort
-	if hears {
-		turn = m.table.Turn(m.ticks, now)
+	r := m.round(now)
+	if r.decides || !r.watches {
+		m.cfg.Directory.Watch(r.watches)
 	}
-	some := m.table.Some(max(fanout-len(turn)/plainBeats, 1), now, m.random)
-	m.fleet.Store(int64(m.table.Fleet()))
-	joins := m.ticks <= firstTicks || (m.ticks <= joinTicks && m.table.Fleet() <= joinedTo) || len(some) == 0
-	m.rename()
-	m.mu.Unlock()
-	if m.ticks > patientTicks || m.cfg.Strength >= Strong || !watches {
-		m.cfg.Directory.Watch(watches)
-	}
-	m.send(m.beat(), turn)
+	m.send(m.beat(), r.turn)
 	full := m.beat()
 	m.fill(full, now)
-	if joins {
+	if r.joins {
 		full.Joins = true
-		some = append(some, m.seeds()...)
+		r.some = append(r.some, m.seeds()...)
+	}
+	m.send(full, r.some)
+}
+
+// round is what one tick asks for.
+type round struct {
+	// watches says that this router is to watch the store, decides that it has had
+	// time to hear of the others.
+	watches, decides bool
+	// turn get a beat without loads, some one with them.
+	turn, some []netip.AddrPort
+	// joins says that the seeds are asked.
+	joins bool
+}
+
+func (m *Mesh) round(now time.Time) round {
+	hears := m.cfg.Directory.Hears()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ticks++
+	m.table.Forget(now)
+	fleet := m.table.Fleet()
+	m.fleet.Store(int64(fleet))
+	m.rename()
+	r := round{watches: m.table.Watches(now), decides: m.ticks > patientTicks || m.cfg.Strength >= Strong}
+	if hears {
+		r.turn = m.table.Turn(m.ticks, now)
 	}
-	m.send(full, some)
+	r.some = m.table.Some(max(fanout-len(r.turn)/plainBeats, 1), now, m.random)
+	r.joins = m.ticks <= firstTicks || (m.ticks <= joinTicks && fleet <= joinedTo) || len(r.some) == 0
+	return r
 }
 
 // rename keeps the names of targets by their hashes; m.mu is held.
