--- a/measure/bed/explained_test.go
+++ b/measure/bed/explained_test.go
@@ -1,9 +1,7 @@
 package bed
 
 import (
-	"bytes"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -11,37 +9,15 @@
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/caller"
 	"ragwortpond.example/ragwortpond/explain"
+	"ragwortpond.example/ragwortpond/explain/explaintest"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/standin"
 )
 
-// logBuffer keeps what is logged.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *logBuffer) story(t *testing.T, id string) []explain.Line {
-	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	lines, err := explain.Story(id, bytes.NewReader(b.text.Bytes()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return lines
-}
-
 // TestRequestsAreExplained follows requests of callers from the id in the answer
 // to how they ended and why.
 func TestRequestsAreExplained(t *testing.T) {
-	log := &logBuffer{}
+	log := &explaintest.Log{}
 	b, client, ctx := startBed(t, Config{Log: zerolog.New(log).With().Timestamp().Logger()})
 	const chat = `{"model":"assistente","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`
 	for _, test := range []struct {
@@ -78,7 +54,7 @@
 		id := response.Header.Get(caller.HeaderRequest)
 		var lines []explain.Line
 		await.Until(t, "the last line", func() bool {
-			lines = log.story(t, id)
+			lines = log.Story(t, id)
 			return len(lines) > 0 && lines[len(lines)-1].Name == test.last
 		})
 		if got := string(lines[len(lines)-1].Fields["reason"]); test.reason != "" && got != `"`+test.reason+`"` {
--- a/relay/explained_test.go
+++ b/relay/explained_test.go
@@ -1,43 +1,17 @@
 package relay_test
 
 import (
-	"bytes"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
-	"ragwortpond.example/ragwortpond/explain"
+	"ragwortpond.example/ragwortpond/explain/explaintest"
 	"ragwortpond.example/ragwortpond/platform/standin"
 )
 
-// logBuffer keeps log lines. It is safe for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-// story is what the log says of a request.
-func (b *logBuffer) story(t *testing.T, id string) []explain.Line {
-	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	lines, err := explain.Story(id, bytes.NewReader(b.text.Bytes()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return lines
-}
-
 // TestEachFailureIsExplained lets requests fail in every way that a client can
 // see: the last line with the request's id names how it ended, and those before
 // it where it was.
@@ -62,7 +36,7 @@
 		"lost at both targets":    {repeatable, standin.CutBefore, nil, "request-unknown", "answer-truncated", true},
 		"resumed without success": {resumable, standin.CutMidway, nil, "answer-cut", "answer-truncated", true},
 	} {
-		log := &logBuffer{}
+		log := &explaintest.Log{}
 		s := newLoggedScene(t, 2, test.route, zerolog.New(log).With().Str("router", "a").Timestamp().Logger(), streaming(eventsOf(test.route), always(test.act)))
 		r := s.request(http.MethodPost, "x")
 		if test.change != nil {
@@ -74,7 +48,7 @@
 		}
 		id := r.Header.Get("Attempt-Id")
 		await.Until(t, "the request to end", func() bool { return s.relay.Serving() == 0 })
-		lines := log.story(t, id)
+		lines := log.Story(t, id)
 		if len(lines) == 0 {
 			t.Errorf("%s: no line", name)
 			continue
