--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -39,6 +39,18 @@
 	return fmt.Sprintf("127.0.77.%d:17340", i+1)
 }
 
+// startStore starts a store that holds a version of the configuration.
+func startStore(t *testing.T, version int) *standin.Store {
+	t.Helper()
+	server, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": version})
+	return server
+}
+
 func startRouter(t *testing.T, i int, store *platform.Store, seeds []string) *router {
 	t.Helper()
 	return startRouterIn(t, "d", i, store, seeds)
@@ -98,12 +110,7 @@
 // follow the store, three watch it, and others take over when those are lost.
 func TestAFailureDomainWatchesWithFew(t *testing.T) {
 	const n = 7
-	server, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server := startStore(t, 1)
 	server.Put(platform.KindTargets, "a", entry(1))
 	store := platform.NewStore(server.Addr(), nil)
 	seeds := []string{freeAddr(t, 0), "127.0.77.200:9"}
@@ -156,12 +163,7 @@
 // TestAStartingRouterServesByAnothersView starts a router while the store is
 // away.
 func TestAStartingRouterServesByAnothersView(t *testing.T) {
-	server, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 4})
+	server := startStore(t, 4)
 	server.Put(platform.KindTargets, "a", entry(1))
 	store := platform.NewStore(server.Addr(), nil)
 	first := startRouter(t, 20, store, nil)
@@ -179,12 +181,7 @@
 // the same view is a fraction of the entries' own size for each of them.
 func TestAFleetWithManyTargetsStartsCheaply(t *testing.T) {
 	const n, targets = 8, 3000
-	server, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server := startStore(t, 1)
 	size := 0
 	for i := range targets {
 		spec := entry(i % 250)
@@ -216,12 +213,7 @@
 // one by one.
 func TestManyChangesAtOnceReachAll(t *testing.T) {
 	const n = 5
-	server, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server := startStore(t, 1)
 	server.Put(platform.KindTargets, "a", entry(1))
 	store := platform.NewStore(server.Addr(), nil)
 	var routers []*router
@@ -243,18 +235,9 @@
 // TestACutOffDomainHearsOfConfigurations cuts all routers of a failure domain off
 // from the store: they take a new configuration from those of another one.
 func TestACutOffDomainHearsOfConfigurations(t *testing.T) {
-	server, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	server.Put(platform.KindConfig, platform.ConfigName, map[string]any{"Version": 1})
+	server := startStore(t, 1)
 	server.Put(platform.KindTargets, "a", entry(1))
-	refusing, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(refusing.Close)
+	refusing := startStore(t, 1)
 	refusing.Fail(standin.Refusing)
 	seeds := []string{freeAddr(t, 0)}
 	near := startRouterIn(t, "d", 0, platform.NewStore(server.Addr(), nil), seeds)
