--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -202,6 +202,8 @@
 func (m *Mesh) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
 	defer stop()
+	// A datagram may end the loop before the function above has run.
+	defer func() { _ = m.conn.Close() }()
 	go m.run(ctx)
 	buffer := make([]byte, maxDatagram+1)
 	for {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -254,3 +254,40 @@
 		await.Until(t, "the second configuration", func() bool { return r.directory.View().Config.Version == 2 })
 	}
 }
+
+// TestTheSocketIsClosedWhenRunReturns ends meshes that get datagrams all the while
+// and opens their address again at once.
+func TestTheSocketIsClosedWhenRunReturns(t *testing.T) {
+	const addr = "127.0.77.201:17340"
+	server := startStore(t, 1)
+	store := platform.NewStore(server.Addr(), nil)
+	sender, err := net.Dial("udp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	for range 200 {
+		d := directory.New(func() directory.Store { return store }, false, zerolog.Nop(), nil)
+		m, err := New(Config{
+			Self: "r", Domain: "d", Addr: addr, Directory: d, Seeds: func() []string { return nil }, Log: zerolog.Nop(),
+			Heard: func(fleet.TargetID, int, time.Time) {},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		for i := range 50 {
+			// Nobody may listen any more, which the sender is told at the next write.
+			_, _ = sender.Write([]byte("no beat"))
+			if i == 25 {
+				cancel()
+			}
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
