One wait for a time or the end of a context, and smaller repetitions

Read once more as a whole. task.Sleep, course.wait and directory.sleep were three copies; the one function has a package of its own, sleep, since package task links the pool's library, which the platform's router leaves out. course.note drew a log line from the pool that it dropped when another event was meant; it chooses the event first. relay had a function around rand.Uint64 and asked twice whether the number of routers is known. Four tests of targetconn shared a loop by copy. No behaviour, bound or assertion changes.

--- a/course/course.go
+++ b/course/course.go
@@ -13,6 +13,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/retry"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // Path makes the attempts of one request. It belongs to one goroutine.
@@ -39,18 +40,21 @@
 		}
 		m.Retried(step.Reason)
 		note(ctx, path, step, end)
-		wait(ctx, step.Wait)
+		if step.Wait > 0 {
+			// Whether the wait ended early shows in ctx.
+			_ = sleep.For(ctx, step.Wait)
+		}
 	}
 	return life.Expired()
 }
 
 // note logs that another attempt follows.
 func note(ctx context.Context, path Path, step retry.Step, end retry.End) {
-	line := path.Log(event.RequestTriedAgain)
+	what := event.RequestTriedAgain
 	if !step.Charged && step.Action == retry.Elsewhere {
-		line = path.Log(event.RequestRedirected)
+		what = event.RequestRedirected
 	}
-	line = line.Str("action", step.Action.String()).Str("reason", string(step.Reason)).
+	line := path.Log(what).Str("action", step.Action.String()).Str("reason", string(step.Reason)).
 		Str("outcome", end.Outcome.String()).Int("status", end.Status).AnErr("error", end.Err).
 		Uint64("events", end.Events).Dur("wait", step.Wait)
 	if deadline, ok := ctx.Deadline(); ok {
@@ -58,15 +62,3 @@
 	}
 	line.Send()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,6 +15,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // Store is the part of the platform's store that a directory uses.
@@ -137,15 +138,6 @@
 	return d.watching, d.mode
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // silent notes that the store does not answer for a kind.
 func (d *Directory) silent(kind string, err error) {
 	d.mu.Lock()
@@ -339,7 +331,7 @@
 // expire gives up targets whose entries did not come back after an outage.
 func (d *Directory) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expiryInterval)
+		_ = sleep.For(ctx, expiryInterval)
 		var changes []platform.Change
 		d.mu.Lock()
 		for _, id := range d.members.Expire(d.now()) {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // follow lists a kind and then watches it, as long as this router watches the
@@ -40,7 +41,7 @@
 		default:
 			known = false
 			d.silent(kind, err)
-			sleep(ctx, wait)
+			_ = sleep.For(ctx, wait)
 			wait = min(2*wait, longestBackoff)
 		}
 	}
@@ -82,7 +83,7 @@
 	d.answers(kind)
 	if len(changes) > 0 {
 		changed(changes, revision)
-		sleep(ctx, settle)
+		_ = sleep.For(ctx, settle)
 	}
 	return revision, nil
 }
--- a/keyjournal/write.go
+++ b/keyjournal/write.go
@@ -8,7 +8,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/objectapi"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const (
@@ -78,7 +78,7 @@
 		if errors.Is(err, objectapi.ErrConflict) {
 			w.held = held{}
 		}
-		if sleepErr := task.Sleep(ctx, jitter(wait)); sleepErr != nil {
+		if sleepErr := sleep.For(ctx, jitter(wait)); sleepErr != nil {
 			return nil, err
 		}
 		wait = min(2*wait, maxRetryWait)
@@ -158,7 +158,7 @@
 		if !lost {
 			return 0, err
 		}
-		if task.Sleep(ctx, jitter(wait)) != nil {
+		if sleep.For(ctx, jitter(wait)) != nil {
 			return 0, err
 		}
 		wait = min(2*wait, maxRetryWait)
--- a/measure/control.go
+++ b/measure/control.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/settings"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 func init() {
@@ -217,7 +217,7 @@
 		if _, err := f.store.Put(ctx, o.Kind, o.Name, data, o.Version); err != nil {
 			return err
 		}
-		_ = task.Sleep(ctx, min(settingsChange, time.Until(end)))
+		_ = sleep.For(ctx, min(settingsChange, time.Until(end)))
 	}
 	return ctx.Err()
 }
--- a/measure/controlfleet.go
+++ b/measure/controlfleet.go
@@ -18,6 +18,7 @@
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -159,7 +160,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("control fleet of %d routers: not settled: %w", len(f.nodes), ctx.Err())
 		}
-		_ = task.Sleep(ctx, controlLook)
+		_ = sleep.For(ctx, controlLook)
 	}
 	return nil
 }
@@ -191,7 +192,7 @@
 			loads[service] = min(max(loads[service]+step, 0), float64(20*targets))
 			n.means.Report(service, targets, loads[service])
 		}
-		_ = task.Sleep(ctx, loadChange)
+		_ = sleep.For(ctx, loadChange)
 	}
 }
 
--- a/measure/crowd.go
+++ b/measure/crowd.go
@@ -12,8 +12,8 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 // crowdConfig describes users who keep up chats that go quiet and come back.
@@ -87,14 +87,14 @@
 func (c *crowd) user(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.cfg.seed, uint64(number)))
 	chats := make([]*conversation, c.cfg.chats)
-	_ = task.Sleep(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
+	_ = sleep.For(ctx, time.Duration(rng.Float64()*float64(c.cfg.think)))
 	for turn := 0; ctx.Err() == nil; turn++ {
 		i := rng.IntN(len(chats))
 		if chats[i] == nil || len(chats[i].chat.Messages) >= 2*c.cfg.renewAfter {
 			chats[i] = c.begin(rng, fmt.Sprintf("%s-%d-%d", c.cfg.account, number, turn))
 		}
 		c.say(chats[i], rng)
-		_ = task.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
+		_ = sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(c.cfg.think)))
 	}
 }
 
--- a/measure/demo/demo.go
+++ b/measure/demo/demo.go
@@ -16,8 +16,8 @@
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -128,15 +128,15 @@
 	step := total / 3
 	fmt.Fprintf(progress, "%d routers, %d engines, %d plain services; %d callers\n",
 		len(b.Members()), len(engines), len(b.Services()), chatCallers+orderCallers)
-	_ = task.Sleep(ctx, step)
+	_ = sleep.For(ctx, step)
 	fmt.Fprintf(progress, "%s: withdrawing %s\n", w.progress(), withdrawn.ID())
 	if err := withdraw(ctx, b, withdrawn.ID()); err != nil {
 		return Figures{}, err
 	}
-	_ = task.Sleep(ctx, step)
+	_ = sleep.For(ctx, step)
 	fmt.Fprintf(progress, "%s: crashing %s\n", w.progress(), crashed.ID())
 	crashed.Kill()
-	_ = task.Sleep(ctx, step)
+	_ = sleep.For(ctx, step)
 	fmt.Fprintf(progress, "%s: finishing\n", w.progress())
 	return Figures{Withdrawn: string(withdrawn.ID()), Crashed: string(crashed.ID())}, ctx.Err()
 }
--- a/measure/demo/workload.go
+++ b/measure/demo/workload.go
@@ -16,7 +16,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/settings"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const (
@@ -88,7 +88,7 @@
 			open[slot] = w.newChat(caller, n)
 		}
 		w.turn(random, open[slot], n)
-		_ = task.Sleep(ctx, time.Duration(random.Int64N(int64(maxPause))))
+		_ = sleep.For(ctx, time.Duration(random.Int64N(int64(maxPause))))
 	}
 }
 
@@ -119,7 +119,7 @@
 		answer, err := w.client.Call(context.Background(), w.router(random), account, w.plain,
 			http.MethodPost, w.orderPath(), key, []byte(`{"drums":1}`))
 		w.count(answer, err)
-		_ = task.Sleep(ctx, orderPause)
+		_ = sleep.For(ctx, orderPause)
 	}
 }
 
--- a/measure/fairness.go
+++ b/measure/fairness.go
@@ -9,8 +9,8 @@
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -141,9 +141,9 @@
 // watchWaits returns the median and the 95th percentile of the times to the
 // first byte over a window after a warm-up, and their number.
 func watchWaits(ctx context.Context, t *tally) (p50, p95 float64, n int) {
-	_ = task.Sleep(ctx, fairnessWarm)
+	_ = sleep.For(ctx, fairnessWarm)
 	t.restart()
-	_ = task.Sleep(ctx, fairnessWindow)
+	_ = sleep.For(ctx, fairnessWindow)
 	return t.waits()
 }
 
--- a/measure/orders.go
+++ b/measure/orders.go
@@ -11,8 +11,8 @@
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/router/orders"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 // The ways of recording orders that the scenario compares.
@@ -189,7 +189,7 @@
 		func() { l.bed.Platform.SetFaults(standin.Faults{}) },
 	}
 	for _, fault := range script {
-		if task.Sleep(ctx, step) != nil {
+		if sleep.For(ctx, step) != nil {
 			break
 		}
 		fault()
--- a/measure/orders_load.go
+++ b/measure/orders_load.go
@@ -13,8 +13,8 @@
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/router/orders"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 const (
@@ -69,7 +69,7 @@
 	var wait sync.WaitGroup
 	for i := range count {
 		due := start.Add(time.Duration(i) * length / time.Duration(count))
-		if task.Sleep(ctx, time.Until(due)) != nil {
+		if sleep.For(ctx, time.Until(due)) != nil {
 			break
 		}
 		o := l.newOrder()
@@ -91,7 +91,7 @@
 func (l *orderLoad) settle(ctx context.Context) time.Time {
 	deadline := time.Now().Add(ordersDrain)
 	last, at := l.grantedWrites(), time.Now()
-	for time.Now().Before(deadline) && time.Since(at) < writesSettled && task.Sleep(ctx, writesPoll) == nil {
+	for time.Now().Before(deadline) && time.Since(at) < writesSettled && sleep.For(ctx, writesPoll) == nil {
 		if now := l.grantedWrites(); now != last {
 			last, at = now, time.Now()
 		}
@@ -132,7 +132,7 @@
 		twin.Go(func() { l.sendOnce(ctx, o, o.router+1) })
 	}
 	for sending := range maxSendings {
-		if l.sendOnce(ctx, o, o.router+sending) || task.Sleep(ctx, sendingBackoff<<sending) != nil {
+		if l.sendOnce(ctx, o, o.router+sending) || sleep.For(ctx, sendingBackoff<<sending) != nil {
 			break
 		}
 	}
--- a/measure/orders_single.go
+++ b/measure/orders_single.go
@@ -11,7 +11,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/keyjournal"
 	"ragwortpond.example/ragwortpond/objectapi"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const (
@@ -81,7 +81,7 @@
 
 // Join implements orders.Journal by reading until the result is there.
 func (j *singleJournal) Join(ctx context.Context, record keyjournal.Record) (keyjournal.Record, error) {
-	for record.State == keyjournal.StateIntent && task.Sleep(ctx, singleMaxWait) == nil {
+	for record.State == keyjournal.StateIntent && sleep.For(ctx, singleMaxWait) == nil {
 		if found, _, err := j.read(ctx, record.Hash); err == nil {
 			record = found
 		}
@@ -111,7 +111,7 @@
 		if !errors.Is(err, objectapi.ErrUnknown) && !errors.Is(err, objectapi.ErrRateLimited) {
 			return err
 		}
-		if task.Sleep(ctx, wait/2+rand.N(wait)) != nil {
+		if sleep.For(ctx, wait/2+rand.N(wait)) != nil {
 			return err
 		}
 		wait = min(2*wait, singleMaxWait)
--- a/measure/reuse.go
+++ b/measure/reuse.go
@@ -8,8 +8,8 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -90,7 +90,7 @@
 	defer e.close()
 	users := startCrowd(ctx, e.bed, e.client, e.tally, reuseCrowd(o.Seed))
 	defer users.stop()
-	_ = task.Sleep(ctx, reuseWarm)
+	_ = sleep.For(ctx, reuseWarm)
 	e.begin()
 	err = e.churn(ctx)
 	e.end()
@@ -126,7 +126,7 @@
 		if err := step(); err != nil {
 			return err
 		}
-		_ = task.Sleep(ctx, reuseStep)
+		_ = sleep.For(ctx, reuseStep)
 	}
 	return nil
 }
--- a/measure/settings_fleet.go
+++ b/measure/settings_fleet.go
@@ -14,6 +14,7 @@
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/settings/propagate"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
 	"ragwortpond.example/ragwortpond/task"
 )
@@ -214,7 +215,7 @@
 			return took, err
 		}
 		took = append(took, s.waitInForce(ctx, revision))
-		if task.Sleep(ctx, settingsChangeEvery) != nil {
+		if sleep.For(ctx, settingsChangeEvery) != nil {
 			return took, ctx.Err()
 		}
 	}
@@ -224,7 +225,7 @@
 func (s *settingsFleet) waitInForce(ctx context.Context, revision uint64) time.Duration {
 	accepted := time.Now()
 	for !s.inForce(revision) {
-		if time.Since(accepted) >= settingsWaitAtMost || task.Sleep(ctx, settingsPoll) != nil {
+		if time.Since(accepted) >= settingsWaitAtMost || sleep.For(ctx, settingsPoll) != nil {
 			return settingsWaitAtMost
 		}
 	}
--- a/measure/skew.go
+++ b/measure/skew.go
@@ -7,8 +7,8 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/placement"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -49,13 +49,13 @@
 		startCrowd(ctx, e.bed, e.client, e.tally, skewCrowd(quietAccount, 280, o.Seed)),
 		startCrowd(ctx, e.bed, e.client, e.tally, hotCrowd(quietSurgeUsers, o.Seed)),
 	}
-	_ = task.Sleep(ctx, skewWarm)
+	_ = sleep.For(ctx, skewWarm)
 	e.begin()
-	_ = task.Sleep(ctx, skewCalm)
+	_ = sleep.For(ctx, skewCalm)
 	surge := startCrowd(ctx, e.bed, e.client, e.tally, hotCrowd(surgeUsers, o.Seed+1))
 	err = e.replaceRouter(ctx)
 	surge.cancel()
-	_ = task.Sleep(ctx, skewAfter)
+	_ = sleep.For(ctx, skewAfter)
 	e.end()
 	for _, c := range append(crowds, surge) {
 		c.stop()
@@ -66,17 +66,17 @@
 // replaceRouter kills a router in the middle of the surge and starts another,
 // so that the routers' views and their choice of homes differ for a while.
 func (e *experiment) replaceRouter(ctx context.Context) error {
-	_ = task.Sleep(ctx, skewSurge/3)
+	_ = sleep.For(ctx, skewSurge/3)
 	victim := e.bed.Members()[0]
 	domain := victim.Router.Self().Domain
 	victim.Kill()
 	e.bed.RemoveVM(string(victim.Router.Self().ID))
-	_ = task.Sleep(ctx, skewSurge/3)
+	_ = sleep.For(ctx, skewSurge/3)
 	id := fleet.RouterID(fmt.Sprintf("%s-r9", domain))
 	if _, err := e.bed.StartRouter(id, domain); err != nil {
 		return err
 	}
-	_ = task.Sleep(ctx, skewSurge/3)
+	_ = sleep.For(ctx, skewSurge/3)
 	return nil
 }
 
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -11,8 +11,8 @@
 	"ragwortpond.example/ragwortpond/measure/bed"
 	"ragwortpond.example/ragwortpond/peer"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 )
 
 func init() {
@@ -143,7 +143,7 @@
 	}
 	made := float64(len(c.nodes) - 1)
 	f.HandshakeCoreMS = (processorTime() - used).Seconds() * 1000 / made
-	_ = task.Sleep(ctx, time.Second)
+	_ = sleep.For(ctx, time.Second)
 	for _, n := range c.nodes {
 		f.HandshakeBytes += float64(n.node.WireBytes()) / made
 	}
@@ -189,7 +189,7 @@
 	}
 	for _, n := range f.nodes {
 		for n.source.Snapshot().Revision < version {
-			if err := task.Sleep(ctx, time.Millisecond); err != nil {
+			if err := sleep.For(ctx, time.Millisecond); err != nil {
 				return 0, fmt.Errorf("%s has not version %d: %w", n.self.ID, version, err)
 			}
 		}
@@ -216,9 +216,9 @@
 		sayTokens: 20, answerTokens: slopeAnswer, renewAfter: 1, seed: o.Seed,
 	})
 	defer users.stop()
-	_ = task.Sleep(ctx, time.Second)
+	_ = sleep.For(ctx, time.Second)
 	answers, used := t.whole.Load(), processorTime()
-	_ = task.Sleep(ctx, slopeStreamTime)
+	_ = sleep.For(ctx, slopeStreamTime)
 	f.Answers = t.whole.Load() - answers
 	cores := (processorTime() - used).Seconds()
 	f.Tokens = f.Answers * slopeAnswer
--- a/measure/withdrawal.go
+++ b/measure/withdrawal.go
@@ -11,8 +11,8 @@
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/placement"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/standin"
-	"ragwortpond.example/ragwortpond/task"
 	"ragwortpond.example/ragwortpond/withdrawal"
 )
 
@@ -122,13 +122,13 @@
 	ids := []fleet.TargetID{engineName(0), engineName(4)}
 	w.figures.ReuseBefore, w.figures.BoundBefore = w.returnOf(ctx, ids)
 	users := w.crowd(ctx)
-	_ = task.Sleep(ctx, withdrawalWarm)
+	_ = sleep.For(ctx, withdrawalWarm)
 	err := w.withdraw(ctx, ids)
 	users.stop()
 	if err != nil {
 		return w.figures, err
 	}
-	_ = task.Sleep(ctx, withdrawalSettle)
+	_ = sleep.For(ctx, withdrawalSettle)
 	w.figures.ReuseAfter, w.figures.BoundAfter = w.returnOf(ctx, ids)
 	w.figures.ReuseKept = ratio(ratio(w.figures.ReuseAfter, w.figures.BoundAfter),
 		ratio(w.figures.ReuseBefore, w.figures.BoundBefore))
@@ -187,7 +187,7 @@
 				}
 			}
 		}
-		_ = task.Sleep(ctx, withdrawalPoll)
+		_ = sleep.For(ctx, withdrawalPoll)
 	}
 	return withdrawal.Status{}, fmt.Errorf("%s was not emptied: %w", id, ctx.Err())
 }
@@ -204,7 +204,7 @@
 		if i%fleetRoutersPerDomain != 0 {
 			continue
 		}
-		_ = task.Sleep(ctx, withdrawalSettle)
+		_ = sleep.For(ctx, withdrawalSettle)
 		began := time.Now()
 		if err := m.Stop(ctx); err != nil {
 			return err
--- a/operator/store.go
+++ b/operator/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/objectapi"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // ErrUnresolved means that it could not be learnt whether a change was accepted
@@ -50,7 +50,7 @@
 		if known {
 			return version, err
 		}
-		if task.Sleep(ctx, retryInterval) != nil {
+		if sleep.For(ctx, retryInterval) != nil {
 			return 0, fmt.Errorf("%w: %w", ErrUnresolved, err)
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -45,10 +45,6 @@
 	pauses = 3
 )
 
-func random() uint64 {
-	return rand.Uint64()
-}
-
 // ended is how an attempt ended.
 type ended struct {
 	// whole says that the client has the whole answer.
@@ -112,7 +108,7 @@
 	now := time.Now()
 	field, mean := s.relay.field(view, s.service, now)
 	signs := &signs{s.relay, now}
-	ask := dispatch.Ask{Domain: s.relay.cfg.Domain, Tried: s.tried, Mean: mean, Random: random()}
+	ask := dispatch.Ask{Domain: s.relay.cfg.Domain, Tried: s.tried, Mean: mean, Random: rand.Uint64()}
 	if s.route.Affinity {
 		ask.Key = dispatch.KeyOf(s.call.Prompt)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -177,9 +177,7 @@
 	keep := func(id fleet.TargetID) bool { return named[id] }
 	r.book.Forget(keep)
 	r.loads.forget(keep)
-	if r.cfg.Routers != nil {
-		r.share(r.cfg.Routers())
-	}
+	r.share(r.routers())
 }
 
 // allowance returns the repeats of a service.
--- a/router/drain.go
+++ b/router/drain.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const drainPoll = 10 * time.Millisecond
@@ -26,7 +26,7 @@
 	r.members.Leave(ctx)
 	began := time.Now()
 	r.handOver(ctx, time.Time{})
-	_ = task.Sleep(ctx, stop.ReadyDelayMS.Duration()-time.Since(began))
+	_ = sleep.For(ctx, stop.ReadyDelayMS.Duration()-time.Since(began))
 	r.face.Refuse()
 	r.home.Refuse()
 	ctx, cancel := context.WithTimeout(ctx, stop.LimitMS.Duration())
@@ -35,13 +35,13 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("router: stopped with %d requests in flight: %w", r.InFlight(), ctx.Err())
 		}
-		_ = task.Sleep(ctx, drainPoll)
+		_ = sleep.For(ctx, drainPoll)
 	}
 	if err := r.journal.Flush(ctx); err != nil {
 		return fmt.Errorf("router: stopped with results that are not recorded: %w", err)
 	}
 	r.handOver(ctx, began)
-	_ = task.Sleep(ctx, closeGrace)
+	_ = sleep.For(ctx, closeGrace)
 	return nil
 }
 
--- a/router/home/poll.go
+++ b/router/home/poll.go
@@ -9,7 +9,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/router/targets"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 
 	"github.com/rs/zerolog"
 )
@@ -66,7 +66,7 @@
 func (p *Poller) Run(ctx context.Context) error {
 	for {
 		p.round(ctx)
-		if err := task.Sleep(ctx, pollPeriod); err != nil {
+		if err := sleep.For(ctx, pollPeriod); err != nil {
 			return err
 		}
 	}
--- a/settings/propagate/exchange.go
+++ b/settings/propagate/exchange.go
@@ -5,7 +5,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // One digest exchange in farEvery goes to another failure domain.
@@ -87,7 +87,7 @@
 
 // digestLoop exchanges digests with random routers.
 func (p *Service) digestLoop(ctx context.Context) {
-	for task.Sleep(ctx, p.jitter(p.config.Timing.Digest)) == nil {
+	for sleep.For(ctx, p.jitter(p.config.Timing.Digest)) == nil {
 		if to, ok := p.pick(); ok {
 			_ = p.exchange(ctx, to)
 		}
--- a/settings/propagate/inforce.go
+++ b/settings/propagate/inforce.go
@@ -9,7 +9,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/peer"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const (
@@ -73,7 +73,7 @@
 		if !found.behind(revision) || !p.isMember(m.ID) {
 			return found
 		}
-		if task.Sleep(ctx, probeInterval) != nil {
+		if sleep.For(ctx, probeInterval) != nil {
 			return found
 		}
 	}
--- a/settings/propagate/load.go
+++ b/settings/propagate/load.go
@@ -6,7 +6,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 const (
@@ -32,7 +32,7 @@
 		if first {
 			event.SettingsWaiting.Log(p.config.Log).Err(err).Send()
 		}
-		if err := task.Sleep(ctx, p.jitter(wait)); err != nil {
+		if err := sleep.For(ctx, p.jitter(wait)); err != nil {
 			return err
 		}
 	}
--- a/settings/propagate/watch.go
+++ b/settings/propagate/watch.go
@@ -8,7 +8,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/objectapi"
 	"ragwortpond.example/ragwortpond/settings"
-	"ragwortpond.example/ragwortpond/task"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // watchLoop holds the watch on the platform while this router is a watcher.
@@ -16,7 +16,7 @@
 	failures := backoff{first: p.config.Timing.Retry}
 	for ctx.Err() == nil {
 		if !p.watching() {
-			_ = task.Sleep(ctx, p.config.Timing.Role)
+			_ = sleep.For(ctx, p.config.Timing.Role)
 			continue
 		}
 		err := p.watchAsWatcher(ctx)
@@ -28,7 +28,7 @@
 		if first {
 			event.SettingsWatch.Log(p.config.Log).Err(err).Send()
 		}
-		_ = task.Sleep(ctx, p.jitter(wait))
+		_ = sleep.For(ctx, p.jitter(wait))
 	}
 }
 
--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -36,6 +36,22 @@
 	return l.Addr().String()
 }
 
+// serveAll answers each request of each connection by f, until one cannot be read
+// or f returns false, and counts the connections.
+func serveAll(t *testing.T, f func(c net.Conn, head *http.Request) bool) (addr string, conns chan struct{}) {
+	t.Helper()
+	conns = make(chan struct{}, 10)
+	return serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		conns <- struct{}{}
+		for {
+			head, err := http.ReadRequest(r)
+			if err != nil || !f(c, head) {
+				return
+			}
+		}
+	}), conns
+}
+
 func request(addr, id string, body []byte) *Request {
 	return &Request{
 		Target: "t", Addr: addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: body,
@@ -90,21 +106,12 @@
 // connection must not carry another request, whose bytes would count as the rest
 // of the body.
 func TestAnEarlyAnswerGetsNoOtherBytes(t *testing.T) {
-	conns := make(chan struct{}, 10)
-	addr := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
-		conns <- struct{}{}
-		for {
-			head, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "early"))
-			_ = c.(*net.TCPConn).SetReadBuffer(1)
-			time.Sleep(20 * time.Millisecond)
-			if _, err := io.Copy(io.Discard, head.Body); err != nil {
-				return
-			}
-		}
+	addr, conns := serveAll(t, func(c net.Conn, head *http.Request) bool {
+		_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "early"))
+		_ = c.(*net.TCPConn).SetReadBuffer(1)
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.Copy(io.Discard, head.Body)
+		return err == nil
 	})
 	p := NewPool(nil)
 	big := []byte(strings.Repeat("x", 8<<20))
@@ -119,14 +126,9 @@
 }
 
 func TestAnswersOfOthersArePassedOver(t *testing.T) {
-	addr := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			head, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply("late", "of another")+reply(head.Header.Get("Id"), "mine"))
-		}
+	addr, _ := serveAll(t, func(c net.Conn, head *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply("late", "of another")+reply(head.Header.Get("Id"), "mine"))
+		return true
 	})
 	p := NewPool(nil)
 	for _, id := range []string{"a", "b"} {
@@ -145,16 +147,9 @@
 }
 
 func TestAConnectionWithExtraBytesIsNotUsedAgain(t *testing.T) {
-	conns := make(chan struct{}, 10)
-	addr := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
-		conns <- struct{}{}
-		for {
-			head, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "mine")+reply("x", "extra"))
-		}
+	addr, conns := serveAll(t, func(c net.Conn, head *http.Request) bool {
+		_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "mine")+reply("x", "extra"))
+		return true
 	})
 	p := NewPool(nil)
 	for _, id := range []string{"a", "b", "c"} {
@@ -190,16 +185,9 @@
 }
 
 func TestAFreshConnectionForWhatRunsOnce(t *testing.T) {
-	conns := make(chan struct{}, 10)
-	addr := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
-		conns <- struct{}{}
-		for {
-			head, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "mine"))
-		}
+	addr, conns := serveAll(t, func(c net.Conn, head *http.Request) bool {
+		_, _ = io.WriteString(c, reply(head.Header.Get("Id"), "mine"))
+		return true
 	})
 	p := NewPool(nil)
 	r := request(addr, "a", nil)
