directory: an outage seen by either kind of call protects targets

Cause: the grace period for entries that lapse while the store is away began only when a call for targets had failed.

Ruled out: a wait in the test for both kinds. The store's contract gives entries two seconds after its return, whichever call noticed the outage.

Change: the end of an outage starts the grace period for either kind, and so do target changes read while the configuration's calls still fail. A watch that ends without changes does not, since it may have begun before the outage.

Before: TestOutageSeenByOneKindProtectsTargets fails for outages that only the configuration met.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,14 @@
 	maxBackoff = 800 * time.Millisecond
 )
 
+// dataSource is where data came from, as logged.
+type dataSource string
+
+const (
+	sourceStore  dataSource = "store"
+	sourceRouter dataSource = "router"
+)
+
 // Directory maintains the router's view. It is safe for concurrent use.
 type Directory struct {
 	store func() Store
@@ -158,7 +166,9 @@
 	d.unavailable[kind] = true
 }
 
-// markAvailable records that a store call for a kind of object succeeded.
+// markAvailable records that a store call for a kind of object succeeded. The end of
+// an outage starts the grace period whichever kind met it, since only calls for the
+// configuration may have been in flight while targets' entries lapsed.
 func (d *Directory) markAvailable(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -167,9 +177,7 @@
 		return
 	}
 	d.unavailable[kind] = false
-	if kind == platform.KindTargets {
-		d.members.StartGracePeriod(d.now())
-	}
+	d.members.StartGracePeriod(d.now())
 	event.StoreRegained.Log(d.log).Str("kind", kind).Send()
 }
 
@@ -199,7 +207,7 @@
 
 func (d *Directory) handleConfigList(objects []platform.Object, _ uint64) {
 	for _, o := range objects {
-		if d.applyConfig(o, "store") {
+		if d.applyConfig(o, sourceStore) {
 			d.onChange(nil)
 		}
 	}
@@ -207,7 +215,7 @@
 
 func (d *Directory) handleConfigChanges(changes []platform.Change, _ uint64) {
 	for _, c := range changes {
-		if !c.Deleted && d.applyConfig(c.Object, "store") {
+		if !c.Deleted && d.applyConfig(c.Object, sourceStore) {
 			d.onChange(nil)
 		}
 	}
@@ -215,7 +223,7 @@
 
 // applyConfig puts a configuration in force unless it is invalid or not newer than
 // the current one, and reports whether it did.
-func (d *Directory) applyConfig(o platform.Object, source string) bool {
+func (d *Directory) applyConfig(o platform.Object, source dataSource) bool {
 	if o.Name != platform.ConfigName {
 		return false
 	}
@@ -237,20 +245,20 @@
 	}
 	d.config, d.document = config, o
 	d.publishLocked()
-	event.ConfigInForce.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", source).Send()
+	event.ConfigInForce.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", string(source)).Send()
 	return true
 }
 
 // handleTargetList applies the store's complete list of targets.
 func (d *Directory) handleTargetList(objects []platform.Object, revision uint64) {
-	if changes := d.replaceTargets(objects, revision, "store"); len(changes) > 0 {
+	if changes := d.replaceTargets(objects, revision, sourceStore); len(changes) > 0 {
 		d.onChange(changes)
 	}
 }
 
 // replaceTargets applies a complete list of targets as of a revision: it adds and
 // updates the listed targets and deletes all others. It returns the changes applied.
-func (d *Directory) replaceTargets(objects []platform.Object, revision uint64, source string) []platform.Change {
+func (d *Directory) replaceTargets(objects []platform.Object, revision uint64, source dataSource) []platform.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
@@ -268,14 +276,14 @@
 	d.members.MarkComplete(revision)
 	d.publishLocked()
 	event.TargetChanged.Log(d.log).Str("change", "listed").Int("targets", len(objects)).Uint64("revision", revision).
-		Str("from", source).Send()
+		Str("from", string(source)).Send()
 	return applied
 }
 
 // handleTargetChanges applies changes from a watch of the store.
 func (d *Directory) handleTargetChanges(changes []platform.Change, revision uint64) {
 	d.mu.Lock()
-	applied := d.applyLocked(changes, "store")
+	applied := d.applyLocked(changes, sourceStore)
 	d.members.MarkComplete(revision)
 	d.publishLocked()
 	d.mu.Unlock()
@@ -286,8 +294,12 @@
 
 // applyLocked applies changes in order and returns those that had an effect; d.mu
 // must be held.
-func (d *Directory) applyLocked(changes []platform.Change, source string) []platform.Change {
+func (d *Directory) applyLocked(changes []platform.Change, source dataSource) []platform.Change {
 	now := d.now()
+	if source == sourceStore && d.unavailable[platform.KindConfig] {
+		// The store is back, but no call for the configuration has shown it yet.
+		d.members.StartGracePeriod(now)
+	}
 	var applied []platform.Change
 	for _, c := range changes {
 		var t *catalog.Target
@@ -317,8 +329,8 @@
 	return applied
 }
 
-func (d *Directory) logTargetChange(c platform.Change, t *catalog.Target, source string) {
-	line := event.TargetChanged.Log(d.log).Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Str("from", source)
+func (d *Directory) logTargetChange(c platform.Change, t *catalog.Target, source dataSource) {
+	line := event.TargetChanged.Log(d.log).Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Str("from", string(source))
 	if t == nil {
 		line.Str("change", "gone").Send()
 		return
@@ -345,20 +357,25 @@
 func (d *Directory) runExpiry(ctx context.Context) {
 	for ctx.Err() == nil {
 		_ = sleep.For(ctx, expiryInterval)
-		var changes []platform.Change
-		d.mu.Lock()
-		for _, id := range d.members.Expire(d.now()) {
-			d.entries.remove(string(id), 0)
-			changes = append(changes, platform.Change{Object: platform.Object{Name: string(id)}, Deleted: true})
-			event.TargetChanged.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Send()
-		}
-		if len(changes) > 0 {
-			d.publishLocked()
-		}
-		d.mu.Unlock()
-		if len(changes) > 0 {
-			d.onChange(changes)
-		}
+		d.expire()
+	}
+}
+
+// expire removes the targets whose grace period has ended.
+func (d *Directory) expire() {
+	var changes []platform.Change
+	d.mu.Lock()
+	for _, id := range d.members.Expire(d.now()) {
+		d.entries.remove(string(id), 0)
+		changes = append(changes, platform.Change{Object: platform.Object{Name: string(id)}, Deleted: true})
+		event.TargetChanged.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Send()
+	}
+	if len(changes) > 0 {
+		d.publishLocked()
+	}
+	d.mu.Unlock()
+	if len(changes) > 0 {
+		d.onChange(changes)
 	}
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
@@ -121,6 +122,75 @@
 	}
 }
 
+// scriptedStore is a store that returns the same list to every call, or fails.
+type scriptedStore struct {
+	objects  []platform.Object
+	revision uint64
+	err      error
+}
+
+func (s *scriptedStore) List(context.Context, string, bool) ([]platform.Object, uint64, error) {
+	return s.objects, s.revision, s.err
+}
+
+func (s *scriptedStore) Watch(_ context.Context, _ string, from uint64, _ time.Duration) ([]platform.Change, uint64, error) {
+	return nil, from, s.err
+}
+
+// TestOutageSeenByOneKindProtectsTargets plays an outage that only the calls for one
+// kind of object meet: the other kind has no call in flight while the store is away.
+// The entries that lapsed meanwhile are kept for the grace period, whichever kind is
+// read first afterwards, and removed at its end.
+func TestOutageSeenByOneKindProtectsTargets(t *testing.T) {
+	kinds := []string{platform.KindConfig, platform.KindTargets}
+	for _, failing := range kinds {
+		for _, first := range kinds {
+			t.Run(failing+" fails, "+first+" returns first", func(t *testing.T) {
+				clock := time.Unix(1000, 0)
+				store := &scriptedStore{revision: 7}
+				d := New(func() Store { return store }, true, zerolog.Nop(), nil)
+				d.now = func() time.Time { return clock }
+				list := func(kind string) {
+					handle := d.handleConfigList
+					if kind == platform.KindTargets {
+						handle = d.handleTargetList
+					}
+					if _, err := d.listOnce(t.Context(), kind, handle); err != nil {
+						d.markUnavailable(kind, err)
+					}
+				}
+				spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				store.objects = []platform.Object{{Name: "a", Revision: 5, Spec: spec}}
+				list(platform.KindTargets)
+				list(platform.KindConfig)
+
+				store.err = platform.ErrUnavailable
+				list(failing)
+				clock = clock.Add(3 * time.Second)
+				store.objects, store.revision, store.err = nil, 9, nil
+				list(first)
+				list(platform.KindTargets)
+				if servingCount(d) != 1 {
+					t.Errorf("right after the outage: got %d targets, want 1", servingCount(d))
+				}
+				clock = clock.Add(1900 * time.Millisecond)
+				d.expire()
+				if servingCount(d) != 1 {
+					t.Errorf("within the grace period: got %d targets, want 1", servingCount(d))
+				}
+				clock = clock.Add(200 * time.Millisecond)
+				d.expire()
+				if servingCount(d) != 0 {
+					t.Errorf("after the grace period: got %d targets, want none", servingCount(d))
+				}
+			})
+		}
+	}
+}
+
 func TestNonWatchingRouterFollowsPeer(t *testing.T) {
 	server, watcher := newTestDirectory(t)
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -62,7 +62,7 @@
 	if d.hasLiveWatchLocked() || !d.members.Loaded() {
 		return
 	}
-	if len(d.applyLocked(changes, "router")) > 0 {
+	if len(d.applyLocked(changes, sourceRouter)) > 0 {
 		d.publishLocked()
 	}
 }
@@ -71,13 +71,13 @@
 // live watch of its own applies only the configuration.
 func (d *Directory) ApplySnapshot(snapshot Snapshot) {
 	if snapshot.Config.Revision > 0 {
-		d.applyConfig(snapshot.Config, "router")
+		d.applyConfig(snapshot.Config, sourceRouter)
 	}
 	d.mu.Lock()
 	stale := snapshot.TargetsRevision == 0 || snapshot.TargetsRevision < d.members.Revision() || d.hasLiveWatchLocked()
 	d.mu.Unlock()
 	if !stale {
-		d.replaceTargets(snapshot.Targets, snapshot.TargetsRevision, "router")
+		d.replaceTargets(snapshot.Targets, snapshot.TargetsRevision, sourceRouter)
 	}
 }
 
@@ -87,12 +87,12 @@
 	configs, _, err := d.store().List(ctx, platform.KindConfig, false)
 	if err == nil {
 		for _, o := range configs {
-			d.applyConfig(o, "store")
+			d.applyConfig(o, sourceStore)
 		}
 		var targets []platform.Object
 		var revision uint64
 		if targets, revision, err = d.store().List(ctx, platform.KindTargets, false); err == nil {
-			d.replaceTargets(targets, revision, "store")
+			d.replaceTargets(targets, revision, sourceStore)
 		}
 	}
 	if err != nil {
