targetconn, eventstream, httpconn, relay: bytes without end take no memory

Cause: the head of a target's response was read through http.ReadResponse on an unbounded reader, an event whose lines are short had no limit, and the own interface's client let hertz peek at ever more bytes. A target that sends a status line, garbage, one header line or header lines without end, or an event that never ends, drove a process out of memory within seconds. Responses to other requests were skipped without a limit, until the deadline. A client that announced a long body reserved memory for all of it before it arrived.

Beyond a limit the attempt fails as broken and the connection is closed.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -15,9 +15,8 @@
 var ErrTooLong = errors.New("eventstream: event too long")
 
 const (
-	// maxEventBytes bounds an event. It is checked only while a line longer than
-	// readBufferBytes is read.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds an event.
+	maxEventBytes = 256 << 10
 	// readBufferBytes is large enough for a few events.
 	readBufferBytes = 1 << 10
 )
@@ -53,11 +52,11 @@
 	lineStart := 0
 	for {
 		chunk, err := r.in.ReadSlice('\n')
+		if len(r.buf)+len(chunk) > maxEventBytes {
+			return Event{}, ErrTooLong
+		}
 		r.buf = append(r.buf, chunk...)
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(r.buf) > maxEventBytes {
-				return Event{}, ErrTooLong
-			}
 			continue
 		}
 		if err != nil {
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -46,10 +46,32 @@
 	}
 }
 
+// endless repeats a block forever and counts the bytes read.
+type endless struct {
+	block string
+	read  int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], e.block[(e.read+n)%len(e.block):])
+	}
+	e.read += n
+	return n, nil
+}
+
+// TestReaderRejectsTooLongEvent reads events that never end, as one line and as many
+// short ones.
 func TestReaderRejectsTooLongEvent(t *testing.T) {
-	_, _, _, err := readAll(t, strings.NewReader(strings.Repeat("x", maxEventBytes+2*readBufferBytes)))
-	if !errors.Is(err, ErrTooLong) {
-		t.Errorf("got error %v, want ErrTooLong", err)
+	for _, block := range []string{"x", "data: a\n", strings.Repeat("x", 2*readBufferBytes) + "\n"} {
+		in := &endless{block: block}
+		if _, _, _, err := readAll(t, in); !errors.Is(err, ErrTooLong) {
+			t.Errorf("%.10q: got error %v, want ErrTooLong", block, err)
+		}
+		if limit := maxEventBytes + 2*readBufferBytes; in.read > limit {
+			t.Errorf("%.10q: got %d bytes read, want at most %d", block, in.read, limit)
+		}
 	}
 }
 
--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -32,10 +32,36 @@
 	// ErrTruncated means that the body of the response ended early, or that the
 	// response does not say where its body ends.
 	ErrTruncated = errors.New("httpconn: truncated response")
-	// ErrTooLarge means that the body of the response is over the limit.
+	// ErrTooLarge means that the head or the body of the response is over the limit.
 	ErrTooLarge = errors.New("httpconn: response too large")
 )
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 32 << 10
+
+// headReader lets hertz read the head of a response, and fails once the head exceeds
+// maxHeadBytes. hertz peeks at ever more bytes until the head is complete.
+type headReader struct {
+	network.Conn
+	// exceeded is set once a peek failed because of the limit.
+	exceeded bool
+}
+
+// Peek implements network.Reader.
+func (r *headReader) Peek(n int) ([]byte, error) {
+	if n > maxHeadBytes {
+		r.exceeded = true
+		return nil, ErrTooLarge
+	}
+	return r.Conn.Peek(n)
+}
+
+// Len implements network.Reader. It hides what exceeds the limit, because hertz peeks
+// at all that is buffered.
+func (r *headReader) Len() int {
+	return min(r.Conn.Len(), maxHeadBytes)
+}
+
 // Values that hertz reports as the length of a body without a Content-Length
 // header.
 const (
@@ -98,7 +124,11 @@
 	if err := x.conn.Flush(); err != nil {
 		return x.wrapBroken(err)
 	}
-	if err := resp.ReadHeaders(&x.response, x.conn); err != nil {
+	head := &headReader{Conn: x.conn}
+	if err := resp.ReadHeaders(&x.response, head); err != nil {
+		if head.exceeded {
+			err = ErrTooLarge
+		}
 		return x.wrapBroken(err)
 	}
 	x.response.SkipBody = r.Header.IsHead()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -198,6 +198,11 @@
 	return true
 }
 
+// maxBodyPrealloc bounds the memory reserved for a body by its announced length. A
+// longer body takes memory as it arrives, so that a client cannot reserve memory by
+// announcing a length.
+const maxBodyPrealloc = 64 << 10
+
 // readAll reads the body. If limit is set and the length is not announced, it reads
 // at most limit+1 bytes, so that the caller can detect a body that is too large.
 func readAll(req *http.Request, limit int64) ([]byte, error) {
@@ -205,7 +210,7 @@
 	if limit > 0 {
 		reader = io.LimitReader(req.Body, limit+1)
 	}
-	if req.ContentLength <= 0 {
+	if req.ContentLength <= 0 || req.ContentLength > maxBodyPrealloc {
 		return io.ReadAll(reader)
 	}
 	body := make([]byte, req.ContentLength)
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -143,15 +143,19 @@
 			a.setResponse(response)
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err != nil || skipped > maxSkippedBytes || response.Close {
 			return ErrMismatch
 		}
 	}
 	return ErrMismatch
 }
 
-// readFinal reads response headers until one that is not interim.
+// readFinal reads response headers until one that is not interim. All of them together
+// are limited to maxHeadBytes.
 func (a *Response) readFinal(method string) (*http.Response, error) {
+	a.conn.headLeft = maxHeadBytes
+	defer func() { a.conn.headLeft = unlimited }()
 	for range maxResponseHeads {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
 		if err != nil {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -29,6 +29,9 @@
 	ErrMismatch = errors.New("targetconn: response to another request")
 )
 
+// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("targetconn: response head too large")
+
 const (
 	// dialTimeout bounds the setup of a connection. A round trip between failure
 	// domains takes a few milliseconds, and the kernel retransmits a lost SYN
@@ -46,6 +49,12 @@
 	maxFreshAge = 300 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections to one target.
 	maxIdlePerTarget = 32
+	// maxHeadBytes bounds the heads read for one response, interim ones included. Body
+	// bytes that arrive with the last read of a head count too.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to another request that is skipped
+	// to find the response to this one.
+	maxSkippedBytes = 1 << 20
 	// readBufferBytes is large enough for a response header and a few events.
 	readBufferBytes = 2 << 10
 )
@@ -73,6 +82,26 @@
 	// no longer reused, since the target may close it.
 	lastUsed, idleUntil time.Time
 	reused              bool
+	// headLeft is how many bytes may still be read for the head of a response, or
+	// unlimited.
+	headLeft int
+}
+
+// unlimited is the value of conn.headLeft while no head is read.
+const unlimited = -1
+
+// Read implements net.Conn. It fails with errHeadTooLarge once the head that is being
+// read exceeds its limit.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == unlimited {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -121,7 +150,9 @@
 	}
 	p.opened()
 	p.open.Add(1)
-	return &conn{Conn: raw, pool: p, target: id, addr: addr, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	c := &conn{Conn: raw, pool: p, target: id, addr: addr, headLeft: unlimited}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // Probe checks whether a target is reachable by opening a connection to it,
