mesh, directory: watches are taken over once, and joining routers learn their domain

All three watchers of a failure domain were cut off the store. The others missed their heartbeats 1.2 s later and all began to watch; at the next tick each heard another one and all stopped, which repeated every 0.8 s for the 12 s of the cut. Each start kept targets that the list lacked for the two seconds of grace that entries have after an outage of the store, though there was none. 2. A router learns of 22 others a second, so that for half a minute most did not know those that watch for them, nor those them.

Ruled out: faster keep-alive probes (the system counts in whole seconds, so 2 s is the least); a grace period that ends earlier, which a store that was away would break.

Change: a watcher that loses the store tells its domain at once, and the next ones in the order take its place; the rest watch only after a further delay. A router that came to watch goes on until one that is ahead of it does. The first list after a takeover starts the grace period only if more than a quarter of the targets are missing, as after an outage. Replies to joining routers name the first routers of their domain, and a router that hears no watcher sends its heartbeat to these. Two of three watchers are standbys that gather changes for longer, watchers do not push what another one pushed, and a router does not fetch a list that is older than its own data.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -47,6 +47,27 @@
 	s.graceUntil = now.Add(storeReturnGrace)
 }
 
+// outageShare is the share of the targets that must be missing from a complete list for
+// the store to have been away: an outage lets all entries lapse, while other causes end
+// few targets between two lists.
+const outageShare = 0.25
+
+// LapsedInOutage reports whether so many of the targets that were not leaving are missing
+// from a complete list of the store that their entries must have lapsed during an
+// outage. It is for a router that was not watching while the entries vanished.
+func (s *TargetSet) LapsedInOutage(listed func(fleet.TargetID) bool) bool {
+	present, missing := 0, 0
+	for id, t := range s.targets {
+		switch {
+		case listed(id):
+			present++
+		case !t.Leaving:
+			missing++
+		}
+	}
+	return float64(missing) > outageShare*float64(present+missing)
+}
+
 // MarkComplete records that the set holds all targets as of a revision.
 func (s *TargetSet) MarkComplete(revision uint64) {
 	s.revision = max(s.revision, revision)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,10 +30,6 @@
 	// bounds how long a silent store goes unnoticed: a call without a response fails
 	// after this time and the store client's own timeout of a call.
 	watchTimeout = 3 * time.Second
-	// settleDelay is the wait after a change, so that changes in quick succession
-	// are read with one call. It is an eighth of the 2 s within which a change must
-	// be in force.
-	settleDelay = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call; it doubles with
 	// each failure.
 	minBackoff = 100 * time.Millisecond
@@ -59,6 +55,9 @@
 	// onChange is called with the target changes that this router read from the
 	// store; nil means that only the configuration changed.
 	onChange func([]platform.Change)
+	// onWatchLost is called when a live watch of the store is lost.
+	onWatchLost func()
+	pace        Pace
 
 	mu      sync.Mutex
 	members *catalog.TargetSet
@@ -71,24 +70,26 @@
 	// the store or by a router that watches the store and holds the same data.
 	unavailable map[string]bool
 	confirmedAt map[string]time.Time
-	// watching tells whether this router watches the store; modeChanged is closed
-	// and replaced when that changes.
-	watching    bool
+	// role tells whether this router watches the store; modeChanged is closed and
+	// replaced when it starts or stops to watch.
+	role        WatchRole
 	modeChanged chan struct{}
+	// takingOver is set from the start of a watch to its first list of targets.
+	takingOver bool
 }
 
 // New returns a directory with an empty view. store is called before each store
-// call and returns the store to use. watching is the initial mode, see SetWatching.
+// call and returns the store to use. role is the initial role, see SetWatchRole.
 // onRestart is called for a target whose process was restarted; it must not call the
 // directory, and may be nil.
-func New(store func() Store, watching bool, log zerolog.Logger, onRestart func(fleet.TargetID)) *Directory {
+func New(store func() Store, role WatchRole, log zerolog.Logger, onRestart func(fleet.TargetID)) *Directory {
 	if onRestart == nil {
 		onRestart = func(fleet.TargetID) {}
 	}
 	d := &Directory{
-		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {},
+		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: DefaultPace,
 		members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
-		watching: watching, modeChanged: make(chan struct{}),
+		role: role, modeChanged: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
 	return d
@@ -101,6 +102,17 @@
 	d.onChange = f
 }
 
+// OnWatchLost sets the function that is called when a live watch of the store is lost.
+// It must be called before Run.
+func (d *Directory) OnWatchLost(f func()) {
+	d.onWatchLost = f
+}
+
+// SetPace sets how long watchers gather changes. It must be called before Run.
+func (d *Directory) SetPace(p Pace) {
+	d.pace = p
+}
+
 // View returns the current view. It never returns nil.
 func (d *Directory) View() *catalog.View {
 	return d.view.Load()
@@ -116,54 +128,48 @@
 	return nil
 }
 
-// SetWatching sets whether this router watches the store itself or relies on other
-// routers for changes.
-func (d *Directory) SetWatching(watching bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.watching == watching {
-		return
-	}
-	d.watching = watching
-	close(d.modeChanged)
-	d.modeChanged = make(chan struct{})
-	if watching {
-		// The first list may show deletions that the other routers missed, and these
-		// may stem from an outage of the store: a grace period applies to them.
-		d.members.StartGracePeriod(d.now())
-	}
-	event.StoreWatchChanged.Log(d.log).Bool("watching", watching).Send()
+// hasLiveWatchLocked is HasLiveWatch; d.mu must be held.
+func (d *Directory) hasLiveWatchLocked() bool {
+	return d.role != NoWatch && d.members.Loaded() && d.config != nil &&
+		!d.unavailable[platform.KindConfig] && !d.unavailable[platform.KindTargets]
 }
 
-// HasLiveWatch reports whether this router watches the store, holds configuration
-// and targets, and its last store calls succeeded.
-func (d *Directory) HasLiveWatch() bool {
+// StoreLost reports whether this router watches the store and its last store calls for
+// a kind of object failed.
+func (d *Directory) StoreLost() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.hasLiveWatchLocked()
+	return d.role != NoWatch && (d.unavailable[platform.KindConfig] || d.unavailable[platform.KindTargets])
 }
 
-// hasLiveWatchLocked is HasLiveWatch; d.mu must be held.
-func (d *Directory) hasLiveWatchLocked() bool {
-	return d.watching && d.members.Loaded() && d.config != nil &&
-		!d.unavailable[platform.KindConfig] && !d.unavailable[platform.KindTargets]
-}
-
-// watchState returns the mode and a channel that is closed when it changes.
+// watchState reports whether this router watches the store, and returns a channel that
+// is closed when that changes.
 func (d *Directory) watchState() (bool, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watching, d.modeChanged
+	return d.role != NoWatch, d.modeChanged
+}
+
+// settleDelay returns the wait after a change.
+func (d *Directory) settleDelay() time.Duration {
+	if d.WatchRole() == PrimaryWatch {
+		return d.pace.Primary
+	}
+	return d.pace.Standby
 }
 
 // markUnavailable records that a store call for a kind of object failed.
 func (d *Directory) markUnavailable(kind string, err error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	wasLive := d.hasLiveWatchLocked()
 	if !d.unavailable[kind] {
 		event.StoreLost.Log(d.log).Str("kind", kind).Err(err).Send()
 	}
 	d.unavailable[kind] = true
+	d.mu.Unlock()
+	if wasLive {
+		d.onWatchLost()
+	}
 }
 
 // markAvailable records that a store call for a kind of object succeeded. The end of
@@ -262,9 +268,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
-	changes := make([]platform.Change, 0, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
+	}
+	if d.takingOver && source == sourceStore {
+		d.takingOver = false
+		if d.members.LapsedInOutage(func(id fleet.TargetID) bool { return listed[string(id)] }) {
+			d.members.StartGracePeriod(d.now())
+		}
+	}
+	changes := make([]platform.Change, 0, len(objects))
+	for _, o := range objects {
 		changes = append(changes, platform.Change{Object: o})
 	}
 	for _, id := range d.members.IDs() {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -34,7 +34,7 @@
 	}
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Addr(), nil)
-	d := New(func() Store { return store }, true, zerolog.Nop(), nil)
+	d := New(func() Store { return store }, PrimaryWatch, zerolog.Nop(), nil)
 	return server, d
 }
 
@@ -148,7 +148,7 @@
 			t.Run(failing+" fails, "+first+" returns first", func(t *testing.T) {
 				clock := time.Unix(1000, 0)
 				store := &scriptedStore{revision: 7}
-				d := New(func() Store { return store }, true, zerolog.Nop(), nil)
+				d := New(func() Store { return store }, PrimaryWatch, zerolog.Nop(), nil)
 				d.now = func() time.Time { return clock }
 				list := func(kind string) {
 					handle := d.handleConfigList
@@ -191,13 +191,47 @@
 	}
 }
 
+// TestTakeoverRemovesTargetsThatLeft lets a router take over the watch of the store. Its
+// first list lacks one target of eight, which left, so that the target must go at once;
+// then it lacks half of them, which lapsed while the store was away, and they are kept
+// for the grace period.
+func TestTakeoverRemovesTargetsThatLeft(t *testing.T) {
+	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects := make([]platform.Object, 8)
+	for i := range objects {
+		objects[i] = platform.Object{Name: fmt.Sprint(i), Revision: uint64(i + 1), Spec: spec}
+	}
+	for _, test := range []struct{ listed, want int }{{7, 7}, {4, 8}} {
+		clock := time.Unix(1000, 0)
+		store := &scriptedStore{objects: objects[:test.listed], revision: 20}
+		d := New(func() Store { return store }, NoWatch, zerolog.Nop(), nil)
+		d.now = func() time.Time { return clock }
+		d.ApplySnapshot(Snapshot{Targets: objects, TargetsRevision: 10})
+		d.SetWatchRole(PrimaryWatch)
+		if _, err := d.listOnce(t.Context(), platform.KindTargets, d.handleTargetList); err != nil {
+			t.Fatal(err)
+		}
+		if got := servingCount(d); got != test.want {
+			t.Errorf("%d of 8 targets listed: got %d serving, want %d", test.listed, got, test.want)
+		}
+		clock = clock.Add(2100 * time.Millisecond)
+		d.expire()
+		if got := servingCount(d); got != test.listed {
+			t.Errorf("%d of 8 targets listed: got %d serving after the grace period, want %d", test.listed, got, test.listed)
+		}
+	}
+}
+
 func TestNonWatchingRouterFollowsPeer(t *testing.T) {
 	server, watcher := newTestDirectory(t)
 	server.Put(platform.KindConfig, platform.ConfigName, configSpec(3))
 	server.Put(platform.KindTargets, "a", targetSpec("10.0.0.1:1", "ready"))
 	_, follower := newTestDirectory(t)
 	watcher.OnChange(follower.ApplyChanges)
-	follower.SetWatching(false)
+	follower.SetWatchRole(NoWatch)
 	runDirectory(t, watcher)
 	runDirectory(t, follower)
 	await.Until(t, "the watcher's view", func() bool { return watcher.View().Ready() })
@@ -208,8 +242,8 @@
 	server.Put(platform.KindTargets, "b", targetSpec("10.0.0.2:1", "ready"))
 	server.Delete(platform.KindTargets, "a")
 	await.Until(t, "the changes", func() bool { return servingCount(follower) == 1 && follower.View().Targets["s"][0].ID == "b" })
-	_, watcherDigest := watcher.Versions()
-	if _, followerDigest := follower.Versions(); watcherDigest != followerDigest {
+	watcherDigest := watcher.Versions().TargetsDigest
+	if watcherDigest != follower.Versions().TargetsDigest {
 		t.Error("got different digests for the same targets")
 	}
 	if follower.HasLiveWatch() {
@@ -329,7 +363,7 @@
 // before a target was added, and arrives after it: it must not remove that target.
 func TestOlderListKeepsNewerTarget(t *testing.T) {
 	_, d := newTestDirectory(t)
-	d.SetWatching(false)
+	d.SetWatchRole(NoWatch)
 	object := func(name string, revision uint64) platform.Object {
 		spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
 		if err != nil {
@@ -355,7 +389,7 @@
 		t.Fatal(err)
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		d := New(nil, false, zerolog.Nop(), nil)
+		d := New(nil, NoWatch, zerolog.Nop(), nil)
 		name := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		revision := rapid.Uint64Range(1, 20)
 		for range rapid.IntRange(1, 30).Draw(r, "steps") {
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -19,6 +19,8 @@
 	tombstones map[string]uint64
 	// digest is the sum, modulo 2^64, of the hashes of all entries.
 	digest uint64
+	// newest is the highest revision of an entry or a deletion that was applied.
+	newest uint64
 }
 
 func newEntries() *entries {
@@ -40,6 +42,7 @@
 	}
 	delete(e.tombstones, o.Name)
 	e.objects[o.Name] = o
+	e.newest = max(e.newest, o.Revision)
 	e.digest += entryHash(o)
 	return true
 }
@@ -62,6 +65,7 @@
 		clear(e.tombstones)
 	}
 	e.tombstones[name] = max(old.Revision, revision)
+	e.newest = max(e.newest, revision)
 	e.digest -= entryHash(old)
 	delete(e.objects, name)
 	return true
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -34,18 +34,28 @@
 	return snapshot
 }
 
-// Versions returns the revision of the configuration and the digest of the targets,
-// by which routers compare their data. Each is zero if its data is not known.
-func (d *Directory) Versions() (config, targets uint64) {
+// Versions are the versions of a router's data, by which routers compare it. Each is
+// zero if its data is not known.
+type Versions struct {
+	// Config is the revision of the configuration.
+	Config uint64
+	// TargetsDigest is the digest of the targets, TargetsRevision the newest store
+	// revision that they are known to reflect.
+	TargetsDigest, TargetsRevision uint64
+}
+
+// Versions returns the versions of the directory's data.
+func (d *Directory) Versions() Versions {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var v Versions
 	if d.config != nil {
-		config = d.config.Revision
+		v.Config = d.config.Revision
 	}
 	if d.members.Loaded() {
-		targets = d.targetsDigest()
+		v.TargetsDigest, v.TargetsRevision = d.targetsDigest(), max(d.members.Revision(), d.entries.newest)
 	}
-	return config, targets
+	return v
 }
 
 // targetsDigest returns the digest of the entries. It is never zero, because zero
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// errModeChanged ends a watch when SetWatching changes the mode.
+// errModeChanged ends a watch when SetWatchRole ends it.
 var errModeChanged = errors.New("directory: watch mode changed")
 
 // listOnce lists the objects of a kind and returns the revision of the list.
@@ -86,7 +86,7 @@
 	d.markAvailable(kind)
 	if len(changes) > 0 {
 		onChanges(changes, revision)
-		_ = sleep.For(ctx, settleDelay)
+		_ = sleep.For(ctx, d.settleDelay())
 	}
 	return revision, nil
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -16,10 +16,11 @@
 
 // newHeartbeat returns a plain heartbeat, which has no loads and no peers.
 func (m *Mesh) newHeartbeat() *Heartbeat {
-	config, targets := m.cfg.Directory.Versions()
+	versions, live := m.cfg.Directory.Versions(), m.cfg.Directory.HasLiveWatch()
 	return &Heartbeat{
-		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: m.cfg.Directory.HasLiveWatch(),
-		Leaving: m.leaving.Load(), ConfigRevision: config, TargetsDigest: targets, Strength: m.cfg.Strength,
+		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
+		Leaving: m.leaving.Load(), ConfigRevision: versions.Config, TargetsDigest: versions.TargetsDigest,
+		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
 	}
 }
 
@@ -72,18 +73,12 @@
 	return addrs
 }
 
-// send sends a heartbeat to each address. Changes and loads are left out if they do
-// not fit into a datagram.
+// send sends a heartbeat to each address.
 func (m *Mesh) send(hb *Heartbeat, addrs []netip.AddrPort) {
 	if len(addrs) == 0 {
 		return
 	}
-	data, err := encode(hb)
-	if errors.Is(err, errDatagramTooLong) {
-		// Receivers that lack the changes fetch them.
-		hb.Changes, hb.Loads = nil, nil
-		data, err = encode(hb)
-	}
+	data, err := encodeFitting(hb)
 	if err != nil {
 		event.MeshFault.Log(m.cfg.Log).Str("what", "encode").Err(err).Send()
 		return
@@ -96,6 +91,21 @@
 	}
 }
 
+// encodeFitting encodes a heartbeat. What does not fit into a datagram is left out:
+// changes, which receivers that lack them fetch, loads, and then other routers.
+func encodeFitting(hb *Heartbeat) ([]byte, error) {
+	data, err := encode(hb)
+	if errors.Is(err, errDatagramTooLong) {
+		hb.Changes, hb.Loads = nil, nil
+		data, err = encode(hb)
+	}
+	if errors.Is(err, errDatagramTooLong) {
+		hb.Peers = nil
+		data, err = encode(hb)
+	}
+	return data, err
+}
+
 // handleHeartbeat processes a received heartbeat.
 func (m *Mesh) handleHeartbeat(ctx context.Context, hb *Heartbeat, from netip.AddrPort) {
 	now := time.Now()
@@ -115,7 +125,7 @@
 		m.cfg.OnPeerLoad(id, s.work, s.reportedAt)
 	}
 	if hb.Joining {
-		m.replyToJoin(from, now)
+		m.replyToJoin(hb.Domain, from, now)
 	}
 	if len(hb.Changes) > 0 {
 		m.cfg.Directory.ApplyChanges(toPlatformChanges(hb.Changes))
@@ -149,9 +159,14 @@
 	return merged
 }
 
-// replyToJoin sends a full heartbeat to a router that is joining.
-func (m *Mesh) replyToJoin(addr netip.AddrPort, now time.Time) {
+// replyToJoin sends a full heartbeat to a router that is joining. It names the first
+// routers of that router's failure domain, on which it will rely.
+func (m *Mesh) replyToJoin(domain fleet.DomainName, addr netip.AddrPort, now time.Time) {
 	hb := m.newHeartbeat()
 	m.addLoadsAndPeers(hb, now)
+	hb.Loads = hb.Loads[:min(len(hb.Loads), maxJoinLoads)]
+	m.mu.Lock()
+	hb.Peers = append(hb.Peers, m.table.FirstPeers(domain, maxJoinPeers, now)...)
+	m.mu.Unlock()
 	m.send(hb, []netip.AddrPort{addr})
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,6 +40,10 @@
 	// heartbeats per tick take less than 5 KB/s.
 	maxLoads = 30
 	maxPeers = 2
+	// maxJoinLoads and maxJoinPeers bound the contents of the reply to a router that
+	// is joining, which is to learn of its failure domain first of all.
+	maxJoinLoads = 10
+	maxJoinPeers = 12
 	// loadLifetime is the age up to which a target's load is sent to other routers.
 	loadLifetime = 2 * time.Second
 	// syncDelay is how long a difference from another router's data may last before
@@ -49,6 +53,8 @@
 	// fetchTimeout bounds the fetch of another router's data. If it expires, the store
 	// is read instead.
 	fetchTimeout = 700 * time.Millisecond
+	// maxHeaderBytes bounds the header of the response to a fetch.
+	maxHeaderBytes = 16 << 10
 	// storeWaitTicks is the number of ticks for which a starting router with a
 	// strength below MinPreferredStrength waits for another router's view before it reads the
 	// store. They take 2 s of the time within which a restarted fleet must serve
@@ -56,8 +62,8 @@
 	storeWaitTicks = 5
 	// maxJoinTicks is the number of ticks at which a starting router sends heartbeats
 	// to the seeds. It stops after minJoinTicks if it knows minJoinedPeers other
-	// routers, whose heartbeats tell it of the rest, and does not stop while it knows
-	// none.
+	// routers, whose heartbeats tell it of the rest, and hears from one that watches
+	// the store for its failure domain. It does not stop while it knows none.
 	maxJoinTicks   = 10
 	minJoinTicks   = 2
 	minJoinedPeers = 8
@@ -147,7 +153,7 @@
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return netconn.Dial(ctx, addr) },
 		// Successive fetches usually go to different routers.
-		DisableKeepAlives: true, DisableCompression: true,
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	m.http = &http.Client{Transport: transport, Timeout: fetchTimeout}
 	m.fleetSize.Store(1)
@@ -169,8 +175,12 @@
 
 // PublishChanges sends target changes that this router read from the store to its failure
 // domain; nil means that only the configuration changed. In that case, and if there
-// are more than maxPushedChanges, only the new versions are sent.
+// are more than maxPushedChanges, only the new versions are sent. Nothing is sent if
+// the changes came from another watcher of the domain already.
 func (m *Mesh) PublishChanges(changes []platform.Change) {
+	if m.publishedByOther() {
+		return
+	}
 	addrs := m.domainAddrs()
 	hb := m.newHeartbeat()
 	if len(changes) > maxPushedChanges {
@@ -192,6 +202,15 @@
 	}
 }
 
+// publishedByOther reports whether another router of the failure domain with a live
+// watch has what this one holds, by the last heartbeat received from it.
+func (m *Mesh) publishedByOther() bool {
+	versions := m.cfg.Directory.Versions()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.DomainWatcherHas(versions, time.Now())
+}
+
 const (
 	// changesPerDatagram is the number of changes that fit into a datagram.
 	changesPerDatagram = 3
@@ -208,6 +227,12 @@
 	m.send(m.newHeartbeat(), m.domainAddrs())
 }
 
+// AnnounceWatch tells the failure domain that this router's watch of the store was
+// lost, so that others take over before they miss its heartbeats.
+func (m *Mesh) AnnounceWatch() {
+	m.send(m.newHeartbeat(), m.domainAddrs())
+}
+
 // domainAddrs returns the addresses of the other routers of the same failure domain.
 func (m *Mesh) domainAddrs() []netip.AddrPort {
 	m.mu.Lock()
@@ -266,8 +291,8 @@
 func (m *Mesh) onTick() {
 	now := time.Now()
 	plan := m.planTick(now)
-	if plan.mayStartWatch || !plan.watch {
-		m.cfg.Directory.SetWatching(plan.watch)
+	if plan.mayStartWatch || plan.role == directory.NoWatch {
+		m.cfg.Directory.SetWatchRole(plan.role)
 	}
 	m.send(m.newHeartbeat(), plan.plainAddrs)
 	full := m.newHeartbeat()
@@ -281,11 +306,13 @@
 
 // tickPlan is what a router does at one tick.
 type tickPlan struct {
-	// watch is set if this router is to watch the store. mayStartWatch is set if it may
+	// role is this router's part in watching the store. mayStartWatch is set if it may
 	// start a watch: on a VM of at least MinPreferredStrength at once, on others after
 	// storeWaitTicks, in which they learn of the other routers.
-	watch, mayStartWatch bool
-	// plainAddrs receive a plain heartbeat, fullAddrs a full one.
+	role          directory.WatchRole
+	mayStartWatch bool
+	// plainAddrs receive a plain heartbeat, fullAddrs a full one: the failure domain
+	// hears from its watchers, and they from those that do not hear them.
 	plainAddrs, fullAddrs []netip.AddrPort
 	// askSeeds is set if the full heartbeat asks for replies and is also sent to the
 	// seeds.
@@ -294,7 +321,7 @@
 
 // planTick advances the tick counter, removes expired members and plans the tick.
 func (m *Mesh) planTick(now time.Time) tickPlan {
-	live := m.cfg.Directory.HasLiveWatch()
+	live, role := m.cfg.Directory.HasLiveWatch(), m.cfg.Directory.WatchRole()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.tickCount++
@@ -302,12 +329,17 @@
 	fleet := m.table.FleetSize()
 	m.fleetSize.Store(int64(fleet))
 	m.updateTargetHashes()
-	plan := tickPlan{watch: m.table.ShouldWatch(now), mayStartWatch: m.tickCount > storeWaitTicks || m.cfg.Strength >= MinPreferredStrength}
+	plan := tickPlan{role: m.table.WatchRole(now, role), mayStartWatch: m.tickCount > storeWaitTicks || m.cfg.Strength >= MinPreferredStrength}
 	if live {
 		plan.plainAddrs = m.table.NextDomainAddrs(m.tickCount, now)
 	}
 	plan.fullAddrs = m.table.RandomAddrs(max(fanout-len(plan.plainAddrs)/plainPerFullHeartbeat, 1), now, m.random)
-	plan.askSeeds = m.tickCount <= minJoinTicks || (m.tickCount <= maxJoinTicks && fleet <= minJoinedPeers) || len(plan.fullAddrs) == 0
+	unserved := !live && !m.table.HasDomainWatcher(now)
+	if unserved {
+		// Those that watch for this failure domain may not know of this router.
+		plan.plainAddrs = append(plan.plainAddrs, m.table.FirstAddrs(watchersPerDomain, now)...)
+	}
+	plan.askSeeds = m.tickCount <= minJoinTicks || (m.tickCount <= maxJoinTicks && (fleet <= minJoinedPeers || unserved)) || len(plan.fullAddrs) == 0
 	return plan
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -61,7 +61,7 @@
 func startRouterInDomain(t *testing.T, domain fleet.DomainName, i int, store *platform.Store, seeds []string) *testRouter {
 	t.Helper()
 	r := &testRouter{receivedLoads: map[fleet.TargetID]int{}}
-	r.directory = directory.New(func() directory.Store { return store }, true, zerolog.Nop(), nil)
+	r.directory = directory.New(func() directory.Store { return store }, directory.PrimaryWatch, zerolog.Nop(), nil)
 	var err error
 	r.mesh, err = New(Config{
 		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: domain, Addr: freeAddr(t, i), Directory: r.directory,
@@ -81,6 +81,7 @@
 		t.Fatal(err)
 	}
 	r.directory.OnChange(r.mesh.PublishChanges)
+	r.directory.OnWatchLost(r.mesh.AnnounceWatch)
 	l, err := net.Listen("tcp4", freeAddr(t, i))
 	if err != nil {
 		t.Fatal(err)
@@ -274,7 +275,7 @@
 	}
 	defer sender.Close()
 	for range 200 {
-		d := directory.New(func() directory.Store { return store }, false, zerolog.Nop(), nil)
+		d := directory.New(func() directory.Store { return store }, directory.NoWatch, zerolog.Nop(), nil)
 		m, err := New(Config{
 			Self: "r", Domain: "d", Addr: addr, Directory: d, Seeds: func() []string { return nil }, Log: zerolog.Nop(),
 			OnPeerLoad: func(fleet.TargetID, int, time.Time) {},
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -35,6 +35,12 @@
 	// Strength ranks VMs by their capacity for work on behalf of other routers; the
 	// strongest ones watch the store.
 	Strength uint8 `cbor:"12,keyasint,omitempty"`
+	// StoreLost tells that the sender watches the store for its failure domain and its
+	// calls to the store fail.
+	StoreLost bool `cbor:"13,keyasint,omitempty"`
+	// TargetsRevision is the newest store revision that the sender's targets are known
+	// to reflect; zero means unknown.
+	TargetsRevision uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -22,27 +22,28 @@
 // once from any router that has them. All others follow the routers of their failure
 // domain, or of any domain while no router of their own domain has a live watch: they
 // fetch a newer configuration at once, and targets that differ from those of a
-// watching router after syncDelay. A configuration that becomes newer during that
+// watching router, and are not older, after syncDelay. A configuration that becomes newer during that
 // delay is fetched at its end.
 func (m *Mesh) syncIfBehind(ctx context.Context, hb *Heartbeat, from netip.AddrPort, now time.Time) {
-	config, targets := m.cfg.Directory.Versions()
-	missing := (config == 0 && hb.ConfigRevision > 0) || (targets == 0 && hb.TargetsDigest > 0)
+	versions := m.cfg.Directory.Versions()
+	missing := (versions.Config == 0 && hb.ConfigRevision > 0) || (versions.TargetsDigest == 0 && hb.TargetsDigest > 0)
 	live := m.cfg.Directory.HasLiveWatch()
 	m.mu.Lock()
 	reliesOnPeers := !live && (hb.Domain == m.cfg.Domain || !m.table.HasDomainWatcher(now))
-	behind := reliesOnPeers && (hb.ConfigRevision > config || (hb.Watching && hb.TargetsDigest > 0 && hb.TargetsDigest != targets))
+	sameTargets := versions.TargetsDigest == hb.TargetsDigest
+	behind := reliesOnPeers && (hb.ConfigRevision > versions.Config || (!sameTargets && hasNewerTargets(hb, versions)))
 	switch {
 	case missing:
 		m.behindSince = now.Add(-syncDelay)
 	case behind && m.behindSince.IsZero():
 		m.behindSince = now
-		if hb.ConfigRevision > config {
+		if hb.ConfigRevision > versions.Config {
 			m.behindSince = now.Add(-syncDelay)
 		}
-	case hb.Watching && !behind:
+	case hb.Watching && sameTargets && !behind:
 		m.behindSince = time.Time{}
 	}
-	if hb.Watching && config == hb.ConfigRevision && targets == hb.TargetsDigest {
+	if hb.Watching && versions.Config == hb.ConfigRevision && sameTargets {
 		m.cfg.Directory.ConfirmCurrent()
 	}
 	fetch := (missing || behind) && !m.fetching && now.Sub(m.behindSince) >= syncDelay
@@ -53,6 +54,14 @@
 	}
 }
 
+// hasNewerTargets reports whether the sender of a heartbeat has a live watch of the
+// store and read its targets no earlier than the newest change that this router knows.
+// A watcher that gathers changes for longer than another one is behind this router for
+// a moment; its list would bring nothing.
+func hasNewerTargets(hb *Heartbeat, own directory.Versions) bool {
+	return hb.Watching && hb.TargetsDigest > 0 && (hb.TargetsRevision == 0 || hb.TargetsRevision >= own.TargetsRevision)
+}
+
 // fetchSnapshot applies another router's data, or reads the store if the fetch fails.
 func (m *Mesh) fetchSnapshot(ctx context.Context, from netip.AddrPort) {
 	defer func() {
@@ -60,15 +69,15 @@
 		m.fetching, m.behindSince = false, time.Time{}
 		m.mu.Unlock()
 	}()
-	config, targets := m.cfg.Directory.Versions()
-	snapshot, err := m.requestSnapshot(ctx, from, config, targets)
+	versions := m.cfg.Directory.Versions()
+	snapshot, err := m.requestSnapshot(ctx, from, versions.Config, versions.TargetsDigest)
 	if err != nil {
 		event.MeshFault.Log(m.cfg.Log).Str("what", "fetch").Str("from", from.String()).Err(err).Send()
 		m.cfg.Directory.Refresh(ctx)
 		return
 	}
 	m.cfg.Directory.ApplySnapshot(*snapshot)
-	event.ViewFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", config).
+	event.ViewFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", versions.Config).
 		Uint64("config", snapshot.Config.Revision).Uint64("targets_revision", snapshot.TargetsRevision).Send()
 }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -16,13 +16,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ragwortpond.example/ragwortpond/directory"
 	"ragwortpond.example/ragwortpond/fleet"
 )
 
 const (
 	// watchersPerDomain is the number of routers of a failure domain that watch the
-	// store for it. With three, one remains if two fail or are partitioned at about
-	// the same time.
+	// store for it: a primary and two standbys. With three, one remains if two fail or
+	// are partitioned at about the same time.
 	watchersPerDomain = 3
 	// domainHeartbeatsPerTick is the number of routers of its failure domain to which a
 	// watcher sends a plain heartbeat at each tick. Successive ticks go round the
@@ -33,9 +34,15 @@
 	// roundTimeoutFactor times the duration of a watcher's round through the domain.
 	minWatcherTimeout  = 3 * heartbeatInterval
 	roundTimeoutFactor = 1.4
+	// takeoverDelay is the time that the first routers of a failure domain have for
+	// taking over lost watches before all others start to watch.
+	takeoverDelay = 2 * heartbeatInterval
+	// candidateTimeout is the time since its last known heartbeat after which a router
+	// that does not watch is no candidate for watching. In a fleet of 300 routers each
+	// is mentioned about every 13 s.
+	candidateTimeout = 30 * time.Second
 	// presenceTimeout is the time since its last known heartbeat after which a router
-	// is not a candidate for watching the store, is not chosen to receive full
-	// heartbeats, and is not mentioned to others.
+	// is not chosen to receive full heartbeats and is not mentioned to others.
 	presenceTimeout = 4 * time.Second
 	// membershipTimeout is the time since its last known heartbeat after which a
 	// router no longer counts as a member of the fleet, whose retry budget the members
@@ -58,10 +65,13 @@
 	// lastReceived is when this router last received its heartbeat; lastReported also
 	// counts heartbeats that other routers reported.
 	lastReported, lastReceived time.Time
-	// watching is set if it has a live watch of the store.
-	watching bool
-	leaving  bool
-	strength uint8
+	// watching is set if it has a live watch of the store, storeLost if it watches and
+	// its calls to the store fail.
+	watching, storeLost bool
+	leaving             bool
+	// configRevision and targetsDigest are the versions that its last heartbeat told.
+	configRevision, targetsDigest uint64
+	strength                      uint8
 }
 
 // Table holds a router's records of the other routers. It does no I/O; the time is
@@ -71,6 +81,9 @@
 	domain   fleet.DomainName
 	strength uint8
 	members  map[fleet.RouterID]*member
+	// servedAt is when this router last received a heartbeat of a router of its failure
+	// domain with a live watch, or when it first chose its role.
+	servedAt time.Time
 }
 
 // NewTable returns an empty table for the router self.
@@ -90,7 +103,11 @@
 	}
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
-	m.watching, m.leaving, m.strength = hb.Watching, hb.Leaving, hb.Strength
+	m.watching, m.storeLost, m.leaving, m.strength = hb.Watching, hb.StoreLost, hb.Leaving, hb.Strength
+	if hb.Watching && !hb.Leaving && hb.Domain == t.domain {
+		t.servedAt = now
+	}
+	m.configRevision, m.targetsDigest = hb.ConfigRevision, hb.TargetsDigest
 	for _, peer := range hb.Peers {
 		t.mergePeer(peer, now)
 	}
@@ -106,7 +123,7 @@
 		return
 	}
 	if peer.Incarnation > m.incarnation {
-		m.leaving, m.watching = false, false
+		m.leaving, m.watching, m.storeLost = false, false, false
 	}
 	m.domain, m.addr, m.incarnation, m.strength = peer.Domain, peer.Addr, peer.Incarnation, peer.Strength
 	if reportedAt := now.Add(-time.Duration(peer.AgeMS) * time.Millisecond); reportedAt.After(m.lastReported) {
@@ -139,30 +156,84 @@
 	return len(t.members) + 1
 }
 
-// ShouldWatch reports whether this router should watch the store: it is among the
-// first watchersPerDomain routers of its failure domain by watchRank, not counting
-// leaving ones and those not seen within presenceTimeout, or no other router of the
-// domain has a live watch.
-func (t *Table) ShouldWatch(now time.Time) bool {
-	ahead := 0
-	own := watchRank{t.strength, routerHash(t.self), t.self}
+// WatchRole returns this router's part in watching the store for its failure domain;
+// current is its present part. The routers that can watch, in the order of watchRank,
+// are the primary, the standbys and then routers that do not watch. While none of the
+// domain has a live watch for takeoverDelay longer than it takes to notice, all watch.
+// One that came to watch in this way goes on until it hears of a live watch that is
+// ahead of it in the order; if it stopped for any other one, routers that started at
+// the same moment would all stop for each other.
+func (t *Table) WatchRole(now time.Time, current directory.WatchRole) directory.WatchRole {
+	if t.servedAt.IsZero() {
+		t.servedAt = now
+	}
+	own := t.ownRank()
+	ahead, servedAhead := 0, false
 	for _, m := range t.members {
-		if m.domain != t.domain || m.leaving {
+		if m.domain != t.domain || !m.rank().before(own) {
 			continue
 		}
-		if now.Sub(m.lastReported) < presenceTimeout && ahead <= watchersPerDomain && (watchRank{m.strength, routerHash(m.id), m.id}).before(own) {
+		if t.canWatch(m, now) {
 			ahead++
 		}
+		servedAhead = servedAhead || t.hasLiveWatch(m, now)
+	}
+	unserved := now.Sub(t.servedAt) >= t.watcherTimeout()+takeoverDelay
+	switch {
+	case ahead == 0, unserved, current != directory.NoWatch && !servedAhead:
+		return directory.PrimaryWatch
+	case ahead < watchersPerDomain:
+		return directory.StandbyWatch
+	default:
+		return directory.NoWatch
+	}
+}
+
+// canWatch reports whether a router can be expected to watch the store when its turn
+// comes.
+func (t *Table) canWatch(m *member, now time.Time) bool {
+	switch {
+	case m.leaving, m.storeLost:
+		return false
+	case m.watching:
+		return now.Sub(m.lastReceived) < t.watcherTimeout()
+	default:
+		return now.Sub(m.lastReported) < candidateTimeout
 	}
-	return ahead < watchersPerDomain || !t.HasDomainWatcher(now)
+}
+
+// hasLiveWatch reports whether a router has a live watch of the store by its last
+// heartbeat, and that is recent.
+func (t *Table) hasLiveWatch(m *member, now time.Time) bool {
+	return m.watching && !m.leaving && now.Sub(m.lastReceived) < t.watcherTimeout()
+}
+
+// ownRank returns this router's place in the order of its failure domain.
+func (t *Table) ownRank() watchRank {
+	return watchRank{t.strength, routerHash(t.self), t.self}
+}
+
+func (m *member) rank() watchRank {
+	return watchRank{m.strength, routerHash(m.id), m.id}
 }
 
 // HasDomainWatcher reports whether this router received a heartbeat, within the watcher
 // timeout, from a router of the same failure domain with a live watch of the store.
 func (t *Table) HasDomainWatcher(now time.Time) bool {
-	timeout := t.watcherTimeout()
 	for _, m := range t.members {
-		if m.domain == t.domain && m.watching && !m.leaving && now.Sub(m.lastReceived) < timeout {
+		if m.domain == t.domain && t.hasLiveWatch(m, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// DomainWatcherHas reports whether the last heartbeat of another router of the same
+// failure domain with a live watch of the store told of these versions.
+func (t *Table) DomainWatcherHas(versions directory.Versions, now time.Time) bool {
+	for _, m := range t.members {
+		if m.domain == t.domain && t.hasLiveWatch(m, now) &&
+			m.configRevision == versions.Config && m.targetsDigest == versions.TargetsDigest {
 			return true
 		}
 	}
@@ -249,10 +320,7 @@
 		if m.leaving || now.Sub(m.lastReported) >= presenceTimeout {
 			continue
 		}
-		peers = append(peers, PeerInfo{
-			ID: m.id, Domain: m.domain, Addr: m.addr, Incarnation: m.incarnation,
-			AgeMS: uint32(now.Sub(m.lastReported).Milliseconds()), Strength: m.strength,
-		})
+		peers = append(peers, m.info(now))
 		if len(peers) == n {
 			break
 		}
@@ -260,6 +328,51 @@
 	return peers
 }
 
+// FirstAddrs returns the addresses of the first routers of this router's failure domain
+// by watchRank, which are the ones to watch the store, at most n.
+func (t *Table) FirstAddrs(n int, now time.Time) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, m := range t.firstOf(t.domain, n, now) {
+		addrs = append(addrs, m.addr)
+	}
+	return addrs
+}
+
+// FirstPeers returns the first routers of a failure domain by watchRank, at most n, for
+// the reply to a router of that domain that is joining.
+func (t *Table) FirstPeers(domain fleet.DomainName, n int, now time.Time) []PeerInfo {
+	var peers []PeerInfo
+	for _, m := range t.firstOf(domain, n, now) {
+		peers = append(peers, m.info(now))
+	}
+	return peers
+}
+
+// firstOf returns the first members of a failure domain by watchRank, at most n.
+func (t *Table) firstOf(domain fleet.DomainName, n int, now time.Time) []*member {
+	var list []*member
+	for _, m := range t.members {
+		if m.domain == domain && !m.leaving && now.Sub(m.lastReported) < candidateTimeout {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b *member) int {
+		if a.rank().before(b.rank()) {
+			return -1
+		}
+		return 1
+	})
+	return list[:min(n, len(list))]
+}
+
+// info returns what this router tells others about a member.
+func (m *member) info(now time.Time) PeerInfo {
+	return PeerInfo{
+		ID: m.id, Domain: m.domain, Addr: m.addr, Incarnation: m.incarnation,
+		AgeMS: uint32(max(now.Sub(m.lastReported), 0).Milliseconds()), Strength: m.strength,
+	}
+}
+
 // shuffledMembers returns all members in random order.
 func (t *Table) shuffledMembers(random *rand.Rand) []*member {
 	list := make([]*member, 0, len(t.members))
--- a/mesh/traffic_bench_test.go
+++ b/mesh/traffic_bench_test.go
@@ -44,7 +44,11 @@
 	defer cancel()
 	var meshes []*Mesh
 	for i := range n {
-		d := directory.New(func() directory.Store { return store }, i < 6, zerolog.Nop(), nil)
+		role := directory.NoWatch
+		if i < 6 {
+			role = directory.PrimaryWatch
+		}
+		d := directory.New(func() directory.Store { return store }, role, zerolog.Nop(), nil)
 		strength := uint8(0)
 		if i < 6 {
 			strength = MinPreferredStrength
--- a/node/node.go
+++ b/node/node.go
@@ -64,7 +64,7 @@
 	n := &Node{cfg: cfg, started: time.Now(), log: log, metrics: metrics.NewSet()}
 	n.setStore(cfg.StoreAddr)
 	n.seedAddrs.Store(&cfg.Seeds)
-	n.directory = directory.New(func() directory.Store { return n.store.Load() }, cfg.Strength() >= mesh.MinPreferredStrength, log, n.resetTarget)
+	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), log, n.resetTarget)
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
 	n.relay = relay.New(relay.Config{
 		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View,
@@ -83,9 +83,19 @@
 		return nil, err
 	}
 	n.directory.OnChange(n.mesh.PublishChanges)
+	n.directory.OnWatchLost(n.mesh.AnnounceWatch)
 	return n, nil
 }
 
+// initialWatchRole returns the part in watching the store that a router has until it
+// knows the other routers of its failure domain.
+func initialWatchRole(cfg *settings.NodeFile) directory.WatchRole {
+	if cfg.Strength() >= mesh.MinPreferredStrength {
+		return directory.PrimaryWatch
+	}
+	return directory.NoWatch
+}
+
 // Lower bounds for the number of routers that share the retry budget.
 const (
 	// minRouters applies always: a router that sees few others may be on the
