relay, mesh, directory: requests wait for the first view of a restarted fleet

Cause: after a loss of everything, routers that listen and have no view yet refused each request, which used up the clients' attempts. A weak VM had its view 0.41 s after its start, at its second heartbeat, since the first one met routers without a view.

Ruled out: a list of the store by every VM (590 calls more a restart); stale lists, which may be older than the configuration's bound allows.

A router without a view asks the seeds and the first routers of its domain every 0.1 s, and a router that has one answers. The targets of the first list are logged as a whole, not one by one.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -58,6 +58,9 @@
 	// onWatchLost is called when a live watch of the store is lost.
 	onWatchLost func()
 	pace        Pace
+	// ready is closed once the view is sufficient to serve requests.
+	ready     chan struct{}
+	readyOnce sync.Once
 
 	mu      sync.Mutex
 	members *catalog.TargetSet
@@ -87,7 +90,7 @@
 		onRestart = func(fleet.TargetID) {}
 	}
 	d := &Directory{
-		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: DefaultPace,
+		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: DefaultPace, ready: make(chan struct{}),
 		members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
 		role: role, modeChanged: make(chan struct{}),
 	}
@@ -118,6 +121,11 @@
 	return d.view.Load()
 }
 
+// Ready returns a channel that is closed once the view is sufficient to serve requests.
+func (d *Directory) Ready() <-chan struct{} {
+	return d.ready
+}
+
 // Run keeps the view up to date until ctx ends. It returns nil.
 func (d *Directory) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
@@ -338,7 +346,10 @@
 			d.members.Put(t)
 		}
 		applied = append(applied, c)
-		d.logTargetChange(c, t, source)
+		if d.members.Loaded() {
+			// The first list is logged as a whole.
+			d.logTargetChange(c, t, source)
+		}
 	}
 	return applied
 }
@@ -396,8 +407,12 @@
 // publishLocked publishes a new view; d.mu must be held.
 func (d *Directory) publishLocked() {
 	serving, leaving := d.members.Serving()
-	d.view.Store(&catalog.View{
+	view := &catalog.View{
 		Config: d.config, Targets: serving, Leaving: leaving, TargetsLoaded: d.members.Loaded(),
 		TargetsRevision: d.members.Revision(),
-	})
+	}
+	d.view.Store(view)
+	if view.Ready() {
+		d.readyOnce.Do(func() { close(d.ready) })
+	}
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -124,8 +124,11 @@
 	for id, s := range loads {
 		m.cfg.OnPeerLoad(id, s.work, s.reportedAt)
 	}
-	if hb.Joining {
+	switch {
+	case hb.Joining:
 		m.replyToJoin(hb.Domain, from, now)
+	case hb.lacksView() && m.cfg.Directory.View().Ready():
+		m.send(m.newHeartbeat(), []netip.AddrPort{from})
 	}
 	if len(hb.Changes) > 0 {
 		m.cfg.Directory.ApplyChanges(toPlatformChanges(hb.Changes))
@@ -133,6 +136,11 @@
 	m.syncIfBehind(ctx, hb, from, now)
 }
 
+// lacksView reports whether the sender has no configuration or no targets.
+func (hb *Heartbeat) lacksView() bool {
+	return hb.ConfigRevision == 0 || hb.TargetsDigest == 0
+}
+
 func toPlatformChanges(list []Change) []platform.Change {
 	changes := make([]platform.Change, 0, len(list))
 	for _, c := range list {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -67,6 +67,11 @@
 	maxJoinTicks   = 10
 	minJoinTicks   = 2
 	minJoinedPeers = 8
+	// viewRequestInterval is the interval at which a starting router without a view
+	// asks the seeds and the first routers of its failure domain for theirs, for
+	// viewRequestPeriod.
+	viewRequestInterval = 100 * time.Millisecond
+	viewRequestPeriod   = 2 * time.Second
 )
 
 // MinPreferredStrength is the lowest strength at which a starting router watches the
@@ -249,6 +254,7 @@
 	// function above has run.
 	defer func() { _ = m.conn.Close() }()
 	go m.runTicker(ctx)
+	go m.requestView(ctx)
 	buffer := make([]byte, maxDatagramBytes+1)
 	for {
 		n, from, err := m.conn.ReadFromUDPAddrPort(buffer)
@@ -287,6 +293,33 @@
 	}
 }
 
+// requestView asks other routers for their view until this router has one or
+// viewRequestPeriod has passed. Their replies tell which of them has a view, and
+// syncIfBehind fetches it.
+func (m *Mesh) requestView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, viewRequestPeriod)
+	defer cancel()
+	ticker := time.NewTicker(viewRequestInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.cfg.Directory.Ready():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		m.mu.Lock()
+		first := m.table.FirstAddrs(watchersPerDomain, now)
+		m.mu.Unlock()
+		m.send(m.newHeartbeat(), first)
+		join := m.newHeartbeat()
+		join.Joining = true
+		m.send(join, m.seedAddrs())
+	}
+}
+
 // onTick decides whether this router watches the store and sends its heartbeats.
 func (m *Mesh) onTick() {
 	now := time.Now()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,9 @@
 	// View returns the current view of configuration and targets. It is called
 	// once per attempt and by background tasks.
 	View func() *catalog.View
+	// FirstView is closed once View returns a view that is ready. Requests that arrive
+	// before wait for it for a moment; nil means that they do not.
+	FirstView <-chan struct{}
 	// OnLoadReport receives the number of requests that a target reported as running or
 	// waiting, to be distributed to other routers; it may be nil.
 	OnLoadReport func(id fleet.TargetID, work int, now time.Time)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -36,6 +36,8 @@
 	view    atomic.Pointer[catalog.View]
 	url     string
 	config  *catalog.Config
+	// firstView is what requests wait for while the view is empty.
+	firstView chan struct{}
 }
 
 // newFixture starts a relay and n targets of service "s". setup configures each
@@ -47,7 +49,7 @@
 
 func newFixtureWithLog(t *testing.T, n int, route catalog.Route, log zerolog.Logger, setup func(i int, target *standin.Target)) *fixture {
 	t.Helper()
-	s := &fixture{t: t}
+	s := &fixture{t: t, firstView: make(chan struct{})}
 	route.Host, route.Prefix = testHost, "/p/"
 	if route.Name == "" {
 		route.Name = "r"
@@ -70,7 +72,7 @@
 	s.publish(s.targets...)
 	set := metrics.NewSet()
 	s.relay = relay.New(relay.Config{
-		Domain: "d", Codec: platform.HeaderCodec{}, View: s.view.Load,
+		Domain: "d", Codec: platform.HeaderCodec{}, View: s.view.Load, FirstView: s.firstView,
 		// With a window of 1 ms the reserve is full right after the start.
 		RetryBudget: retry.BudgetConfig{Ratio: 0.2, Extra: 1000, Window: time.Millisecond},
 		Metrics:     set, Latency: metrics.NewRelayMetrics(set.Registry, metrics.ValueFuncs{}), Log: log,
@@ -231,6 +233,32 @@
 	}
 }
 
+// TestRequestWaitsForFirstView sends requests to a router that has no view yet. They are
+// served if it comes in time, and refused as not run if it does not.
+func TestRequestWaitsForFirstView(t *testing.T) {
+	for name, comes := range map[string]bool{"view comes": true, "no view": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, 1, onceRoute, nil)
+			ready := s.view.Swap(&catalog.View{})
+			if comes {
+				time.AfterFunc(20*time.Millisecond, func() {
+					s.view.Store(ready)
+					close(s.firstView)
+				})
+			}
+			response, body, err := s.do(s.request(http.MethodPost, "x", "Deadline-Ms", "1000"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			served := response.StatusCode == http.StatusOK
+			refused := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+			if served != comes || refused == comes || len(s.runs()) > 0 != comes {
+				t.Errorf("got status %d, body %q, %d runs", response.StatusCode, body, len(s.runs()))
+			}
+		})
+	}
+}
+
 // TestNonRepeatableRequestRunsOnce loses the response in every possible way. The
 // request must run once only, and the client must not be told that it has not run.
 func TestNonRepeatableRequestRunsOnce(t *testing.T) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/attemptloop"
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
@@ -44,7 +45,7 @@
 		return
 	}
 	s.call = c
-	if !s.view.Ready() {
+	if !s.awaitView(req.Context()) {
 		s.refuse(reason.NotReady, notReadyRetryAfter)
 		return
 	}
@@ -91,6 +92,26 @@
 	timeToTarget, timeToHead time.Duration
 }
 
+// awaitView waits for the first view of a router that has just started, as long as
+// admission.FirstViewWait allows, and reports whether there is one.
+func (s *requestState) awaitView(ctx context.Context) bool {
+	if s.view.Ready() {
+		return true
+	}
+	if s.relay.cfg.FirstView == nil {
+		return false
+	}
+	timer := time.NewTimer(admission.FirstViewWait(s.call.ClientTimeout))
+	defer timer.Stop()
+	select {
+	case <-s.relay.cfg.FirstView:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.view = s.relay.cfg.View()
+	return s.view.Ready()
+}
+
 // checkHeaderSize refuses the request if its head exceeds the configured limit, and
 // reports whether it is within the limit.
 func (s *requestState) checkHeaderSize(req *http.Request) bool {
