settings, directory: watchers gather changes for a share of the deployment's bounds

Cause: watchers waited 250 ms after a change on every site, an eighth of the 2 s that the small sites allow; the large one allows 4 s, and each call of a watcher is priced there at 1.2.

Change: the start file carries the times within which a configuration must be in force and a leaving target get no more requests (config_ms, leaving_ms, optional); the primary watcher of a failure domain waits an eighth of the shorter one, standbys a third. A router that is leaving is logged once, not with each heartbeat.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -112,13 +112,14 @@
 	m.mu.Lock()
 	known := m.table.members[hb.From]
 	joined := known == nil || known.incarnation < hb.Incarnation
+	leaving := hb.Leaving && (joined || !known.leaving)
 	m.table.HandleHeartbeat(hb, from, now)
 	loads := m.mergeLoads(hb, now)
 	m.mu.Unlock()
 	if joined {
 		event.RouterDiscovered.Log(m.cfg.Log).Str("router", string(hb.From)).Str("failure_domain", string(hb.Domain)).Send()
 	}
-	if hb.Leaving {
+	if leaving {
 		event.RouterLeaving.Log(m.cfg.Log).Str("router", string(hb.From)).Send()
 	}
 	for id, s := range loads {
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.directory.SetPace(directory.NewPace(cfg.ChangeBound()))
 	n.directory.OnChange(n.mesh.PublishChanges)
 	n.directory.OnWatchLost(n.mesh.AnnounceWatch)
 	return n, nil
--- a/settings/node_file.go
+++ b/settings/node_file.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -29,8 +30,13 @@
 	Cores    float64 `json:"cores"`
 	LinkMbps float64 `json:"link_mbps"`
 	// GraceSeconds is the time between the stop signal and the kill, in seconds.
-	GraceSeconds float64     `json:"grace_s"`
-	RetryBudget  RetryBudget `json:"repeats"`
+	GraceSeconds float64 `json:"grace_s"`
+	// ConfigMillis and LeavingMillis are the times, in milliseconds, within which a
+	// change of the configuration must be in force everywhere, and within which a
+	// leaving target must get no more requests.
+	ConfigMillis  float64     `json:"config_ms"`
+	LeavingMillis float64     `json:"leaving_ms"`
+	RetryBudget   RetryBudget `json:"repeats"`
 	// LogLevel is a zerolog level; empty means info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -65,6 +71,22 @@
 	}
 }
 
+// ChangeBound returns the time within which a change in the store must be known to all
+// routers: the shorter one of the times set, at least minChangeBound. Zero means that
+// a time is not set.
+func (n *NodeFile) ChangeBound() time.Duration {
+	bound := math.Inf(1)
+	for _, millis := range []float64{n.ConfigMillis, n.LeavingMillis} {
+		if millis > 0 {
+			bound = min(bound, millis)
+		}
+	}
+	if math.IsInf(bound, 1) {
+		return defaultChangeBound
+	}
+	return max(time.Duration(bound*float64(time.Millisecond)), minChangeBound)
+}
+
 // StopGrace returns the time between the stop signal and the kill.
 func (n *NodeFile) StopGrace() time.Duration {
 	return time.Duration(n.GraceSeconds * float64(time.Second))
@@ -75,6 +97,14 @@
 	return time.Duration(r.WindowSeconds * float64(time.Second))
 }
 
+// Bounds of the time within which changes in the store must be known everywhere.
+const (
+	// minChangeBound keeps watchers from reading each change with a call of its own.
+	minChangeBound = 500 * time.Millisecond
+	// defaultChangeBound applies where a deployment sets no time.
+	defaultChangeBound = 2 * time.Second
+)
+
 // maxNodeNumber is the maximum of every number in a node's start file.
 const maxNodeNumber = 1e6
 
@@ -95,6 +125,8 @@
 	field{"cores", true, nullable(number(0, maxNodeNumber, false))},
 	field{"link_mbps", true, nullable(number(0, maxNodeNumber, false))},
 	field{"grace_s", true, nullable(number(0, maxNodeNumber, false))},
+	field{"config_ms", false, nullable(number(0, maxNodeNumber, false))},
+	field{"leaving_ms", false, nullable(number(0, maxNodeNumber, false))},
 	field{"repeats", true, object(
 		field{"ratio", true, nullable(number(0, maxNodeNumber, false))},
 		field{"extra", true, nullable(number(0, maxNodeNumber, false))},
--- a/settings/node_file_test.go
+++ b/settings/node_file_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestLoadNodeReportsAllFindings(t *testing.T) {
@@ -50,3 +51,21 @@
 		t.Errorf("ratio of zero: got %v with findings %v, want 0", node.RetryBudget.Ratio, findings)
 	}
 }
+
+func TestChangeBoundIsShortestTimeSet(t *testing.T) {
+	for _, test := range []struct {
+		config, leaving float64
+		want            time.Duration
+	}{
+		{4000, 3000, 3 * time.Second},
+		{2000, 4000, 2 * time.Second},
+		{0, 3000, 3 * time.Second},
+		{0, 0, defaultChangeBound},
+		{100, 3000, minChangeBound},
+	} {
+		node := NodeFile{ConfigMillis: test.config, LeavingMillis: test.leaving}
+		if got := node.ChangeBound(); got != test.want {
+			t.Errorf("config %v ms, leaving %v ms: got %v, want %v", test.config, test.leaving, got, test.want)
+		}
+	}
+}
