mesh: the socket is closed when Run returns, and the fleet's size comes from others

TestSocketClosedWhenRunReturns failed once ("address already in use") in a run of the package. Cause: a close waits for sends in progress, and the ticker and the requests for views were still sending when Run returned. Ruled out: another process at the address; none ran. Run now waits for its senders.

A table learns of 22 routers a second, so that in a fleet of 295 the share of the retry budget rested on too small a fleet for half a minute. Full heartbeats carry the number of routers that their sender knows; the largest of the last 10 s counts. A forged figure can only make a router's share smaller.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -30,6 +30,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	hb.Loads = newestLoads(m.loads, now)
+	hb.FleetSize = uint32(m.table.KnownRouters())
 	hb.Peers = m.table.RandomPeers(maxPeers, now, m.random)
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -248,13 +248,19 @@
 // Run sends and receives heartbeats until ctx ends, and then returns nil. It closes
 // the socket.
 func (m *Mesh) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
 	defer stop()
+	var senders sync.WaitGroup
 	// The loop may return on a datagram received after the end of ctx, before the
-	// function above has run.
-	defer func() { _ = m.conn.Close() }()
-	go m.runTicker(ctx)
-	go m.requestView(ctx)
+	// function above has run. The socket is closed only when no sender uses it.
+	defer func() {
+		cancel()
+		_ = m.conn.Close()
+		senders.Wait()
+	}()
+	senders.Go(func() { m.runTicker(ctx) })
+	senders.Go(func() { m.requestView(ctx) })
 	buffer := make([]byte, maxDatagramBytes+1)
 	for {
 		n, from, err := m.conn.ReadFromUDPAddrPort(buffer)
@@ -359,7 +365,7 @@
 	defer m.mu.Unlock()
 	m.tickCount++
 	m.table.RemoveExpired(now)
-	fleet := m.table.FleetSize()
+	fleet := m.table.FleetSize(now)
 	m.fleetSize.Store(int64(fleet))
 	m.updateTargetHashes()
 	plan := tickPlan{role: m.table.WatchRole(now, role), mayStartWatch: m.tickCount > storeWaitTicks || m.cfg.Strength >= MinPreferredStrength}
@@ -372,7 +378,7 @@
 		// Those that watch for this failure domain may not know of this router.
 		plan.plainAddrs = append(plan.plainAddrs, m.table.FirstAddrs(watchersPerDomain, now)...)
 	}
-	plan.askSeeds = m.tickCount <= minJoinTicks || (m.tickCount <= maxJoinTicks && (fleet <= minJoinedPeers || unserved)) || len(plan.fullAddrs) == 0
+	plan.askSeeds = m.tickCount <= minJoinTicks || (m.tickCount <= maxJoinTicks && (m.table.KnownRouters() <= minJoinedPeers || unserved)) || len(plan.fullAddrs) == 0
 	return plan
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -41,6 +41,8 @@
 	// TargetsRevision is the newest store revision that the sender's targets are known
 	// to reflect; zero means unknown.
 	TargetsRevision uint64 `cbor:"14,keyasint,omitempty"`
+	// FleetSize is the number of routers that the sender knows, itself included.
+	FleetSize uint32 `cbor:"15,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -49,6 +49,9 @@
 	// share. It is longer than a network partition lasts, because routers behind the
 	// partition spend the budget too.
 	membershipTimeout = time.Minute
+	// fleetSizeLifetime is how long the number of routers that another one told of is
+	// used.
+	fleetSizeLifetime = 10 * time.Second
 	// maxMembers bounds the table. The fleet size expected in two years is 2,500
 	// routers.
 	maxMembers = 4096
@@ -84,6 +87,14 @@
 	// servedAt is when this router last received a heartbeat of a router of its failure
 	// domain with a live watch, or when it first chose its role.
 	servedAt time.Time
+	// largest is the largest fleet that another router told of.
+	largest fleetSize
+}
+
+// fleetSize is the number of routers that a router knew at a time.
+type fleetSize struct {
+	routers int
+	at      time.Time
 }
 
 // NewTable returns an empty table for the router self.
@@ -108,6 +119,7 @@
 		t.servedAt = now
 	}
 	m.configRevision, m.targetsDigest = hb.ConfigRevision, hb.TargetsDigest
+	t.recordFleetSize(int(hb.FleetSize), now)
 	for _, peer := range hb.Peers {
 		t.mergePeer(peer, now)
 	}
@@ -151,11 +163,28 @@
 	}
 }
 
-// FleetSize returns the number of routers, this one included.
-func (t *Table) FleetSize() int {
+// KnownRouters returns the number of routers in the table, this one included.
+func (t *Table) KnownRouters() int {
 	return len(t.members) + 1
 }
 
+// FleetSize returns the number of routers: those in the table, or more if another
+// router knew more within fleetSizeLifetime. In a fleet of hundreds, a table takes
+// half a minute to fill.
+func (t *Table) FleetSize(now time.Time) int {
+	if now.Sub(t.largest.at) < fleetSizeLifetime {
+		return max(t.KnownRouters(), t.largest.routers)
+	}
+	return t.KnownRouters()
+}
+
+// recordFleetSize keeps the largest number of routers that another one told of.
+func (t *Table) recordFleetSize(routers int, now time.Time) {
+	if routers >= t.largest.routers || now.Sub(t.largest.at) >= fleetSizeLifetime {
+		t.largest = fleetSize{min(routers, maxMembers), now}
+	}
+}
+
 // WatchRole returns this router's part in watching the store for its failure domain;
 // current is its present part. The routers that can watch, in the order of watchRank,
 // are the primary, the standbys and then routers that do not watch. While none of the
--- a/mesh/table_test.go
+++ b/mesh/table_test.go
@@ -313,6 +313,31 @@
 	}
 }
 
+// TestFleetSizeFromOthers starts a router in a fleet of which it knows one router. It
+// must count the routers that this one knows, and forget the figure when it ages.
+func TestFleetSizeFromOthers(t *testing.T) {
+	table := NewTable("r0", "d", 1)
+	hb := testHeartbeat(1, false)
+	hb.FleetSize = 295
+	table.HandleHeartbeat(hb, testAddr(1), t0)
+	if got := table.FleetSize(t0); got != 295 {
+		t.Errorf("got a fleet of %d, want 295", got)
+	}
+	hb.FleetSize = 12
+	table.HandleHeartbeat(hb, testAddr(1), t0.Add(time.Second))
+	if got := table.FleetSize(t0.Add(time.Second)); got != 295 {
+		t.Errorf("after a smaller figure: got a fleet of %d, want 295", got)
+	}
+	if got := table.FleetSize(t0.Add(fleetSizeLifetime)); got != 2 {
+		t.Errorf("after the lifetime of the figures: got a fleet of %d, want 2", got)
+	}
+	hb.FleetSize = 1 << 30
+	table.HandleHeartbeat(hb, testAddr(1), t0.Add(fleetSizeLifetime))
+	if got := table.FleetSize(t0.Add(fleetSizeLifetime)); got != maxMembers {
+		t.Errorf("after an absurd figure: got a fleet of %d, want %d", got, maxMembers)
+	}
+}
+
 func TestIgnoresWatchersOfOtherDomains(t *testing.T) {
 	table := NewTable("r0", "d", 1)
 	for i := 1; i < 20; i++ {
@@ -400,8 +425,8 @@
 		{ID: "r4", Domain: "d", Incarnation: 1},
 	}
 	table.HandleHeartbeat(hb, testAddr(1), t0)
-	if table.FleetSize() != 3 {
-		t.Errorf("got a fleet of %d, want 3", table.FleetSize())
+	if table.FleetSize(t0) != 3 {
+		t.Errorf("got a fleet of %d, want 3", table.FleetSize(t0))
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	if got := table.RandomAddrs(5, t0, random); len(got) != 2 {
@@ -411,8 +436,8 @@
 		t.Errorf("got %v, want 1 address without the router last seen 4 s ago", got)
 	}
 	table.RemoveExpired(t0.Add(membershipTimeout))
-	if table.FleetSize() != 2 {
-		t.Errorf("got a fleet of %d after membershipTimeout, want 2: routers behind a partition share the retry budget for that long", table.FleetSize())
+	if table.FleetSize(t0) != 2 {
+		t.Errorf("got a fleet of %d after membershipTimeout, want 2: routers behind a partition share the retry budget for that long", table.FleetSize(t0))
 	}
 }
 
