caller: requests with an ambiguous length are rejected before anything runs

Cause: hertz takes the last Content-Length, and chunks before a length, so that a server in front that reads the same head differently lets a caller hide a request in a body. Both were answered 200.

Change: a head with several lengths or encodings, with both, with an encoding other than chunked, with a folded field or with a bare CR or LF gets 400, the request is not run and the connection is closed without reading its body.

Before: TestAmbiguousFramingIsRejected does not end. After: eight heads rejected. The platform's interface is served by net/http, which rejects these (ingress.TestRequestSmuggling).

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -97,6 +97,7 @@
 }
 
 func (f *HTTPServer) registerRoutes() {
+	f.hertz.Use(f.rejectAmbiguousFraming)
 	f.hertz.POST("/v1/chat/completions", f.handle(f.parseChatRequest))
 	f.hertz.Any("/s/:service/*path", f.handle(f.parsePlainRequest))
 	f.hertz.GET("/v1/requests/:key", f.handleRequestStatus)
