relay, targetconn: a late response without an ID is no answer to the next request

Cause: on a kept connection, a response without the request's ID was taken for the answer to the request in progress. A server that sent a failure once more, late and without its ID, failed the next caller's order with an answer that was not its own; a late refusal ended as 502.

Change: on a connection that carried other requests, only a response with the request's ID is its answer; others are skipped, as those with a foreign ID were before. On a new connection a failure without an ID is forwarded as before.

Before: two of four cases of TestLateResponseDoesNotReachNextRequest fail. After: all pass.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -216,9 +216,9 @@
 	response, err := s.relay.pool.Do(ctx, &targetconn.Request{
 		Target: t.ID, Addr: t.Addr, Method: s.call.Method, URI: s.call.URI, Host: s.call.Host,
 		Header: codec.EncodeAttempt(s.call, attempt), Body: s.call.Body, RequireFreshConn: s.route.RunPolicy == catalog.RunOnce,
-		Matches: func(status int, h http.Header) bool {
+		Matches: func(status int, h http.Header, reused bool) bool {
 			id := codec.DecodeResponse(status, h).ID
-			return id == s.call.ID || id == ""
+			return id == s.call.ID || (id == "" && !reused)
 		},
 	})
 	if errors.Is(err, targetconn.ErrNotSent) {
--- /dev/null
+++ b/relay/late_response_test.go
@@ -0,0 +1,81 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"ragwortpond.example/ragwortpond/catalog"
+)
+
+// startLateTarget starts a target that answers the first request on a connection
+// properly, and each later one first with late and then properly. It returns its
+// address.
+func startLateTarget(t *testing.T, late string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveLate(c, late)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveLate(c net.Conn, late string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		// A read error shows at the next request.
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Attempt-Id")
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\nmine", id)
+		if i > 0 {
+			text = late + text
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+// TestLateResponseDoesNotReachNextRequest sends requests over one kept connection, on
+// which further copies of earlier responses arrive late: with the ID of the earlier
+// request, or without any. No caller may get one of them.
+func TestLateResponseDoesNotReachNextRequest(t *testing.T) {
+	for name, late := range map[string]string{
+		"success of another": "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold",
+		"failure of another": "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold",
+		"failure without ID": "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nold",
+		"refusal without ID": "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: full\r\nContent-Length: 3\r\n\r\nold",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, 0, onceRoute, nil)
+			s.view.Store(&catalog.View{
+				Config: s.config, TargetsLoaded: true,
+				Targets: catalog.Targets{"s": {{ID: "late", Service: "s", Domain: "d", Addr: startLateTarget(t, late), Slots: 8}}},
+			})
+			for range 4 {
+				response, body, err := s.do(s.request(http.MethodPost, "x"))
+				if err != nil || response.StatusCode != http.StatusOK || body != "mine" {
+					t.Fatalf("got %v, body %q, error %v, want status 200 and the request's own body", response, body, err)
+				}
+			}
+		})
+	}
+}
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -35,9 +35,10 @@
 	// target has not closed it as idle.
 	RequireFreshConn bool
 	// Matches reports whether a response with this status and header belongs to the
-	// request. Responses to other requests are skipped. If Matches is nil, every
-	// response belongs to the request.
-	Matches func(status int, h http.Header) bool
+	// request; reused tells that the connection carried other requests before, whose
+	// responses may arrive late. Responses to other requests are skipped. If Matches
+	// is nil, every response belongs to the request.
+	Matches func(status int, h http.Header, reused bool) bool
 }
 
 // Response is a response whose body is still being read. It must be used by one
@@ -139,7 +140,7 @@
 		if err != nil {
 			return a.wrapBroken(err)
 		}
-		if r.Matches == nil || r.Matches(response.StatusCode, response.Header) {
+		if r.Matches == nil || r.Matches(response.StatusCode, response.Header, a.conn.reused) {
 			a.setResponse(response)
 			return nil
 		}
--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -56,7 +56,7 @@
 func newRequest(addr, id string, body []byte) *Request {
 	return &Request{
 		Target: "t", Addr: addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: body,
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
