--- /dev/null
+++ b/mesh/fuzz_test.go
@@ -0,0 +1,97 @@
+package mesh
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"ragwortpond.example/ragwortpond/directory"
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// FuzzHeartbeat handles datagrams of any content, among them every prefix of a sound
+// one. None may crash the router or make its tables grow beyond their bounds.
+func FuzzHeartbeat(f *testing.F) {
+	sound := &Heartbeat{
+		From: "r1", Domain: "d", Incarnation: 3, Watching: true, ConfigRevision: 4, TargetsDigest: 5, TargetsRevision: 6, FleetSize: 7, Strength: 1,
+		Loads:   []LoadReport{{TargetHash: 1, Work: 2, AgeMS: 3}},
+		Peers:   []PeerInfo{{ID: "r2", Domain: "d", Addr: testAddr(2), Incarnation: 1, AgeMS: 10}},
+		Changes: []Change{{Name: "t", Revision: 9, Spec: []byte(`{"Service":"s","Address":"10.0.0.1:1"}`)}, {Name: "u", Revision: 10, Deleted: true}},
+	}
+	data, err := encode(sound)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range data {
+		f.Add(data[:i])
+	}
+	f.Add(data)
+	f.Add(append(bytes.Clone(data), data...))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		hb, err := decode(in)
+		if err != nil {
+			return
+		}
+		d := directory.New(nil, directory.NoWatch, zerolog.Nop(), nil)
+		m := &Mesh{
+			cfg: Config{Self: "r0", Domain: "d", Directory: d}, table: NewTable("r0", "d", 1),
+			loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{1: "t"},
+		}
+		now, random := time.Now(), rand.New(rand.NewPCG(1, 1))
+		m.table.HandleHeartbeat(hb, testAddr(1), now)
+		m.mergeLoads(hb, now)
+		d.ApplySnapshot(directory.Snapshot{TargetsRevision: 1})
+		d.ApplyChanges(toPlatformChanges(hb.Changes))
+		m.table.WatchRole(now, directory.NoWatch)
+		m.table.FirstPeers(hb.Domain, maxJoinPeers, now)
+		m.table.RandomPeers(maxPeers, now, random)
+		m.table.NextDomainAddrs(int(hb.Strength), now)
+		if got := m.table.FleetSize(now); got > maxMembers {
+			t.Errorf("got a fleet of %d, want at most %d", got, maxMembers)
+		}
+		if got, want := len(m.table.members), 1+len(hb.Peers); got > want {
+			t.Errorf("got %d members from one heartbeat, want at most %d", got, want)
+		}
+	})
+}
+
+// FuzzSnapshot decodes replies to a fetch of any content and applies them.
+func FuzzSnapshot(f *testing.F) {
+	list, err := cbor.Marshal([]Change{{Name: "t", Revision: 9, Spec: []byte(`{"Service":"s","Address":"10.0.0.1:1"}`)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	targets, err := deflate(list)
+	if err != nil {
+		f.Fatal(err)
+	}
+	config, err := deflate([]byte(`{"Version":3,"Routes":[],"Services":[],"Limits":{}}`))
+	if err != nil {
+		f.Fatal(err)
+	}
+	data, err := cbor.Marshal(&Snapshot{ConfigRevision: 3, Config: config, Targets: targets, TargetsRevision: 9})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range data {
+		f.Add(data[:i])
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var wire Snapshot
+		if cbor.Unmarshal(in, &wire) != nil {
+			return
+		}
+		snapshot, err := decodeSnapshot(&wire)
+		if err != nil {
+			return
+		}
+		d := directory.New(nil, directory.NoWatch, zerolog.Nop(), nil)
+		d.ApplySnapshot(*snapshot)
+		d.Snapshot()
+	})
+}
