mesh: first views come from the own failure domain

Cause: a router without a view fetched it from whoever answered first, which after a restart of everything were the seeds.

Change: for 0.25 s after its start a router fetches its first view from routers of its own failure domain only, which the replies of the seeds name.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -90,7 +90,7 @@
 		onRestart = func(fleet.TargetID) {}
 	}
 	d := &Directory{
-		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: DefaultPace, ready: make(chan struct{}),
+		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: NewPace(defaultChangeBound), ready: make(chan struct{}),
 		members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
 		role: role, modeChanged: make(chan struct{}),
 	}
--- a/directory/pace.go
+++ b/directory/pace.go
@@ -15,8 +15,9 @@
 	standbyWaitShare = 1.0 / 3
 )
 
-// DefaultPace is the pace of a deployment whose bounds are not known.
-var DefaultPace = NewPace(2 * time.Second)
+// defaultChangeBound is the time within which a change must be in force until SetPace
+// is called.
+const defaultChangeBound = 2 * time.Second
 
 // NewPace returns the pace of a deployment in which a change must be in force within
 // bound.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -72,6 +72,9 @@
 	// viewRequestPeriod.
 	viewRequestInterval = 100 * time.Millisecond
 	viewRequestPeriod   = 2 * time.Second
+	// foreignViewDelay is the time after its start for which a router fetches its first
+	// view from routers of its own failure domain only.
+	foreignViewDelay = 250 * time.Millisecond
 )
 
 // MinPreferredStrength is the lowest strength at which a starting router watches the
@@ -104,6 +107,7 @@
 type Mesh struct {
 	cfg         Config
 	incarnation int64
+	startedAt   time.Time
 	conn        *net.UDPConn
 	random      *rand.Rand
 	http        *http.Client
@@ -152,7 +156,7 @@
 		cfg.CountBytes = func(string, int) {}
 	}
 	m := &Mesh{
-		cfg: cfg, incarnation: time.Now().UnixNano(), conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		cfg: cfg, incarnation: time.Now().UnixNano(), startedAt: time.Now(), conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		table: NewTable(cfg.Self, cfg.Domain, cfg.Strength), loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{},
 	}
 	transport := &http.Transport{
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -19,14 +19,19 @@
 // syncIfBehind compares this router's data with that of the sender of a heartbeat
 // and fetches the sender's data if this router lacks some. A router with a live watch
 // of the store does not fetch. A router without configuration or targets fetches at
-// once from any router that has them. All others follow the routers of their failure
-// domain, or of any domain while no router of their own domain has a live watch: they
-// fetch a newer configuration at once, and targets that differ from those of a
-// watching router, and are not older, after syncDelay. A configuration that becomes newer during that
-// delay is fetched at its end.
+// once from a router of its failure domain that has them, and after foreignViewDelay
+// from any router. All others follow the routers of their failure domain, or of any
+// domain while no router of their own domain has a live watch: they fetch a newer
+// configuration at once, and targets that differ from those of a watching router, and
+// are not older, after syncDelay. A configuration that becomes newer during that delay
+// is fetched at its end.
 func (m *Mesh) syncIfBehind(ctx context.Context, hb *Heartbeat, from netip.AddrPort, now time.Time) {
 	versions := m.cfg.Directory.Versions()
 	missing := (versions.Config == 0 && hb.ConfigRevision > 0) || (versions.TargetsDigest == 0 && hb.TargetsDigest > 0)
+	if missing && hb.Domain != m.cfg.Domain && now.Sub(m.startedAt) < foreignViewDelay {
+		// Otherwise a restarted fleet would fetch all its views from the seeds.
+		return
+	}
 	live := m.cfg.Directory.HasLiveWatch()
 	m.mu.Lock()
 	reliesOnPeers := !live && (hb.Domain == m.cfg.Domain || !m.table.HasDomainWatcher(now))
