--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -264,7 +264,7 @@
 func TestNonRepeatableRequestRunsOnce(t *testing.T) {
 	for name, act := range map[string]standin.Behavior{
 		"cut before": standin.CloseBeforeResponse, "cut midway": standin.CloseMidResponse, "hang": standin.Hang,
-		"unsigned": standin.Unsigned, "encoded": standin.Encoded, "promise": standin.RunThenSend503,
+		"unsigned": standin.Unsigned, "encoded": standin.Encoded, "promise": standin.RunThenSend503, "endless head": standin.EndlessHead,
 	} {
 		s := newFixture(t, 3, onceRoute, onFirstRequest(act))
 		response, _, err := s.do(s.request(http.MethodPost, "x"))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -203,7 +203,7 @@
 func (i *injector) misbehaveTarget() {
 	acts := []standin.Behavior{
 		standin.Reject, standin.RunThenSend500, standin.CloseBeforeResponse, standin.CloseMidResponse, standin.Hang, standin.Unsigned,
-		standin.ExtraResponse, standin.MismatchedFirst, standin.RunThenSend503, standin.Stall, standin.Encoded,
+		standin.ExtraResponse, standin.MismatchedFirst, standin.RunThenSend503, standin.Stall, standin.Encoded, standin.EndlessHead,
 	}
 	t := i.pickTarget(false)
 	i.during("target-act", func() {
