relay, ingress: a cut response without a length is reset, not closed

Cause: a response without a length is forwarded as such and ends with the connection. When its target broke off, or the route's timeout passed, the client's connection was closed in the same way, so that a stream of three events of twelve, 200 KB of a longer body and an endless body all reached the caller as complete successes.

Ruled out: framing these as chunks, which would vouch for answers whose target closed early without a reset.

Change: until such a response is complete, any close of the client's connection resets it (ingress.GuardClose).

Before: both cases of TestCutUndelimitedResponseIsReset and the unframed one of TestEndlessBodyIsNoCompleteAnswer got a complete success. After: an error.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -43,7 +43,7 @@
 	s := &Server{limits: limits}
 	s.http = http.Server{
 		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackState, ErrorLog: log.New(logger, "", 0), DisableGeneralOptionsHandler: true,
+		ConnState: s.trackState, ConnContext: withConn, ErrorLog: log.New(logger, "", 0), DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
@@ -63,6 +63,25 @@
 	return s.http.Shutdown(ctx)
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// GuardClose is for a response whose end is the end of its connection. Until complete is
+// called, a close resets the connection of the request with this context, so that a
+// response that ends early does not look complete to the client.
+func GuardClose(ctx context.Context) (complete func()) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	c.resetOnClose.Store(true)
+	return func() { c.resetOnClose.Store(false) }
+}
+
 // Close closes the listener and all connections, aborting requests in progress.
 func (s *Server) Close() error {
 	return s.http.Close()
@@ -101,6 +120,18 @@
 	// headerDeadline is the time by which the current header must be read, in
 	// Unix nanoseconds; 0 if there is none.
 	headerDeadline atomic.Int64
+	// resetOnClose is set while a response is sent whose end is the end of the
+	// connection; see GuardClose.
+	resetOnClose atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,7 @@
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), log, n.resetTarget)
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
 	n.relay = relay.New(relay.Config{
-		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(),
+		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(), GuardClose: ingress.GuardClose,
 		RetryBudget:  retry.BudgetConfig{Ratio: cfg.RetryBudget.Ratio, Extra: cfg.RetryBudget.Extra, Window: cfg.RetryBudget.Window()},
 		RouterCount:  n.routerCount,
 		OnLoadReport: func(id fleet.TargetID, work int, now time.Time) { n.mesh.ReportLoad(id, work, now) },
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,6 +50,9 @@
 	// FirstView is closed once View returns a view that is ready. Requests that arrive
 	// before wait for it for a moment; nil means that they do not.
 	FirstView <-chan struct{}
+	// GuardClose makes a close of the connection of a request with this context reset it
+	// until complete is called; nil means that it does not. See ingress.GuardClose.
+	GuardClose func(ctx context.Context) (complete func())
 	// OnLoadReport receives the number of requests that a target reported as running or
 	// waiting, to be distributed to other routers; it may be nil.
 	OnLoadReport func(id fleet.TargetID, work int, now time.Time)
@@ -89,6 +92,9 @@
 
 // New returns a relay without any state about targets.
 func New(cfg Config) *Relay {
+	if cfg.GuardClose == nil {
+		cfg.GuardClose = func(context.Context) func() { return func() {} }
+	}
 	r := &Relay{cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(), retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{}}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/ingress"
 	"ragwortpond.example/ragwortpond/metrics"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
@@ -72,7 +73,7 @@
 	s.publish(s.targets...)
 	set := metrics.NewSet()
 	s.relay = relay.New(relay.Config{
-		Domain: "d", Codec: platform.HeaderCodec{}, View: s.view.Load, FirstView: s.firstView,
+		Domain: "d", Codec: platform.HeaderCodec{}, View: s.view.Load, FirstView: s.firstView, GuardClose: ingress.GuardClose,
 		// With a window of 1 ms the reserve is full right after the start.
 		RetryBudget: retry.BudgetConfig{Ratio: 0.2, Extra: 1000, Window: time.Millisecond},
 		Metrics:     set, Latency: metrics.NewRelayMetrics(set.Registry, metrics.ValueFuncs{}), Log: log,
--- a/relay/response.go
+++ b/relay/response.go
@@ -98,6 +98,7 @@
 		// The end of an undelimited response is marked by closing the connection, on
 		// the client's side as on the target's.
 		h.Set("Transfer-Encoding", "identity")
+		s.guardClose()
 	}
 	if bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && result.response.Delimited {
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
@@ -109,6 +110,7 @@
 
 // finish ends a request whose client has received the complete response.
 func (s *requestState) finish() {
+	s.completeClose()
 	s.relay.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.timeToHead.Seconds())
 	s.recordResult(resultCompleted)
 	s.Log(event.RequestServed).Int("status", s.current.response.Status).Dur("first", s.timeToHead).
@@ -141,6 +143,7 @@
 	s.writeHead(result, int64(len(result.body)))
 	// Write errors are ignored: the client has disconnected.
 	_, _ = s.w.Write(result.body)
+	s.completeClose()
 	s.recordResult(resultFailed)
 	s.Log(event.FailureForwarded).Int("status", result.response.Status).Int("attempts", s.attempts).Send()
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -37,7 +37,8 @@
 	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
-	s := &requestState{relay: r, w: w, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}}
+	s := &requestState{relay: r, w: w, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}, completeClose: func() {}}
+	s.guardClose = func() { s.completeClose = r.cfg.GuardClose(req.Context()) }
 	c, err := r.cfg.Codec.DecodeRequest(req)
 	if err != nil {
 		s.call = &call.Call{Method: req.Method, Host: req.Host, Path: req.URL.Path}
@@ -84,9 +85,12 @@
 	// the ID of the last event that the client has.
 	headSent    bool
 	lastEventID uint64
-	events      int
-	attempts    int
-	target      *catalog.Target
+	// guardClose is called before a response whose end is the end of the connection,
+	// and completeClose once that is complete.
+	guardClose, completeClose func()
+	events                    int
+	attempts                  int
+	target                    *catalog.Target
 	// timeToTarget is the time from arrival to the choice of the first target,
 	// timeToHead that to sending the response head; zero if not reached.
 	timeToTarget, timeToHead time.Duration
