mesh: watch roles and joining in files of their own

A move only: watchrole.go holds who watches the store, join.go how a starting router finds the others and its first view, with their constants and tests.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -49,31 +48,6 @@
 	return list[:min(len(list), maxLoads)]
 }
 
-// seedAddrs returns the addresses of the seeds, at the port of this router, without
-// this router's own.
-func (m *Mesh) seedAddrs() []netip.AddrPort {
-	_, port, err := net.SplitHostPort(m.cfg.Addr)
-	if err != nil {
-		return nil
-	}
-	var addrs []netip.AddrPort
-	for _, seed := range m.cfg.Seeds() {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			host = seed
-		}
-		addr, err := netip.ParseAddrPort(net.JoinHostPort(host, port))
-		if err != nil {
-			event.MeshFault.Log(m.cfg.Log).Str("what", "seed").Str("seed", seed).Err(err).Send()
-			continue
-		}
-		if addr.String() != m.cfg.Addr {
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
-
 // send sends a heartbeat to each address.
 func (m *Mesh) send(hb *Heartbeat, addrs []netip.AddrPort) {
 	if len(addrs) == 0 {
@@ -168,15 +142,3 @@
 	}
 	return merged
 }
-
-// replyToJoin sends a full heartbeat to a router that is joining. It names the first
-// routers of that router's failure domain, on which it will rely.
-func (m *Mesh) replyToJoin(domain fleet.DomainName, addr netip.AddrPort, now time.Time) {
-	hb := m.newHeartbeat()
-	m.addLoadsAndPeers(hb, now)
-	hb.Loads = hb.Loads[:min(len(hb.Loads), maxJoinLoads)]
-	m.mu.Lock()
-	hb.Peers = append(hb.Peers, m.table.FirstPeers(domain, maxJoinPeers, now)...)
-	m.mu.Unlock()
-	m.send(hb, []netip.AddrPort{addr})
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,10 +40,6 @@
 	// heartbeats per tick take less than 5 KB/s.
 	maxLoads = 30
 	maxPeers = 2
-	// maxJoinLoads and maxJoinPeers bound the contents of the reply to a router that
-	// is joining, which is to learn of its failure domain first of all.
-	maxJoinLoads = 10
-	maxJoinPeers = 12
 	// loadLifetime is the age up to which a target's load is sent to other routers.
 	loadLifetime = 2 * time.Second
 	// syncDelay is how long a difference from another router's data may last before
@@ -60,21 +56,6 @@
 	// store. They take 2 s of the time within which a restarted fleet must serve
 	// again.
 	storeWaitTicks = 5
-	// maxJoinTicks is the number of ticks at which a starting router sends heartbeats
-	// to the seeds. It stops after minJoinTicks if it knows minJoinedPeers other
-	// routers, whose heartbeats tell it of the rest, and hears from one that watches
-	// the store for its failure domain. It does not stop while it knows none.
-	maxJoinTicks   = 10
-	minJoinTicks   = 2
-	minJoinedPeers = 8
-	// viewRequestInterval is the interval at which a starting router without a view
-	// asks the seeds and the first routers of its failure domain for theirs, for
-	// viewRequestPeriod.
-	viewRequestInterval = 100 * time.Millisecond
-	viewRequestPeriod   = 2 * time.Second
-	// foreignViewDelay is the time after its start for which a router fetches its first
-	// view from routers of its own failure domain only.
-	foreignViewDelay = 250 * time.Millisecond
 )
 
 // MinPreferredStrength is the lowest strength at which a starting router watches the
@@ -303,33 +284,6 @@
 	}
 }
 
-// requestView asks other routers for their view until this router has one or
-// viewRequestPeriod has passed. Their replies tell which of them has a view, and
-// syncIfBehind fetches it.
-func (m *Mesh) requestView(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, viewRequestPeriod)
-	defer cancel()
-	ticker := time.NewTicker(viewRequestInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.cfg.Directory.Ready():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		m.mu.Lock()
-		first := m.table.FirstAddrs(watchersPerDomain, now)
-		m.mu.Unlock()
-		m.send(m.newHeartbeat(), first)
-		join := m.newHeartbeat()
-		join.Joining = true
-		m.send(join, m.seedAddrs())
-	}
-}
-
 // onTick decides whether this router watches the store and sends its heartbeats.
 func (m *Mesh) onTick() {
 	now := time.Now()
