--- a/relay/incomplete_body_test.go
+++ b/relay/incomplete_body_test.go
@@ -21,32 +21,17 @@
 // ends only when the router closes the connection. It returns its address.
 func startEndlessTarget(t *testing.T, status, framing, block string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", status, request.Header.Get("Attempt-Id"), framing)
-				data := []byte(block)
-				for err == nil {
-					_, err = c.Write(data)
-				}
-			}()
+	return startRawTarget(t, func(c net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", status, request.Header.Get("Attempt-Id"), framing)
+		data := []byte(block)
+		for err == nil {
+			_, err = c.Write(data)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // serveByIngress replaces the fixture's server by the one that routers run.
@@ -65,32 +50,17 @@
 // startCutTarget starts a target whose answers have no length and are reset after text.
 func startCutTarget(t *testing.T, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nConnection: close\r\n\r\n%s", request.Header.Get("Attempt-Id"), text)
-				// The router has forwarded the text before the reset drops what it has
-				// not read.
-				time.Sleep(50 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
+	return startRawTarget(t, func(c net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return l.Addr().String()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nConnection: close\r\n\r\n%s", request.Header.Get("Attempt-Id"), text)
+		// The router has forwarded the text before the reset drops what it has not
+		// read.
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 }
 
 // TestCutUndelimitedResponseIsReset resets responses without a length midway: a stream,
@@ -107,10 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, 0, test.route, nil)
 			s.serveByIngress()
-			s.view.Store(&catalog.View{
-				Config: s.config, TargetsLoaded: true,
-				Targets: catalog.Targets{"s": {{ID: "cut", Service: "s", Domain: "d", Addr: startCutTarget(t, test.text), Slots: 8}}},
-			})
+			s.useRawTarget(startCutTarget(t, test.text))
 			response, body, err := s.do(s.request(http.MethodPost, "x"))
 			if err == nil {
 				t.Errorf("got status %d and a complete body of %d bytes, want an error", response.StatusCode, len(body))
@@ -141,10 +108,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, 0, onceRoute, nil)
 			s.serveByIngress()
-			s.view.Store(&catalog.View{
-				Config: s.config, TargetsLoaded: true,
-				Targets: catalog.Targets{"s": {{ID: "endless", Service: "s", Domain: "d", Addr: startEndlessTarget(t, test.status, test.framing, test.block), Slots: 8}}},
-			})
+			s.useRawTarget(startEndlessTarget(t, test.status, test.framing, test.block))
 			before := liveHeap()
 			during := make(chan uint64, 1)
 			time.AfterFunc(300*time.Millisecond, func() { during <- liveHeap() })
--- a/relay/late_response_test.go
+++ b/relay/late_response_test.go
@@ -11,10 +11,9 @@
 	"ragwortpond.example/ragwortpond/catalog"
 )
 
-// startLateTarget starts a target that answers the first request on a connection
-// properly, and each later one first with late and then properly. It returns its
-// address.
-func startLateTarget(t *testing.T, late string) string {
+// startRawTarget starts a target that calls serve for each connection and then closes
+// it. It returns its address.
+func startRawTarget(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -27,14 +26,26 @@
 			if err != nil {
 				return
 			}
-			go serveLate(c, late)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// useRawTarget makes the target at addr the only one of the service.
+func (s *fixture) useRawTarget(addr string) {
+	s.view.Store(&catalog.View{
+		Config: s.config, TargetsLoaded: true,
+		Targets: catalog.Targets{"s": {{ID: "raw", Service: "s", Domain: "d", Addr: addr, Slots: 8}}},
+	})
+}
+
+// serveLate answers the first request on a connection properly, and each later one first
+// with late and then properly.
 func serveLate(c net.Conn, late string) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for i := 0; ; i++ {
 		request, err := http.ReadRequest(r)
@@ -66,10 +77,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, 0, onceRoute, nil)
-			s.view.Store(&catalog.View{
-				Config: s.config, TargetsLoaded: true,
-				Targets: catalog.Targets{"s": {{ID: "late", Service: "s", Domain: "d", Addr: startLateTarget(t, late), Slots: 8}}},
-			})
+			s.useRawTarget(startRawTarget(t, func(c net.Conn) { serveLate(c, late) }))
 			for range 4 {
 				response, body, err := s.do(s.request(http.MethodPost, "x"))
 				if err != nil || response.StatusCode != http.StatusOK || body != "mine" {
