relay: the guard of a close is made only where a response needs it

Each request allocated a closure for it, though only responses without a length use it. The request itself is kept instead; behaviour is the same.

--- a/relay/response.go
+++ b/relay/response.go
@@ -98,7 +98,7 @@
 		// The end of an undelimited response is marked by closing the connection, on
 		// the client's side as on the target's.
 		h.Set("Transfer-Encoding", "identity")
-		s.guardClose()
+		s.completeClose = s.relay.cfg.GuardClose(s.request.Context())
 	}
 	if bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && result.response.Delimited {
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -37,8 +37,7 @@
 	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
-	s := &requestState{relay: r, w: w, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}, completeClose: func() {}}
-	s.guardClose = func() { s.completeClose = r.cfg.GuardClose(req.Context()) }
+	s := &requestState{relay: r, w: w, request: req, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}, completeClose: func() {}}
 	c, err := r.cfg.Codec.DecodeRequest(req)
 	if err != nil {
 		s.call = &call.Call{Method: req.Method, Host: req.Host, Path: req.URL.Path}
@@ -68,6 +67,7 @@
 type requestState struct {
 	relay     *Relay
 	w         http.ResponseWriter
+	request   *http.Request
 	arrivedAt time.Time
 	view      *catalog.View
 	call      *call.Call
@@ -85,12 +85,11 @@
 	// the ID of the last event that the client has.
 	headSent    bool
 	lastEventID uint64
-	// guardClose is called before a response whose end is the end of the connection,
-	// and completeClose once that is complete.
-	guardClose, completeClose func()
-	events                    int
-	attempts                  int
-	target                    *catalog.Target
+	// completeClose is called once the response is complete; see Config.GuardClose.
+	completeClose func()
+	events        int
+	attempts      int
+	target        *catalog.Target
 	// timeToTarget is the time from arrival to the choice of the first target,
 	// timeToHead that to sending the response head; zero if not reached.
 	timeToTarget, timeToHead time.Duration
