mesh: one watcher timeout a decision, one order, one model of a domain

The timeout goes through the whole table and was worked out again for each watching member; it is now taken once. The order of the routers is one compare, which the sort uses too: the former comparison called equal routers unequal. The test of silent watchers has no loop of its own beside domainModel.tick. Behaviour and assertions are the same.

--- a/mesh/watchrole.go
+++ b/mesh/watchrole.go
@@ -42,18 +42,18 @@
 	if t.servedAt.IsZero() {
 		t.servedAt = now
 	}
-	own := t.ownRank()
+	own, timeout := t.ownRank(), t.watcherTimeout()
 	ahead, servedAhead := 0, false
 	for _, m := range t.members {
-		if m.domain != t.domain || !m.rank().before(own) {
+		if m.domain != t.domain || m.rank().compare(own) >= 0 {
 			continue
 		}
-		if t.canWatch(m, now) {
+		if m.canWatch(now, timeout) {
 			ahead++
 		}
-		servedAhead = servedAhead || t.hasLiveWatch(m, now)
+		servedAhead = servedAhead || m.hasLiveWatch(now, timeout)
 	}
-	unserved := now.Sub(t.servedAt) >= t.watcherTimeout()+takeoverDelay
+	unserved := now.Sub(t.servedAt) >= timeout+takeoverDelay
 	switch {
 	case ahead == 0, unserved, current != directory.NoWatch && !servedAhead:
 		return directory.PrimaryWatch
@@ -65,22 +65,22 @@
 }
 
 // canWatch reports whether a router can be expected to watch the store when its turn
-// comes.
-func (t *Table) canWatch(m *member, now time.Time) bool {
+// comes; timeout is the table's watcherTimeout.
+func (m *member) canWatch(now time.Time, timeout time.Duration) bool {
 	switch {
 	case m.leaving, m.storeLost:
 		return false
 	case m.watching:
-		return now.Sub(m.lastReceived) < t.watcherTimeout()
+		return now.Sub(m.lastReceived) < timeout
 	default:
 		return now.Sub(m.lastReported) < candidateTimeout
 	}
 }
 
 // hasLiveWatch reports whether a router has a live watch of the store by its last
-// heartbeat, and that is recent.
-func (t *Table) hasLiveWatch(m *member, now time.Time) bool {
-	return m.watching && !m.leaving && now.Sub(m.lastReceived) < t.watcherTimeout()
+// heartbeat, and that is recent; timeout is the table's watcherTimeout.
+func (m *member) hasLiveWatch(now time.Time, timeout time.Duration) bool {
+	return m.watching && !m.leaving && now.Sub(m.lastReceived) < timeout
 }
 
 // ownRank returns this router's place in the order of its failure domain.
@@ -95,8 +95,9 @@
 // HasDomainWatcher reports whether this router received a heartbeat, within the watcher
 // timeout, from a router of the same failure domain with a live watch of the store.
 func (t *Table) HasDomainWatcher(now time.Time) bool {
+	timeout := t.watcherTimeout()
 	for _, m := range t.members {
-		if m.domain == t.domain && t.hasLiveWatch(m, now) {
+		if m.domain == t.domain && m.hasLiveWatch(now, timeout) {
 			return true
 		}
 	}
@@ -106,8 +107,9 @@
 // DomainWatcherHas reports whether the last heartbeat of another router of the same
 // failure domain with a live watch of the store told of these versions.
 func (t *Table) DomainWatcherHas(versions directory.Versions, now time.Time) bool {
+	timeout := t.watcherTimeout()
 	for _, m := range t.members {
-		if m.domain == t.domain && t.hasLiveWatch(m, now) &&
+		if m.domain == t.domain && m.hasLiveWatch(now, timeout) &&
 			m.configRevision == versions.Config && m.targetsDigest == versions.TargetsDigest {
 			return true
 		}
@@ -137,8 +139,9 @@
 	id       fleet.RouterID
 }
 
-func (r watchRank) before(other watchRank) bool {
-	return cmp.Or(cmp.Compare(other.strength, r.strength), cmp.Compare(r.hash, other.hash), cmp.Compare(r.id, other.id)) < 0
+// compare returns a negative number if r is ahead of other in the order.
+func (r watchRank) compare(other watchRank) int {
+	return cmp.Or(cmp.Compare(other.strength, r.strength), cmp.Compare(r.hash, other.hash), cmp.Compare(r.id, other.id))
 }
 
 func routerHash(id fleet.RouterID) uint64 {
@@ -173,11 +176,6 @@
 			list = append(list, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b *member) int {
-		if a.rank().before(b.rank()) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *member) int { return a.rank().compare(b.rank()) })
 	return list[:min(n, len(list))]
 }
--- a/mesh/watchrole_test.go
+++ b/mesh/watchrole_test.go
@@ -17,11 +17,12 @@
 	tables  []*Table
 	roles   []directory.WatchRole
 	cut     map[int]bool // routers that the store does not answer
+	silent  map[int]bool // routers that stopped
 	started int          // watches that routers began to make
 }
 
 func newDomainModel(n int) *domainModel {
-	d := &domainModel{roles: make([]directory.WatchRole, n), cut: map[int]bool{}}
+	d := &domainModel{roles: make([]directory.WatchRole, n), cut: map[int]bool{}, silent: map[int]bool{}}
 	for i := range n {
 		d.tables = append(d.tables, NewTable(fleet.RouterID(fmt.Sprintf("r%d", i)), "d", 1))
 	}
@@ -36,9 +37,12 @@
 	return hb
 }
 
-// tick lets all routers choose their roles and send their heartbeats.
+// tick lets all routers that run choose their roles and send their heartbeats.
 func (d *domainModel) tick(now time.Time) {
 	for i, table := range d.tables {
+		if d.silent[i] {
+			continue
+		}
 		role := table.WatchRole(now, d.roles[i])
 		if role != directory.NoWatch && d.roles[i] == directory.NoWatch {
 			d.started++
@@ -46,11 +50,18 @@
 		d.roles[i] = role
 	}
 	for i := range d.tables {
-		for j, table := range d.tables {
-			// Only watchers send heartbeats to the whole domain.
-			if i != j && d.roles[i] != directory.NoWatch {
-				table.HandleHeartbeat(d.heartbeat(i), testAddr(i), now)
-			}
+		// Only watchers send heartbeats to the whole domain.
+		if !d.silent[i] && d.roles[i] != directory.NoWatch {
+			d.send(i, d.heartbeat(i), now)
+		}
+	}
+}
+
+// send gives a heartbeat of router i to all others.
+func (d *domainModel) send(i int, hb *Heartbeat, now time.Time) {
+	for j, table := range d.tables {
+		if i != j {
+			table.HandleHeartbeat(hb, testAddr(i), now)
 		}
 	}
 }
@@ -58,7 +69,7 @@
 // live returns the routers with a live watch.
 func (d *domainModel) live() (live []int) {
 	for i, role := range d.roles {
-		if role != directory.NoWatch && !d.cut[i] {
+		if role != directory.NoWatch && !d.cut[i] && !d.silent[i] {
 			live = append(live, i)
 		}
 	}
@@ -72,10 +83,8 @@
 	const n = 16
 	d := newDomainModel(n)
 	now := t0
-	for _, table := range d.tables {
-		for i := range n {
-			table.HandleHeartbeat(testHeartbeat(i, false), testAddr(i), now)
-		}
+	for i := range n {
+		d.send(i, testHeartbeat(i, false), now)
 	}
 	run := func(ticks int) {
 		for range ticks {
@@ -98,11 +107,7 @@
 	}
 	for _, i := range first {
 		d.cut[i] = true
-		for j, table := range d.tables {
-			if i != j {
-				table.HandleHeartbeat(d.heartbeat(i), testAddr(i), now)
-			}
-		}
+		d.send(i, d.heartbeat(i), now)
 	}
 	d.started = 0
 	run(1)
@@ -133,42 +138,20 @@
 	d := newDomainModel(n)
 	now := t0
 	for i := range n {
-		for j, table := range d.tables {
-			if i != j {
-				table.HandleHeartbeat(testHeartbeat(i, false), testAddr(i), now)
-			}
-		}
+		d.send(i, testHeartbeat(i, false), now)
 	}
 	for range 4 {
 		now = now.Add(heartbeatInterval)
 		d.tick(now)
 	}
-	silent := d.live()
-	table := func(i int) *Table { return d.tables[i] }
-	alive := func(tick time.Time) (live int) {
-		for i := range n {
-			if slices.Contains(silent, i) {
-				continue
-			}
-			d.roles[i] = table(i).WatchRole(tick, d.roles[i])
-		}
-		for i := range n {
-			if slices.Contains(silent, i) || d.roles[i] == directory.NoWatch {
-				continue
-			}
-			live++
-			for j := range n {
-				if i != j {
-					table(j).HandleHeartbeat(d.heartbeat(i), testAddr(i), tick)
-				}
-			}
-		}
-		return live
+	for _, i := range d.live() {
+		d.silent[i] = true
 	}
 	takenOver := false
 	for tick := 1; tick <= 40; tick++ {
 		now = now.Add(heartbeatInterval)
-		live := alive(now)
+		d.tick(now)
+		live := len(d.live())
 		takenOver = takenOver || live > 0
 		if takenOver && live == 0 {
 			t.Fatalf("tick %d: all routers stopped watching again", tick)
