mesh: the takeover of a domain whose first six routers stopped has a test

TestTakeoverWithoutNoticeIsStable no longer failed when the rule that a watcher goes on was taken out: since takeovers follow the order, the stop of three routers is taken over by the next three and the others never start together. It now also stops six, so that all others start at the same moment.

Without the rule: "6 stopped, tick 6: all routers stopped watching again". Without the start of all others: no router takes over within six ticks.

--- a/mesh/watchrole_test.go
+++ b/mesh/watchrole_test.go
@@ -76,6 +76,16 @@
 	return live
 }
 
+// inOrder returns all routers in the order in which they are to watch.
+func (d *domainModel) inOrder() []int {
+	order := make([]int, len(d.tables))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return d.tables[a].ownRank().compare(d.tables[b].ownRank()) })
+	return order
+}
+
 // TestTakeoverOfLostWatchesIsStable cuts all watchers of a failure domain off the
 // store. Others must take over at the next tick after they were told, keep the watch
 // as long as the cut lasts, and leave it to the first ones after it.
@@ -130,34 +140,43 @@
 	}
 }
 
-// TestTakeoverWithoutNoticeIsStable stops all watchers of a failure domain without a
-// word. The others must take over within the watcher timeout, and must not all stop
-// again for each other.
+// TestTakeoverWithoutNoticeIsStable stops the first routers of a failure domain without
+// a word. The others must take over within the watcher timeout, and must not all stop
+// again for each other. If those that are next in the order have stopped too, all others
+// start to watch at the same moment, takeoverDelay later.
 func TestTakeoverWithoutNoticeIsStable(t *testing.T) {
 	const n = 16
-	d := newDomainModel(n)
-	now := t0
-	for i := range n {
-		d.send(i, testHeartbeat(i, false), now)
-	}
-	for range 4 {
-		now = now.Add(heartbeatInterval)
-		d.tick(now)
-	}
-	for _, i := range d.live() {
-		d.silent[i] = true
-	}
-	takenOver := false
-	for tick := 1; tick <= 40; tick++ {
-		now = now.Add(heartbeatInterval)
-		d.tick(now)
-		live := len(d.live())
-		takenOver = takenOver || live > 0
-		if takenOver && live == 0 {
-			t.Fatalf("tick %d: all routers stopped watching again", tick)
-		}
-		if tick == 4 && !takenOver {
-			t.Fatal("no router took over within the watcher timeout and a tick")
+	for _, test := range []struct {
+		stopped    int
+		withinTick int
+	}{
+		{watchersPerDomain, int(minWatcherTimeout/heartbeatInterval) + 1},
+		{2 * watchersPerDomain, int((minWatcherTimeout+takeoverDelay)/heartbeatInterval) + 1},
+	} {
+		d := newDomainModel(n)
+		now := t0
+		for i := range n {
+			d.send(i, testHeartbeat(i, false), now)
+		}
+		for range 4 {
+			now = now.Add(heartbeatInterval)
+			d.tick(now)
+		}
+		for _, i := range d.inOrder()[:test.stopped] {
+			d.silent[i] = true
+		}
+		takenOver := false
+		for tick := 1; tick <= 40; tick++ {
+			now = now.Add(heartbeatInterval)
+			d.tick(now)
+			live := len(d.live())
+			takenOver = takenOver || live > 0
+			if takenOver && live == 0 {
+				t.Fatalf("%d stopped, tick %d: all routers stopped watching again", test.stopped, tick)
+			}
+			if tick == test.withinTick && !takenOver {
+				t.Fatalf("%d stopped: no router took over within %d ticks", test.stopped, tick)
+			}
 		}
 	}
 }
