directory: one default of the change bound, and the state of the watch in one file

The bound without settings stood in settings and in directory; New now takes the pace, as it takes the role. That the view has become ready is told by the view before, not by a sync.Once. What the first list after a takeover means is a function of its own, and so is whether a store call failed; both stood inline or twice. Behaviour is the same.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,8 +59,7 @@
 	onWatchLost func()
 	pace        Pace
 	// ready is closed once the view is sufficient to serve requests.
-	ready     chan struct{}
-	readyOnce sync.Once
+	ready chan struct{}
 
 	mu      sync.Mutex
 	members *catalog.TargetSet
@@ -82,16 +81,17 @@
 }
 
 // New returns a directory with an empty view. store is called before each store
-// call and returns the store to use. role is the initial role, see SetWatchRole.
+// call and returns the store to use. role is the initial role, see SetWatchRole; pace
+// is how long watchers gather changes.
 // onRestart is called for a target whose process was restarted; it must not call the
 // directory, and may be nil.
-func New(store func() Store, role WatchRole, log zerolog.Logger, onRestart func(fleet.TargetID)) *Directory {
+func New(store func() Store, role WatchRole, pace Pace, log zerolog.Logger, onRestart func(fleet.TargetID)) *Directory {
 	if onRestart == nil {
 		onRestart = func(fleet.TargetID) {}
 	}
 	d := &Directory{
-		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {}, pace: NewPace(defaultChangeBound), ready: make(chan struct{}),
-		members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
+		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {},
+		pace: pace, ready: make(chan struct{}), members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
 		role: role, modeChanged: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
@@ -111,11 +111,6 @@
 	d.onWatchLost = f
 }
 
-// SetPace sets how long watchers gather changes. It must be called before Run.
-func (d *Directory) SetPace(p Pace) {
-	d.pace = p
-}
-
 // View returns the current view. It never returns nil.
 func (d *Directory) View() *catalog.View {
 	return d.view.Load()
@@ -136,36 +131,6 @@
 	return nil
 }
 
-// hasLiveWatchLocked is HasLiveWatch; d.mu must be held.
-func (d *Directory) hasLiveWatchLocked() bool {
-	return d.role != NoWatch && d.members.Loaded() && d.config != nil &&
-		!d.unavailable[platform.KindConfig] && !d.unavailable[platform.KindTargets]
-}
-
-// StoreLost reports whether this router watches the store and its last store calls for
-// a kind of object failed.
-func (d *Directory) StoreLost() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.role != NoWatch && (d.unavailable[platform.KindConfig] || d.unavailable[platform.KindTargets])
-}
-
-// watchState reports whether this router watches the store, and returns a channel that
-// is closed when that changes.
-func (d *Directory) watchState() (bool, <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.role != NoWatch, d.modeChanged
-}
-
-// settleDelay returns the wait after a change.
-func (d *Directory) settleDelay() time.Duration {
-	if d.WatchRole() == PrimaryWatch {
-		return d.pace.Primary
-	}
-	return d.pace.Standby
-}
-
 // markUnavailable records that a store call for a kind of object failed.
 func (d *Directory) markUnavailable(kind string, err error) {
 	d.mu.Lock()
@@ -279,11 +244,8 @@
 	for _, o := range objects {
 		listed[o.Name] = true
 	}
-	if d.takingOver && source == sourceStore {
-		d.takingOver = false
-		if d.members.LapsedInOutage(func(id fleet.TargetID) bool { return listed[string(id)] }) {
-			d.members.StartGracePeriod(d.now())
-		}
+	if source == sourceStore {
+		d.endTakeover(listed)
 	}
 	changes := make([]platform.Change, 0, len(objects))
 	for _, o := range objects {
@@ -302,6 +264,16 @@
 	return applied
 }
 
+// endTakeover handles the first list of a router that took over the watch: it starts a
+// grace period if the list shows an outage that this router did not see. d.mu must be
+// held.
+func (d *Directory) endTakeover(listed map[string]bool) {
+	if d.takingOver && d.members.LapsedInOutage(func(id fleet.TargetID) bool { return listed[string(id)] }) {
+		d.members.StartGracePeriod(d.now())
+	}
+	d.takingOver = false
+}
+
 // handleTargetChanges applies changes from a watch of the store.
 func (d *Directory) handleTargetChanges(changes []platform.Change, revision uint64) {
 	d.mu.Lock()
@@ -411,8 +383,8 @@
 		Config: d.config, Targets: serving, Leaving: leaving, TargetsLoaded: d.members.Loaded(),
 		TargetsRevision: d.members.Revision(),
 	}
-	d.view.Store(view)
-	if view.Ready() {
-		d.readyOnce.Do(func() { close(d.ready) })
+	// A view that is ready is followed by such views only.
+	if previous := d.view.Swap(view); view.Ready() && !previous.Ready() {
+		close(d.ready)
 	}
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -25,6 +25,9 @@
 	os.Exit(m.Run())
 }
 
+// testPace is the pace of directories under test.
+var testPace = NewPace(2 * time.Second)
+
 // newTestDirectory returns a stand-in store and a directory that watches it.
 func newTestDirectory(t *testing.T) (*standin.Store, *Directory) {
 	t.Helper()
@@ -34,7 +37,7 @@
 	}
 	t.Cleanup(server.Close)
 	store := platform.NewStore(server.Addr(), nil)
-	d := New(func() Store { return store }, PrimaryWatch, zerolog.Nop(), nil)
+	d := New(func() Store { return store }, PrimaryWatch, testPace, zerolog.Nop(), nil)
 	return server, d
 }
 
@@ -148,7 +151,7 @@
 			t.Run(failing+" fails, "+first+" returns first", func(t *testing.T) {
 				clock := time.Unix(1000, 0)
 				store := &scriptedStore{revision: 7}
-				d := New(func() Store { return store }, PrimaryWatch, zerolog.Nop(), nil)
+				d := New(func() Store { return store }, PrimaryWatch, testPace, zerolog.Nop(), nil)
 				d.now = func() time.Time { return clock }
 				list := func(kind string) {
 					handle := d.handleConfigList
@@ -207,7 +210,7 @@
 	for _, test := range []struct{ listed, want int }{{7, 7}, {4, 8}} {
 		clock := time.Unix(1000, 0)
 		store := &scriptedStore{objects: objects[:test.listed], revision: 20}
-		d := New(func() Store { return store }, NoWatch, zerolog.Nop(), nil)
+		d := New(func() Store { return store }, NoWatch, testPace, zerolog.Nop(), nil)
 		d.now = func() time.Time { return clock }
 		d.ApplySnapshot(Snapshot{Targets: objects, TargetsRevision: 10})
 		d.SetWatchRole(PrimaryWatch)
@@ -389,7 +392,7 @@
 		t.Fatal(err)
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		d := New(nil, NoWatch, zerolog.Nop(), nil)
+		d := New(nil, NoWatch, testPace, zerolog.Nop(), nil)
 		name := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		revision := rapid.Uint64Range(1, 20)
 		for range rapid.IntRange(1, 30).Draw(r, "steps") {
--- a/directory/pace.go
+++ b/directory/pace.go
@@ -15,10 +15,6 @@
 	standbyWaitShare = 1.0 / 3
 )
 
-// defaultChangeBound is the time within which a change must be in force until SetPace
-// is called.
-const defaultChangeBound = 2 * time.Second
-
 // NewPace returns the pace of a deployment in which a change must be in force within
 // bound.
 func NewPace(bound time.Duration) Pace {
--- a/directory/watchrole.go
+++ b/directory/watchrole.go
@@ -1,6 +1,11 @@
 package directory
 
-import "ragwortpond.example/ragwortpond/event"
+import (
+	"time"
+
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/platform"
+)
 
 // WatchRole is a router's part in watching the store for its failure domain.
 type WatchRole uint8
@@ -61,3 +66,38 @@
 	defer d.mu.Unlock()
 	return d.hasLiveWatchLocked()
 }
+
+// hasLiveWatchLocked is HasLiveWatch; d.mu must be held.
+func (d *Directory) hasLiveWatchLocked() bool {
+	return d.role != NoWatch && d.members.Loaded() && d.config != nil && !d.storeFailsLocked()
+}
+
+// StoreLost reports whether this router watches the store and its last store calls for
+// a kind of object failed.
+func (d *Directory) StoreLost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.role != NoWatch && d.storeFailsLocked()
+}
+
+// storeFailsLocked reports whether the last store call for any kind of object failed;
+// d.mu must be held.
+func (d *Directory) storeFailsLocked() bool {
+	return d.unavailable[platform.KindConfig] || d.unavailable[platform.KindTargets]
+}
+
+// watchState reports whether this router watches the store, and returns a channel that
+// is closed when that changes.
+func (d *Directory) watchState() (bool, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.role != NoWatch, d.modeChanged
+}
+
+// settleDelay returns the wait after a change.
+func (d *Directory) settleDelay() time.Duration {
+	if d.WatchRole() == PrimaryWatch {
+		return d.pace.Primary
+	}
+	return d.pace.Standby
+}
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return
 		}
-		d := directory.New(nil, directory.NoWatch, zerolog.Nop(), nil)
+		d := directory.New(nil, directory.NoWatch, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 		m := &Mesh{
 			cfg: Config{Self: "r0", Domain: "d", Directory: d}, table: NewTable("r0", "d", 1),
 			loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{1: "t"},
@@ -90,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		d := directory.New(nil, directory.NoWatch, zerolog.Nop(), nil)
+		d := directory.New(nil, directory.NoWatch, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 		d.ApplySnapshot(*snapshot)
 		d.Snapshot()
 	})
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -61,7 +61,7 @@
 func startRouterInDomain(t *testing.T, domain fleet.DomainName, i int, store *platform.Store, seeds []string) *testRouter {
 	t.Helper()
 	r := &testRouter{receivedLoads: map[fleet.TargetID]int{}}
-	r.directory = directory.New(func() directory.Store { return store }, directory.PrimaryWatch, zerolog.Nop(), nil)
+	r.directory = directory.New(func() directory.Store { return store }, directory.PrimaryWatch, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 	var err error
 	r.mesh, err = New(Config{
 		Self: fleet.RouterID(fmt.Sprintf("r%d", i)), Domain: domain, Addr: freeAddr(t, i), Directory: r.directory,
@@ -275,7 +275,7 @@
 	}
 	defer sender.Close()
 	for range 200 {
-		d := directory.New(func() directory.Store { return store }, directory.NoWatch, zerolog.Nop(), nil)
+		d := directory.New(func() directory.Store { return store }, directory.NoWatch, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 		m, err := New(Config{
 			Self: "r", Domain: "d", Addr: addr, Directory: d, Seeds: func() []string { return nil }, Log: zerolog.Nop(),
 			OnPeerLoad: func(fleet.TargetID, int, time.Time) {},
--- a/mesh/traffic_bench_test.go
+++ b/mesh/traffic_bench_test.go
@@ -48,7 +48,7 @@
 		if i < 6 {
 			role = directory.PrimaryWatch
 		}
-		d := directory.New(func() directory.Store { return store }, role, zerolog.Nop(), nil)
+		d := directory.New(func() directory.Store { return store }, role, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 		strength := uint8(0)
 		if i < 6 {
 			strength = MinPreferredStrength
--- a/node/node.go
+++ b/node/node.go
@@ -64,7 +64,7 @@
 	n := &Node{cfg: cfg, started: time.Now(), log: log, metrics: metrics.NewSet()}
 	n.setStore(cfg.StoreAddr)
 	n.seedAddrs.Store(&cfg.Seeds)
-	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), log, n.resetTarget)
+	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
 	n.relay = relay.New(relay.Config{
 		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(), GuardClose: ingress.GuardClose,
@@ -82,7 +82,6 @@
 	if err != nil {
 		return nil, err
 	}
-	n.directory.SetPace(directory.NewPace(cfg.ChangeBound()))
 	n.directory.OnChange(n.mesh.PublishChanges)
 	n.directory.OnWatchLost(n.mesh.AnnounceWatch)
 	return n, nil
