conntest: one raw server for the tests of broken peers

targetconn, httpconn and relay each had the same accept loop in their tests, and three ways to write bytes without end. They now share conntest.Serve and conntest.Flood; the assertions and what is sent are the same.

--- a/httpconn/flood_test.go
+++ b/httpconn/flood_test.go
@@ -1,10 +1,9 @@
-package httpconn
+package httpconn_test
 
 import (
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -12,34 +11,20 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
+	"ragwortpond.example/ragwortpond/conntest"
+	"ragwortpond.example/ragwortpond/httpconn"
 )
 
-// serveFlood answers one request with a prefix and then with repeated text that ends
-// only when the peer closes the connection.
+// serveFlood answers with a prefix and then with repeated text that ends only when the
+// peer closes the connection.
 func serveFlood(t *testing.T, prefix, repeated string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	block := []byte(strings.Repeat(repeated, 16<<10/len(repeated)))
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, err = io.WriteString(c, prefix)
-		for err == nil {
-			_, err = c.Write(block)
+	block := strings.Repeat(repeated, 16<<10/len(repeated))
+	return conntest.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			conntest.Flood(c, prefix, block)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // TestEndlessHeadEndsExchange lets targets send heads that never end. The exchange must
@@ -57,12 +42,12 @@
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			x, err := Start(ctx, addr, time.Second, protocol.NewRequest("GET", "http://"+addr+"/x", nil))
+			x, err := httpconn.Start(ctx, addr, time.Second, get(addr))
 			runtime.ReadMemStats(&after)
 			if err == nil {
 				x.Close()
 			}
-			if !errors.Is(err, ErrTooLarge) || !errors.Is(err, ErrBroken) {
+			if !errors.Is(err, httpconn.ErrTooLarge) || !errors.Is(err, httpconn.ErrBroken) {
 				t.Errorf("got error %v, want ErrBroken and ErrTooLarge", err)
 			}
 			if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > maxHeapBytes {
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -12,39 +12,25 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"ragwortpond.example/ragwortpond/conntest"
 	"ragwortpond.example/ragwortpond/httpconn"
 )
 
-// serveRaw listens on a loopback address, which it returns. On every connection
-// it writes raw after it has read some bytes, and again after each further read
-// if keepAlive is set.
+// serveRaw writes raw on every connection to a loopback address, which it returns, after
+// it has read some bytes, and again after each further read if keepAlive is set.
 func serveRaw(tb testing.TB, raw string, keepAlive bool) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { _ = ln.Close() })
-	go func() {
+	tb.Helper()
+	return conntest.Serve(tb, func(c net.Conn) {
+		buf := make([]byte, 4096)
 		for {
-			conn, err := ln.Accept()
-			if err != nil {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, raw); err != nil || !keepAlive {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				buf := make([]byte, 4096)
-				for {
-					if _, err := conn.Read(buf); err != nil {
-						return
-					}
-					if _, err := io.WriteString(conn, raw); err != nil || !keepAlive {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 func get(addr string) *protocol.Request {
--- a/relay/incomplete_body_test.go
+++ b/relay/incomplete_body_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/conntest"
 	"ragwortpond.example/ragwortpond/ingress"
 )
 
@@ -21,16 +22,13 @@
 // ends only when the router closes the connection. It returns its address.
 func startEndlessTarget(t *testing.T, status, framing, block string) string {
 	t.Helper()
-	return startRawTarget(t, func(c net.Conn) {
+	return conntest.Serve(t, func(c net.Conn) {
 		request, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
 		}
-		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", status, request.Header.Get("Attempt-Id"), framing)
-		data := []byte(block)
-		for err == nil {
-			_, err = c.Write(data)
-		}
+		head := fmt.Sprintf("HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", status, request.Header.Get("Attempt-Id"), framing)
+		conntest.Flood(c, head, block)
 	})
 }
 
@@ -50,7 +48,7 @@
 // startCutTarget starts a target whose answers have no length and are reset after text.
 func startCutTarget(t *testing.T, text string) string {
 	t.Helper()
-	return startRawTarget(t, func(c net.Conn) {
+	return conntest.Serve(t, func(c net.Conn) {
 		request, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
--- a/relay/late_response_test.go
+++ b/relay/late_response_test.go
@@ -9,32 +9,9 @@
 	"testing"
 
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/conntest"
 )
 
-// startRawTarget starts a target that calls serve for each connection and then closes
-// it. It returns its address.
-func startRawTarget(t *testing.T, serve func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // useRawTarget makes the target at addr the only one of the service.
 func (s *fixture) useRawTarget(addr string) {
 	s.view.Store(&catalog.View{
@@ -77,7 +54,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, 0, onceRoute, nil)
-			s.useRawTarget(startRawTarget(t, func(c net.Conn) { serveLate(c, late) }))
+			s.useRawTarget(conntest.Serve(t, func(c net.Conn) { serveLate(c, late) }))
 			for range 4 {
 				response, body, err := s.do(s.request(http.MethodPost, "x"))
 				if err != nil || response.StatusCode != http.StatusOK || body != "mine" {
--- a/targetconn/flood_test.go
+++ b/targetconn/flood_test.go
@@ -4,13 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/conntest"
 )
 
 // floods are responses without end: a prefix and what follows it again and again.
@@ -31,14 +32,10 @@
 // serveFlood answers each request with a flood that ends when the peer closes.
 func serveFlood(t *testing.T, prefix, repeated string) string {
 	t.Helper()
-	block := []byte(strings.Repeat(repeated, 16<<10/len(repeated)+1))
+	block := strings.Repeat(repeated, 16<<10/len(repeated)+1)
 	return serveRaw(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := http.ReadRequest(r); err != nil {
-			return
-		}
-		_, err := io.WriteString(c, prefix)
-		for err == nil {
-			_, err = c.Write(block)
+		if _, err := http.ReadRequest(r); err == nil {
+			conntest.Flood(c, prefix, block)
 		}
 	})
 }
--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -11,30 +11,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/conntest"
 )
 
-// serveRaw listens on a loopback address, which it returns, and calls f for each
-// connection until the test ends.
+// serveRaw calls f for each connection to a loopback address, which it returns, until
+// the test ends.
 func serveRaw(t *testing.T, f func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				f(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return conntest.Serve(t, func(c net.Conn) { f(c, bufio.NewReader(c)) })
 }
 
 // serveRequests calls f for each request on each connection, until a request
