--- /dev/null
+++ b/node/target_limit_test.go
@@ -0,0 +1,219 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/platform/standin"
+	"ragwortpond.example/ragwortpond/settings"
+)
+
+// Sizes and times of the fleet before targets that name a limit.
+const (
+	limitRouters = 3
+	limitTargets = 4
+	// limitWindow is the span in which the requests at a target are counted.
+	limitWindow = 4 * time.Second
+	// limitedPeriod is how long the load lasts after all routers know the limits.
+	limitedPeriod = 6 * time.Second
+	// loadInterval is the time between two requests to the same router.
+	loadInterval = 50 * time.Millisecond
+	// promptRefusal bounds the time of a refusal.
+	promptRefusal = 300 * time.Millisecond
+)
+
+// limitFleet is a fleet of routers before targets of which some name a limit.
+type limitFleet struct {
+	targets []*standin.Target
+	routers []*fixture
+	client  *http.Client
+	sent    atomic.Int64
+}
+
+// loadResult counts the results of a load.
+type loadResult struct {
+	mu sync.Mutex
+	// served and refused count requests, and other those with any other result.
+	// withoutTime counts refusals without a time to come back, slow those that took
+	// longer than promptRefusal.
+	served, refused, other, withoutTime, slow int
+}
+
+func limitConfig() map[string]any {
+	return map[string]any{
+		"Version":  1,
+		"Routes":   []any{map[string]any{"Name": "r", "Host": "h", "PathPrefix": "/p/", "RouteType": "idempotent", "MaxAttempts": 2, "Service": "s", "TimeoutMs": 3000, "TargetLatencyMs": 300}},
+		"Services": []any{map[string]any{"Name": "s"}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1000, "IdleTimeoutMs": 300},
+	}
+}
+
+// startLimitFleet starts the routers and the targets, of which the first limited name
+// the limit that limit returns.
+func startLimitFleet(t *testing.T, limited int, limit func() string) *limitFleet {
+	t.Helper()
+	f := &limitFleet{client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	store, err := standin.StartStore("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	store.Put(platform.KindConfig, platform.ConfigName, limitConfig())
+	for i := range limitTargets {
+		target := &standin.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "d", RunTime: 10 * time.Millisecond}
+		if i < limited {
+			target.Limit = limit
+		}
+		if err := target.Start(""); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(target.Close)
+		store.Put(platform.KindTargets, target.ID, target.Entry("ready"))
+		f.targets = append(f.targets, target)
+	}
+	var addresses, seeds []string
+	for range limitRouters {
+		address := nextAddress()
+		addresses, seeds = append(addresses, address), append(seeds, address+":18003")
+	}
+	for i, address := range addresses {
+		r := &fixture{store: store, done: make(chan error, 1)}
+		r.cfg = settings.NodeFile{
+			ID: fleet.RouterID(fmt.Sprintf("n%d", i)), Domain: "d", ClientAddr: address + ":18001", ReadyAddr: address + ":18002", PeerAddr: address + ":18003",
+			MetricsAddr: address + ":18004", StoreAddr: store.Addr(), Seeds: seeds, MemoryMB: 200, GraceSeconds: 1,
+			RetryBudget: settings.RetryBudget{Ratio: 0.2, Extra: 50, WindowSeconds: 10},
+		}
+		r.start(t)
+		f.routers = append(f.routers, r)
+	}
+	for _, r := range f.routers {
+		await.Until(t, "the routers to know each other", func() bool { return r.node.mesh.FleetSize() == limitRouters })
+		await.Until(t, "all targets", func() bool { return len(r.node.directory.View().Targets["s"]) == limitTargets })
+	}
+	return f
+}
+
+// load sends requests to all routers at a steady rate for a time.
+func (f *limitFleet) load(d time.Duration) *loadResult {
+	result := &loadResult{}
+	var all sync.WaitGroup
+	for range int(d / loadInterval) {
+		for _, r := range f.routers {
+			all.Go(func() { f.send(r, result) })
+		}
+		time.Sleep(loadInterval)
+	}
+	all.Wait()
+	return result
+}
+
+func (f *limitFleet) send(router *fixture, result *loadResult) {
+	started := time.Now()
+	status, retryAfter := f.exchange(router)
+	elapsed := time.Since(started)
+	result.mu.Lock()
+	defer result.mu.Unlock()
+	switch status {
+	case http.StatusOK:
+		result.served++
+	case http.StatusServiceUnavailable:
+		result.refused++
+		if retryAfter <= 0 {
+			result.withoutTime++
+		}
+		if elapsed > promptRefusal {
+			result.slow++
+		}
+	default:
+		result.other++
+	}
+}
+
+// exchange sends a request and returns the status of the response, or zero, and its
+// Retry-After in seconds.
+func (f *limitFleet) exchange(router *fixture) (status int, retryAfter float64) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+router.cfg.ClientAddr+"/p/x", strings.NewReader("body"))
+	if err != nil {
+		return 0, 0
+	}
+	r.Host = "h"
+	standin.SetRequestHeaders(r, fmt.Sprint("l", f.sent.Add(1)), "", requestTimeout, 0)
+	response, err := f.client.Do(r)
+	if err != nil {
+		return 0, 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, 0
+	}
+	// A missing header gives zero.
+	retryAfter, _ = strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, retryAfter
+}
+
+// mostArrivals returns the largest number of requests that reached a target within
+// limitWindow later than from.
+func mostArrivals(target *standin.Target, from time.Time) int {
+	var times []time.Time
+	for _, a := range target.Arrivals() {
+		if a.At.After(from) {
+			times = append(times, a.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestRoutersTogetherKeepLimitsOfTargets guards against a fleet that sends targets more than the limit that they name.
+func TestRoutersTogetherKeepLimitsOfTargets(t *testing.T) {
+	const perSecond = 5
+	for _, test := range []struct {
+		name    string
+		limited int
+	}{{"some targets", limitTargets - 1}, {"all targets", limitTargets}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startLimitFleet(t, test.limited, func() string { return strconv.Itoa(perSecond) })
+			f.load(stabilityWindow)
+			known := time.Now()
+			result := f.load(limitedPeriod)
+			t.Logf("%d served, %d refused, %d other; arrivals at most:", result.served, result.refused, result.other)
+			for _, target := range f.targets[:test.limited] {
+				got := mostArrivals(target, known)
+				t.Logf("%s: %d in %v", target.ID, got, limitWindow)
+				if want := int(perSecond * limitWindow.Seconds()); got > want {
+					t.Errorf("%s names a limit of %d per second: got %d requests in %v, want at most %d", target.ID, perSecond, got, limitWindow, want)
+				}
+			}
+			total := result.served + result.refused + result.other
+			if test.limited < limitTargets && result.served != total {
+				t.Errorf("with a target without limit: got %d of %d requests served, want all", result.served, total)
+			}
+			if want := int(0.7 * float64(test.limited) * perSecond * limitedPeriod.Seconds()); result.served < want {
+				t.Errorf("got %d requests served, want at least %d", result.served, want)
+			}
+			if result.other > 0 || result.withoutTime > 0 || result.slow > 0 {
+				t.Errorf("got %d results other than an answer or a refusal, %d refusals without a time to come back, %d slow ones, want none", result.other, result.withoutTime, result.slow)
+			}
+		})
+	}
+}
