targetlimit, mesh, relay: routers together keep the limits that targets name

What callers and operators saw: a target in need names in its answers the requests a second that it takes from all routers together, and went on getting twice as many.

Cause: nothing read the limit, and no router could keep it alone, since it is one number for the whole fleet. Ruled out: shares for each router. With 78 routers a share of 3 a second is one request in 26 s, and what all of them save up for it is many times the limit; shares that follow demand lag by a second.

Change: each send to a target with a limit needs a permit of one router, the first by a hash among those present, which grants all sends from one bucket. The check stands where the target of an attempt is chosen, so that retries and resumed streams pass it too; cache is not fetched from such a target. Excess goes to targets without a limit while they have room; what is left is refused at once, not run, with a time to come back at the rate that the limits admit.

Why it works: all sends pass one bucket whose window sum is at most the limit, also while the holder changes (it starts empty) or the fleet is partitioned (each side grants its part).

--- a/call/call.go
+++ b/call/call.go
@@ -89,9 +89,27 @@
 	// NotRun means that the target did not run the request and never will.
 	NotRun bool
 	// Load is nil if the target does not report its load.
-	Load *Load
+	Load  *Load
+	Limit Limit
 }
 
+// Limit is what a target's answer says of the requests that the target takes.
+type Limit struct {
+	State LimitState
+	// PerSecond is the limit in requests per second from all routers together.
+	PerSecond float64
+}
+
+// LimitState tells whether an answer names a limit.
+type LimitState uint8
+
+// States of a limit. The value of one that is unclear could not be read.
+const (
+	LimitNone LimitState = iota
+	LimitNamed
+	LimitUnclear
+)
+
 // Success reports whether the status is 2xx.
 func (r *Reply) Success() bool {
 	return r.Status >= 200 && r.Status < 300
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -52,6 +52,12 @@
 	Load(t *catalog.Target) float64
 	// Health returns the target's health.
 	Health(t *catalog.Target) targethealth.Health
+	// Limited reports whether the target names a limit on its requests. Other targets
+	// do not fetch cache from it.
+	Limited(t *catalog.Target) bool
+	// Withheld reports whether no request may be sent to the target for the moment
+	// because of its limit.
+	Withheld(t *catalog.Target) bool
 }
 
 // rankIterator iterates over targets in a key's rendezvous order without sorting
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -50,6 +50,8 @@
 	ReasonKey       ChoiceReason = "key"
 	ReasonOverflow  ChoiceReason = "overflow"
 	ReasonLeastLoad ChoiceReason = "least-load"
+	// ReasonLimit means that the key's first target has used up its limit.
+	ReasonLimit ChoiceReason = "limit"
 )
 
 // Load bounds of targets chosen by key.
@@ -64,6 +66,12 @@
 	// the target's own keys.
 	overflowLoadMultiple = 1
 	overflowLoadMargin   = 1
+	// excessLoadShare bounds the load of a target that takes what another may not because
+	// of its limit, as a fraction of its slots.
+	excessLoadShare = 0.75
+	// maxLimitedAlternatives is the number of other targets with a limit that a request
+	// may be sent to instead of its first.
+	maxLimitedAlternatives = 1
 )
 
 // cacheWarmUp is how long after its start a target may lack the cache of keys that
@@ -117,13 +125,30 @@
 	return slices.Contains(sel.query.Tried, sel.candidates.targets[i].ID)
 }
 
+// excluded reports whether the request cannot be sent to a target: it was sent there
+// before, or the target is withheld.
+func (sel *selection) excluded(i int) bool {
+	t := sel.candidates.targets[i]
+	return sel.tried(i) || sel.state.Withheld(t)
+}
+
+// canBeSource reports whether the cache of a target can be fetched.
+func (sel *selection) canBeSource(i int) bool {
+	t := sel.candidates.targets[i]
+	return !sel.tried(i) && !sel.state.Limited(t) && sel.state.Health(t) != targethealth.Avoided
+}
+
 // byKey returns the first target in the key's order, unless its load exceeds the
-// bound; then the first with room for overflow, or else the least loaded target.
+// bound; then the first with room for overflow, or else the least loaded target. If the
+// first target is withheld, it returns the target for its excess requests.
 func (sel *selection) byKey() (int, ChoiceReason) {
 	health, first := sel.firstByKey()
 	if first < 0 {
 		return -1, ReasonKey
 	}
+	if sel.state.Withheld(sel.candidates.targets[first]) {
+		return sel.excessTarget(health, first), ReasonLimit
+	}
 	if sel.state.Load(sel.candidates.targets[first]) < keyLoadMultiple*sel.query.Mean+keyLoadMargin {
 		return first, ReasonKey
 	}
@@ -134,13 +159,41 @@
 			break
 		}
 		t := sel.candidates.targets[i]
-		if !sel.tried(i) && sel.state.Health(t) == health && sel.state.Load(t) < overflowLoadMultiple*sel.query.Mean+overflowLoadMargin {
+		if !sel.excluded(i) && sel.state.Health(t) == health && sel.state.Load(t) < overflowLoadMultiple*sel.query.Mean+overflowLoadMargin {
 			return i, ReasonOverflow
 		}
 	}
 	return sel.leastLoaded(), ReasonOverflow
 }
 
+// excessTarget returns the target for a request whose first target in the key's order has
+// used up its limit, or -1 if there is none: the first one in the order that names no
+// limit and has room beside its own keys, or else the next one with a limit that is not
+// used up. Others would have to process the prompt for few requests.
+func (sel *selection) excessTarget(health targethealth.Health, first int) int {
+	order := rankIterator{candidates: sel.candidates, key: sel.query.Key, count: sel.candidates.serving, last: first}
+	limited, limitedSeen := -1, 0
+	for range sel.candidates.serving {
+		i := order.next()
+		if i < 0 {
+			break
+		}
+		t := sel.candidates.targets[i]
+		if sel.tried(i) || sel.state.Health(t) != health {
+			continue
+		}
+		switch {
+		case sel.state.Limited(t):
+			if limitedSeen++; limited < 0 && limitedSeen <= maxLimitedAlternatives && !sel.state.Withheld(t) {
+				limited = i
+			}
+		case t.Slots == 0 || sel.state.Load(t) < excessLoadShare*float64(t.Slots):
+			return i
+		}
+	}
+	return limited
+}
+
 // firstByKey returns the best health of any target, and the first target in the
 // key's order that has it, or -1 if there is no target.
 func (sel *selection) firstByKey() (targethealth.Health, int) {
@@ -184,7 +237,7 @@
 		switch {
 		case i < 0, i == chosen && !recentlyStarted:
 			return nil
-		case i != chosen && !sel.tried(i) && sel.state.Health(sel.candidates.targets[i]) != targethealth.Avoided:
+		case i != chosen && sel.canBeSource(i):
 			return sel.candidates.targets[i]
 		}
 	}
@@ -202,7 +255,7 @@
 		if n > maxSampled {
 			i = int(rendezvous.Mix(uint64(k), sel.query.Random) % uint64(n))
 		}
-		if sel.tried(i) {
+		if sel.excluded(i) {
 			continue
 		}
 		if candidate := sel.evaluate(i); best < 0 || candidate.betterThan(bestCandidate) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -23,6 +23,9 @@
 	load    []float64
 	health  []targethealth.Health
 	tried   []fleet.TargetID
+	// limited and withheld hold the indexes of targets with a limit, and of those that
+	// may get no request for the moment.
+	limited, withheld map[int]bool
 	// leaving holds the indexes of targets that accept no more requests.
 	leaving map[int]bool
 	// total is the sum of all loads.
@@ -30,6 +33,12 @@
 }
 
 func (f *fakeFleet) Load(t *catalog.Target) float64 { return f.load[f.indexes[t.ID]] }
+func (f *fakeFleet) Limited(t *catalog.Target) bool {
+	return f.limited[f.indexes[t.ID]]
+}
+func (f *fakeFleet) Withheld(t *catalog.Target) bool {
+	return f.withheld[f.indexes[t.ID]]
+}
 func (f *fakeFleet) Health(t *catalog.Target) targethealth.Health {
 	return f.health[f.indexes[t.ID]]
 }
@@ -69,7 +78,7 @@
 // newFakeFleet returns a fleet of n targets that have been up for an hour.
 func newFakeFleet(n int) *fakeFleet {
 	f := &fakeFleet{
-		indexes: map[fleet.TargetID]int{}, load: make([]float64, n), health: make([]targethealth.Health, n), leaving: map[int]bool{},
+		indexes: map[fleet.TargetID]int{}, load: make([]float64, n), health: make([]targethealth.Health, n), leaving: map[int]bool{}, limited: map[int]bool{}, withheld: map[int]bool{},
 	}
 	for i := range n {
 		id := fleet.TargetID(fmt.Sprintf("t-%d", i))
@@ -171,6 +180,62 @@
 	}
 }
 
+// TestExcessOfLimitedTargetGoesToOneOther checks that requests that a key's target may not
+// get go to the first one of the key's order that names no limit, while it has room.
+func TestExcessOfLimitedTargetGoesToOneOther(t *testing.T) {
+	const targets = 12
+	for key := uint64(1); key <= 50; key++ {
+		f := newFakeFleet(targets)
+		order := make([]int, 0, targets)
+		it := rankIterator{candidates: f.candidates(targets), key: key, count: targets, last: -1}
+		for range targets {
+			order = append(order, it.next())
+		}
+		for _, i := range order[:5] {
+			f.limited[i] = true
+		}
+		if choice, at := f.choose(Query{Key: key}, targets); at != order[0] || choice.Reason != ReasonKey {
+			t.Fatalf("key %d within the limit: got target %d by %s, want %d", key, at, choice.Reason, order[0])
+		}
+		f.withheld[order[0]] = true
+		choice, at := f.choose(Query{Key: key}, targets)
+		if at != order[5] || choice.Reason != ReasonLimit {
+			t.Fatalf("key %d: got target %d by %s, want %d, the first without limit", key, at, choice.Reason, order[5])
+		}
+		if choice.CacheSource != nil && f.limited[f.index(choice.CacheSource)] {
+			t.Fatalf("key %d: cache is fetched from a target with a limit", key)
+		}
+		f.load[order[5]] = 12
+		if _, at := f.choose(Query{Key: key}, targets); at != order[6] {
+			t.Fatalf("key %d: got target %d, want %d, the next one with room", key, at, order[6])
+		}
+	}
+}
+
+// TestExcessIsNotSentBeyondLimits checks that no target is chosen if all are withheld or
+// full, and that one with a limit that is not used up is.
+func TestExcessIsNotSentBeyondLimits(t *testing.T) {
+	f := newFakeFleet(4)
+	for i := range 4 {
+		f.limited[i], f.withheld[i] = true, true
+	}
+	for _, key := range []uint64{0, 7} {
+		if choice, _ := f.choose(Query{Key: key}, 4); choice.Target != nil {
+			t.Errorf("key %d: got %s, want no target", key, choice.Target.ID)
+		}
+	}
+	it := rankIterator{candidates: f.candidates(4), key: 7, count: 4, last: -1}
+	it.next()
+	second := it.next()
+	f.withheld[second] = false
+	if _, at := f.choose(Query{Key: 7}, 4); at != second {
+		t.Errorf("got target %d, want %d, whose limit is not used up", at, second)
+	}
+	if _, at := f.choose(Query{}, 4); at != second {
+		t.Errorf("without a key: got target %d, want %d", at, second)
+	}
+}
+
 func TestChoosePrefersOwnDomainAmongEquals(t *testing.T) {
 	f := newFakeFleet(6)
 	for i := range uint64(50) {
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -12,6 +12,7 @@
 	"ragwortpond.example/ragwortpond/directory"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/quarantine"
+	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
 // FuzzHeartbeat handles datagrams of any content, among them every prefix of a sound
@@ -26,6 +27,8 @@
 			Crashes: []quarantine.Crash{{TargetHash: 1, AgeMS: 2, Parts: []uint64{3, 4}}}, Clears: []quarantine.Clear{{Part: 3, AgeMS: 1}},
 			Verdicts: []quarantine.Verdict{{Part: 5, SinceAgeMS: 6, SeenAgeMS: 7}},
 		},
+		Limits: []LimitReport{{TargetHash: 1, PerThousandSeconds: 4500, AgeMS: 3}},
+		Permit: &PermitMessage{Sequence: 1, Verdict: PermitDenied, WaitMS: 2, Limit: LimitReport{TargetHash: 1, Lifted: true}},
 	}
 	data, err := encode(sound)
 	if err != nil {
@@ -43,12 +46,21 @@
 		}
 		d := directory.New(nil, directory.NoWatch, directory.NewPace(2*time.Second), zerolog.Nop(), nil)
 		m := &Mesh{
-			cfg: Config{Self: "r0", Domain: "d", Directory: d}, table: NewTable("r0", "d", 1),
+			cfg: Config{Self: "r0", Domain: "d", Directory: d, Limits: targetlimit.NewTracker()}, table: NewTable("r0", "d", 1),
 			loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{1: "t"},
 		}
 		now, random := time.Now(), rand.New(rand.NewPCG(1, 1))
 		m.table.HandleHeartbeat(hb, testAddr(1), now)
 		m.mergeLoads(hb, now)
+		m.mergeLimits(hb.Limits, now)
+		if hb.Permit != nil {
+			m.mergeLimits([]LimitReport{hb.Permit.Limit}, now)
+			m.table.correctHolder(hb, now)
+			m.table.permitHolder("t", now)
+		}
+		if n := m.cfg.Limits.Limited(now); n > 1 {
+			t.Errorf("got limits of %d targets, want at most that of the only one", n)
+		}
 		if hb.Evidence != nil {
 			checkEvidence(t, hb.Evidence, now)
 		}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -29,6 +29,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	hb.Loads = newestLoads(m.loads, now)
+	hb.Limits = m.newestLimits(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
 	hb.Peers = m.table.RandomPeers(maxPeers, now, m.random)
 }
@@ -67,12 +68,13 @@
 }
 
 // encodeFitting encodes a heartbeat. What does not fit into a datagram is left out:
-// changes, which receivers that lack them fetch, and loads, then crashes and clears, then
-// other routers, and verdicts last.
+// changes, which receivers that lack them fetch, and loads, then limits, then crashes and
+// clears, then other routers, and verdicts last.
 func encodeFitting(hb *Heartbeat) ([]byte, error) {
 	data, err := encode(hb)
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
+		func() { hb.Limits = nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
 		func() { hb.Evidence = nil },
@@ -89,6 +91,10 @@
 // handleHeartbeat processes a received heartbeat.
 func (m *Mesh) handleHeartbeat(ctx context.Context, hb *Heartbeat, from netip.AddrPort) {
 	now := time.Now()
+	if hb.Permit != nil {
+		m.handlePermit(hb, from, now)
+		return
+	}
 	m.mu.Lock()
 	known := m.table.members[hb.From]
 	joined := known == nil || known.incarnation < hb.Incarnation
@@ -105,6 +111,7 @@
 	for id, s := range loads {
 		m.cfg.OnPeerLoad(id, s.work, s.reportedAt)
 	}
+	m.mergeLimits(hb.Limits, now)
 	switch {
 	case hb.Joining:
 		m.replyToJoin(hb.Domain, from, now)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/netconn"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
 const (
@@ -80,6 +82,8 @@
 	// Evidence holds the evidence that the routers exchange; nil means that they
 	// exchange none.
 	Evidence EvidenceStore
+	// Limits holds the limits of targets, of which the routers tell each other.
+	Limits *targetlimit.Tracker
 	// CountBytes counts n bytes of control traffic; direction is "sent" or "received". It
 	// may be nil.
 	CountBytes func(direction string, n int)
@@ -106,6 +110,7 @@
 	behindSince   time.Time
 	// fetching is set while a fetch from another router is in progress.
 	fetching bool
+	permits  permitRequests
 	// deflatedMu guards the compressed copies of this router's configuration and
 	// targets. Their versions are the configuration's revision and the targets'
 	// digest.
@@ -139,9 +144,13 @@
 	if cfg.CountBytes == nil {
 		cfg.CountBytes = func(string, int) {}
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = targetlimit.NewTracker()
+	}
 	m := &Mesh{
 		cfg: cfg, incarnation: time.Now().UnixNano(), startedAt: time.Now(), conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		table: NewTable(cfg.Self, cfg.Domain, cfg.Strength), loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{},
+		permits: permitRequests{waiting: map[uint32]chan permitAnswer{}, silentUntil: map[fleet.RouterID]time.Time{}},
 	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return netconn.Dial(ctx, addr) },
@@ -212,12 +221,26 @@
 	// more, as in a complete list, only the digest is sent, and routers that lack the
 	// changes fetch them.
 	maxPushedChanges = 48
+	// maxLeavingAddrs bounds the routers that are told that this one is stopping, beside
+	// those of its failure domain.
+	maxLeavingAddrs = 512
 )
 
-// AnnounceLeaving announces to the failure domain that this router is stopping.
+// AnnounceLeaving announces to the other routers that this router is stopping. Those of
+// its failure domain rely on it, and all of them ask it for permits.
 func (m *Mesh) AnnounceLeaving() {
 	m.leaving.Store(true)
-	m.send(m.newHeartbeat(), m.domainAddrs())
+	m.mu.Lock()
+	m.table.leaving = true
+	others := m.table.RandomAddrs(maxLeavingAddrs, time.Now(), m.random)
+	m.mu.Unlock()
+	addrs := m.domainAddrs()
+	for _, addr := range others {
+		if !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	m.send(m.newHeartbeat(), addrs)
 }
 
 // AnnounceWatch tells the failure domain that this router's watch of the store was
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -12,6 +12,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/quarantine"
+	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
 // Heartbeat is the only kind of datagram of the mesh.
@@ -47,6 +48,11 @@
 	// Evidence is what the sender knows of crashes of targets and quarantined parts of
 	// prompts; nil if there is none.
 	Evidence *quarantine.Evidence `cbor:"16,keyasint,omitempty"`
+	// Limits are the newest limits of targets known to the sender.
+	Limits []LimitReport `cbor:"18,keyasint,omitempty"`
+	// Permit is set in a datagram that asks for a permit, or answers. It carries nothing
+	// else but the sender and, if that is not the holder, the holder in Peers.
+	Permit *PermitMessage `cbor:"19,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
@@ -71,6 +77,46 @@
 	AgeMS uint32
 }
 
+// LimitReport is what a target said of its limit.
+type LimitReport struct {
+	_ struct{} `cbor:",toarray"`
+	// TargetHash is the hash of the target's ID, see targetHash.
+	TargetHash uint32
+	// PerThousandSeconds is the limit in requests per 1,000 s.
+	PerThousandSeconds uint32
+	AgeMS              uint32
+	// Lifted means that the target named the limit earlier and does no longer.
+	Lifted bool
+}
+
+// PermitVerdict is the answer to a request for a permit.
+type PermitVerdict uint8
+
+// Verdicts on a request for a permit.
+const (
+	// PermitRequested marks the request itself.
+	PermitRequested PermitVerdict = iota
+	PermitGranted
+	PermitDenied
+	// PermitNotHolder means that another router holds the permits of the target, or that
+	// the sender is leaving.
+	PermitNotHolder
+)
+
+// PermitMessage asks for permission to send one request to a target, or answers.
+type PermitMessage struct {
+	_ struct{} `cbor:",toarray"`
+	// Sequence matches an answer to its request.
+	Sequence uint32
+	Verdict  PermitVerdict
+	// WaitMS is the time until the next permit, if this one was denied.
+	WaitMS uint32
+	// Precedence is that of the send which the permit is requested for.
+	Precedence targetlimit.Precedence
+	// Limit is what the sender knows of the target's limit.
+	Limit LimitReport
+}
+
 // Change is one change of a target's entry in the store.
 type Change struct {
 	_        struct{} `cbor:",toarray"`
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -40,7 +40,9 @@
 
 // member is the record of another router.
 type member struct {
-	id     fleet.RouterID
+	id fleet.RouterID
+	// hash is the hash of the ID.
+	hash   uint64
 	domain fleet.DomainName
 	addr   netip.AddrPort
 	// incarnation distinguishes the processes of one router; it increases with each
@@ -65,6 +67,8 @@
 	domain   fleet.DomainName
 	strength uint8
 	members  map[fleet.RouterID]*member
+	// leaving is set once this router is stopping.
+	leaving bool
 	// servedAt is when this router last received a heartbeat of a router of its failure
 	// domain with a live watch, or when it first chose its role.
 	servedAt time.Time
@@ -129,7 +133,7 @@
 func (t *Table) getOrCreate(id fleet.RouterID) *member {
 	m := t.members[id]
 	if m == nil && len(t.members) < maxMembers {
-		m = &member{id: id}
+		m = &member{id: id, hash: routerHash(id)}
 		t.members[id] = m
 	}
 	return m
--- a/mesh/watchrole.go
+++ b/mesh/watchrole.go
@@ -89,7 +89,7 @@
 }
 
 func (m *member) rank() watchRank {
-	return watchRank{m.strength, routerHash(m.id), m.id}
+	return watchRank{m.strength, m.hash, m.id}
 }
 
 // HasDomainWatcher reports whether this router received a heartbeat, within the watcher
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -18,6 +18,9 @@
 	HeadSeconds *prometheus.HistogramVec
 	// WholeSeconds observes the time from arrival to the end of the request.
 	WholeSeconds *prometheus.HistogramVec
+	// Permits counts requests for permits to send to targets with a limit, by result:
+	// granted, denied, or unanswered.
+	Permits *prometheus.CounterVec
 }
 
 // ValueFuncs holds the functions that return the values of gauges and counters when
@@ -31,6 +34,8 @@
 	ClientConns, TargetConns func() float64
 	// QuarantinedParts returns the number of parts of prompts that are quarantined.
 	QuarantinedParts func() float64
+	// LimitedTargets returns the number of targets that name a limit on their requests.
+	LimitedTargets func() float64
 	// LinesDropped returns the number of dropped log lines since the start.
 	LinesDropped func() float64
 }
@@ -42,13 +47,15 @@
 		PlacedSeconds: histogram("placed_seconds", "Time from a request's arrival to its first attempt.", "kind", "outcome"),
 		HeadSeconds:   histogram("head_seconds", "Time from a request's arrival to the head of its answer.", "kind", "outcome"),
 		WholeSeconds:  histogram("whole_seconds", "Time from a request's arrival to its end.", "kind", "outcome"),
+		Permits:       counter("permits_total", "Requests for permits to send to targets with a limit.", "result"),
 	}
-	r.MustRegister(d.PlacedSeconds, d.HeadSeconds, d.WholeSeconds,
+	r.MustRegister(d.PlacedSeconds, d.HeadSeconds, d.WholeSeconds, d.Permits,
 		gauge("config_age_seconds", "Time since the configuration was known to be the newest.", s.ConfigAge),
 		gauge("targets_age_seconds", "Time since the targets were known to be the newest.", s.TargetsAge),
 		gauge("client_connections", "Open connections of clients.", s.ClientConns),
 		gauge("target_connections", "Open connections to targets.", s.TargetConns),
 		gauge("quarantined_parts", "Parts of prompts whose requests are refused.", s.QuarantinedParts),
+		gauge("limited_targets", "Targets that name a limit on their requests.", s.LimitedTargets),
 		gauge("memory_peak_bytes", "Largest resident memory of the process so far.", peakMemory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines over the budget or not written.",
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"ragwortpond.example/ragwortpond/relay"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
 const (
@@ -66,6 +67,7 @@
 	n.setStore(cfg.StoreAddr)
 	n.seedAddrs.Store(&cfg.Seeds)
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
+	limits := targetlimit.NewTracker()
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
 	n.relay = relay.New(relay.Config{
 		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(), GuardClose: ingress.GuardClose,
@@ -73,13 +75,16 @@
 		RouterCount:  n.routerCount,
 		OnLoadReport: func(id fleet.TargetID, work int, now time.Time) { n.mesh.ReportLoad(id, work, now) },
 		OnEvidence:   func(e quarantine.Evidence) { n.mesh.PublishEvidence(e) },
-		Metrics:      n.metrics, Latency: latency, Log: log,
+		Limits:       limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
+			return n.mesh.RequestPermit(id, precedence)
+		},
+		Metrics: n.metrics, Latency: latency, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
 	n.mesh, err = mesh.New(mesh.Config{
 		Self: cfg.ID, Domain: cfg.Domain, Addr: cfg.PeerAddr, Strength: cfg.Strength(), Seeds: n.seeds, Directory: n.directory,
-		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, CountBytes: n.countMeshBytes, Log: log,
+		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, Limits: limits, CountBytes: n.countMeshBytes, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -141,6 +146,7 @@
 		ClientConns:      func() float64 { return float64(n.ingress.OpenConns()) },
 		TargetConns:      func() float64 { return float64(n.relay.TargetConns()) },
 		QuarantinedParts: func() float64 { return float64(n.relay.QuarantinedParts()) },
+		LimitedTargets:   func() float64 { return float64(n.relay.LimitedTargets()) },
 		LinesDropped:     func() float64 { return float64(dropped()) },
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -120,12 +120,16 @@
 func (s *requestState) reserveNextAttempt() bool {
 	now := time.Now()
 	targets, mean := s.relay.targetSet(s.relay.cfg.View(), s.service, now)
-	choice := s.choose(targets, mean, &targetSignals{s.relay, now})
+	choice := s.choose(targets, mean, &targetSignals{relay: s.relay, now: now})
 	if choice.Target == nil || choice.Health == targethealth.Avoided {
 		return false
 	}
 	full := choice.Target.Slots > 0 && choice.Load >= float64(choice.Target.Slots)
-	return !full && s.lifecycle.Reserve(now)
+	if full || !s.lifecycle.Reserve(now) || !s.takePermit(choice, targets, now) {
+		return false
+	}
+	s.permit = choice.Target.ID
+	return true
 }
 
 // choose returns the target for the next attempt; mean is the mean load of targets.
@@ -160,14 +164,15 @@
 	}
 	now := time.Now()
 	targets, mean := s.relay.targetSet(view, s.service, now)
-	signals := &targetSignals{s.relay, now}
-	choice := s.choose(targets, mean, signals)
+	signals := &targetSignals{relay: s.relay, now: now}
+	choice := s.choosePermitted(targets, mean, signals)
 	if choice.Target == nil && len(s.abandoned) > 0 {
 		// A target that was abandoned for its silence may answer by now.
 		s.readmitAbandoned()
-		choice = s.choose(targets, mean, signals)
+		choice = s.choosePermitted(targets, mean, signals)
 	}
 	if choice.Target == nil {
+		s.limited = slices.ContainsFunc(targets.Serving(), signals.Limited)
 		return chosenTarget{}, false
 	}
 	chosen := chosenTarget{Target: choice.Target}
@@ -210,7 +215,7 @@
 			return nil
 		}
 		t := targets.Find(id)
-		if t == nil || signals.Health(t) == targethealth.Avoided {
+		if t == nil || signals.Health(t) == targethealth.Avoided || signals.Limited(t) {
 			return nil
 		}
 		return t
@@ -294,6 +299,7 @@
 		return &attemptResult{reason: reason.AnswerTruncated, err: err}
 	}
 	result := &attemptResult{response: response, reply: codec.DecodeResponse(response.Status, response.Header)}
+	s.recordLimit(t.ID, &result.reply)
 	if result.reply.Load != nil {
 		s.relay.recordLoad(t.ID, result.reply.Load)
 	}
--- /dev/null
+++ b/relay/limit.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"ragwortpond.example/ragwortpond/call"
+	"ragwortpond.example/ragwortpond/dispatch"
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/targetlimit"
+)
+
+// maxPermitTime bounds the time that one choice of a target spends on permits. Then only
+// targets without a limit are left.
+const maxPermitTime = 120 * time.Millisecond
+
+// recordLimit records what the response to this request says of its target's limit. A
+// rejection without a limit says nothing: another process may have sent it.
+func (s *requestState) recordLimit(id fleet.TargetID, reply *call.Reply) {
+	if reply.ID != s.call.ID || reply.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	var change targetlimit.Change
+	var changed bool
+	switch {
+	case reply.Limit.State == call.LimitNamed:
+		change, changed = s.relay.limits.RecordNamed(id, reply.Limit.PerSecond, time.Now())
+	case reply.Limit.State == call.LimitNone && reply.Signed:
+		change, changed = s.relay.limits.RecordUnnamed(id, time.Now())
+	}
+	if changed {
+		s.Log(event.TargetLimitChanged).Bool("limited", change.Limited).Float64("per_second", change.PerSecond).Bool("from_peer", false).Send()
+	}
+}
+
+// choosePermitted returns the target for the next attempt, for which a permit has been
+// taken if it names a limit. mean is the mean load of targets.
+func (s *requestState) choosePermitted(targets *dispatch.Candidates, mean float64, signals *targetSignals) dispatch.Choice {
+	defer func() { s.permit = "" }()
+	for {
+		choice := s.choose(targets, mean, signals)
+		if choice.Target == nil || s.takePermit(choice, targets, signals.now) {
+			return choice
+		}
+		signals.withheld = append(signals.withheld, choice.Target.ID)
+		signals.onlyUnlimited = signals.onlyUnlimited || time.Since(signals.now) > maxPermitTime
+	}
+}
+
+// takePermit reports whether the request may be sent to the chosen one of targets.
+func (s *requestState) takePermit(choice dispatch.Choice, targets *dispatch.Candidates, now time.Time) bool {
+	r, id := s.relay, choice.Target.ID
+	if s.permit == id || !r.limits.IsLimited(id, now) {
+		return true
+	}
+	answer := r.requestPermit(id, s.precedence(choice, targets, now))
+	if !answer.Granted {
+		s.Log(event.PermitDenied).Str("limited", string(id)).Bool("holder_answered", answer.Answered).Dur("wait", answer.Wait).Send()
+	}
+	return answer.Granted
+}
+
+// precedence returns the precedence of the request at a target with a limit. As long as
+// others take the excess, requests with most to lose there go first; otherwise those of
+// the target's own keys have equal chances.
+func (s *requestState) precedence(choice dispatch.Choice, targets *dispatch.Candidates, now time.Time) targetlimit.Precedence {
+	switch {
+	case choice.Reason == dispatch.ReasonLimit, choice.Reason == dispatch.ReasonOverflow:
+		return targetlimit.Foreign
+	case len(s.relay.unlimited(targets.Serving(), now)) == 0:
+		return targetlimit.Home
+	}
+	tokens := 0
+	for _, part := range call.SharedParts(s.call.Prompt) {
+		tokens += part.Tokens
+	}
+	return targetlimit.HomePrecedence(tokens)
+}
+
+// requestPermit asks for one send to a target with a limit. While the holder of its
+// permits does not answer, this router sends its own part of the limit.
+func (r *Relay) requestPermit(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
+	if r.cfg.RequestPermit != nil {
+		if answer := r.cfg.RequestPermit(id, precedence); answer.Answered {
+			r.limits.HolderAnswered(id)
+			r.countPermit(answer)
+			return answer
+		}
+	}
+	r.countPermit(targetlimit.Answer{})
+	granted, wait := r.limits.TakeOwnPart(id, 1/float64(r.routerCount()), time.Now())
+	return targetlimit.Answer{Granted: granted, Wait: wait}
+}
+
+func (r *Relay) countPermit(answer targetlimit.Answer) {
+	result := "denied"
+	switch {
+	case !answer.Answered:
+		result = "unanswered"
+	case answer.Granted:
+		result = "granted"
+	}
+	r.cfg.Latency.Permits.WithLabelValues(result).Inc()
+}
+
+// LimitedTargets returns the number of targets that name a limit.
+func (r *Relay) LimitedTargets() int {
+	return r.limits.Limited(time.Now())
+}
+
+// refuseLimited refuses a request that has not run because of the limits of its service's
+// targets.
+func (s *requestState) refuseLimited() {
+	r, now := s.relay, time.Now()
+	perSecond := 0.0
+	for _, t := range r.cfg.View().Targets[s.service] {
+		if report, ok := r.limits.Report(t.ID, now); ok {
+			perSecond += report.PerSecond
+		}
+	}
+	s.refuse(reason.TargetLimit, r.returnPacer(s.service).Next(perSecond/float64(r.routerCount()), now))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targethealth"
+	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
 // HeaderCodec translates between the wire format and package call. It must be safe for
@@ -60,6 +61,12 @@
 	// OnEvidence receives evidence on parts of prompts that is new to this router, to be
 	// sent to other routers at once; it may be nil.
 	OnEvidence func(e quarantine.Evidence)
+	// Limits holds the limits that targets name; nil means that no other router knows
+	// them.
+	Limits *targetlimit.Tracker
+	// RequestPermit asks for one send to a target with a limit; nil means that only this
+	// router's part of the limit is sent.
+	RequestPermit func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer
 	// RetryBudget configures the retry budget of each service.
 	RetryBudget retry.BudgetConfig
 	// RouterCount returns the number of routers that share the retry budget; nil means
@@ -79,6 +86,7 @@
 	loads    *loadTable
 	holders  *dispatch.CacheHolders
 	evidence *quarantine.Tracker
+	limits   *targetlimit.Tracker
 	started  time.Time
 	inFlight atomic.Int64
 	// lastEndUnixNano is the Unix time, in nanoseconds, at which the last request
@@ -93,6 +101,9 @@
 	// shedders holds the load shedders of plain services. Model engines need none:
 	// they queue by priority and report their load.
 	shedders map[fleet.ServiceName]*admission.Shedder
+	// returnPacers holds what tells when requests come back that were refused because
+	// of the limits of a service's targets.
+	returnPacers map[fleet.ServiceName]*admission.ReturnPacer
 	// crashChecks holds the broken attempts at each target whose crash is being checked.
 	crashChecks map[fleet.TargetID][]brokenAttempt
 }
@@ -105,7 +116,11 @@
 	r := &Relay{
 		cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(),
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
-		evidence: quarantine.NewTracker(), crashChecks: map[fleet.TargetID][]brokenAttempt{},
+		evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
+		crashChecks: map[fleet.TargetID][]brokenAttempt{},
+	}
+	if r.limits == nil {
+		r.limits = targetlimit.NewTracker()
 	}
 	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
 	return r
@@ -210,6 +225,7 @@
 	keep := func(id fleet.TargetID) bool { return listed[id] }
 	r.health.Retain(keep)
 	r.loads.prune(keep)
+	r.limits.Retain(keep, now)
 	r.updateRetryBudgets(r.routerCount())
 	r.reportChanges(r.evidence.Sweep(now))
 }
@@ -238,6 +254,18 @@
 	return shedder
 }
 
+// returnPacer returns the return pacer of a service, creating it on first use.
+func (r *Relay) returnPacer(service fleet.ServiceName) *admission.ReturnPacer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pacer := r.returnPacers[service]
+	if pacer == nil {
+		pacer = &admission.ReturnPacer{}
+		r.returnPacers[service] = pacer
+	}
+	return pacer
+}
+
 func (r *Relay) routerCount() int {
 	if r.cfg.RouterCount == nil {
 		return 1
@@ -260,10 +288,11 @@
 	r.loads.mergePeerReport(id, work, at)
 }
 
-// ResetTarget drops health state, idle connections and cache records of a target whose
-// process was restarted.
+// ResetTarget drops health state, idle connections, cache records and the limit of a
+// target whose process was restarted.
 func (r *Relay) ResetTarget(id fleet.TargetID) {
 	r.health.Reset(id)
+	r.limits.Reset(id)
 	r.pool.CloseIdle(id)
 	r.holders.RemoveTarget(id)
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -147,6 +147,8 @@
 		s.forwardFailure()
 	case step.Outcome == outcome.NotDispatched && s.quarantined != nil:
 		s.refuseQuarantined()
+	case step.Outcome == outcome.NotDispatched && s.limited:
+		s.refuseLimited()
 	case step.Outcome == outcome.NotDispatched:
 		s.refuseWithStatus(http.StatusServiceUnavailable, code, overloadRetryAfter)
 	default:
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -101,7 +101,12 @@
 	attempts     int
 	// quarantined is set once a quarantined part was found in the prompt.
 	quarantined *quarantinedPart
-	target      *catalog.Target
+	// limited is set once no target was left because of the limits that targets name.
+	limited bool
+	// permit is the target for which a permit was taken while the attempt before was in
+	// progress; empty if there is none.
+	permit fleet.TargetID
+	target *catalog.Target
 	// timeToTarget is the time from arrival to the choice of the first target,
 	// timeToHead that to sending the response head; zero if not reached.
 	timeToTarget, timeToHead time.Duration
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -28,8 +29,31 @@
 	meanUpdatedAt time.Time
 }
 
+// unlimited returns the targets that name no limit.
+func (r *Relay) unlimited(targets []*catalog.Target, now time.Time) []*catalog.Target {
+	if r.limits.Limited(now) == 0 {
+		return targets
+	}
+	var list []*catalog.Target
+	for _, t := range targets {
+		if !r.limits.IsLimited(t.ID, now) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// meanLoad returns the mean load of the targets that name no limit, or of all if there are
+// none. With the load of the others, which is low, these would seem overloaded.
+func (r *Relay) meanLoad(targets []*catalog.Target, now time.Time) float64 {
+	if unlimited := r.unlimited(targets, now); len(unlimited) > 0 {
+		targets = unlimited
+	}
+	return r.loads.mean(targets, now)
+}
+
 // targetSet returns the targets of a service, indexed for choices, and the mean
-// load of those that take requests.
+// load of those that take requests and name no limit.
 func (r *Relay) targetSet(view *catalog.View, service fleet.ServiceName, now time.Time) (*dispatch.Candidates, float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -43,7 +67,7 @@
 	}
 	targets := set.Serving()
 	if now.Sub(set.meanUpdatedAt) >= meanIntervalPerTarget*time.Duration(len(targets)) {
-		set.mean, set.meanUpdatedAt = r.loads.mean(targets, now), now
+		set.mean, set.meanUpdatedAt = r.meanLoad(targets, now), now
 	}
 	return set.Candidates, set.mean
 }
@@ -53,6 +77,10 @@
 type targetSignals struct {
 	relay *Relay
 	now   time.Time
+	// withheld holds the targets for which a permit was denied. onlyUnlimited withholds
+	// all targets that name a limit.
+	withheld      []fleet.TargetID
+	onlyUnlimited bool
 }
 
 // Load implements dispatch.TargetState.
@@ -64,3 +92,13 @@
 func (s *targetSignals) Health(t *catalog.Target) targethealth.Health {
 	return s.relay.health.State(t.ID, t.Domain, s.now)
 }
+
+// Limited implements dispatch.TargetState.
+func (s *targetSignals) Limited(t *catalog.Target) bool {
+	return s.relay.limits.IsLimited(t.ID, s.now)
+}
+
+// Withheld implements dispatch.TargetState.
+func (s *targetSignals) Withheld(t *catalog.Target) bool {
+	return slices.Contains(s.withheld, t.ID) || (s.onlyUnlimited && s.Limited(t))
+}
