mesh: Run returns only after the close of its socket has ended

Cause: the function that closes the socket at the end of the context runs in a goroutine of its own. If it has begun, the second Close in Run returns at once with an error, while the first one still holds the descriptor; Run did not wait for it. Ruled out: another user of the port (it lies outside the range of ephemeral ports), the senders (Run waits for them).

Change: Run waits until that Close has returned.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -260,14 +260,17 @@
 // the socket.
 func (m *Mesh) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		_ = m.conn.Close()
+		close(closed)
+	})
 	var senders sync.WaitGroup
-	// The loop may return on a datagram received after the end of ctx, before the
-	// function above has run. The socket is closed only when no sender uses it.
+	// The loop may return on a datagram received after the end of ctx. The socket is
+	// closed only when Close has returned and no sender uses it.
 	defer func() {
 		cancel()
-		_ = m.conn.Close()
+		<-closed
 		senders.Wait()
 	}()
 	senders.Go(func() { m.runTicker(ctx) })
