node: failing test of a repeated request that crashes its targets, known red

The fleet of routers and restarting targets is shared with the test of prompt parts, and a stand-in target without events crashes before the head of its response.

--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -71,22 +71,31 @@
 	t.Helper()
 	f := &crashFleet{position: position, client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
+	f.targets, f.routers = startReplicas(t, crashRouters, crashTargets, crashConfig(), func(id string) *standin.Target {
+		return &standin.Target{
+			ID: id, Service: "s", Zone: "d", Events: 3, EventInterval: 5 * time.Millisecond,
+			CrashOn: func(r *http.Request) bool { return standin.HasSharedPart(r, crashPart) },
+		}
+	})
+	return f
+}
+
+// startReplicas starts routers that know each other before targets that start again after a
+// crash. newTarget returns the target with an ID.
+func startReplicas(t *testing.T, routers, targets int, config map[string]any, newTarget func(id string) *standin.Target) ([]*standin.Replica, []*fixture) {
+	t.Helper()
 	store, err := standin.StartStore("")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
-	store.Put(platform.KindConfig, platform.ConfigName, crashConfig())
-	for i := range crashTargets {
+	store.Put(platform.KindConfig, platform.ConfigName, config)
+	var replicas []*standin.Replica
+	for i := range targets {
 		replica := &standin.Replica{
 			Store: store, Kind: platform.KindTargets, EntryLifetime: crashEntryLifetime, RestartAfter: crashRestartAfter,
 			OnError: func(err error) { t.Error(err) },
-			New: func(n int) *standin.Target {
-				return &standin.Target{
-					ID: fmt.Sprintf("t%d-%d", i, n), Service: "s", Zone: "d", Events: 3, EventInterval: 5 * time.Millisecond,
-					CrashOn: func(r *http.Request) bool { return standin.HasSharedPart(r, crashPart) },
-				}
-			},
+			New:     func(n int) *standin.Target { return newTarget(fmt.Sprintf("t%d-%d", i, n)) },
 		}
 		// The port is outside the range from which the kernel takes ports for
 		// connections, so it stays free until the next target starts there.
@@ -94,13 +103,14 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(replica.Close)
-		f.targets = append(f.targets, replica)
+		replicas = append(replicas, replica)
 	}
 	var addresses, seeds []string
-	for range crashRouters {
+	for range routers {
 		address := nextAddress()
 		addresses, seeds = append(addresses, address), append(seeds, address+":18003")
 	}
+	var fixtures []*fixture
 	for i, address := range addresses {
 		r := &fixture{store: store, done: make(chan error, 1)}
 		r.cfg = settings.NodeFile{
@@ -109,13 +119,13 @@
 			RetryBudget: settings.RetryBudget{Ratio: 0.2, Extra: 50, WindowSeconds: 10},
 		}
 		r.start(t)
-		f.routers = append(f.routers, r)
+		fixtures = append(fixtures, r)
 	}
-	for _, r := range f.routers {
-		await.Until(t, "the routers to know each other", func() bool { return r.node.mesh.FleetSize() == crashRouters })
-		await.Until(t, "all targets", func() bool { return len(r.node.directory.View().Targets["s"]) == crashTargets })
+	for _, r := range fixtures {
+		await.Until(t, "the routers to know each other", func() bool { return r.node.mesh.FleetSize() == routers })
+		await.Until(t, "all targets", func() bool { return len(r.node.directory.View().Targets["s"]) == targets })
 	}
-	return f
+	return replicas, fixtures
 }
 
 // sharedParts returns the shared parts of sound request n: the system prompt and
--- /dev/null
+++ b/node/request_crash_test.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/platform/standin"
+)
+
+// Bounds on a request that crashes targets, and sizes of the fleet.
+const (
+	requestCrashesBeforeWindow = 3
+	maxRepeatsAfter            = 3
+	requestCrashRouters        = 6
+	requestCrashTargets        = 5
+	// repeatInterval is the time between two repeats of the request.
+	repeatInterval = 220 * time.Millisecond
+	// repeatPeriod is how long it is repeated.
+	repeatPeriod = 14 * time.Second
+	crashPath    = "/p/bad"
+)
+
+// requestCrashFleet is a fleet of routers before targets that crash on crashPath.
+type requestCrashFleet struct {
+	targets []*standin.Replica
+	routers []*fixture
+	client  *http.Client
+	sent    atomic.Int64
+}
+
+func requestCrashConfig(routeType string) map[string]any {
+	return map[string]any{
+		"Version":  1,
+		"Routes":   []any{map[string]any{"Name": "r", "Host": "h", "PathPrefix": "/p/", "RouteType": routeType, "MaxAttempts": 2, "Service": "s", "TimeoutMs": 2000, "TargetLatencyMs": 300}},
+		"Services": []any{map[string]any{"Name": "s"}},
+		"Tenants":  []any{map[string]any{"Name": "x", "ApiKeys": []string{"key-x"}}, map[string]any{"Name": "y", "ApiKeys": []string{"key-y"}}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1000, "IdleTimeoutMs": 300},
+	}
+}
+
+func startRequestCrashFleet(t *testing.T, routeType string) *requestCrashFleet {
+	t.Helper()
+	f := &requestCrashFleet{client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	f.targets, f.routers = startReplicas(t, requestCrashRouters, requestCrashTargets, requestCrashConfig(routeType), func(id string) *standin.Target {
+		return &standin.Target{
+			ID: id, Service: "s", Zone: "d", RunTime: 20 * time.Millisecond,
+			CrashOn: func(r *http.Request) bool { return r.URL.Path == crashPath },
+		}
+	})
+	return f
+}
+
+// send sends a request under a new ID and returns the status of the response, or zero.
+func (f *requestCrashFleet) send(router int, kind, key, path, body string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.routers[router%len(f.routers)].cfg.ClientAddr+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	r.Host = "h"
+	standin.SetRequestHeaders(r, fmt.Sprint(kind, f.sent.Add(1)), key, requestTimeout, 0)
+	response, err := f.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// repeat sends the crashing request to all routers in turn until ctx ends.
+func (f *requestCrashFleet) repeat(ctx context.Context) {
+	var all sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		all.Go(func() { f.send(n, "bad-", "key-x", crashPath, "order") })
+		pause(ctx, repeatInterval)
+	}
+	all.Wait()
+}
+
+// sound sends requests that differ from the crashing one in one respect each, and one that
+// is repeated word for word, until ctx ends. It returns how many of them were served.
+func (f *requestCrashFleet) sound(ctx context.Context) (sent, served int) {
+	var count [2]atomic.Int64
+	var all sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		key, path, body := "key-x", crashPath[:len(crashPath)-1]+"t", "order"
+		switch n % 3 {
+		case 1:
+			path = fmt.Sprint("/p/item/", n)
+		case 2:
+			key, path = "key-y", fmt.Sprint("/p/bad/", n)
+		}
+		all.Go(func() {
+			count[0].Add(1)
+			if f.send(n, "sound-", key, path, body) == http.StatusOK {
+				count[1].Add(1)
+			}
+		})
+		pause(ctx, soundInterval)
+	}
+	all.Wait()
+	return int(count[0].Load()), int(count[1].Load())
+}
+
+func (f *requestCrashFleet) crashes() []time.Time {
+	var all []time.Time
+	for _, r := range f.targets {
+		all = append(all, r.Crashes()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// lateRepeats returns the number of repeats of the crashing request that reached targets
+// later than after.
+func (f *requestCrashFleet) lateRepeats(after time.Time) int {
+	repeats := map[string]bool{}
+	for _, r := range f.targets {
+		for _, a := range r.Arrivals() {
+			if strings.HasPrefix(a.Request, "bad-") && a.At.After(after) {
+				repeats[a.Request] = true
+			}
+		}
+	}
+	return len(repeats)
+}
+
+// TestRepeatedRequestThatCrashesTargetsIsQuarantined guards against a request whose repeats crash target after target.
+func TestRepeatedRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	for _, routeType := range []string{"idempotent", "non_idempotent"} {
+		t.Run(routeType, func(t *testing.T) {
+			t.Parallel()
+			f := startRequestCrashFleet(t, routeType)
+			ctx, cancel := context.WithTimeout(t.Context(), repeatPeriod)
+			defer cancel()
+			var traffic sync.WaitGroup
+			traffic.Go(func() { f.repeat(ctx) })
+			await.Until(t, "the third crash", func() bool { return len(f.crashes()) >= requestCrashesBeforeWindow })
+			bounded := f.crashes()[requestCrashesBeforeWindow-1].Add(stabilityWindow)
+			disturbed, stop := context.WithDeadline(ctx, bounded.Add(stabilityWindow))
+			f.sound(disturbed)
+			stop()
+			sent, served := f.sound(ctx)
+			traffic.Wait()
+			t.Logf("%d crashes, %d repeats later than %v after the third; then %d of %d sound requests served", len(f.crashes()), f.lateRepeats(bounded), stabilityWindow, served, sent)
+			if got := f.lateRepeats(bounded); got > maxRepeatsAfter {
+				t.Errorf("got %d repeats at targets later than %v after the third crash, want at most %d", got, stabilityWindow, maxRepeatsAfter)
+			}
+			if sent == 0 || 10*served < 9*sent {
+				t.Errorf("two windows after the third crash: got %d of %d sound requests served, want at least 9 of 10", served, sent)
+			}
+		})
+	}
+}
