quarantine, relay: requests are held against crashes as well as prompt parts

Ruled out as the cause: retries within a request; a route that runs requests once did the same.

Change: the request itself, by a digest keyed with the client's key, is one more thing that a crash is held against, in the same tracker, exchange and verdicts. Three crashes in two incidents are enough without a known success. Bystanders of a crash that a quarantined request or part explains no longer count, a part needs crashes under two requests, and a request that another one accompanied at all of its crashes waits for more.

Why it works: the third crash decides at the router that sees it, within 0.1 s, and the verdict reaches the others with the next datagram; refusals and the end of retries are those of prompt parts.

--- a/mesh/evidence_test.go
+++ b/mesh/evidence_test.go
@@ -38,11 +38,11 @@
 
 // crash records a crash under crashingPrompt, by its time, and publishes it.
 func (r *testRouter) crash(target fleet.TargetID, at time.Time) {
-	r.mesh.PublishEvidence(r.evidence.tracker.RecordCrash(crashingPrompt(), target, at, time.Now()).News)
+	r.mesh.PublishEvidence(r.evidence.tracker.RecordCrash(quarantine.Request{Prompt: crashingPrompt()}, target, at, time.Now()).News)
 }
 
 func (r *testRouter) blocks(part uint64) bool {
-	_, _, ok := r.evidence.tracker.Blocked([]call.Part{{ID: part}, {ID: 4}}, time.Now())
+	_, _, ok := r.evidence.tracker.Blocked(quarantine.Request{Prompt: []call.Part{{ID: part}, {ID: 4}}}, time.Now())
 	return ok
 }
 
@@ -72,7 +72,7 @@
 			t.Errorf("router %d quarantines the sound part", i)
 		}
 	}
-	routers[4].mesh.PublishEvidence(routers[4].evidence.tracker.RecordSuccess(crashingPrompt(), time.Now()).News)
+	routers[4].mesh.PublishEvidence(routers[4].evidence.tracker.RecordSuccess(quarantine.Request{Prompt: crashingPrompt()}, time.Now()).News)
 	for i, r := range routers {
 		await.Until(t, fmt.Sprint("the end of the verdict at router ", i), func() bool { return !r.blocks(culprit) })
 	}
@@ -107,7 +107,7 @@
 		}
 		for i := range 3 {
 			at := now.Add(time.Duration(i-3) * time.Second)
-			spread(trackers[100*i].RecordCrash(crashingPrompt(), fleet.TargetID(fmt.Sprint("t", i)), at, now).News)
+			spread(trackers[100*i].RecordCrash(quarantine.Request{Prompt: crashingPrompt()}, fleet.TargetID(fmt.Sprint("t", i)), at, now).News)
 		}
 		pushed := sent
 		for range ticks {
@@ -221,7 +221,7 @@
 	tracker := quarantine.NewTracker()
 	now := time.Now()
 	for i := range uint64(100) {
-		tracker.RecordCrash([]call.Part{{ID: 1<<60 + i}, {ID: 1 << 61}, {ID: 3}}, fleet.TargetID(fmt.Sprint("t", i)), now, now)
+		tracker.RecordCrash(quarantine.Request{Prompt: []call.Part{{ID: 1<<60 + i}, {ID: 1 << 61}, {ID: 3}}}, fleet.TargetID(fmt.Sprint("t", i)), now, now)
 	}
 	m := &Mesh{cfg: Config{Evidence: &testEvidence{tracker}}}
 	for range 100 {
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -32,7 +32,8 @@
 	ConfigAge, TargetsAge func() float64
 	// ClientConns and TargetConns return the numbers of open connections.
 	ClientConns, TargetConns func() float64
-	// QuarantinedParts returns the number of parts of prompts that are quarantined.
+	// QuarantinedParts returns the number of parts of prompts and of requests that are
+	// quarantined.
 	QuarantinedParts func() float64
 	// LimitedTargets returns the number of targets that name a limit on their requests.
 	LimitedTargets func() float64
@@ -54,7 +55,7 @@
 		gauge("targets_age_seconds", "Time since the targets were known to be the newest.", s.TargetsAge),
 		gauge("client_connections", "Open connections of clients.", s.ClientConns),
 		gauge("target_connections", "Open connections to targets.", s.TargetConns),
-		gauge("quarantined_parts", "Parts of prompts whose requests are refused.", s.QuarantinedParts),
+		gauge("quarantined_parts", "Requests, and parts of prompts, that are refused.", s.QuarantinedParts),
 		gauge("limited_targets", "Targets that name a limit on their requests.", s.LimitedTargets),
 		gauge("memory_peak_bytes", "Largest resident memory of the process so far.", peakMemory),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/node/request_crash_test.go
+++ b/node/request_crash_test.go
@@ -21,11 +21,8 @@
 	requestCrashesBeforeWindow = 3
 	maxRepeatsAfter            = 3
 	requestCrashRouters        = 6
-	requestCrashTargets        = 5
-	// repeatInterval is the time between two repeats of the request.
-	repeatInterval = 220 * time.Millisecond
 	// repeatPeriod is how long it is repeated.
-	repeatPeriod = 14 * time.Second
+	repeatPeriod = 10 * time.Second
 	crashPath    = "/p/bad"
 )
 
@@ -47,13 +44,13 @@
 	}
 }
 
-func startRequestCrashFleet(t *testing.T, routeType string) *requestCrashFleet {
+func startRequestCrashFleet(t *testing.T, routeType string, targets int, runTime, restartAfter time.Duration) *requestCrashFleet {
 	t.Helper()
 	f := &requestCrashFleet{client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
-	f.targets, f.routers = startReplicas(t, requestCrashRouters, requestCrashTargets, requestCrashConfig(routeType), func(id string) *standin.Target {
+	f.targets, f.routers = startReplicas(t, requestCrashRouters, targets, restartAfter, requestCrashConfig(routeType), func(id string) *standin.Target {
 		return &standin.Target{
-			ID: id, Service: "s", Zone: "d", RunTime: 20 * time.Millisecond,
+			ID: id, Service: "s", Zone: "d", RunTime: runTime,
 			CrashOn: func(r *http.Request) bool { return r.URL.Path == crashPath },
 		}
 	})
@@ -81,12 +78,12 @@
 	return response.StatusCode
 }
 
-// repeat sends the crashing request to all routers in turn until ctx ends.
-func (f *requestCrashFleet) repeat(ctx context.Context) {
+// repeat sends the crashing request to all routers in turn, one each interval, until ctx ends.
+func (f *requestCrashFleet) repeat(ctx context.Context, interval time.Duration) {
 	var all sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		all.Go(func() { f.send(n, "bad-", "key-x", crashPath, "order") })
-		pause(ctx, repeatInterval)
+		pause(ctx, interval)
 	}
 	all.Wait()
 }
@@ -141,14 +138,25 @@
 
 // TestRepeatedRequestThatCrashesTargetsIsQuarantined guards against a request whose repeats crash target after target.
 func TestRepeatedRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
-	for _, routeType := range []string{"idempotent", "non_idempotent"} {
-		t.Run(routeType, func(t *testing.T) {
+	for _, test := range []struct {
+		routeType    string
+		targets      int
+		runTime      time.Duration
+		restartAfter time.Duration
+		interval     time.Duration
+	}{
+		{"idempotent", 5, 20 * time.Millisecond, crashRestartAfter, 220 * time.Millisecond},
+		{"non_idempotent", 5, 20 * time.Millisecond, crashRestartAfter, 220 * time.Millisecond},
+		// All targets crash within a moment and are back at once, after the bound.
+		{"idempotent", 3, 100 * time.Millisecond, stabilityWindow + 500*time.Millisecond, 60 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%s before %d targets", test.routeType, test.targets), func(t *testing.T) {
 			t.Parallel()
-			f := startRequestCrashFleet(t, routeType)
+			f := startRequestCrashFleet(t, test.routeType, test.targets, test.runTime, test.restartAfter)
 			ctx, cancel := context.WithTimeout(t.Context(), repeatPeriod)
 			defer cancel()
 			var traffic sync.WaitGroup
-			traffic.Go(func() { f.repeat(ctx) })
+			traffic.Go(func() { f.repeat(ctx, test.interval) })
 			await.Until(t, "the third crash", func() bool { return len(f.crashes()) >= requestCrashesBeforeWindow })
 			bounded := f.crashes()[requestCrashesBeforeWindow-1].Add(stabilityWindow)
 			disturbed, stop := context.WithDeadline(ctx, bounded.Add(stabilityWindow))
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -11,6 +11,12 @@
 	Crashes  []Crash   `cbor:"1,keyasint,omitempty"`
 	Clears   []Clear   `cbor:"2,keyasint,omitempty"`
 	Verdicts []Verdict `cbor:"3,keyasint,omitempty"`
+	// CrashRequests holds the digest of the request of each crash, in the order of
+	// Crashes; zero if it is not known. Routers that know only prompts send none.
+	CrashRequests []uint64 `cbor:"5,keyasint,omitempty"`
+	// CrashRunsMS holds the time from the start of the attempt to each crash, in
+	// milliseconds and one more; zero if it is not known.
+	CrashRunsMS []uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Crash is an attempt that ended because its target crashed.
@@ -23,14 +29,14 @@
 	Parts []uint64
 }
 
-// Clear is the last known success with a part.
+// Clear is the last known success with a part or request.
 type Clear struct {
 	_     struct{} `cbor:",toarray"`
 	Part  uint64
 	AgeMS uint32
 }
 
-// Verdict tells that a part is quarantined.
+// Verdict tells that a part or request is quarantined.
 type Verdict struct {
 	_    struct{} `cbor:",toarray"`
 	Part uint64
@@ -41,11 +47,12 @@
 	Incidents uint8
 }
 
-// Upper bounds of the CBOR encoding in bytes: a part takes up to 9 bytes, a target or an
-// age up to 5, the head of a list 1 to 3.
+// Upper bounds of the CBOR encoding in bytes: a part or digest takes up to 9 bytes, a
+// target or an age up to 5, the head of a list 1 to 3. A crash includes the digest of its
+// request and the duration of the attempt.
 const (
-	evidenceBytes  = 13
-	crashBytes     = 13
+	evidenceBytes  = 21
+	crashBytes     = 27
 	crashPartBytes = 9
 	clearBytes     = 15
 	verdictBytes   = 22
@@ -70,11 +77,43 @@
 }
 
 func (e *Evidence) add(other Evidence) {
-	e.Crashes = append(e.Crashes, other.Crashes...)
+	for i, c := range other.Crashes {
+		e.addCrash(c, other.request(i), other.runMS(i))
+	}
 	e.Clears = append(e.Clears, other.Clears...)
 	e.Verdicts = append(e.Verdicts, other.Verdicts...)
 }
 
+// addCrash adds a crash with the digest of its request and the duration of its attempt, each
+// or zero.
+func (e *Evidence) addCrash(c Crash, request uint64, runMS uint32) {
+	for len(e.CrashRequests) < len(e.Crashes) {
+		e.CrashRequests = append(e.CrashRequests, 0)
+	}
+	for len(e.CrashRunsMS) < len(e.Crashes) {
+		e.CrashRunsMS = append(e.CrashRunsMS, 0)
+	}
+	e.Crashes = append(e.Crashes, c)
+	e.CrashRequests = append(e.CrashRequests, request)
+	e.CrashRunsMS = append(e.CrashRunsMS, runMS)
+}
+
+// request returns the digest of the request of crash i, or zero.
+func (e *Evidence) request(i int) uint64 {
+	if i >= len(e.CrashRequests) {
+		return 0
+	}
+	return e.CrashRequests[i]
+}
+
+// runMS returns the duration of the attempt of crash i, or zero.
+func (e *Evidence) runMS(i int) uint32 {
+	if i >= len(e.CrashRunsMS) {
+		return 0
+	}
+	return e.CrashRunsMS[i]
+}
+
 // Split divides the evidence so that no piece is encoded in more than maxBytes, unless it
 // holds a single crash. Verdicts come first.
 func (e Evidence) Split(maxBytes int) []Evidence {
@@ -90,9 +129,9 @@
 		makeRoom(verdictBytes)
 		current.Verdicts = append(current.Verdicts, v)
 	}
-	for _, c := range e.Crashes {
+	for i, c := range e.Crashes {
 		makeRoom(c.size())
-		current.Crashes = append(current.Crashes, c)
+		current.addCrash(c, e.request(i), e.runMS(i))
 	}
 	for _, c := range e.Clears {
 		makeRoom(clearBytes)
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -83,7 +83,7 @@
 
 // reportCrash adds a crash and the last successes with its parts.
 func (t *Tracker) reportCrash(e *Evidence, c crash, now time.Time) {
-	e.Crashes = append(e.Crashes, Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.parts})
+	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.request, c.runMS())
 	for _, part := range c.parts {
 		if success, ok := t.successes[part]; ok {
 			e.addClear(newClear(part, success, now))
@@ -91,9 +91,38 @@
 	}
 }
 
+// sharedParts returns the parts of the prompt of a crash.
+func (c *crash) sharedParts() []uint64 {
+	if c.request == 0 {
+		return c.parts
+	}
+	return c.parts[:len(c.parts)-1]
+}
+
+// runMS returns the duration of the attempt for other routers, see Evidence.CrashRunsMS.
+func (c *crash) runMS() uint32 {
+	if c.started.IsZero() {
+		return 0
+	}
+	return max(ageMS(c.started, c.at)+1, 1)
+}
+
+// newCrash returns the crash that another router reported with the digest of its request
+// and the duration of its attempt.
+func newCrash(c Crash, request uint64, runMS uint32, now time.Time) crash {
+	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: request}
+	if request != 0 {
+		merged.parts = slices.Concat(c.Parts, []uint64{request})
+	}
+	if runMS > 0 {
+		merged.started = timeOf(runMS-1, merged.at)
+	}
+	return merged
+}
+
 // exportSize returns an upper bound of the bytes that reportCrash adds.
 func (t *Tracker) exportSize(c crash) int {
-	size := crashBytes + crashPartBytes*len(c.parts)
+	size := crashBytes + crashPartBytes*len(c.sharedParts())
 	for _, part := range c.parts {
 		if _, ok := t.successes[part]; ok {
 			size += clearBytes
@@ -146,8 +175,8 @@
 	defer t.mu.Unlock()
 	var changes Changes
 	var added []crash
-	for _, c := range e.Crashes[:min(len(e.Crashes), maxMergedCrashes)] {
-		merged := crash{c.TargetHash, timeOf(c.AgeMS, now), c.Parts}
+	for i, c := range e.Crashes[:min(len(e.Crashes), maxMergedCrashes)] {
+		merged := newCrash(c, e.request(i), e.runMS(i), now)
 		if len(c.Parts) <= maxParts && now.Sub(merged.at) < crashLifetime-expiryMargin && t.addCrash(merged, now) {
 			added = append(added, merged)
 		}
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -113,7 +113,7 @@
 // culprit crashes the target, which ends the bystanders' attempts there too.
 func (f *modelFleet) request(router int, p []call.Part, bystanders ...[]call.Part) bool {
 	now := f.clock(router)
-	if _, _, blocked := f.trackers[router].Blocked(p, now); blocked {
+	if _, _, blocked := f.trackers[router].Blocked(Request{Prompt: p}, now); blocked {
 		return false
 	}
 	culprit := false
@@ -121,16 +121,16 @@
 		culprit = culprit || part.ID == f.culprit
 	}
 	if !culprit {
-		f.spread(router, f.trackers[router].RecordSuccess(p, now).News)
+		f.spread(router, f.trackers[router].RecordSuccess(Request{Prompt: p}, now).News)
 		return true
 	}
 	f.targets++
 	f.crashes = append(f.crashes, f.now)
 	target := fleet.TargetID(fmt.Sprint("t", f.targets))
-	f.spread(router, f.trackers[router].RecordCrash(p, target, now, now).News)
+	f.spread(router, f.trackers[router].RecordCrash(Request{Prompt: p}, target, now, now).News)
 	for _, bystander := range bystanders {
 		other := rapid.IntRange(0, len(f.trackers)-1).Draw(f.r, "bystander's router")
-		f.spread(other, f.trackers[other].RecordCrash(bystander, target, f.clock(other), f.clock(other)).News)
+		f.spread(other, f.trackers[other].RecordCrash(Request{Prompt: bystander}, target, f.clock(other), f.clock(other)).News)
 	}
 	return true
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,7 @@
-// Package quarantine finds the parts of prompts that crash targets. It counts the
-// crashes of targets under each part since the last success with that part, on this
-// router and on the others with which it exchanges evidence, and gives a verdict on a
-// part under which targets crash again and again.
+// Package quarantine finds the requests and the parts of prompts that crash targets. It
+// counts the crashes of targets under each of them since its last success, on this
+// router and on the others with which it exchanges evidence, and gives a verdict on one
+// under which targets crash again and again.
 //
 // The package does no I/O; the current time is a parameter. A Tracker is safe for
 // concurrent use. The last part of a prompt belongs to one request alone and is never
@@ -22,6 +22,10 @@
 // under them.
 const ClearingEvents = 4
 
+// SettleTime is the time from a crash until the reports of all routers on it have arrived.
+// Sweep should be called then.
+const SettleTime = 250 * time.Millisecond
+
 // Rules of the verdicts.
 const (
 	// minIncidents is the number of incidents since the last success with a part from
@@ -34,9 +38,21 @@
 	// success from which it is quarantined, even if they did so in one incident: a
 	// sound part whose requests are at so many targets has succeeded before.
 	minTargets = 5
+	// minRequests is the number of different requests with a part under which targets
+	// must have crashed, since otherwise the request itself may be the cause.
+	minRequests = 2
+	// minRequestCrashes and minRequestIncidents are the crashes under a request without
+	// a known success, and the incidents among them, from which it is quarantined. With
+	// minAmbiguousCrashes this is so even if another request was at all of its crashes.
+	minRequestCrashes   = 3
+	minRequestIncidents = 2
+	minAmbiguousCrashes = 5
 	// Crashes within incidentWindow are one incident, because a common cause, such as
-	// the loss of a rack, ends several targets at once.
+	// the loss of a rack, ends several targets at once. If a request was sent to a target
+	// after the first of them, its crash has another cause; startTolerance allows for times
+	// in whole milliseconds.
 	incidentWindow = 250 * time.Millisecond
+	startTolerance = 5 * time.Millisecond
 	// Crashes of the same target within targetWindow are one incident. A target takes
 	// longer to restart.
 	targetWindow = time.Second
@@ -71,18 +87,47 @@
 	// known crash, whose crash may be in transit.
 	maxForeignSuccesses = 256
 	maxVerdicts         = 64
-	// maxSeen is the number of parts with a recent success of this router after which
-	// the older half of them is forgotten.
+	// maxSeen is the number of parts, and of requests, with a recent success of this
+	// router after which the older half of them is forgotten.
 	maxSeen = 2048
 )
 
+// Request is what an attempt asked of its target.
+type Request struct {
+	Prompt []call.Part
+	// Digest stands for the request as a whole, see NewDigest; zero if it is not known.
+	Digest uint64
+	// StartedAt is when the attempt was sent to its target; zero if that is not known.
+	// Only crashes need it.
+	StartedAt time.Time
+}
+
+// subjects returns what a crash under the request may be held against: the last maxParts
+// shared parts of its prompt in order, and then its digest if that is known.
+func (r *Request) subjects() []uint64 {
+	shared := call.SharedParts(r.Prompt)
+	shared = shared[max(len(shared)-maxParts, 0):]
+	list := make([]uint64, 0, len(shared)+1)
+	for _, p := range shared {
+		list = append(list, p.ID)
+	}
+	if r.Digest != 0 {
+		list = append(list, r.Digest)
+	}
+	return list
+}
+
 // crash is an attempt that ended because its target crashed.
 type crash struct {
 	// target is the hash of the target's ID.
 	target uint32
 	at     time.Time
-	// parts are the shared parts of the prompt in order.
-	parts []uint64
+	// parts are the subjects of the request, and request is the last of them if that is
+	// its digest, or zero.
+	parts   []uint64
+	request uint64
+	// started is when the attempt was sent to the target; zero if that is not known.
+	started time.Time
 }
 
 // verdict is the verdict on a quarantined part.
@@ -109,9 +154,11 @@
 	return !success.Before(v.since) || v.incidents < minProvenIncidents
 }
 
-// Decision tells that a part was quarantined and by what.
+// Decision tells that a part or a request was quarantined and by what.
 type Decision struct {
 	Part uint64
+	// Request means that it is a request, as far as this router knows.
+	Request bool
 	// Incidents and Crashes count what the verdict rests on; zero if another router gave
 	// it. Since is the time of the first of these crashes.
 	Incidents, Crashes int
@@ -133,7 +180,7 @@
 	CauseReplaced Cause = "replaced"
 )
 
-// Lift tells that the verdict on a part ended.
+// Lift tells that the verdict on a part or a request ended.
 type Lift struct {
 	Part  uint64
 	Cause Cause
@@ -172,9 +219,8 @@
 	// there only if another router told of them.
 	successes map[uint64]time.Time
 	verdicts  map[uint64]*verdict
-	// seen and seenBefore hold the last success of this router with any part, the newer
-	// and the older half.
-	seen, seenBefore map[uint64]time.Time
+	// seenParts and seenRequests hold the last successes of this router.
+	seenParts, seenRequests recentSuccesses
 	// exports counts the calls of Export, which takes up the list of evidence that
 	// does not fit at another place each time.
 	exports int
@@ -182,38 +228,32 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: map[uint64]time.Time{}, successes: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}, seen: map[uint64]time.Time{}}
-}
-
-// consideredParts returns the last maxParts of the parts of a prompt that other requests
-// may share.
-func consideredParts(prompt []call.Part) []call.Part {
-	shared := call.SharedParts(prompt)
-	return shared[max(len(shared)-maxParts, 0):]
+	return &Tracker{suspects: map[uint64]time.Time{}, successes: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}}
 }
 
-// Blocked returns the first quarantined part of a prompt and the time for which its
-// verdict lasts, or false if there is none.
-func (t *Tracker) Blocked(prompt []call.Part, now time.Time) (part uint64, remaining time.Duration, ok bool) {
+// Blocked returns the first quarantined part of a request's prompt, or its digest if the
+// request itself is quarantined, and the time for which the verdict lasts, or false if
+// there is none.
+func (t *Tracker) Blocked(r Request, now time.Time) (part uint64, remaining time.Duration, ok bool) {
 	if t.blocked.Load() == 0 {
 		return 0, 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range consideredParts(prompt) {
-		if v := t.verdicts[p.ID]; v != nil && now.Before(v.expiresAt()) {
-			return p.ID, v.expiresAt().Sub(now), true
+	for _, subject := range r.subjects() {
+		if v := t.verdicts[subject]; v != nil && now.Before(v.expiresAt()) {
+			return subject, v.expiresAt().Sub(now), true
 		}
 	}
 	return 0, 0, false
 }
 
-// QuarantinedParts returns the number of quarantined parts.
+// QuarantinedParts returns the number of quarantined parts and requests.
 func (t *Tracker) QuarantinedParts() int {
 	return int(t.blocked.Load())
 }
 
-// RecordRefusal records that a request with a quarantined part was refused.
+// RecordRefusal records that a request was refused for a quarantined part or digest.
 func (t *Tracker) RecordRefusal(part uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -224,12 +264,8 @@
 
 // RecordCrash records an attempt that ended at time at because its target crashed before
 // it had written ClearingEvents events.
-func (t *Tracker) RecordCrash(prompt []call.Part, target fleet.TargetID, at, now time.Time) Changes {
-	shared := consideredParts(prompt)
-	c := crash{target: targetHash(target), at: at, parts: make([]uint64, 0, len(shared))}
-	for _, p := range shared {
-		c.parts = append(c.parts, p.ID)
-	}
+func (t *Tracker) RecordCrash(r Request, target fleet.TargetID, at, now time.Time) Changes {
+	c := crash{target: targetHash(target), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
@@ -241,16 +277,20 @@
 	return changes
 }
 
-// RecordSuccess records a complete answer to a prompt, or a stream that has reached
+// RecordSuccess records a complete answer to a request, or a stream that has reached
 // ClearingEvents events.
-func (t *Tracker) RecordSuccess(prompt []call.Part, now time.Time) Changes {
+func (t *Tracker) RecordSuccess(r Request, now time.Time) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
-	for _, p := range consideredParts(prompt) {
-		t.recordSeen(p.ID, now)
-		if _, suspect := t.suspects[p.ID]; suspect || t.verdicts[p.ID] != nil {
-			t.addSuccess(&changes, p.ID, now, now)
+	for _, subject := range r.subjects() {
+		if subject == r.Digest {
+			t.seenRequests.record(subject, now)
+		} else {
+			t.seenParts.record(subject, now)
+		}
+		if _, suspect := t.suspects[subject]; suspect || t.verdicts[subject] != nil {
+			t.addSuccess(&changes, subject, now, now)
 		}
 	}
 	if len(changes.Lifted) > 0 {
@@ -260,13 +300,15 @@
 	return changes
 }
 
-// Sweep drops what has expired. It must be called every few seconds.
+// Sweep drops what has expired and decides what was left open until the reports on a crash
+// had arrived. It must be called every few seconds.
 func (t *Tracker) Sweep(now time.Time) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
 	t.dropExpiredVerdicts(&changes, now)
 	t.dropExpiredCrashes(now)
+	t.decide(&changes, now)
 	t.updateCounts()
 	return changes
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -47,9 +47,9 @@
 	var all Changes
 	for _, r := range records {
 		if r.target == "" {
-			all.Add(t.RecordSuccess(prompt(r.parts...), at(r.ms)))
+			all.Add(t.RecordSuccess(Request{Prompt: prompt(r.parts...)}, at(r.ms)))
 		} else {
-			all.Add(t.RecordCrash(prompt(r.parts...), r.target, at(r.ms), at(r.ms)))
+			all.Add(t.RecordCrash(Request{Prompt: prompt(r.parts...)}, r.target, at(r.ms), at(r.ms)))
 		}
 	}
 	return all
@@ -59,7 +59,7 @@
 func blockedParts(t *Tracker, now time.Time) []uint64 {
 	list := []uint64{}
 	for part := uint64(1); part <= 9; part++ {
-		if _, _, ok := t.Blocked(prompt(part), now); ok {
+		if _, _, ok := t.Blocked(Request{Prompt: prompt(part)}, now); ok {
 			list = append(list, part)
 		}
 	}
@@ -160,15 +160,15 @@
 	tracker := NewTracker()
 	parts := []call.Part{{ID: 1}, {ID: 2}}
 	for i, target := range []fleet.TargetID{"a", "b", "c"} {
-		tracker.RecordCrash(parts, target, at(1000*i), at(1000*i))
+		tracker.RecordCrash(Request{Prompt: parts}, target, at(1000*i), at(1000*i))
 	}
-	if _, _, ok := tracker.Blocked(prompt(2), at(3000)); ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: prompt(2)}, at(3000)); ok {
 		t.Error("the last part is quarantined")
 	}
-	if _, _, ok := tracker.Blocked([]call.Part{{ID: 3}, {ID: 1}}, at(3000)); ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: []call.Part{{ID: 3}, {ID: 1}}}, at(3000)); ok {
 		t.Error("a request is blocked by its last part")
 	}
-	if _, _, ok := tracker.Blocked(parts, at(3000)); !ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: parts}, at(3000)); !ok {
 		t.Error("the shared part is not quarantined")
 	}
 }
@@ -183,14 +183,14 @@
 func TestVerdictLastsAfterLastRefusal(t *testing.T) {
 	tracker := quarantined()
 	lifetime := int(verdictLifetime.Milliseconds())
-	if _, remaining, ok := tracker.Blocked(prompt(1), at(2000+lifetime-1)); !ok || remaining != time.Millisecond {
+	if _, remaining, ok := tracker.Blocked(Request{Prompt: prompt(1)}, at(2000+lifetime-1)); !ok || remaining != time.Millisecond {
 		t.Errorf("got blocked %v for %v, want 1ms", ok, remaining)
 	}
 	tracker.RecordRefusal(1, at(lifetime))
-	if _, _, ok := tracker.Blocked(prompt(1), at(2*lifetime-1)); !ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: prompt(1)}, at(2*lifetime-1)); !ok {
 		t.Error("the verdict ended before its lifetime after the last refusal")
 	}
-	if _, _, ok := tracker.Blocked(prompt(1), at(2*lifetime)); ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: prompt(1)}, at(2*lifetime)); ok {
 		t.Error("the verdict lasts longer than its lifetime")
 	}
 	changes := tracker.Sweep(at(2 * lifetime))
@@ -214,10 +214,10 @@
 	for ms := 2000; ms < end; ms += int(verdictLifetime.Milliseconds()) / 2 {
 		tracker.RecordRefusal(1, at(ms))
 	}
-	if _, remaining, ok := tracker.Blocked(prompt(1), at(end-1)); !ok || remaining != time.Millisecond {
+	if _, remaining, ok := tracker.Blocked(Request{Prompt: prompt(1)}, at(end-1)); !ok || remaining != time.Millisecond {
 		t.Errorf("got blocked %v for %v, want 1ms", ok, remaining)
 	}
-	if _, _, ok := tracker.Blocked(prompt(1), at(end)); ok {
+	if _, _, ok := tracker.Blocked(Request{Prompt: prompt(1)}, at(end)); ok {
 		t.Error("the verdict lasts longer than its maximum age")
 	}
 }
@@ -226,7 +226,7 @@
 // is sent to all of them again when they are back.
 func TestCulpritOfOneStormIsQuarantined(t *testing.T) {
 	tracker := NewTracker()
-	tracker.RecordSuccess(prompt(2, 3), at(0))
+	tracker.RecordSuccess(Request{Prompt: prompt(2, 3)}, at(0))
 	for i := range minTargets {
 		if got := blockedParts(tracker, at(1000)); len(got) != 0 {
 			t.Errorf("after %d targets: got %v blocked, want none", i, got)
@@ -321,7 +321,7 @@
 	if len(changes.Quarantined) != 1 || !changes.Quarantined[0].FromPeer || len(changes.News.Verdicts) != 1 {
 		t.Errorf("got %+v, want the verdict adopted and forwarded", changes)
 	}
-	_, remaining, ok := restarted.Blocked(prompt(5, 1), at(60_000))
+	_, remaining, ok := restarted.Blocked(Request{Prompt: prompt(5, 1)}, at(60_000))
 	if want := verdictLifetime - 58*time.Second; !ok || remaining != want {
 		t.Errorf("got blocked %v for %v, want %v", ok, remaining, want)
 	}
@@ -345,9 +345,9 @@
 func TestRecentPartsAreBounded(t *testing.T) {
 	tracker := NewTracker()
 	for i := range 4 * maxSeen {
-		tracker.RecordSuccess(prompt(uint64(i)), at(i))
+		tracker.RecordSuccess(Request{Prompt: prompt(uint64(i))}, at(i))
 	}
-	if n := len(tracker.seen) + len(tracker.seenBefore); n > maxSeen || n < maxSeen/2 {
+	if n := len(tracker.seenParts.newer) + len(tracker.seenParts.older); n > maxSeen || n < maxSeen/2 {
 		t.Errorf("got %d parts, want %d to %d", n, maxSeen/2, maxSeen)
 	}
 	if tracker.lastSuccess(4*maxSeen-1, at(4*maxSeen)).IsZero() || !tracker.lastSuccess(1, at(4*maxSeen)).IsZero() {
@@ -395,7 +395,7 @@
 	b.Merge(a.Export(at(2000), 200), at(2000))
 	a.RecordRefusal(1, at(200_000))
 	b.Merge(a.Export(at(200_000), 200), at(200_000))
-	if _, remaining, ok := b.Blocked(prompt(1), at(200_000)); !ok || remaining != verdictLifetime {
+	if _, remaining, ok := b.Blocked(Request{Prompt: prompt(1)}, at(200_000)); !ok || remaining != verdictLifetime {
 		t.Errorf("got blocked %v for %v, want %v", ok, remaining, verdictLifetime)
 	}
 }
@@ -427,7 +427,7 @@
 	const crashes, maxBytes = 30, 200
 	sender, receiver := NewTracker(), NewTracker()
 	for i := range crashes {
-		sender.RecordCrash(prompt(uint64(1000+2*i), uint64(1001+2*i)), fleet.TargetID(fmt.Sprint("t", i)), at(i), at(i))
+		sender.RecordCrash(Request{Prompt: prompt(uint64(1000+2*i), uint64(1001+2*i))}, fleet.TargetID(fmt.Sprint("t", i)), at(i), at(i))
 	}
 	for i := range 2 * crashes {
 		e := sender.Export(at(1000+i), maxBytes)
@@ -473,7 +473,7 @@
 			next++
 			parts[j] = next
 		}
-		tracker.RecordCrash(prompt(parts...), fleet.TargetID(fmt.Sprint("t", i)), at(10*i), at(10*i))
+		tracker.RecordCrash(Request{Prompt: prompt(parts...)}, fleet.TargetID(fmt.Sprint("t", i)), at(10*i), at(10*i))
 		next++
 		tracker.Merge(Evidence{
 			Clears: []Clear{{Part: next}}, Verdicts: []Verdict{{Part: next + 1<<40}}, Crashes: []Crash{{TargetHash: uint32(i)}, {Parts: make([]uint64, maxParts+1)}},
@@ -498,7 +498,7 @@
 func TestDroppedCrashIsNoNews(t *testing.T) {
 	tracker := NewTracker()
 	for i := range maxCrashes + 1 {
-		tracker.RecordCrash(prompt(uint64(i)), fleet.TargetID(fmt.Sprint("t", i)), at(1000+i), at(1000+i))
+		tracker.RecordCrash(Request{Prompt: prompt(uint64(i))}, fleet.TargetID(fmt.Sprint("t", i)), at(1000+i), at(1000+i))
 	}
 	old := Evidence{Crashes: []Crash{{TargetHash: 7, AgeMS: 2000, Parts: []uint64{5}}}}
 	if got := tracker.Merge(old, at(2500)).News; !got.Empty() {
@@ -509,16 +509,16 @@
 func BenchmarkBlockedWithoutVerdict(b *testing.B) {
 	tracker, p := NewTracker(), prompt(1, 2, 3)
 	for b.Loop() {
-		tracker.Blocked(p, start)
+		tracker.Blocked(Request{Prompt: p}, start)
 	}
 }
 
 func BenchmarkSuccessWithKnownCrashes(b *testing.B) {
 	tracker, p := NewTracker(), prompt(1, 2, 3)
 	for i := range maxCrashes {
-		tracker.RecordCrash(prompt(1, uint64(i)), fleet.TargetID(fmt.Sprint("t", i)), at(i), at(i))
+		tracker.RecordCrash(Request{Prompt: prompt(1, uint64(i))}, fleet.TargetID(fmt.Sprint("t", i)), at(i), at(i))
 	}
 	for b.Loop() {
-		tracker.RecordSuccess(p, at(maxCrashes))
+		tracker.RecordSuccess(Request{Prompt: p}, at(maxCrashes))
 	}
 }
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -46,18 +46,27 @@
 	return true
 }
 
-// recordSeen records a success of this router with a part.
-func (t *Tracker) recordSeen(part uint64, now time.Time) {
-	if len(t.seen) >= maxSeen/2 {
-		t.seen, t.seenBefore = map[uint64]time.Time{}, t.seen
+// recentSuccesses holds the times of the last successes, the newer and the older half.
+type recentSuccesses struct {
+	newer, older map[uint64]time.Time
+}
+
+func (s *recentSuccesses) record(subject uint64, now time.Time) {
+	if s.newer == nil || len(s.newer) >= maxSeen/2 {
+		s.newer, s.older = map[uint64]time.Time{}, s.newer
 	}
-	t.seen[part] = now
+	s.newer[subject] = now
+}
+
+// last returns the time of the last success, or the zero time.
+func (s *recentSuccesses) last(subject uint64) time.Time {
+	return latest(s.newer[subject], s.older[subject])
 }
 
-// lastSuccess returns the last known success with a part, or the zero time if there was
-// none within crashLifetime.
-func (t *Tracker) lastSuccess(part uint64, now time.Time) time.Time {
-	last := latest(t.successes[part], latest(t.seen[part], t.seenBefore[part]))
+// lastSuccess returns the last known success with a part or request, or the zero time if
+// there was none within crashLifetime.
+func (t *Tracker) lastSuccess(subject uint64, now time.Time) time.Time {
+	last := latest(t.successes[subject], latest(t.seenParts.last(subject), t.seenRequests.last(subject)))
 	if now.Sub(last) >= crashLifetime {
 		return time.Time{}
 	}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -44,6 +44,7 @@
 	HomeUnreachable    Code = "home-unreachable"
 	RetryBudget        Code = "retry-budget"
 	PromptQuarantined  Code = "prompt-quarantined"
+	RequestQuarantined Code = "request-quarantined"
 	TargetLimit        Code = "target-limit"
 	StreamBroken       Code = "stream-broken"
 	AnswerTruncated    Code = "answer-truncated"
@@ -108,6 +109,7 @@
 	ContextElsewhere:   {503, true, "The chat's context is on another target."},
 	HomeUnreachable:    {503, true, "The target's home router cannot be reached."},
 	RetryBudget:        {503, true, "The retry budget is spent."},
+	RequestQuarantined: {503, true, "Targets crashed again and again under this request."},
 	TargetLimit:        {503, true, "The targets of the service take no more requests for the moment, by the limits that they name."},
 	PromptQuarantined:  {503, true, "Targets crashed again and again under a part of the prompt."},
 	StreamBroken:       {502, true, "The answer broke off and could not be resumed."},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -99,8 +99,8 @@
 
 // Attempt implements attemptloop.Attempter: it chooses a target and makes one attempt there.
 func (s *requestState) Attempt(ctx context.Context, _ retry.Step) (retry.AttemptResult, bool) {
-	// Before the first attempt admitPrompt has looked.
-	if s.attempts > 0 && s.findQuarantinedPart() {
+	// Before the first attempt admitUnlessQuarantined has looked.
+	if s.attempts > 0 && s.findQuarantined() {
 		return retry.AttemptResult{}, false
 	}
 	target, ok := s.chooseTarget()
@@ -246,7 +246,7 @@
 		s.abandoned = append(s.abandoned, t.ID)
 	}
 	s.recordAttempt(ctx, t.Target, result)
-	s.recordEvidence(t.Target, result)
+	s.recordEvidence(t.Target, result, sentAt)
 	if !s.isModelService() {
 		s.recordServiceTime(result, time.Since(sentAt))
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -26,10 +26,11 @@
 	maxQuarantineRetryAfter = 30 * time.Second
 )
 
-// quarantinedPart is a quarantined part of a request's prompt.
+// quarantinedPart is a quarantined part of a request's prompt, or the digest of a
+// quarantined request.
 type quarantinedPart struct {
-	part uint64
-	// remaining is the time for which the verdict lasted when it was found.
+	id        uint64
+	isRequest bool
 	remaining time.Duration
 }
 
@@ -37,57 +38,80 @@
 // events.
 type brokenAttempt struct {
 	request fleet.RequestID
-	prompt  []call.Part
+	asked   quarantine.Request
 	at      time.Time
 }
 
-// findQuarantinedPart reports whether the prompt has a quarantined part, and records that
-// it kept the request from a target.
-func (s *requestState) findQuarantinedPart() bool {
+// asked returns what the request asks of its target. It needs the body.
+func (s *requestState) asked() quarantine.Request {
+	if s.digest == 0 {
+		account := fleet.AccountName("")
+		if s.account != nil {
+			account = s.account.Name
+		}
+		s.digest = quarantine.NewDigest(s.call, account)
+	}
+	return quarantine.Request{Prompt: s.call.Prompt, Digest: s.digest}
+}
+
+// findQuarantined reports whether the request or a part of its prompt is quarantined, and
+// records that this kept the request from a target.
+func (s *requestState) findQuarantined() bool {
 	now := time.Now()
-	part, remaining, ok := s.relay.evidence.Blocked(s.call.Prompt, now)
+	if s.relay.evidence.QuarantinedParts() == 0 {
+		return false
+	}
+	asked := s.asked()
+	id, remaining, ok := s.relay.evidence.Blocked(asked, now)
 	if !ok {
 		return false
 	}
-	s.quarantined = &quarantinedPart{part, remaining}
-	s.relay.evidence.RecordRefusal(part, now)
-	s.Log(event.PromptRefused).Str("part", partName(part)).Dur("left", remaining).Int("attempts", s.attempts).Send()
+	s.quarantined = &quarantinedPart{id, id == asked.Digest, remaining}
+	s.relay.evidence.RecordRefusal(id, now)
+	s.Log(event.PromptRefused).Str("part", partName(id)).Bool("request_itself", s.quarantined.isRequest).Dur("left", remaining).Int("attempts", s.attempts).Send()
 	return true
 }
 
-// admitPrompt refuses the request if its prompt has a quarantined part, and reports
-// whether it was admitted.
-func (s *requestState) admitPrompt() bool {
-	if !s.findQuarantinedPart() {
+// admitUnlessQuarantined refuses the request if it or a part of its prompt is quarantined,
+// and reports whether it was admitted.
+func (s *requestState) admitUnlessQuarantined() bool {
+	if !s.findQuarantined() {
 		return true
 	}
 	s.refuseQuarantined()
 	return false
 }
 
-// refuseQuarantined refuses a request that has not run because of its quarantined part.
+// refuseQuarantined refuses a request that has not run because it or a part of its prompt
+// is quarantined.
 func (s *requestState) refuseQuarantined() {
-	s.refuse(reason.PromptQuarantined, min(s.quarantined.remaining, maxQuarantineRetryAfter))
+	code := reason.PromptQuarantined
+	if s.quarantined.isRequest {
+		code = reason.RequestQuarantined
+	}
+	s.refuse(code, min(s.quarantined.remaining, maxQuarantineRetryAfter))
 }
 
-// recordProgress records a success with the prompt once the current attempt has forwarded
+// recordProgress records a success of the request once the current attempt has forwarded
 // quarantine.ClearingEvents events.
 func (s *requestState) recordProgress() {
 	if s.events-s.eventsBefore == quarantine.ClearingEvents {
-		s.relay.reportChanges(s.relay.evidence.RecordSuccess(s.call.Prompt, time.Now()))
+		s.relay.reportChanges(s.relay.evidence.RecordSuccess(s.asked(), time.Now()))
 	}
 }
 
-// recordEvidence records a complete answer as a success with the prompt, and starts the
+// recordEvidence records a complete answer as a success of the request, and starts the
 // check of a target that broke off the attempt.
-func (s *requestState) recordEvidence(t *catalog.Target, result *attemptResult) {
+func (s *requestState) recordEvidence(t *catalog.Target, result *attemptResult, sentAt time.Time) {
 	started := s.events-s.eventsBefore >= quarantine.ClearingEvents
 	switch {
 	case result.complete && (started || result.response.Delimited):
 		// The end of an answer that is not delimited may be that of the target.
-		s.relay.reportChanges(s.relay.evidence.RecordSuccess(s.call.Prompt, time.Now()))
-	case !started && len(s.call.Prompt) > 1 && brokenByTarget(result.err):
-		s.relay.checkCrash(t, brokenAttempt{s.call.ID, s.call.Prompt, time.Now()})
+		s.relay.reportChanges(s.relay.evidence.RecordSuccess(s.asked(), time.Now()))
+	case !started && brokenByTarget(result.err):
+		asked := s.asked()
+		asked.StartedAt = sentAt
+		s.relay.checkCrash(t, brokenAttempt{s.call.ID, asked, time.Now()})
 	}
 }
 
@@ -122,7 +146,7 @@
 }
 
 // recordIfCrashed connects to a target and, if that fails, records its crash under the
-// prompts of the waiting attempts. Otherwise only their answers were lost.
+// requests of the waiting attempts. Otherwise only their answers were lost.
 func (r *Relay) recordIfCrashed(t *catalog.Target) {
 	r.mu.Lock()
 	attempts := r.crashChecks[t.ID]
@@ -135,14 +159,15 @@
 	now := time.Now()
 	var changes quarantine.Changes
 	for _, a := range attempts {
-		event.TargetCrashed.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).
-			Strs("parts", sharedPartNames(a.prompt)).Dur("age", now.Sub(a.at)).Err(err).Send()
-		changes.Add(r.evidence.RecordCrash(a.prompt, t.ID, a.at, now))
+		event.TargetCrashed.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).
+			Strs("parts", sharedPartNames(a.asked.Prompt)).Dur("age", now.Sub(a.at)).Err(err).Send()
+		changes.Add(r.evidence.RecordCrash(a.asked, t.ID, a.at, now))
 	}
 	r.reportChanges(changes)
+	time.AfterFunc(quarantine.SettleTime, func() { r.reportChanges(r.evidence.Sweep(time.Now())) })
 }
 
-// reportChanges logs changes of the quarantined parts and publishes new evidence.
+// reportChanges logs changes of the quarantined parts and requests and publishes new evidence.
 func (r *Relay) reportChanges(changes quarantine.Changes) {
 	r.logChanges(changes)
 	if !changes.News.Empty() && r.cfg.OnEvidence != nil {
@@ -155,12 +180,12 @@
 		event.QuarantineLifted.Log(r.cfg.Log).Str("part", partName(lift.Part)).Str("cause", string(lift.Cause)).Send()
 	}
 	for _, d := range changes.Quarantined {
-		event.PartQuarantined.Log(r.cfg.Log).Str("part", partName(d.Part)).Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).
+		event.PartQuarantined.Log(r.cfg.Log).Str("part", partName(d.Part)).Bool("request_itself", d.Request).Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).
 			Int("crashes", d.Crashes).Dur("age", time.Since(d.Since)).Send()
 	}
 }
 
-// partName returns the name of a part in logs.
+// partName returns the name of a part, or of a request by its digest, in logs.
 func partName(part uint64) string {
 	return strconv.FormatUint(part, 36)
 }
@@ -173,7 +198,7 @@
 	return names
 }
 
-// ExportEvidence returns the evidence on parts of prompts that another router needs,
+// ExportEvidence returns the evidence on requests and parts of prompts that another router needs,
 // encoded in about maxBytes at most.
 func (r *Relay) ExportEvidence(now time.Time, maxBytes int) quarantine.Evidence {
 	return r.evidence.Export(now, maxBytes)
@@ -187,7 +212,7 @@
 	return changes.News, changes.Answer
 }
 
-// QuarantinedParts returns the number of parts of prompts whose requests are refused.
+// QuarantinedParts returns the number of quarantined parts of prompts and requests.
 func (r *Relay) QuarantinedParts() int {
 	return r.evidence.QuarantinedParts()
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -61,7 +61,7 @@
 		s.refuse(reason.Draining, drainingRetryAfter)
 		return
 	}
-	if !s.readBody(req) || !s.admitPrompt() || !s.admit() {
+	if !s.readBody(req) || !s.admitUnlessQuarantined() || !s.admit() {
 		return
 	}
 	s.serve(req.Context())
@@ -99,7 +99,10 @@
 	// eventsBefore is the number of events before the current attempt.
 	eventsBefore int
 	attempts     int
-	// quarantined is set once a quarantined part was found in the prompt.
+	// digest stands for what the request asks; zero until asked has computed it.
+	digest uint64
+	// quarantined is set once the request, or a part of its prompt, was found to be
+	// quarantined.
 	quarantined *quarantinedPart
 	// limited is set once no target was left because of the limits that targets name.
 	limited bool
