soak: targets name limits, and a repeated request crashes plain targets

The crashes in the history carry their service, since the number that starts the bound differs; arrivals carry their target and process faults their router.

--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -29,6 +29,8 @@
 			&cli.IntFlag{Name: "clients", Value: 24, Usage: "number of clients"},
 			&cli.IntFlag{Name: "lanes", Value: 3, Usage: "number of faults injected concurrently"},
 			&cli.BoolFlag{Name: "crashing-part", Usage: "send requests with a prompt part that crashes targets"},
+			&cli.BoolFlag{Name: "crashing-request", Usage: "repeat a request that crashes targets"},
+			&cli.BoolFlag{Name: "limits", Usage: "let targets name limits on their requests"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the routers in `DIR`"},
 			&cli.BoolFlag{Name: "json", Usage: "print reports as JSON"},
 		},
@@ -55,7 +57,7 @@
 		report, err := soak.Play(ctx, soak.Options{
 			Program: program, Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
-			CrashingPart: cmd.Bool("crashing-part"),
+			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"),
 		})
 		if err != nil {
 			return err
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -76,7 +76,11 @@
 	if !kind.Once && !kind.Stream {
 		method, body = http.MethodGet, ""
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+dest.clientAddr()+kind.Path+"x", strings.NewReader(body))
+	name := "x"
+	if r.Crashing = c.environment.sendsCrashing(kind, n); r.Crashing {
+		name, r.Account = crashingName, crashingAccount
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+dest.clientAddr()+kind.Path+name, strings.NewReader(body))
 	if err != nil {
 		r.Err = err.Error()
 		return r
@@ -85,7 +89,7 @@
 	if kind.Resumable && c.random.IntN(4) == 0 {
 		r.After = 1 + c.random.IntN(eventsPerStream-1)
 	}
-	standin.SetRequestHeaders(request, r.ID, c.environment.accounts[account], clientTimeout, r.After)
+	standin.SetRequestHeaders(request, r.ID, c.environment.accounts[r.Account], clientTimeout, r.After)
 	if kind.Stream && c.environment.sendPrompts {
 		var prompt string
 		prompt, r.Crashing = c.environment.prompt(n)
@@ -105,6 +109,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	r.Status, r.Seal, r.Body = response.StatusCode, standin.Signature(response), string(body)
+	r.Limited = standin.NamesLimit(response)
 	if err != nil {
 		r.Err = err.Error()
 	}
--- a/soak/crashing_part.go
+++ b/soak/crashing.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,57 +19,78 @@
 	// crashingShare is the number of requests with a prompt of which one has
 	// crashingPart.
 	crashingShare = 8
-	// crashingPartTime is how long clients send requests with crashingPart.
-	crashingPartTime = 8 * time.Second
+	// crashingName ends the path of the request that crashes plain targets, which
+	// crashingAccount repeats.
+	crashingName    = "crash"
+	crashingAccount = "account-0"
+	// crashingTime is how long clients send requests that crash targets.
+	crashingTime = 8 * time.Second
 	// entryLifetime is the time from the crash of a target until its entry is
 	// deleted, targetRestartTime that from then until the next target starts.
 	entryLifetime     = 900 * time.Millisecond
 	targetRestartTime = 600 * time.Millisecond
 )
 
-// sendCrashingPart lets clients send requests with crashingPart for a while, and
-// starts crashed targets again until ctx ends.
-func (i *injector) sendCrashingPart(ctx context.Context) {
+// sendCrashing lets clients send requests that crash targets for a while, and starts crashed
+// targets again until ctx ends.
+func (i *injector) sendCrashing(ctx context.Context, parts, requests bool) {
 	env := i.environment
 	select {
 	case <-ctx.Done():
 	case <-time.After(warmUp + time.Duration(i.random.Int64N(int64(maxFaultGap)))):
 	}
-	env.crashingPosition.Store(1 + i.random.Int64N(int64(len(sharedParts))))
-	end := time.After(crashingPartTime)
+	if parts {
+		env.crashingPosition.Store(1 + i.random.Int64N(int64(len(sharedParts))))
+	}
+	env.crashingRequest.Store(requests)
+	end := time.After(crashingTime)
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
+	defer env.stopCrashing()
 	for {
 		select {
 		case t := <-env.crashed:
-			restarts.Go(func() { i.during("part-crash", func() { env.restartTarget(t) }) })
+			restarts.Go(func() { i.during(crashKinds[t.Service], func() { env.restartTarget(t) }) })
 		case <-end:
-			env.crashingPosition.Store(0)
+			env.stopCrashing()
 		case <-ctx.Done():
-			env.crashingPosition.Store(0)
 			return
 		}
 	}
 }
 
-// hasCrashingPart reports whether a request crashes a target.
+// crashKinds names the crashes of targets of each service in reports: engines crash on a
+// prompt part, plain targets on a request.
+var crashKinds = map[string]string{engineName: "part-crash", plainName: "request-crash"}
+
+func (env *environment) stopCrashing() {
+	env.crashingPosition.Store(0)
+	env.crashingRequest.Store(false)
+}
+
+// hasCrashingPart reports whether a request crashes an engine.
 func hasCrashingPart(r *http.Request) bool {
 	return standin.HasSharedPart(r, crashingPart)
 }
 
+// isCrashingRequest reports whether a request crashes a plain target.
+func isCrashingRequest(r *http.Request) bool {
+	return strings.HasSuffix(r.URL.Path, "/"+crashingName)
+}
+
 // recordCrash records the crash of a target and refuses connections to its proxy.
 // The connections open there end with those of the target.
 func (env *environment) recordCrash(t *target) {
 	env.mu.Lock()
-	env.crashes = append(env.crashes, time.Now())
+	env.crashes = append(env.crashes, Crash{Service: t.Service, At: time.Now()})
 	env.mu.Unlock()
 	// An error means that the listener is closed already.
 	_ = t.proxy.listener.Close()
 	env.crashed <- t
 }
 
-// crashTimes returns the times of the crashes so far.
-func (env *environment) crashTimes() []time.Time {
+// allCrashes returns the crashes so far.
+func (env *environment) allCrashes() []Crash {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	return slices.Clone(env.crashes)
@@ -105,3 +127,8 @@
 	}
 	return fmt.Sprintf("%s:400,%s:200,own-%d:50", parts[0], parts[1], n), crashing
 }
+
+// sendsCrashing reports whether request n is the one that crashes plain targets.
+func (env *environment) sendsCrashing(kind Kind, n int64) bool {
+	return env.crashingRequest.Load() && !kind.Stream && !kind.Once && n%crashingShare == 0
+}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -75,6 +75,9 @@
 	// requests.
 	misbehavior     standin.Behavior
 	misbehaviorRate float64
+	// limit is the rate limit that the target names, in requests per second; zero if it
+	// names none.
+	limit int
 }
 
 // environment holds the stand-ins and router processes of a soak.
@@ -96,12 +99,13 @@
 	targetCount int
 	// sendPrompts makes clients send prompts on streams. crashingPosition is the
 	// place of crashingPart among the shared parts, from one, or zero while no
-	// request has it. crashed passes the targets that crashed on it, at the times
-	// crashes.
+	// request has it. crashingRequest is set while clients send the request that crashes plain
+	// targets. crashed passes the targets that crashed, by crashes.
 	sendPrompts      bool
 	crashingPosition atomic.Int64
+	crashingRequest  atomic.Bool
 	crashed          chan *target
-	crashes          []time.Time
+	crashes          []Crash
 }
 
 // newEnvironment starts stand-ins and routers. After an error the environment may
@@ -154,11 +158,11 @@
 	t := &target{Target: &standin.Target{ID: fmt.Sprintf("t-%d", env.targetCount), Service: service, Zone: zone}}
 	env.mu.Unlock()
 	if service == plainName {
-		t.RunTime = plainDelay
+		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
 	} else {
-		t.Events, t.EventInterval = eventsPerStream, eventGap
-		t.CrashOn, t.OnCrash = hasCrashingPart, func() { env.recordCrash(t) }
+		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, hasCrashingPart
 	}
+	t.OnCrash, t.Limit = func() { env.recordCrash(t) }, t.limitText
 	t.Behave = t.chooseAct
 	if err := t.Start(""); err != nil {
 		return err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -76,7 +76,7 @@
 func (i *injector) during(kind string, f func()) {
 	from := time.Now()
 	f()
-	i.recordFault(FaultInterval{kind, from, time.Now()})
+	i.recordFault(FaultInterval{Kind: kind, From: from, To: time.Now()})
 }
 
 func (i *injector) router() *router {
@@ -98,9 +98,16 @@
 	return t
 }
 
+// duringAt is during for a fault of one router's process.
+func (i *injector) duringAt(r *router, kind string, f func()) {
+	from := time.Now()
+	f()
+	i.recordFault(FaultInterval{Kind: kind, From: from, To: time.Now(), Router: r.name})
+}
+
 func (i *injector) kill() {
 	r := i.router()
-	i.during("kill", func() {
+	i.duringAt(r, "kill", func() {
 		i.restartAfterExit(r, r.signal(syscall.SIGKILL))
 	})
 }
@@ -121,12 +128,12 @@
 	i.countPlanned("stop")
 	exited := r.signal(syscall.SIGTERM)
 	<-exited
-	i.during("down", func() { i.restartAfterExit(r, exited) })
+	i.duringAt(r, "down", func() { i.restartAfterExit(r, exited) })
 }
 
 func (i *injector) pause() {
 	r := i.router()
-	i.during("pause", func() {
+	i.duringAt(r, "pause", func() {
 		r.signal(syscall.SIGSTOP)
 		time.Sleep(i.duration())
 		r.signal(syscall.SIGCONT)
--- a/soak/history.go
+++ b/soak/history.go
@@ -38,8 +38,10 @@
 	// After is the number of the last event that the client received before,
 	// sent to resume a stream; zero if none.
 	After int
-	// Crashing is set if the request has a prompt part that crashes targets.
+	// Crashing is set if the request, or a part of its prompt, crashes targets.
 	Crashing bool
+	// Limited is set if the answer names a limit of its target.
+	Limited bool
 	// Status is the HTTP status; zero if no response headers arrived.
 	Status int
 	// Seal is the target's signature of the answer.
@@ -64,6 +66,7 @@
 // rejected it.
 type Arrival struct {
 	Service string
+	Target  string
 	ID      string
 	At      time.Time
 }
@@ -72,6 +75,21 @@
 type FaultInterval struct {
 	Kind     string
 	From, To time.Time
+	// Router is the router whose process was killed, paused or away; empty for others.
+	Router string
+}
+
+// Crash is the crash of a target of a service on a request.
+type Crash struct {
+	Service string
+	At      time.Time
+}
+
+// Limit is a rate limit that a target named for a time.
+type Limit struct {
+	Target    string
+	PerSecond int
+	From, To  time.Time
 }
 
 // Change is a change in the store that routers must apply within maxApplyDelay.
@@ -92,8 +110,9 @@
 	// Repeats limits the arrivals beyond the first of each request.
 	Arrivals []Arrival
 	Repeats  settings.RetryBudget
-	// Crashes are the times at which targets crashed on a prompt part.
-	Crashes []time.Time
+	// Crashes are the crashes of targets on a prompt part or a request.
+	Crashes []Crash
+	Limits  []Limit
 	// Events is the number of events of each stream.
 	Events int
 	// PlainBody and Event return the expected answers of targets: the body from a
@@ -117,14 +136,26 @@
 	// slack is the additional delay allowed for a busy machine.
 	settleTime = 4 * time.Second
 	slack      = time.Second
-	// quarantineDelay is the maximum time from crash number crashesToQuarantine until
-	// a prompt part that crashes targets is quarantined. Up to maxCrashingArrivals
-	// requests with it may still arrive at targets afterwards.
+	// quarantineDelay is the maximum time until a prompt part or request that crashes
+	// targets is quarantined, from crash number crashesToQuarantine of its service. Up to
+	// maxCrashingArrivals requests with it may still arrive at targets afterwards.
 	quarantineDelay     = 3 * time.Second
-	crashesToQuarantine = 5
 	maxCrashingArrivals = 3
+	// limitDelay is the time from the first response that names a limit until it must be
+	// kept, toldDelay that from the response that a router has forwarded until its own
+	// requests count. In limitWindow a target may get limitFactor times what its limit
+	// allows and limitMargin requests more.
+	limitDelay  = 3 * time.Second
+	toldDelay   = 500 * time.Millisecond
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitMargin = 5
 )
 
+// crashesToQuarantine is the number of crashes of engines on a prompt part, and of plain
+// targets on a request, from which on it must be quarantined.
+var crashesToQuarantine = map[string]int{engineName: 5, plainName: 3}
+
 // Check returns the violations in a history. It uses only the history, no state of
 // the routers.
 func Check(h *History) []Violation {
@@ -138,6 +169,9 @@
 	c.checkUnknownRuns()
 	c.checkRepeats()
 	c.checkQuarantine()
+	for _, l := range h.Limits {
+		c.checkLimit(l)
+	}
 	for _, m := range h.Changes {
 		c.checkChange(m)
 	}
@@ -260,30 +294,73 @@
 	}
 }
 
-// checkQuarantine checks that requests with a prompt part that crashes targets stop
-// arriving at targets.
+// checkQuarantine checks that requests that crash targets stop arriving at them.
 func (c *checker) checkQuarantine() {
-	if len(c.h.Crashes) < crashesToQuarantine {
-		return
-	}
-	slices.SortFunc(c.h.Crashes, time.Time.Compare)
-	due := c.h.Crashes[crashesToQuarantine-1].Add(quarantineDelay)
 	crashing := map[string]bool{}
 	for i := range c.h.Requests {
 		crashing[c.h.Requests[i].ID] = c.h.Requests[i].Crashing
 	}
-	n := 0
+	slices.SortFunc(c.h.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	for service, first := range crashesToQuarantine {
+		var times []time.Time
+		for _, crash := range c.h.Crashes {
+			if crash.Service == service {
+				times = append(times, crash.At)
+			}
+		}
+		if len(times) < first {
+			continue
+		}
+		due := times[first-1].Add(quarantineDelay)
+		n := 0
+		for _, a := range c.h.Arrivals {
+			if a.Service == service && crashing[a.ID] && a.At.After(due) {
+				n++
+			}
+		}
+		if n > maxCrashingArrivals {
+			c.add("quarantine", "", "%d requests that crash targets of service %s arrived later than %v after crash %d of %d, want at most %d",
+				n, service, quarantineDelay, first, len(times), maxCrashingArrivals)
+		}
+	}
+}
+
+// checkLimit checks that a target gets no more requests than its limit allows from routers
+// that know it and have run all the while.
+func (c *checker) checkLimit(l Limit) {
+	routers, told := map[string]string{}, map[string]time.Time{}
+	for i := range c.h.Requests {
+		r := &c.h.Requests[i]
+		routers[r.ID] = r.Router
+		at := r.Ended.Add(toldDelay)
+		if first, ok := told[r.Router]; r.Limited && standin.SignatureTarget(r.Seal) == l.Target && (!ok || at.Before(first)) {
+			told[r.Router] = at
+		}
+	}
+	var times []time.Time
 	for _, a := range c.h.Arrivals {
-		if crashing[a.ID] && a.At.After(due) {
-			n++
+		since, ok := told[routers[a.ID]]
+		if a.Target == l.Target && ok && a.At.After(since) && a.At.After(l.From.Add(limitDelay)) && a.At.Before(l.To) && !c.disturbed(routers[a.ID], l.From, a.At) {
+			times = append(times, a.At)
 		}
 	}
-	if n > maxCrashingArrivals {
-		c.add("quarantine", "", "%d requests with a part that crashes targets arrived later than %v after crash %d of %d, want at most %d",
-			n, quarantineDelay, crashesToQuarantine, len(c.h.Crashes), maxCrashingArrivals)
+	slices.SortFunc(times, time.Time.Compare)
+	allowed := limitFactor*limitWindow.Seconds()*float64(l.PerSecond) + limitMargin
+	for i, to := range times {
+		if n := i + 1 - countBefore(times, to.Add(-limitWindow)); float64(n) > allowed {
+			c.add("limits", "", "target %s with a limit of %d per second got %d requests in %v, want at most %.0f", l.Target, l.PerSecond, n, limitWindow, allowed)
+			return
+		}
 	}
 }
 
+// disturbed reports whether a router's process was killed, paused or away in an interval.
+func (c *checker) disturbed(router string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.h.Faults, func(f FaultInterval) bool {
+		return f.Router == router && f.From.Before(to) && f.To.After(from)
+	})
+}
+
 // countBefore returns how many of the sorted times are before moment.
 func countBefore(times []time.Time, moment time.Time) int {
 	n, _ := slices.BinarySearchFunc(times, moment, time.Time.Compare)
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -34,10 +34,10 @@
 			{Target: "t1", ID: "c", Account: "y", At: at(10)},
 		},
 		Arrivals: []Arrival{
-			{"s", "a", at(10)}, {"s", "b", at(10)}, {"s", "b", at(20)}, {"s", "c", at(10)},
+			{"s", "t1", "a", at(10)}, {"s", "t1", "b", at(10)}, {"s", "t2", "b", at(20)}, {"s", "t1", "c", at(10)},
 		},
 		Repeats: settings.RetryBudget{Ratio: 0.5, Extra: 1, WindowSeconds: 1},
-		Faults:  []FaultInterval{{"kill", at(9000), at(10_000)}}, Changes: []Change{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
+		Faults:  []FaultInterval{{Kind: "kill", From: at(9000), To: at(10_000)}}, Changes: []Change{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
 		Events:    3,
 		PlainBody: func(target string) string { return "plain " + target },
 		Event:     func(i int) string { return fmt.Sprintf("e%d", i) },
@@ -64,14 +64,22 @@
 		"calm":              func(h *History) { h.Requests[1].Status = 502 },
 		"quarantine": func(h *History) {
 			h.Requests[0].Crashing = true
-			h.Crashes = []time.Time{at(0), at(0), at(0), at(0), at(0), at(2500)}
+			h.Crashes = crashes(engineName, 0, 0, 0, 0, 0, 2500)
 			for range 4 {
-				h.Arrivals = append(h.Arrivals, Arrival{"other", "a", at(3001)})
+				h.Arrivals = append(h.Arrivals, Arrival{engineName, "t1", "a", at(3001)})
 			}
 			h.Repeats.Extra = 4
 		},
+		"limits": func(h *History) {
+			h.Requests[0].Limited, h.Requests[0].Router = true, "r"
+			h.Limits = []Limit{{Target: "t1", PerSecond: 1, From: at(0), To: at(8000)}}
+			for i := range 12 {
+				h.Arrivals = append(h.Arrivals, Arrival{"other", "t1", "a", at(4000 + i)})
+			}
+			h.Repeats.Extra = 12
+		},
 		"repeats": func(h *History) {
-			h.Arrivals = append(h.Arrivals, Arrival{"s", "a", at(500)}, Arrival{"s", "c", at(600)}, Arrival{"s", "b", at(900)})
+			h.Arrivals = append(h.Arrivals, Arrival{"s", "t1", "a", at(500)}, Arrival{"s", "t1", "c", at(600)}, Arrival{"s", "t1", "b", at(900)})
 		},
 	} {
 		h := validHistory()
@@ -91,13 +99,65 @@
 	}
 }
 
+// crashes returns crashes of targets of a service.
+func crashes(service string, ms ...int) []Crash {
+	var list []Crash
+	for _, m := range ms {
+		list = append(list, Crash{service, at(m)})
+	}
+	return list
+}
+
+func TestCheckExpectsQuarantineOfRequestAfterThreeCrashes(t *testing.T) {
+	for n, want := range map[int]int{2: 0, 3: 1} {
+		h := validHistory()
+		h.Requests[1].Crashing = true
+		h.Repeats.Extra = 10
+		h.Crashes = crashes(plainName, []int{0, 500, 1000}[:n]...)
+		for i := range 4 {
+			h.Arrivals = append(h.Arrivals, Arrival{plainName, "t1", "b", at(5000 + i)})
+		}
+		if found := Check(h); len(found) != want {
+			t.Errorf("%d crashes: got violations %+v, want %d", n, found, want)
+		}
+	}
+}
+
+// TestCheckLimitCountsRoutersThatKnowIt leaves out arrivals that the limit does not bind.
+func TestCheckLimitCountsRoutersThatKnowIt(t *testing.T) {
+	for name, change := range map[string]func(h *History){
+		"before the delay":        func(h *History) { h.Limits[0].From = at(3000) },
+		"after the limit":         func(h *History) { h.Limits[0].To = at(3900) },
+		"router was not told":     func(h *History) { h.Requests[0].Limited = false },
+		"router was told of late": func(h *History) { h.Requests[0].Ended = at(3900) },
+		"another target":          func(h *History) { h.Limits[0].Target = "t2" },
+		"router was paused": func(h *History) {
+			h.Faults = append(h.Faults, FaultInterval{Kind: "pause", From: at(100), To: at(200), Router: "r"})
+		},
+		"a higher limit": func(h *History) { h.Limits[0].PerSecond = 2 },
+		"fewer arrivals": func(h *History) { h.Arrivals = h.Arrivals[:len(h.Arrivals)-1] },
+	} {
+		h := validHistory()
+		h.Requests[0].Limited, h.Requests[0].Router = true, "r"
+		h.Limits = []Limit{{Target: "t1", PerSecond: 1, From: at(0), To: at(8000)}}
+		for i := range 12 {
+			h.Arrivals = append(h.Arrivals, Arrival{"other", "t1", "a", at(4000 + i)})
+		}
+		h.Repeats.Extra = 12
+		change(h)
+		if found := Check(h); len(found) != 0 {
+			t.Errorf("%s: got violations %+v, want none", name, found)
+		}
+	}
+}
+
 func TestCheckAllowsArrivalsUntilQuarantine(t *testing.T) {
 	h := validHistory()
 	h.Requests[0].Crashing = true
 	h.Repeats.Extra = 10
-	h.Crashes = []time.Time{at(0), at(0), at(0), at(0), at(0)}
+	h.Crashes = crashes(engineName, 0, 0, 0, 0, 0)
 	for _, ms := range []int{2000, 2900, 3000, 3001, 3500, 9000} {
-		h.Arrivals = append(h.Arrivals, Arrival{"s", "a", at(ms)})
+		h.Arrivals = append(h.Arrivals, Arrival{engineName, "t1", "a", at(ms)})
 	}
 	if found := Check(h); len(found) != 0 {
 		t.Errorf("got violations %+v, want none", found)
@@ -107,7 +167,7 @@
 func TestTimeBoundsApplyOnlyWithoutFaults(t *testing.T) {
 	h := validHistory()
 	h.Runs[0].At = at(4000)
-	h.Faults = append(h.Faults, FaultInterval{"store-silent", at(500), at(1000)})
+	h.Faults = append(h.Faults, FaultInterval{Kind: "store-silent", From: at(500), To: at(1000)})
 	if found := Check(h); len(found) != 0 {
 		t.Errorf("got violations %+v, want none", found)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,8 +21,11 @@
 	Clients  int
 	// FaultLanes is the number of concurrent fault sequences.
 	FaultLanes int
-	// CrashingPart adds requests with a prompt part that crashes targets.
-	CrashingPart bool
+	// CrashingPart adds requests with a prompt part that crashes targets, CrashingRequest
+	// repeats of a request that does.
+	CrashingPart, CrashingRequest bool
+	// Limits lets targets name limits for a while.
+	Limits bool
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
 	// directory is created, and removed again if there is no violation.
 	Dir string
@@ -90,7 +93,7 @@
 	}
 	planned := map[string]int{}
 	// No guarantee holds while the routers start.
-	h.Faults = append(h.Faults, FaultInterval{"start", time.Now().Add(-time.Minute), time.Now().Add(warmUp)})
+	h.Faults = append(h.Faults, FaultInterval{Kind: "start", From: time.Now().Add(-time.Minute), To: time.Now().Add(warmUp)})
 	clientCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	var all sync.WaitGroup
@@ -126,8 +129,11 @@
 			},
 		}
 	}
-	if o.CrashingPart {
-		all.Go(func() { newInjector(2000).sendCrashingPart(requestCtx) })
+	if o.CrashingPart || o.CrashingRequest {
+		all.Go(func() { newInjector(2000).sendCrashing(requestCtx, o.CrashingPart, o.CrashingRequest) })
+	}
+	if o.Limits {
+		all.Go(func() { h.Limits = newInjector(2001).limitTargets(clientCtx) })
 	}
 	for lane := range o.FaultLanes {
 		i := newInjector(1000 + uint64(lane))
@@ -141,7 +147,7 @@
 	}
 	all.Wait()
 	h.Runs, h.Arrivals = env.observations()
-	h.Crashes = env.crashTimes()
+	h.Crashes = env.allCrashes()
 	return h, planned
 }
 
@@ -156,7 +162,7 @@
 			all = append(all, Run{Target: t.ID, ID: r.Request, Account: r.Account, Credential: r.Credential, At: r.At})
 		}
 		for _, a := range t.Arrivals() {
-			arrivals = append(arrivals, Arrival{Service: t.Service, ID: a.Request, At: a.At})
+			arrivals = append(arrivals, Arrival{Service: t.Service, Target: t.ID, ID: a.Request, At: a.At})
 		}
 	}
 	return all, arrivals
