--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -356,6 +356,7 @@
 	fleet := m.table.FleetSize(now)
 	m.fleetSize.Store(int64(fleet))
 	m.updateTargetHashes()
+	m.permits.dropExpiredSilences(now)
 	plan := tickPlan{role: m.table.WatchRole(now, role), mayStartWatch: m.tickCount > storeWaitTicks || m.cfg.Strength >= MinPreferredStrength}
 	if live {
 		plan.plainAddrs = m.table.NextDomainAddrs(m.tickCount, now)
--- a/mesh/permit.go
+++ b/mesh/permit.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -130,7 +131,8 @@
 		delete(m.permits.waiting, sequence)
 		m.mu.Unlock()
 	}()
-	m.sendPermit(&PermitMessage{Sequence: sequence, Precedence: precedence, Limit: m.limitReport(id, now)}, nil, holder.addr)
+	request := &PermitMessage{Sequence: sequence, Precedence: precedence, Limit: m.limitReport(id, now)}
+	m.send(&Heartbeat{From: m.cfg.Self, Permit: request}, []netip.AddrPort{holder.addr})
 	timer := time.NewTimer(permitTimeout)
 	defer timer.Stop()
 	select {
@@ -152,10 +154,9 @@
 	return newLimitReport(id, r, now)
 }
 
-// sendPermit sends a request for a permit or an answer, with the holder if that is
-// another router.
-func (m *Mesh) sendPermit(message *PermitMessage, holder []PeerInfo, addr netip.AddrPort) {
-	m.send(&Heartbeat{From: m.cfg.Self, Permit: message, Peers: holder}, []netip.AddrPort{addr})
+// dropExpiredSilences forgets the routers that may be asked again. Mesh.mu must be held.
+func (p *permitRequests) dropExpiredSilences(now time.Time) {
+	maps.DeleteFunc(p.silentUntil, func(_ fleet.RouterID, until time.Time) bool { return !now.Before(until) })
 }
 
 // handlePermit handles a request for a permit, or an answer to one of this router.
