dispatch: excess goes to targets of the best health only, again

The commit before sent excess to degraded targets rather than refusing it. Callers are served no better, since degraded targets fail more of what they get.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -169,36 +169,28 @@
 // excessTarget returns the target for a request whose first target in the key's order has
 // used up its limit, or -1 if there is none: the first one in the order that names no
 // limit and has room beside its own keys, or else the next one with a limit that is not
-// used up, or one of lower health. Others with a limit would have to process the prompt
-// for few requests.
+// used up. Others would have to process the prompt for few requests.
 func (sel *selection) excessTarget(health targethealth.Health, first int) int {
-	order := rankIterator{candidates: sel.candidates, key: sel.query.Key, count: sel.candidates.serving, last: -1}
-	limited, limitedSeen, lesser := -1, 0, -1
+	order := rankIterator{candidates: sel.candidates, key: sel.query.Key, count: sel.candidates.serving, last: first}
+	limited, limitedSeen := -1, 0
 	for range sel.candidates.serving {
 		i := order.next()
 		if i < 0 {
 			break
 		}
 		t := sel.candidates.targets[i]
-		own := sel.state.Health(t)
-		if i == first || sel.tried(i) || (own != health && own == targethealth.Avoided) {
+		if sel.tried(i) || sel.state.Health(t) != health {
 			continue
 		}
 		switch {
 		case sel.state.Limited(t):
-			if limitedSeen++; limited < 0 && own == health && limitedSeen <= maxLimitedAlternatives && !sel.state.Withheld(t) {
+			if limitedSeen++; limited < 0 && limitedSeen <= maxLimitedAlternatives && !sel.state.Withheld(t) {
 				limited = i
 			}
-		case t.Slots > 0 && sel.state.Load(t) >= excessLoadShare*float64(t.Slots):
-		case own == health:
+		case t.Slots == 0 || sel.state.Load(t) < excessLoadShare*float64(t.Slots):
 			return i
-		case lesser < 0:
-			lesser = i
 		}
 	}
-	if limited < 0 {
-		return lesser
-	}
 	return limited
 }
 
