relay, targetlimit: the choice of a target does not list all limits

While any target names a limit, each choice of a target copied the reports of all targets and went through all targets of the service. At 10,000 limited targets that is most of the work of a choice. It now looks for one target without a limit, and the mean load is computed over those without one as often as before. No decision changes; the tests of limits pass unchanged.

A restarted target is tested to have no limit.

--- a/relay/limit.go
+++ b/relay/limit.go
@@ -16,8 +16,8 @@
 // targets without a limit are left.
 const maxPermitTime = 120 * time.Millisecond
 
-// recordLimit records what the response to this request says of its target's limit. A
-// rejection without a limit says nothing: another process may have sent it.
+// recordLimit records what the response to this request says of its target's limit. An
+// unsigned response without a limit says nothing, since another process may have sent it.
 func (s *requestState) recordLimit(id fleet.TargetID, reply *call.Reply) {
 	if reply.ID != s.call.ID || reply.Status == http.StatusMisdirectedRequest {
 		return
@@ -69,7 +69,7 @@
 	switch {
 	case choice.Reason == dispatch.ReasonLimit, choice.Reason == dispatch.ReasonOverflow:
 		return targetlimit.Foreign
-	case len(s.relay.unlimited(targets.Serving(), now)) == 0:
+	case !s.relay.anyUnlimited(targets.Serving(), now):
 		return targetlimit.Home
 	}
 	tokens := 0
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -106,6 +106,14 @@
 	}
 }
 
+func TestRestartedTargetHasNoLimit(t *testing.T) {
+	f := newLimitFixture(t, 1, deny, nil)
+	f.limits.RecordNamed("t0", 5, time.Now())
+	f.post(http.StatusServiceUnavailable)
+	f.relay.ResetTarget("t0")
+	f.post(http.StatusOK)
+}
+
 // TestRetryNeedsPermit lets the first target fail: the retry may not go to a target whose
 // limit is used up.
 func TestRetryNeedsPermit(t *testing.T) {
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -29,25 +29,17 @@
 	meanUpdatedAt time.Time
 }
 
-// unlimited returns the targets that name no limit.
-func (r *Relay) unlimited(targets []*catalog.Target, now time.Time) []*catalog.Target {
-	if r.limits.Limited(now) == 0 {
-		return targets
-	}
-	var list []*catalog.Target
-	for _, t := range targets {
-		if !r.limits.IsLimited(t.ID, now) {
-			list = append(list, t)
-		}
-	}
-	return list
+// anyUnlimited reports whether one of the targets names no limit.
+func (r *Relay) anyUnlimited(targets []*catalog.Target, now time.Time) bool {
+	return slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !r.limits.IsLimited(t.ID, now) })
 }
 
 // meanLoad returns the mean load of the targets that name no limit, or of all if there are
 // none. With the load of the others, which is low, these would seem overloaded.
 func (r *Relay) meanLoad(targets []*catalog.Target, now time.Time) float64 {
-	if unlimited := r.unlimited(targets, now); len(unlimited) > 0 {
-		targets = unlimited
+	if r.limits.KnowsAny() && r.anyUnlimited(targets, now) {
+		limited := func(t *catalog.Target) bool { return r.limits.IsLimited(t.ID, now) }
+		targets = slices.DeleteFunc(slices.Clone(targets), limited)
 	}
 	return r.loads.mean(targets, now)
 }
--- a/targetlimit/tracker.go
+++ b/targetlimit/tracker.go
@@ -184,11 +184,18 @@
 	}
 }
 
+// KnowsAny reports whether something is known of the limit of any target.
+func (t *Tracker) KnowsAny() bool {
+	return t.known.Load() > 0
+}
+
 // Limited returns the number of targets with a limit.
 func (t *Tracker) Limited(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	limited := 0
-	for _, r := range t.Reports(now) {
-		if _, ok := r.rate(now); ok {
+	for _, state := range t.targets {
+		if _, ok := state.report.rate(now); ok {
 			limited++
 		}
 	}
