--- a/event/request.go
+++ b/event/request.go
@@ -22,6 +22,6 @@
 	QuarantineLifted    = define(3014, zerolog.InfoLevel, "quarantine-lifted", "A request, or requests with a part of prompts, are served again; the cause is a success with it, that the verdict expired, or that newer ones replaced it.")
 	PromptRefused       = define(3015, zerolog.InfoLevel, "prompt-refused", "A request was not sent to a target, or not to another one, because it or a part of its prompt is quarantined.")
 	TargetLimitChanged  = define(3016, zerolog.InfoLevel, "target-limit", "A target named a limit on the requests that it takes from all routers together, or no longer does; the fields give the limit and whether another router told of it.")
-	PermitDenied        = define(3017, zerolog.DebugLevel, "permit-denied", "A request was not sent to a target because the fleet has used up the target's limit for the moment; the fields say who denied it and for how long.")
+	PermitDenied        = define(3017, zerolog.InfoLevel, "permit-denied", "A request was not sent to a target because the fleet has used up the target's limit for the moment; the fields say who denied it and for how long.")
 	LogDropped          = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
