--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -105,6 +105,12 @@
 		t.Cleanup(replica.Close)
 		replicas = append(replicas, replica)
 	}
+	return replicas, startRouters(t, store, routers, targets)
+}
+
+// startRouters starts routers and waits until they know each other and all targets.
+func startRouters(t *testing.T, store *standin.Store, routers, targets int) []*fixture {
+	t.Helper()
 	var addresses, seeds []string
 	for range routers {
 		address := nextAddress()
@@ -125,7 +131,7 @@
 		await.Until(t, "the routers to know each other", func() bool { return r.node.mesh.FleetSize() == routers })
 		await.Until(t, "all targets", func() bool { return len(r.node.directory.View().Targets["s"]) == targets })
 	}
-	return replicas, fixtures
+	return fixtures
 }
 
 // sharedParts returns the shared parts of sound request n: the system prompt and
--- a/node/request_crash_test.go
+++ b/node/request_crash_test.go
@@ -138,6 +138,7 @@
 
 // TestRepeatedRequestThatCrashesTargetsIsQuarantined guards against a request whose repeats crash target after target.
 func TestRepeatedRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		routeType    string
 		targets      int
--- a/node/target_limit_test.go
+++ b/node/target_limit_test.go
@@ -12,11 +12,8 @@
 	"testing"
 	"time"
 
-	"ragwortpond.example/ragwortpond/await"
-	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
-	"ragwortpond.example/ragwortpond/settings"
 )
 
 // Sizes and times of the fleet before targets that name a limit.
@@ -83,25 +80,7 @@
 		store.Put(platform.KindTargets, target.ID, target.Entry("ready"))
 		f.targets = append(f.targets, target)
 	}
-	var addresses, seeds []string
-	for range limitRouters {
-		address := nextAddress()
-		addresses, seeds = append(addresses, address), append(seeds, address+":18003")
-	}
-	for i, address := range addresses {
-		r := &fixture{store: store, done: make(chan error, 1)}
-		r.cfg = settings.NodeFile{
-			ID: fleet.RouterID(fmt.Sprintf("n%d", i)), Domain: "d", ClientAddr: address + ":18001", ReadyAddr: address + ":18002", PeerAddr: address + ":18003",
-			MetricsAddr: address + ":18004", StoreAddr: store.Addr(), Seeds: seeds, MemoryMB: 200, GraceSeconds: 1,
-			RetryBudget: settings.RetryBudget{Ratio: 0.2, Extra: 50, WindowSeconds: 10},
-		}
-		r.start(t)
-		f.routers = append(f.routers, r)
-	}
-	for _, r := range f.routers {
-		await.Until(t, "the routers to know each other", func() bool { return r.node.mesh.FleetSize() == limitRouters })
-		await.Until(t, "all targets", func() bool { return len(r.node.directory.View().Targets["s"]) == limitTargets })
-	}
+	f.routers = startRouters(t, store, limitRouters, limitTargets)
 	return f
 }
 
@@ -185,6 +164,7 @@
 
 // TestRoutersTogetherKeepLimitsOfTargets guards against a fleet that sends targets more than the limit that they name.
 func TestRoutersTogetherKeepLimitsOfTargets(t *testing.T) {
+	t.Parallel()
 	const perSecond = 5
 	for _, test := range []struct {
 		name    string
