Read again: one piece of code for hashes, ages, cache sources and per-service state

No behaviour changes; tests keep their assertions.

- The hash by which messages name a target stood in mesh and in quarantine: fleet.TargetID.Hash.
- Ages in heartbeats were computed in three ways in mesh: ageMS and timeOf.
- Whether the cache of a target may be fetched was asked in dispatch and again in relay: dispatch.CanServeCache.
- Three copies of getting or creating a service's state in relay: getOrCreate.
- Two soak scenarios waited for their start in the same words: awaitStart.
Two tests of crashes sorted their times: crashTimes.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -128,14 +128,12 @@
 // excluded reports whether the request cannot be sent to a target: it was sent there
 // before, or the target is withheld.
 func (sel *selection) excluded(i int) bool {
-	t := sel.candidates.targets[i]
-	return sel.tried(i) || sel.state.Withheld(t)
+	return sel.tried(i) || sel.state.Withheld(sel.candidates.targets[i])
 }
 
-// canBeSource reports whether the cache of a target can be fetched.
-func (sel *selection) canBeSource(i int) bool {
-	t := sel.candidates.targets[i]
-	return !sel.tried(i) && !sel.state.Limited(t) && sel.state.Health(t) != targethealth.Avoided
+// CanServeCache reports whether other targets can fetch the cache of a target.
+func CanServeCache(state TargetState, t *catalog.Target) bool {
+	return !state.Limited(t) && state.Health(t) != targethealth.Avoided
 }
 
 // byKey returns the first target in the key's order, unless its load exceeds the
@@ -237,7 +235,7 @@
 		switch {
 		case i < 0, i == chosen && !recentlyStarted:
 			return nil
-		case i != chosen && sel.canBeSource(i):
+		case i != chosen && !sel.tried(i) && CanServeCache(sel.state, sel.candidates.targets[i]):
 			return sel.candidates.targets[i]
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,8 @@
 import (
 	"regexp"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RouterID identifies a router process. It equals the common name of its peer
@@ -15,6 +17,11 @@
 // TargetID identifies a target: a model engine or an instance of a plain service.
 type TargetID string
 
+// Hash returns the hash by which messages between routers name the target.
+func (id TargetID) Hash() uint32 {
+	return uint32(xxhash.Sum64String(string(id)))
+}
+
 // ServiceName is the name of a service. Callers give it as the model or in the path.
 type ServiceName string
 
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -39,8 +39,8 @@
 func newestLoads(loads map[fleet.TargetID]loadSample, now time.Time) []LoadReport {
 	list := make([]LoadReport, 0, len(loads))
 	for id, s := range loads {
-		if age := now.Sub(s.reportedAt); age < loadLifetime {
-			list = append(list, LoadReport{TargetHash: targetHash(id), Work: uint32(s.work), AgeMS: uint32(max(age, 0).Milliseconds())})
+		if now.Sub(s.reportedAt) < loadLifetime {
+			list = append(list, LoadReport{TargetHash: id.Hash(), Work: uint32(s.work), AgeMS: ageMS(s.reportedAt, now)})
 		}
 	}
 	slices.SortFunc(list, func(a, b LoadReport) int {
@@ -146,7 +146,7 @@
 	merged := map[fleet.TargetID]loadSample{}
 	for _, l := range hb.Loads {
 		id, ok := m.targetsByHash[l.TargetHash]
-		at := now.Add(-time.Duration(l.AgeMS) * time.Millisecond)
+		at := timeOf(l.AgeMS, now)
 		if !ok || !at.After(m.loads[id].reportedAt) {
 			continue
 		}
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -19,15 +19,15 @@
 // newLimitReport returns a report for other routers.
 func newLimitReport(id fleet.TargetID, r targetlimit.Report, now time.Time) LimitReport {
 	return LimitReport{
-		TargetHash: targetHash(id), PerThousandSeconds: uint32(min(r.PerSecond*limitUnit, math.MaxUint32)),
-		AgeMS: uint32(min(max(now.Sub(r.At), 0).Milliseconds(), math.MaxUint32)), Lifted: r.Lifted,
+		TargetHash: id.Hash(), PerThousandSeconds: uint32(min(r.PerSecond*limitUnit, math.MaxUint32)),
+		AgeMS: ageMS(r.At, now), Lifted: r.Lifted,
 	}
 }
 
 // report returns the report as this router keeps it.
 func (r *LimitReport) report(now time.Time) targetlimit.Report {
 	return targetlimit.Report{
-		PerSecond: float64(r.PerThousandSeconds) / limitUnit, Lifted: r.Lifted, At: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
+		PerSecond: float64(r.PerThousandSeconds) / limitUnit, Lifted: r.Lifted, At: timeOf(r.AgeMS, now),
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"ragwortpond.example/ragwortpond/directory"
@@ -378,17 +377,12 @@
 	clear(m.targetsByHash)
 	for _, list := range view.Targets {
 		for _, t := range list {
-			m.targetsByHash[targetHash(t.ID)] = t.ID
+			m.targetsByHash[t.ID.Hash()] = t.ID
 		}
 	}
 	for id := range m.loads {
-		if _, ok := m.targetsByHash[targetHash(id)]; !ok {
+		if _, ok := m.targetsByHash[id.Hash()]; !ok {
 			delete(m.loads, id)
 		}
 	}
 }
-
-// targetHash returns the hash by which heartbeats name a target.
-func targetHash(id fleet.TargetID) uint32 {
-	return uint32(xxhash.Sum64String(string(id)))
-}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -70,7 +72,7 @@
 // LoadReport is a target's load report as routers pass it on.
 type LoadReport struct {
 	_ struct{} `cbor:",toarray"`
-	// TargetHash is the hash of the target's ID, see targetHash.
+	// TargetHash is the hash of the target's ID, see fleet.TargetID.Hash.
 	TargetHash uint32
 	// Work is the number of requests running or waiting at the target.
 	Work  uint32
@@ -80,7 +82,7 @@
 // LimitReport is what a target said of its limit.
 type LimitReport struct {
 	_ struct{} `cbor:",toarray"`
-	// TargetHash is the hash of the target's ID, see targetHash.
+	// TargetHash is the hash of the target's ID, see fleet.TargetID.Hash.
 	TargetHash uint32
 	// PerThousandSeconds is the limit in requests per 1,000 s.
 	PerThousandSeconds uint32
@@ -151,6 +153,16 @@
 
 var errDatagramTooLong = errors.New("mesh: heartbeat exceeds the maximum datagram size")
 
+// ageMS returns the age of something in milliseconds, as heartbeats give it.
+func ageMS(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at), 0).Milliseconds(), math.MaxUint32))
+}
+
+// timeOf returns the time of something with an age in milliseconds.
+func timeOf(age uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
 // deflate compresses a configuration or a list of targets. Both are highly
 // repetitive.
 func deflate(data []byte) ([]byte, error) {
--- a/mesh/permit_test.go
+++ b/mesh/permit_test.go
@@ -33,7 +33,7 @@
 func (r *testRouter) knowsTarget(id fleet.TargetID) bool {
 	r.mesh.mu.Lock()
 	defer r.mesh.mu.Unlock()
-	return r.mesh.targetsByHash[targetHash(id)] == id
+	return r.mesh.targetsByHash[id.Hash()] == id
 }
 
 // holder returns the index of the router that holds the permits of target a.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -123,7 +123,7 @@
 		m.leaving, m.watching, m.storeLost = false, false, false
 	}
 	m.domain, m.addr, m.incarnation, m.strength = peer.Domain, peer.Addr, peer.Incarnation, peer.Strength
-	if reportedAt := now.Add(-time.Duration(peer.AgeMS) * time.Millisecond); reportedAt.After(m.lastReported) {
+	if reportedAt := timeOf(peer.AgeMS, now); reportedAt.After(m.lastReported) {
 		m.lastReported = reportedAt
 	}
 }
@@ -232,7 +232,7 @@
 func (m *member) info(now time.Time) PeerInfo {
 	return PeerInfo{
 		ID: m.id, Domain: m.domain, Addr: m.addr, Incarnation: m.incarnation,
-		AgeMS: uint32(max(now.Sub(m.lastReported), 0).Milliseconds()), Strength: m.strength,
+		AgeMS: ageMS(m.lastReported, now), Strength: m.strength,
 	}
 }
 
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -221,10 +221,10 @@
 	return int(served.Load())
 }
 
-// crashes returns the times of all crashes in order.
-func (f *crashFleet) crashes() []time.Time {
+// crashTimes returns the times of all crashes in order.
+func crashTimes(targets []*standin.Replica) []time.Time {
 	var all []time.Time
-	for _, r := range f.targets {
+	for _, r := range targets {
 		all = append(all, r.Crashes()...)
 	}
 	slices.SortFunc(all, time.Time.Compare)
@@ -282,7 +282,7 @@
 				traffic.Go(func() { f.sendSoundUntil(ctx, i) })
 			}
 			await.Until(t, "the fifth crash", func() bool {
-				return len(f.crashes()) >= crashesBeforeWindow || f.started.Load() >= maxCrashRequests
+				return len(crashTimes(f.targets)) >= crashesBeforeWindow || f.started.Load() >= maxCrashRequests
 			})
 			bounded := time.Now()
 			time.Sleep(stabilityWindow)
@@ -294,7 +294,7 @@
 			after := f.served("after")
 			cancel()
 			traffic.Wait()
-			crashes := f.crashes()
+			crashes := crashTimes(f.targets)
 			t.Logf("%d requests with the part, %d crashes, %d arrivals; sound requests served: %d before, %d after", f.started.Load(), len(crashes), len(f.crashingArrivals(time.Time{})), before, after)
 			if 2*after < before {
 				t.Errorf("from two windows after the fifth crash: got %d sound requests served, want at least half of the %d before", after, before)
--- a/node/request_crash_test.go
+++ b/node/request_crash_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,15 +112,6 @@
 	return int(count[0].Load()), int(count[1].Load())
 }
 
-func (f *requestCrashFleet) crashes() []time.Time {
-	var all []time.Time
-	for _, r := range f.targets {
-		all = append(all, r.Crashes()...)
-	}
-	slices.SortFunc(all, time.Time.Compare)
-	return all
-}
-
 // lateRepeats returns the number of repeats of the crashing request that reached targets
 // later than after.
 func (f *requestCrashFleet) lateRepeats(after time.Time) int {
@@ -158,14 +148,14 @@
 			defer cancel()
 			var traffic sync.WaitGroup
 			traffic.Go(func() { f.repeat(ctx, test.interval) })
-			await.Until(t, "the third crash", func() bool { return len(f.crashes()) >= requestCrashesBeforeWindow })
-			bounded := f.crashes()[requestCrashesBeforeWindow-1].Add(stabilityWindow)
+			await.Until(t, "the third crash", func() bool { return len(crashTimes(f.targets)) >= requestCrashesBeforeWindow })
+			bounded := crashTimes(f.targets)[requestCrashesBeforeWindow-1].Add(stabilityWindow)
 			disturbed, stop := context.WithDeadline(ctx, bounded.Add(stabilityWindow))
 			f.sound(disturbed)
 			stop()
 			sent, served := f.sound(ctx)
 			traffic.Wait()
-			t.Logf("%d crashes, %d repeats later than %v after the third; then %d of %d sound requests served", len(f.crashes()), f.lateRepeats(bounded), stabilityWindow, served, sent)
+			t.Logf("%d crashes, %d repeats later than %v after the third; then %d of %d sound requests served", len(crashTimes(f.targets)), f.lateRepeats(bounded), stabilityWindow, served, sent)
 			if got := f.lateRepeats(bounded); got > maxRepeatsAfter {
 				t.Errorf("got %d repeats at targets later than %v after the third crash, want at most %d", got, stabilityWindow, maxRepeatsAfter)
 			}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -97,8 +97,8 @@
 	return cmp.Or(cmp.Compare(t.incidents, other.incidents), cmp.Compare(len(t.targets), len(other.targets)), cmp.Compare(t.depth, other.depth), cmp.Compare(t.part, other.part))
 }
 
-// decide quarantines the most suspect part or request, as long as there is one with enough
-// incidents. Crashes under a quarantined part do not count against others, nor do those
+// decide drops expired verdicts and quarantines the most suspect part or request, as long
+// as there is one with enough incidents. Crashes under a quarantined part do not count against others, nor do those
 // of requests that were at a target when it crashed under a quarantined one. t.mu must
 // be held.
 func (t *Tracker) decide(changes *Changes, now time.Time) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -265,7 +265,7 @@
 // RecordCrash records an attempt that ended at time at because its target crashed before
 // it had written ClearingEvents events.
 func (t *Tracker) RecordCrash(r Request, target fleet.TargetID, at, now time.Time) Changes {
-	c := crash{target: targetHash(target), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt}
+	c := crash{target: target.Hash(), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
@@ -306,7 +306,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
-	t.dropExpiredVerdicts(&changes, now)
 	t.dropExpiredCrashes(now)
 	t.decide(&changes, now)
 	t.updateCounts()
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -3,17 +3,8 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"ragwortpond.example/ragwortpond/fleet"
 )
 
-// targetHash returns the hash by which evidence names a target.
-func targetHash(id fleet.TargetID) uint32 {
-	return uint32(xxhash.Sum64String(string(id)))
-}
-
 // addCrash adds a crash and reports whether it was new: an attempt at the same target
 // with the same parts, at about the same time, brings nothing. t.mu must be held.
 func (t *Tracker) addCrash(c crash, now time.Time) bool {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -215,7 +215,7 @@
 			return nil
 		}
 		t := targets.Find(id)
-		if t == nil || signals.Health(t) == targethealth.Avoided || signals.Limited(t) {
+		if t == nil || !dispatch.CanServeCache(signals, t) {
 			return nil
 		}
 		return t
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -230,40 +230,34 @@
 	r.reportChanges(r.evidence.Sweep(now))
 }
 
-// retryBudget returns the retry budget of a service, creating it on first use.
+// retryBudget returns the retry budget of a service.
 func (r *Relay) retryBudget(service fleet.ServiceName) *retry.Budget {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a := r.retryBudgets[service]
-	if a == nil {
-		a = retry.NewBudget(r.cfg.RetryBudget, r.routerCount(), r.started)
-		r.retryBudgets[service] = a
-	}
-	return a
+	return getOrCreate(r, r.retryBudgets, service, func() *retry.Budget {
+		return retry.NewBudget(r.cfg.RetryBudget, r.routerCount(), r.started)
+	})
 }
 
-// shedder returns the load shedder of a plain service, creating it on first use.
+// shedder returns the load shedder of a plain service.
 func (r *Relay) shedder(service fleet.ServiceName) *admission.Shedder {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	shedder := r.shedders[service]
-	if shedder == nil {
-		shedder = admission.NewShedder()
-		r.shedders[service] = shedder
-	}
-	return shedder
+	return getOrCreate(r, r.shedders, service, admission.NewShedder)
 }
 
-// returnPacer returns the return pacer of a service, creating it on first use.
+// returnPacer returns the return pacer of a service.
 func (r *Relay) returnPacer(service fleet.ServiceName) *admission.ReturnPacer {
+	return getOrCreate(r, r.returnPacers, service, func() *admission.ReturnPacer { return &admission.ReturnPacer{} })
+}
+
+// getOrCreate returns a service's entry in one of the relay's maps, creating it on first
+// use.
+func getOrCreate[T any](r *Relay, entries map[fleet.ServiceName]*T, service fleet.ServiceName, create func() *T) *T {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	pacer := r.returnPacers[service]
-	if pacer == nil {
-		pacer = &admission.ReturnPacer{}
-		r.returnPacers[service] = pacer
+	entry := entries[service]
+	if entry == nil {
+		entry = create()
+		entries[service] = entry
 	}
-	return pacer
+	return entry
 }
 
 func (r *Relay) routerCount() int {
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -35,9 +35,8 @@
 // targets again until ctx ends.
 func (i *injector) sendCrashing(ctx context.Context, parts, requests bool) {
 	env := i.environment
-	select {
-	case <-ctx.Done():
-	case <-time.After(warmUp + time.Duration(i.random.Int64N(int64(maxFaultGap)))):
+	if !i.awaitStart(ctx) {
+		return
 	}
 	if parts {
 		env.crashingPosition.Store(1 + i.random.Int64N(int64(len(sharedParts))))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// awaitStart waits for a random time after the warm-up. It returns false if ctx ends before.
+func (i *injector) awaitStart(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(warmUp + time.Duration(i.random.Int64N(int64(maxFaultGap)))):
+		return true
+	}
+}
+
 func (i *injector) duration() time.Duration {
 	return minFaultDuration + time.Duration(i.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 }
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -34,10 +34,8 @@
 // limitTargets lets every other target name a limit for a while. It returns the limits.
 func (i *injector) limitTargets(ctx context.Context) []Limit {
 	env := i.environment
-	select {
-	case <-ctx.Done():
+	if !i.awaitStart(ctx) {
 		return nil
-	case <-time.After(warmUp + time.Duration(i.random.Int64N(int64(maxFaultGap)))):
 	}
 	env.mu.Lock()
 	targets := slices.Clone(env.active)
