quarantine: evidence has one list of attempts beside its crashes

The digest of the request and the duration of the attempt of each crash travelled in two lists with an accessor each, both padded for crashes that were added without them, which nothing does. They are one list of Attempt now.

--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -24,7 +24,7 @@
 		Peers:   []PeerInfo{{ID: "r2", Domain: "d", Addr: testAddr(2), Incarnation: 1, AgeMS: 10}},
 		Changes: []Change{{Name: "t", Revision: 9, Spec: []byte(`{"Service":"s","Address":"10.0.0.1:1"}`)}, {Name: "u", Revision: 10, Deleted: true}},
 		Evidence: &quarantine.Evidence{
-			Crashes: []quarantine.Crash{{TargetHash: 1, AgeMS: 2, Parts: []uint64{3, 4}}}, CrashRequests: []uint64{9}, CrashRunsMS: []uint32{5}, Clears: []quarantine.Clear{{Part: 3, AgeMS: 1}},
+			Crashes: []quarantine.Crash{{TargetHash: 1, AgeMS: 2, Parts: []uint64{3, 4}}}, Attempts: []quarantine.Attempt{{Digest: 9, RunMS: 5}}, Clears: []quarantine.Clear{{Part: 3, AgeMS: 1}},
 			Verdicts: []quarantine.Verdict{{Part: 5, SinceAgeMS: 6, SeenAgeMS: 7}},
 		},
 		Limits: []LimitReport{{TargetHash: 1, PerThousandSeconds: 4500, AgeMS: 3}},
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -11,12 +11,9 @@
 	Crashes  []Crash   `cbor:"1,keyasint,omitempty"`
 	Clears   []Clear   `cbor:"2,keyasint,omitempty"`
 	Verdicts []Verdict `cbor:"3,keyasint,omitempty"`
-	// CrashRequests holds the digest of the request of each crash, in the order of
-	// Crashes; zero if it is not known. Routers that know only prompts send none.
-	CrashRequests []uint64 `cbor:"5,keyasint,omitempty"`
-	// CrashRunsMS holds the time from the start of the attempt to each crash, in
-	// milliseconds and one more; zero if it is not known.
-	CrashRunsMS []uint32 `cbor:"6,keyasint,omitempty"`
+	// Attempts holds the attempt of each crash, in the order of Crashes. Routers that know
+	// only prompts send none.
+	Attempts []Attempt `cbor:"5,keyasint,omitempty"`
 }
 
 // Crash is an attempt that ended because its target crashed.
@@ -29,6 +26,17 @@
 	Parts []uint64
 }
 
+// Attempt is what is known of the attempt of a crash beside its prompt. It is not a part of
+// Crash, since routers that know only prompts could not decode that.
+type Attempt struct {
+	_ struct{} `cbor:",toarray"`
+	// Digest is that of the request; zero if it is not known.
+	Digest uint64
+	// RunMS is the time from the start of the attempt to the crash, in milliseconds and
+	// one more; zero if it is not known.
+	RunMS uint32
+}
+
 // Clear is the last known success with a part or request.
 type Clear struct {
 	_     struct{} `cbor:",toarray"`
@@ -48,11 +56,11 @@
 }
 
 // Upper bounds of the CBOR encoding in bytes: a part or digest takes up to 9 bytes, a
-// target or an age up to 5, the head of a list 1 to 3. A crash includes the digest of its
-// request and the duration of the attempt.
+// target, an age or a duration up to 5, the head of a list 1 to 3. A crash includes its
+// attempt.
 const (
-	evidenceBytes  = 21
-	crashBytes     = 27
+	evidenceBytes  = 17
+	crashBytes     = 28
 	crashPartBytes = 9
 	clearBytes     = 15
 	verdictBytes   = 22
@@ -78,40 +86,24 @@
 
 func (e *Evidence) add(other Evidence) {
 	for i, c := range other.Crashes {
-		e.addCrash(c, other.request(i), other.runMS(i))
+		e.addCrash(c, other.attempt(i))
 	}
 	e.Clears = append(e.Clears, other.Clears...)
 	e.Verdicts = append(e.Verdicts, other.Verdicts...)
 }
 
-// addCrash adds a crash with the digest of its request and the duration of its attempt, each
-// or zero.
-func (e *Evidence) addCrash(c Crash, request uint64, runMS uint32) {
-	for len(e.CrashRequests) < len(e.Crashes) {
-		e.CrashRequests = append(e.CrashRequests, 0)
-	}
-	for len(e.CrashRunsMS) < len(e.Crashes) {
-		e.CrashRunsMS = append(e.CrashRunsMS, 0)
-	}
+// addCrash adds a crash and its attempt.
+func (e *Evidence) addCrash(c Crash, a Attempt) {
 	e.Crashes = append(e.Crashes, c)
-	e.CrashRequests = append(e.CrashRequests, request)
-	e.CrashRunsMS = append(e.CrashRunsMS, runMS)
-}
-
-// request returns the digest of the request of crash i, or zero.
-func (e *Evidence) request(i int) uint64 {
-	if i >= len(e.CrashRequests) {
-		return 0
-	}
-	return e.CrashRequests[i]
+	e.Attempts = append(e.Attempts, a)
 }
 
-// runMS returns the duration of the attempt of crash i, or zero.
-func (e *Evidence) runMS(i int) uint32 {
-	if i >= len(e.CrashRunsMS) {
-		return 0
+// attempt returns the attempt of crash i, or the zero Attempt if nothing is known of it.
+func (e *Evidence) attempt(i int) Attempt {
+	if i >= len(e.Attempts) {
+		return Attempt{}
 	}
-	return e.CrashRunsMS[i]
+	return e.Attempts[i]
 }
 
 // Split divides the evidence so that no piece is encoded in more than maxBytes, unless it
@@ -131,7 +123,7 @@
 	}
 	for i, c := range e.Crashes {
 		makeRoom(c.size())
-		current.addCrash(c, e.request(i), e.runMS(i))
+		current.addCrash(c, e.attempt(i))
 	}
 	for _, c := range e.Clears {
 		makeRoom(clearBytes)
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -12,7 +12,8 @@
 
 // Export returns the evidence that another router needs, encoded in at most maxBytes, or
 // more for a single crash with many parts: the verdicts, then the crashes that still
-// count against a part, with the last successes with its parts, then recent successes. Of what does not fit, successive calls return different pieces.
+// count against a part, with the last successes with its parts, then recent successes. Of
+// what does not fit, successive calls return different pieces.
 func (t *Tracker) Export(now time.Time, maxBytes int) Evidence {
 	var e Evidence
 	if t.known.Load() == 0 {
@@ -83,7 +84,7 @@
 
 // reportCrash adds a crash and the last successes with its parts.
 func (t *Tracker) reportCrash(e *Evidence, c crash, now time.Time) {
-	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.request, c.runMS())
+	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.attempt())
 	for _, part := range c.parts {
 		if success, ok := t.successes[part]; ok {
 			e.addClear(newClear(part, success, now))
@@ -99,23 +100,23 @@
 	return c.parts[:len(c.parts)-1]
 }
 
-// runMS returns the duration of the attempt for other routers, see Evidence.CrashRunsMS.
-func (c *crash) runMS() uint32 {
-	if c.started.IsZero() {
-		return 0
+// attempt returns what other routers are told of the attempt of a crash.
+func (c *crash) attempt() Attempt {
+	a := Attempt{Digest: c.request}
+	if !c.started.IsZero() {
+		a.RunMS = max(ageMS(c.started, c.at)+1, 1)
 	}
-	return max(ageMS(c.started, c.at)+1, 1)
+	return a
 }
 
-// newCrash returns the crash that another router reported with the digest of its request
-// and the duration of its attempt.
-func newCrash(c Crash, request uint64, runMS uint32, now time.Time) crash {
-	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: request}
-	if request != 0 {
-		merged.parts = slices.Concat(c.Parts, []uint64{request})
+// newCrash returns the crash that another router reported.
+func newCrash(c Crash, a Attempt, now time.Time) crash {
+	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: a.Digest}
+	if a.Digest != 0 {
+		merged.parts = slices.Concat(c.Parts, []uint64{a.Digest})
 	}
-	if runMS > 0 {
-		merged.started = timeOf(runMS-1, merged.at)
+	if a.RunMS > 0 {
+		merged.started = timeOf(a.RunMS-1, merged.at)
 	}
 	return merged
 }
@@ -176,7 +177,7 @@
 	var changes Changes
 	var added []crash
 	for i, c := range e.Crashes[:min(len(e.Crashes), maxMergedCrashes)] {
-		merged := newCrash(c, e.request(i), e.runMS(i), now)
+		merged := newCrash(c, e.attempt(i), now)
 		if len(c.Parts) <= maxParts && now.Sub(merged.at) < crashLifetime-expiryMargin && t.addCrash(merged, now) {
 			added = append(added, merged)
 		}
