platform, relay: the software version of targets and the stream that a client resumes are read and logged

An entry without a software version, or with one of another type, names no target to use, like an entry without a service.

--- a/call/call.go
+++ b/call/call.go
@@ -49,6 +49,9 @@
 	// LastEventID is the number of the last event of a stream that the client has; zero
 	// if none.
 	LastEventID uint64
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// client resumes; empty if it names none.
+	Resumes fleet.RequestID
 }
 
 // Attempt holds what the router sends to a target in addition to the client's
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -191,6 +191,9 @@
 	Domain  fleet.DomainName
 	// Addr is host:port.
 	Addr string
+	// Version is the version of its software. Only targets of the same version can continue
+	// a stream.
+	Version fleet.SoftwareVersion
 	// Slots is the number of requests that the target runs at the same time.
 	Slots int
 	// Leaving targets accept no new requests.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -56,7 +56,7 @@
 }
 
 func targetSpec(addr, state string) map[string]any {
-	return map[string]any{"Service": "s", "Address": addr, "Zone": "z", "Slots": 8, "State": state, "born": 1}
+	return map[string]any{"Service": "s", "Address": addr, "Zone": "z", "Version": "v1", "Slots": 8, "State": state, "born": 1}
 }
 
 func configSpec(version int) map[string]any {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,9 @@
 // DomainName is the name of a failure domain.
 type DomainName string
 
+// SoftwareVersion is the version of the software that a target runs. Versions have no order.
+type SoftwareVersion string
+
 // RegionName is the name of a region, a set of failure domains close to each other.
 type RegionName string
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -104,7 +104,7 @@
 }
 
 func targetSpec(i int) map[string]any {
-	return map[string]any{"Service": "s", "Address": fmt.Sprintf("10.0.0.%d:80", i), "Zone": "z", "Slots": 8, "State": "ready", "born": 1}
+	return map[string]any{"Service": "s", "Address": fmt.Sprintf("10.0.0.%d:80", i), "Zone": "z", "Version": "v1", "Slots": 8, "State": "ready", "born": 1}
 }
 
 // targetCount returns the number of targets in a router's view.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,7 +177,10 @@
 	}
 	chosen := chosenTarget{Target: choice.Target}
 	s.target = choice.Target
-	line := s.Log(event.RequestPlaced)
+	line := s.Log(event.RequestPlaced).Str("version", string(choice.Target.Version))
+	if s.lastEventID > 0 {
+		line.Uint64("after_event", s.lastEventID).Str("resumes", string(s.call.Resumes))
+	}
 	if key := s.promptKey(); key != 0 {
 		line.Str("key", partName(key))
 		if source := s.cacheSource(targets, choice, signals); source != nil {
