--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -92,7 +93,7 @@
 func (s *fixture) publish(targets ...*standin.Target) {
 	list := []*catalog.Target{}
 	for _, target := range targets {
-		list = append(list, &catalog.Target{ID: fleet.TargetID(target.ID), Service: "s", Domain: "d", Addr: target.Addr(), Slots: 8})
+		list = append(list, &catalog.Target{ID: fleet.TargetID(target.ID), Service: "s", Domain: "d", Addr: target.Addr(), Version: fleet.SoftwareVersion(cmp.Or(target.Version, "v1")), Slots: 8})
 	}
 	s.view.Store(&catalog.View{Config: s.config, Targets: catalog.Targets{"s": list}, TargetsLoaded: true})
 }
