--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/settings"
 	"ragwortpond.example/ragwortpond/streamversion"
+	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targetlimit"
 )
 
@@ -60,9 +61,26 @@
 	listeners []net.Listener
 }
 
+// Option changes how a router is assembled.
+type Option func(*options)
+
+type options struct {
+	connectTarget targetconn.ConnectFunc
+}
+
+// WithTargetConnect makes the router open its connections to targets with f instead of
+// netconn.Dial.
+func WithTargetConnect(f targetconn.ConnectFunc) Option {
+	return func(o *options) { o.connectTarget = f }
+}
+
 // New assembles a router. It sets the memory parameters of the Go runtime for
 // the whole process. dropped returns the number of dropped log lines.
-func New(cfg settings.NodeFile, log zerolog.Logger, dropped func() uint64) (*Node, error) {
+func New(cfg settings.NodeFile, log zerolog.Logger, dropped func() uint64, opts ...Option) (*Node, error) {
+	var o options
+	for _, apply := range opts {
+		apply(&o)
+	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryLimitRatio * (1 << 20)))
 	n := &Node{cfg: cfg, started: time.Now(), log: log, metrics: metrics.NewSet()}
@@ -84,7 +102,7 @@
 		Limits:       limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
 			return n.mesh.RequestPermit(id, precedence)
 		},
-		StreamVersions: n.versions, Metrics: n.metrics, Latency: latency, Log: log,
+		StreamVersions: n.versions, Connect: o.connectTarget, Metrics: n.metrics, Latency: latency, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -20,6 +20,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // fixture is one router with stand-ins for the store and the target.
@@ -30,6 +31,8 @@
 	node   *Node
 	stop   context.CancelFunc
 	done   chan error
+	// connect opens connections to targets; nil means the default.
+	connect targetconn.ConnectFunc
 }
 
 var fixtureCount atomic.Int32
@@ -76,7 +79,7 @@
 func (s *fixture) start(t *testing.T) {
 	t.Helper()
 	var err error
-	if s.node, err = New(s.cfg, zerolog.Nop(), func() uint64 { return 0 }); err != nil {
+	if s.node, err = New(s.cfg, zerolog.Nop(), func() uint64 { return 0 }, WithTargetConnect(s.connect)); err != nil {
 		t.Fatal(err)
 	}
 	var ctx context.Context
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -18,6 +18,7 @@
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // Bounds on requests with a prompt part that crashes targets.
@@ -110,6 +111,13 @@
 
 // startRouters starts routers and waits until they know each other and all targets.
 func startRouters(t *testing.T, store *standin.Store, routers, targets int) []*fixture {
+	t.Helper()
+	return startRoutersWith(t, store, routers, targets, func(int) targetconn.ConnectFunc { return nil })
+}
+
+// startRoutersWith is startRouters with a function to open connections to targets for each
+// router.
+func startRoutersWith(t *testing.T, store *standin.Store, routers, targets int, connect func(i int) targetconn.ConnectFunc) []*fixture {
 	t.Helper()
 	var addresses, seeds []string
 	for range routers {
@@ -118,7 +126,7 @@
 	}
 	var fixtures []*fixture
 	for i, address := range addresses {
-		r := &fixture{store: store, done: make(chan error, 1)}
+		r := &fixture{store: store, done: make(chan error, 1), connect: connect(i)}
 		r.cfg = settings.NodeFile{
 			ID: fleet.RouterID(fmt.Sprintf("n%d", i)), Domain: "d", ClientAddr: address + ":18001", ReadyAddr: address + ":18002", PeerAddr: address + ":18003",
 			MetricsAddr: address + ":18004", StoreAddr: store.Addr(), Seeds: seeds, MemoryMB: 200, GraceSeconds: 1,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,8 @@
 	// StreamVersions tells at which software version resumable streams run; nil means that
 	// only the view is known.
 	StreamVersions StreamVersions
+	// Connect opens connections to targets; nil means netconn.Dial.
+	Connect targetconn.ConnectFunc
 	// RetryBudget configures the retry budget of each service.
 	RetryBudget retry.BudgetConfig
 	// RouterCount returns the number of routers that share the retry budget; nil means
@@ -128,7 +130,7 @@
 	if r.limits == nil {
 		r.limits = targetlimit.NewTracker()
 	}
-	r.pool = targetconn.NewPool(cfg.Metrics.TargetConns.Inc)
+	r.pool = targetconn.NewPool(cfg.Connect, cfg.Metrics.TargetConns.Inc)
 	return r
 }
 
--- a/targetconn/flood_test.go
+++ b/targetconn/flood_test.go
@@ -80,7 +80,7 @@
 			addr := serveFlood(t, flood.prefix, flood.repeated)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			p := NewPool(nil)
+			p := NewPool(nil, nil)
 			growth := watchHeap()
 			_, err := do(ctx, p, newRequest(addr, "a", nil))
 			if grown := growth(); grown > maxFloodHeapBytes {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -62,8 +62,9 @@
 // Pool keeps idle connections to all targets for reuse. It is safe for
 // concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[fleet.TargetID][]*conn
+	mu      sync.Mutex
+	idle    map[fleet.TargetID][]*conn
+	connect ConnectFunc
 	// opened is called for each new connection.
 	opened func()
 	// open counts the connections that are not closed.
@@ -112,13 +113,19 @@
 	return c.Conn.Close()
 }
 
-// NewPool returns an empty pool; opened is called for each new connection and
-// may be nil.
-func NewPool(opened func()) *Pool {
+// ConnectFunc opens a connection to addr, host:port. ctx bounds the setup only.
+type ConnectFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+// NewPool returns an empty pool. connect opens its connections; nil means netconn.Dial.
+// opened is called for each new connection and may be nil.
+func NewPool(connect ConnectFunc, opened func()) *Pool {
+	if connect == nil {
+		connect = netconn.Dial
+	}
 	if opened == nil {
 		opened = func() {}
 	}
-	return &Pool{idle: map[fleet.TargetID][]*conn{}, opened: opened}
+	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened}
 }
 
 // get returns an idle connection to the target or opens one. If fresh is set,
@@ -144,7 +151,7 @@
 func (p *Pool) dial(ctx context.Context, id fleet.TargetID, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := netconn.Dial(ctx, addr)
+	raw, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -66,7 +66,7 @@
 	}
 	addr := l.Addr().String()
 	_ = l.Close()
-	if _, err := do(t.Context(), NewPool(nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrNotSent) {
+	if _, err := do(t.Context(), NewPool(nil, nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrNotSent) {
 		t.Errorf("got error %v, want ErrNotSent", err)
 	}
 }
@@ -82,7 +82,7 @@
 				_, _ = io.WriteString(c, text)
 			}
 		})
-		if _, err := do(t.Context(), NewPool(nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrBroken) {
+		if _, err := do(t.Context(), NewPool(nil, nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrBroken) {
 			t.Errorf("%s: got error %v, want ErrBroken", name, err)
 		}
 	}
@@ -99,7 +99,7 @@
 		_, err := io.Copy(io.Discard, request.Body)
 		return err == nil
 	})
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	big := []byte(strings.Repeat("x", 8<<20))
 	for _, id := range []string{"a", "b"} {
 		if body, err := do(t.Context(), p, newRequest(addr, id, big)); err != nil || body != "early" {
@@ -116,7 +116,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+reply("late", "of another")+reply(request.Header.Get("Id"), "mine"))
 		return true
 	})
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	for _, id := range []string{"a", "b"} {
 		if body, err := do(t.Context(), p, newRequest(addr, id, nil)); err != nil || body != "mine" {
 			t.Errorf("got body %q, error %v, want mine", body, err)
@@ -137,7 +137,7 @@
 		_, _ = io.WriteString(c, reply(request.Header.Get("Id"), "mine")+reply("x", "extra"))
 		return true
 	})
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	for _, id := range []string{"a", "b", "c"} {
 		if body, err := do(t.Context(), p, newRequest(addr, id, nil)); err != nil || body != "mine" {
 			t.Errorf("got body %q, error %v, want mine", body, err)
@@ -162,7 +162,7 @@
 		_ = c.Close()
 		closed <- struct{}{}
 	})
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	for range 5 {
 		if body, err := do(t.Context(), p, newRequest(addr, "a", nil)); err != nil || body != "mine" {
 			t.Fatalf("got body %q, error %v, want mine", body, err)
@@ -176,7 +176,7 @@
 		_, _ = io.WriteString(c, reply(request.Header.Get("Id"), "mine"))
 		return true
 	})
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	r := newRequest(addr, "a", nil)
 	if _, err := do(t.Context(), p, r); err != nil {
 		t.Fatal(err)
@@ -205,7 +205,7 @@
 
 func TestSweepAndForget(t *testing.T) {
 	addr := serveRaw(t, func(c net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
-	p := NewPool(nil)
+	p := NewPool(nil, nil)
 	for range 3 {
 		if err := p.Probe(t.Context(), "t", addr); err != nil {
 			t.Fatal(err)
@@ -235,7 +235,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	if _, err := do(ctx, NewPool(nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrBroken) || !errors.Is(err, context.DeadlineExceeded) {
+	if _, err := do(ctx, NewPool(nil, nil), newRequest(addr, "a", nil)); !errors.Is(err, ErrBroken) || !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("got error %v, want ErrBroken and context.DeadlineExceeded", err)
 	}
 }
