mesh: where a stream began is recorded at all routers of a small fleet, at six of a large one

Cause: two routers held the record of each stream, and both were among the eight in most cases. Evidence: the refusals are stream-version-unknown at b-2, the only router that was not killed; the split changed 2 s before.

Change: all others hold the records in a fleet of up to twelve routers, six in a larger one, and one more is asked.

--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// streamHolders is the number of routers that record where a stream began. One more is
-	// asked, in case one of them has gone.
-	streamHolders = 2
+	// streamHolders is the number of routers that record where a stream began, all others in
+	// a fleet of up to maxAllHolders: so that of the streams of routers that are lost
+	// together, the others know most. One more is asked.
+	streamHolders = 6
+	maxAllHolders = 12
 	// streamTimeout is how long a router waits for what others know of a stream.
 	streamTimeout = 50 * time.Millisecond
 	// maxSplits and maxShares bound the splits in a full heartbeat. One with more versions
@@ -135,21 +137,27 @@
 	}
 }
 
-func (m *Mesh) streamHolders(key streamversion.Key, n int) []netip.AddrPort {
+// streamHolders returns the addresses of the routers that record where a stream began, and of
+// some more.
+func (m *Mesh) streamHolders(key streamversion.Key, more int) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.streamHolders(uint64(key), n, time.Now())
+	n := streamHolders
+	if known := m.table.KnownRouters(); known <= maxAllHolders {
+		n = known
+	}
+	return m.table.streamHolders(uint64(key), n+more, time.Now())
 }
 
 // RecordStream implements streamversion.Peers.
 func (m *Mesh) RecordStream(key streamversion.Key, origin streamversion.Origin) {
 	message := &StreamMessage{Kind: StreamRecord, Key: key, Origin: origin}
-	m.send(&Heartbeat{From: m.cfg.Self, Stream: message}, m.streamHolders(key, streamHolders))
+	m.send(&Heartbeat{From: m.cfg.Self, Stream: message}, m.streamHolders(key, 0))
 }
 
 // FindStream implements streamversion.Peers.
 func (m *Mesh) FindStream(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
-	holders := m.streamHolders(key, streamHolders+1)
+	holders := m.streamHolders(key, 1)
 	sequence, replies, ok := m.streams.expect(len(holders))
 	if !ok {
 		return 0, false
