--- a/mesh/streams_test.go
+++ b/mesh/streams_test.go
@@ -11,7 +11,7 @@
 	"ragwortpond.example/ragwortpond/streamversion"
 )
 
-func TestRecordOfStreamOutlivesOneRouter(t *testing.T) {
+func TestRecordOfStreamOutlivesOtherRouters(t *testing.T) {
 	store := platform.NewStore(startStore(t, 1).Addr(), nil)
 	var routers []*testRouter
 	for i, domain := range []fleet.DomainName{"a", "a", "b", "c"} {
@@ -30,8 +30,12 @@
 	if got := knownStreams(routers[3], streams); got != streams {
 		t.Errorf("after the end of a failure domain: got %d of %d streams known, want all", got, streams)
 	}
+	routers[2].stop()
+	if got := knownStreams(routers[3], streams); got != streams {
+		t.Errorf("after the end of all others: got %d of %d streams known to the last router, want all", got, streams)
+	}
 	started := time.Now()
-	if _, ok := routers[2].mesh.FindStream(context.Background(), 1000); ok {
+	if _, ok := routers[3].mesh.FindStream(context.Background(), 1000); ok {
 		t.Error("a stream that never was is known")
 	}
 	if elapsed := time.Since(started); elapsed > 2*streamTimeout {
