targetpath, relay, mesh: a router that reaches no target passes requests on to one that does

Cause: a router asked nothing but targets. It tried four of them a request, 0.4 s each where connections hang, and refused, while its neighbours had room. Evidence: the failing test; request-redirected four times before each target-down in the record, and no other line. Ruled out: readiness, since open connections stay where they are.

Change: targetpath tells from new connections that hardly any target can be reached. Then requests go, once, to another router that has reached targets of the service lately, by its heartbeats; it treats them as its clients' own. If there is none, they are refused at once. Also before that is known, a request for which no target could be reached is passed on rather than refused.

Why it works: connections that hang, are reset or refused all show within 1.6 s of the first failure, and probes notice the return. A request that was sent is never sent again, so that what runs once runs once, and a refusal stays true.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,11 @@
 // ServiceName is the name of a service. Callers give it as the model or in the path.
 type ServiceName string
 
+// Hash returns the hash by which messages between routers name the service.
+func (name ServiceName) Hash() uint32 {
+	return uint32(xxhash.Sum64String(string(name)))
+}
+
 // AccountName is the name of a client account.
 type AccountName string
 
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -30,6 +30,7 @@
 		},
 		Limits: []LimitReport{{TargetHash: 1, PerThousandSeconds: 4500, AgeMS: 3}},
 		Splits: []SplitReport{{Service: "s", Revision: 3, AgeMS: 4, Shares: []SplitShare{{Version: "v1", Weight: 5}}}},
+		Paths:  []PathReport{{ServiceHash: 1, ReachedAgeMS: 2}, {ServiceHash: 2, Lost: true}},
 		Stream: &StreamMessage{Kind: StreamRecord, Sequence: 1, Key: 2, Origin: 3},
 		Permit: &PermitMessage{Sequence: 1, Verdict: PermitDenied, WaitMS: 2, Limit: LimitReport{TargetHash: 1, Lifted: true}},
 	}
@@ -60,6 +61,11 @@
 		m.mergeLoads(hb, now)
 		m.mergeLimits(hb.Limits, now)
 		m.mergeSplits(hb.Splits, now)
+		for _, member := range m.table.members {
+			if len(member.paths) > maxPaths {
+				t.Errorf("got %d paths of a router, want at most %d", len(member.paths), maxPaths)
+			}
+		}
 		if len(m.cfg.StreamVersions.Reports()) > 0 {
 			t.Error("splits of services without resumable streams were kept")
 		}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -31,6 +31,7 @@
 	hb.Loads = newestLoads(m.loads, now)
 	hb.Limits = m.newestLimits(now)
 	hb.Splits = m.splitReports(now)
+	hb.Paths = m.pathReports(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
 	hb.Peers = m.table.RandomPeers(maxPeers, now, m.random)
 }
@@ -69,14 +70,14 @@
 }
 
 // encodeFitting encodes a heartbeat. What does not fit into a datagram is left out:
-// changes, which receivers that lack them fetch, and loads, then limits, splits, crashes and
+// changes, which receivers that lack them fetch, and loads, then limits, splits and paths, crashes and
 // clears, then other routers, and verdicts last.
 func encodeFitting(hb *Heartbeat) ([]byte, error) {
 	data, err := encode(hb)
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
 		func() { hb.Limits = nil },
-		func() { hb.Splits = nil },
+		func() { hb.Splits, hb.Paths = nil, nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
 		func() { hb.Evidence = nil },
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -87,6 +87,9 @@
 	// StreamVersions holds the splits of services among software versions, and the records
 	// of where streams began.
 	StreamVersions StreamVersions
+	// Paths holds this router's paths to targets; nil means that others are not told of
+	// them.
+	Paths Paths
 	// CountBytes counts n bytes of control traffic; direction is "sent" or "received". It
 	// may be nil.
 	CountBytes func(direction string, n int)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -60,6 +60,8 @@
 	// Stream is set in a datagram about where a stream began. It carries nothing else but
 	// the sender.
 	Stream *StreamMessage `cbor:"21,keyasint,omitempty"`
+	// Paths are the sender's paths to the targets of services.
+	Paths []PathReport `cbor:"22,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -58,6 +58,8 @@
 	// configRevision and targetsDigest are the versions that its last heartbeat told.
 	configRevision, targetsDigest uint64
 	strength                      uint8
+	// paths holds its paths to targets, by the hash of their service.
+	paths map[uint32]helperRecord
 }
 
 // Table holds a router's records of the other routers. It does no I/O; the time is
@@ -105,6 +107,7 @@
 	}
 	m.configRevision, m.targetsDigest = hb.ConfigRevision, hb.TargetsDigest
 	t.recordFleetSize(int(hb.FleetSize), now)
+	t.mergePaths(hb.From, hb.Paths, now)
 	for _, peer := range hb.Peers {
 		t.mergePeer(peer, now)
 	}
--- a/node/isolated_router_test.go
+++ b/node/isolated_router_test.go
@@ -361,6 +361,39 @@
 	}
 }
 
+// TestRequestsArePassedOnOnce guards against requests that go from router to router, and callers who pose as one.
+func TestRequestsArePassedOnOnce(t *testing.T) {
+	t.Parallel()
+	f := startIsolationFleet(t)
+	f.load(f.routers, time.Second)
+	f.cut(allReset)
+	f.load(f.routers, stabilityWindow)
+	send := func(addr string) *http.Response {
+		r, err := http.NewRequest(http.MethodPost, "http://"+addr+kindRepeatable, strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set("Ragwort-Forwarded-By", "n4")
+		standin.SetRequestHeaders(r, fmt.Sprint("p", f.sent.Add(1)), "", isolationTimeout, 0)
+		response, err := f.client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		return response
+	}
+	if response := send(f.routers[0].cfg.PeerAddr); response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Ragwort-Not-Taken") == "" {
+		t.Errorf("a router without targets that was passed a request: got status %d, header %v, want a refusal that lets another router be asked", response.StatusCode, response.Header)
+	}
+	if response := send(f.routers[0].cfg.ClientAddr); response.StatusCode != http.StatusOK {
+		t.Errorf("a caller that poses as a router: got status %d, want an answer as for any other", response.StatusCode)
+	}
+	if response := send(f.routers[isolatedRouters].cfg.PeerAddr); response.StatusCode != http.StatusOK || standin.Signature(response) == "" {
+		t.Errorf("a router with targets that was passed a request: got status %d, header %v, want a target's answer", response.StatusCode, response.Header)
+	}
+}
+
 // TestClosedRequestEndsAtTargetOfOtherRouter guards against work that goes on after the client of a router without targets
 // has left.
 func TestClosedRequestEndsAtTargetOfOtherRouter(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"ragwortpond.example/ragwortpond/streamversion"
 	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targetlimit"
+	"ragwortpond.example/ragwortpond/targetpath"
 )
 
 const (
@@ -91,10 +92,10 @@
 		Store: func() streamversion.Store { return n.store.Load() }, Peers: func() streamversion.Peers { return n.mesh }, View: n.directory.View,
 		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, Log: log,
 	})
-	limits := targetlimit.NewTracker()
+	limits, paths := targetlimit.NewTracker(), targetpath.NewTracker()
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
 	n.relay = relay.New(relay.Config{
-		Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(), GuardClose: ingress.GuardClose,
+		Self: cfg.ID, Domain: cfg.Domain, Codec: platform.HeaderCodec{}, View: n.directory.View, FirstView: n.directory.Ready(), GuardClose: ingress.GuardClose,
 		RetryBudget:  retry.BudgetConfig{Ratio: cfg.RetryBudget.Ratio, Extra: cfg.RetryBudget.Extra, Window: cfg.RetryBudget.Window()},
 		RouterCount:  n.routerCount,
 		OnLoadReport: func(id fleet.TargetID, work int, now time.Time) { n.mesh.ReportLoad(id, work, now) },
@@ -102,13 +103,14 @@
 		Limits:       limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
 			return n.mesh.RequestPermit(id, precedence)
 		},
+		Helpers: func(service fleet.ServiceName) []string { return n.mesh.Helpers(service) }, Paths: paths,
 		StreamVersions: n.versions, Connect: o.connectTarget, Metrics: n.metrics, Latency: latency, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
 	n.mesh, err = mesh.New(mesh.Config{
 		Self: cfg.ID, Domain: cfg.Domain, Addr: cfg.PeerAddr, Strength: cfg.Strength(), Seeds: n.seeds, Directory: n.directory,
-		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, Limits: limits, StreamVersions: n.versions,
+		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, Limits: limits, StreamVersions: n.versions, Paths: paths,
 		CountBytes: n.countMeshBytes, Log: log,
 	})
 	if err != nil {
@@ -264,12 +266,22 @@
 	n.listeners = []net.Listener{ready, peers}
 	start("clients", func() error { return n.ingress.Serve(clients) })
 	start("ready", func() error { return serve(ready, http.HandlerFunc(n.handleReady)) })
-	start("peers", func() error { return serve(peers, n.mesh) })
+	start("peers", func() error { return serve(peers, http.HandlerFunc(n.servePeer)) })
 	start("mesh", func() error { return n.mesh.Run(ctx) })
 	n.exportMetrics(ctx, start)
 	return nil
 }
 
+// servePeer serves the requests of other routers: for data that they lack, and those of
+// clients that they pass on.
+func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	if relay.IsForwarded(r) {
+		n.relay.ServeForwarded(w, r)
+		return
+	}
+	n.mesh.ServeHTTP(w, r)
+}
+
 // exportMetrics serves metrics. If their address is in use, it logs the fault
 // and the router serves clients without metrics.
 func (n *Node) exportMetrics(ctx context.Context, start func(string, func() error)) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -297,6 +297,7 @@
 			return id == s.call.ID || (id == "" && !reused)
 		},
 	})
+	s.relay.recordPath(t.Target, err, err == nil && response.Reused())
 	if errors.Is(err, targetconn.ErrNotSent) {
 		return &attemptResult{reason: reason.TargetDown, err: err}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targethealth"
 	"ragwortpond.example/ragwortpond/targetlimit"
+	"ragwortpond.example/ragwortpond/targetpath"
 )
 
 // HeaderCodec translates between the wire format and package call. It must be safe for
@@ -36,6 +37,9 @@
 	EncodeAttempt(c *call.Call, a *call.Attempt) http.Header
 	// DecodeResponse reads the head of a target's response.
 	DecodeResponse(status int, h http.Header) call.Reply
+	// EncodeForwarded returns the header of a client's request as passed on to another
+	// router, with the time that is left.
+	EncodeForwarded(h http.Header, timeout time.Duration) http.Header
 	// SetRequestID sets the request ID in the header of a response that originates from the
 	// router.
 	SetRequestID(h http.Header, id fleet.RequestID)
@@ -43,6 +47,8 @@
 
 // Config configures a Relay.
 type Config struct {
+	// Self is the router's ID.
+	Self fleet.RouterID
 	// Domain is the router's failure domain.
 	Domain fleet.DomainName
 	Codec  HeaderCodec
@@ -70,6 +76,11 @@
 	// StreamVersions tells at which software version resumable streams run; nil means that
 	// only the view is known.
 	StreamVersions StreamVersions
+	// Helpers returns the addresses of other routers that reach the targets of a service, in
+	// the order in which to ask them; nil means that there are none.
+	Helpers func(service fleet.ServiceName) []string
+	// Paths records the connections to targets; nil means that no other router knows of it.
+	Paths *targetpath.Tracker
 	// Connect opens connections to targets; nil means netconn.Dial.
 	Connect targetconn.ConnectFunc
 	// RetryBudget configures the retry budget of each service.
@@ -85,8 +96,11 @@
 // Relay serves client requests; it implements http.Handler. It is safe for
 // concurrent use.
 type Relay struct {
-	cfg      Config
-	pool     *targetconn.Pool
+	cfg  Config
+	pool *targetconn.Pool
+	// routers holds the connections to other routers.
+	routers  *targetconn.Pool
+	paths    *targetpath.Tracker
 	health   *targethealth.Tracker
 	loads    *loadTable
 	holders  *dispatch.CacheHolders
@@ -124,12 +138,15 @@
 	r := &Relay{
 		cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(),
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
-		evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
+		routers: newRouterPool(), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
 		crashChecks: map[fleet.TargetID][]brokenAttempt{},
 	}
 	if r.limits == nil {
 		r.limits = targetlimit.NewTracker()
 	}
+	if r.paths == nil {
+		r.paths = targetpath.NewTracker()
+	}
 	r.pool = targetconn.NewPool(cfg.Connect, cfg.Metrics.TargetConns.Inc)
 	return r
 }
@@ -183,6 +200,7 @@
 			r.sweep(now)
 		case now := <-probeTicker.C:
 			r.probeDue(ctx, now)
+			r.checkPaths(ctx, now)
 		}
 	}
 }
@@ -210,6 +228,7 @@
 	if err != nil {
 		signal = targethealth.Unreachable
 	}
+	r.recordPath(t, err, false)
 	before, after := r.health.Record(t, signal, time.Now())
 	if before != after {
 		event.TargetHealthChanged.Log(r.cfg.Log).Str("target", string(t.ID)).Str("before", before.String()).
@@ -221,6 +240,8 @@
 // listed, and updates the number of routers that share the retry budgets.
 func (r *Relay) sweep(now time.Time) {
 	r.pool.CloseExpired(now)
+	r.routers.CloseExpired(now)
+	r.paths.Prune(now)
 	view := r.cfg.View()
 	listed := map[fleet.TargetID]bool{}
 	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
--- a/relay/response.go
+++ b/relay/response.go
@@ -48,6 +48,8 @@
 	// resultCut means that a response was aborted after its head was sent.
 	resultCut        requestResult = "cut"
 	resultClientGone requestResult = "client-gone"
+	// resultForwarded means that another router answered.
+	resultForwarded requestResult = "forwarded"
 )
 
 // routeKindNone is the metric label of requests that ended before their route
@@ -96,7 +98,7 @@
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
 	case result.response.Length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
-	case !delimited:
+	case !delimited && s.forwardedBy == "":
 		// The end of an undelimited response is marked by closing the connection, on
 		// the client's side as on the target's.
 		h.Set("Transfer-Encoding", "identity")
@@ -145,6 +147,7 @@
 		s.abortResponse(code)
 	case s.current.reason == reason.TargetFailed:
 		s.forwardFailure()
+	case s.forwardUnreached(step.Outcome, code):
 	case step.Outcome == outcome.NotDispatched && s.quarantined != nil:
 		s.refuseQuarantined()
 	case step.Outcome == outcome.NotDispatched && s.limited:
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -34,6 +34,12 @@
 
 // ServeHTTP serves one client request.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.serveRequest(w, req, "")
+}
+
+// serveRequest serves one request, which another router passed on if forwardedBy is not
+// empty.
+func (r *Relay) serveRequest(w http.ResponseWriter, req *http.Request, forwardedBy string) {
 	r.inFlight.Add(1)
 	defer func() {
 		r.lastEndUnixNano.Store(time.Now().UnixNano())
@@ -43,7 +49,7 @@
 	if stop != nil {
 		w.Header().Set("Connection", "close")
 	}
-	s := &requestState{relay: r, w: w, request: req, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}}
+	s := &requestState{relay: r, w: w, request: req, forwardedBy: forwardedBy, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}}
 	c, err := r.cfg.Codec.DecodeRequest(req)
 	if err != nil {
 		s.call = &call.Call{Method: req.Method, Host: req.Host, Path: req.URL.Path}
@@ -62,7 +68,7 @@
 		s.refuse(reason.Draining, drainingRetryAfter)
 		return
 	}
-	if !s.readBody(req) || !s.admitUnlessQuarantined() || !s.admit() || !s.bindVersion(req.Context()) {
+	if !s.readBody(req) || s.forwardOrRefuse() || !s.admitUnlessQuarantined() || !s.admit() || !s.bindVersion(req.Context()) {
 		return
 	}
 	s.serve(req.Context())
@@ -71,16 +77,19 @@
 // requestState is the state of one in-flight request. It is used by the request's
 // goroutine only.
 type requestState struct {
-	relay     *Relay
-	w         http.ResponseWriter
-	request   *http.Request
-	arrivedAt time.Time
-	view      *catalog.View
-	call      *call.Call
-	route     *catalog.Route
-	account   *catalog.Account
-	service   fleet.ServiceName
-	priority  int
+	relay   *Relay
+	w       http.ResponseWriter
+	request *http.Request
+	// forwardedBy names the router that passed the request on; empty if it came from its
+	// client.
+	forwardedBy string
+	arrivedAt   time.Time
+	view        *catalog.View
+	call        *call.Call
+	route       *catalog.Route
+	account     *catalog.Account
+	service     fleet.ServiceName
+	priority    int
 	// version is the software version at which a resumable stream has to run; empty means
 	// any.
 	version   fleet.SoftwareVersion
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -100,6 +100,13 @@
 	a.tokens = min(a.tokens+share, a.maxTokens())
 }
 
+// Withdraw takes back the share of a request that another router serves after all.
+func (a *Budget) Withdraw(share float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tokens = max(a.tokens-share, 0)
+}
+
 // Take takes one retry from the retry budget and reports whether there was one.
 func (a *Budget) Take(now time.Time) bool {
 	a.mu.Lock()
