targetlimit, mesh, relay: routers together keep rejections by brittle targets below what these bear

Cause: nothing read what brittle targets name. A rejection sent the request on to the next full target, so that a request cost up to four rejections, and the falls of one target moved its load to the next.

Change: sends to a brittle target need the permits of limits. The holder, which is told of each rejection at once, grants nothing more after half of the rejections that the target bears in a second, and lowers its rate from a quarter on. What is denied everywhere is refused at once, with a time to come back.

Why it works: the holder counts for the whole fleet, and the other half covers what is in flight. The rate settles just below what the target takes.

--- a/call/call.go
+++ b/call/call.go
@@ -94,12 +94,15 @@
 	// Load is nil if the target does not report its load.
 	Load  *Load
 	Limit Limit
+	// Brittle names the rejections per second beyond which the target falls over.
+	Brittle Limit
 }
 
-// Limit is what a target's answer says of the requests that the target takes.
+// Limit is what a target's answer says of the requests that the target takes, or of the
+// rejections that it bears.
 type Limit struct {
 	State LimitState
-	// PerSecond is the limit in requests per second from all routers together.
+	// PerSecond is the limit per second, for all routers together.
 	PerSecond float64
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -185,7 +185,7 @@
 			break
 		}
 		t := sel.candidates.targets[i]
-		if sel.unfit(i) || sel.state.Health(t) != health {
+		if sel.unfit(i) || sel.state.Health(t) != health || (sel.state.Withheld(t) && !sel.state.Limited(t)) {
 			continue
 		}
 		switch {
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -28,11 +28,12 @@
 			Crashes: []quarantine.Crash{{TargetHash: 1, AgeMS: 2, Parts: []uint64{3, 4}}}, Attempts: []quarantine.Attempt{{Digest: 9, RunMS: 5}}, Clears: []quarantine.Clear{{Part: 3, AgeMS: 1}},
 			Verdicts: []quarantine.Verdict{{Part: 5, SinceAgeMS: 6, SeenAgeMS: 7}},
 		},
-		Limits: []LimitReport{{TargetHash: 1, PerThousandSeconds: 4500, AgeMS: 3}},
-		Splits: []SplitReport{{Service: "s", Revision: 3, AgeMS: 4, Shares: []SplitShare{{Version: "v1", Weight: 5}}}},
-		Paths:  []PathReport{{ServiceHash: 1, ReachedAgeMS: 2}, {ServiceHash: 2, Lost: true}},
-		Stream: &StreamMessage{Kind: StreamRecord, Sequence: 1, Key: 2, Origin: 3},
-		Permit: &PermitMessage{Sequence: 1, Verdict: PermitDenied, WaitMS: 2, Limit: LimitReport{TargetHash: 1, Lifted: true}},
+		Limits:  []LimitReport{{TargetHash: 1, PerThousandSeconds: 4500, AgeMS: 3}},
+		Splits:  []SplitReport{{Service: "s", Revision: 3, AgeMS: 4, Shares: []SplitShare{{Version: "v1", Weight: 5}}}},
+		Brittle: []BrittleReport{{TargetHash: 1, PerThousand: 4000, AgeMS: 3}, {TargetHash: 2, Sound: true}},
+		Paths:   []PathReport{{ServiceHash: 1, ReachedAgeMS: 2}, {ServiceHash: 2, Lost: true}},
+		Stream:  &StreamMessage{Kind: StreamRecord, Sequence: 1, Key: 2, Origin: 3},
+		Permit:  &PermitMessage{Sequence: 1, Verdict: PermitDenied, WaitMS: 2, Limit: LimitReport{TargetHash: 1, Lifted: true}},
 	}
 	data, err := encode(sound)
 	if err != nil {
@@ -61,6 +62,7 @@
 		m.mergeLoads(hb, now)
 		m.mergeLimits(hb.Limits, now)
 		m.mergeSplits(hb.Splits, now)
+		m.mergeBrittle(hb.Brittle, now)
 		for _, member := range m.table.members {
 			if len(member.paths) > maxPaths {
 				t.Errorf("got %d paths of a router, want at most %d", len(member.paths), maxPaths)
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -32,6 +32,7 @@
 	hb.Limits = m.newestLimits(now)
 	hb.Splits = m.splitReports(now)
 	hb.Paths = m.pathReports(now)
+	hb.Brittle = m.newestBrittle(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
 	hb.Peers = m.table.RandomPeers(maxPeers, now, m.random)
 }
@@ -76,7 +77,7 @@
 	data, err := encode(hb)
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
-		func() { hb.Limits = nil },
+		func() { hb.Limits, hb.Brittle = nil, nil },
 		func() { hb.Splits, hb.Paths = nil, nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
@@ -120,6 +121,7 @@
 	}
 	m.mergeLimits(hb.Limits, now)
 	m.mergeSplits(hb.Splits, now)
+	m.mergeBrittle(hb.Brittle, now)
 	switch {
 	case hb.Joining:
 		m.replyToJoin(hb.Domain, from, now)
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -47,9 +47,7 @@
 // mergeLimits adds the limits of targets of this router's view.
 func (m *Mesh) mergeLimits(list []LimitReport, now time.Time) {
 	for _, r := range list[:min(len(list), maxLimits)] {
-		m.mu.Lock()
-		id, ok := m.targetsByHash[r.TargetHash]
-		m.mu.Unlock()
+		id, ok := m.targetByHash(r.TargetHash)
 		if !ok {
 			continue
 		}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -60,6 +60,9 @@
 	// Stream is set in a datagram about where a stream began. It carries nothing else but
 	// the sender.
 	Stream *StreamMessage `cbor:"21,keyasint,omitempty"`
+	// Brittle holds the newest brittle targets known to the sender, or, with Permit, the one
+	// that the permit is for.
+	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
 	// Paths are the sender's paths to the targets of services.
 	Paths []PathReport `cbor:"22,keyasint,omitempty"`
 }
@@ -98,6 +101,18 @@
 	Lifted bool
 }
 
+// BrittleReport is what a target said of the rejections that it bears.
+type BrittleReport struct {
+	_ struct{} `cbor:",toarray"`
+	// TargetHash is the hash of the target's ID, see fleet.TargetID.Hash.
+	TargetHash uint32
+	// PerThousand is the number of rejections in 1,000 s.
+	PerThousand uint32
+	AgeMS       uint32
+	// Sound means that the target was brittle and is no longer.
+	Sound bool
+}
+
 // PermitVerdict is the answer to a request for a permit.
 type PermitVerdict uint8
 
@@ -110,6 +125,9 @@
 	// PermitNotHolder means that another router holds the permits of the target, or that
 	// the sender is leaving.
 	PermitNotHolder
+	// PermitRejected tells the holder that the target, a brittle one, has rejected a request.
+	// It has no answer.
+	PermitRejected
 )
 
 // PermitMessage asks for permission to send one request to a target, or answers.
--- a/mesh/permit.go
+++ b/mesh/permit.go
@@ -117,7 +117,7 @@
 	}
 	defer m.permits.replies.forget(sequence)
 	request := &PermitMessage{Sequence: sequence, Precedence: precedence, Limit: m.limitReport(id, now)}
-	m.send(&Heartbeat{From: m.cfg.Self, Permit: request}, []netip.AddrPort{holder.addr})
+	m.send(&Heartbeat{From: m.cfg.Self, Permit: request, Brittle: m.brittleReport(id, now)}, []netip.AddrPort{holder.addr})
 	if answer, ok := receive(replies, permitTimeout); ok {
 		return answer, true
 	}
@@ -143,9 +143,14 @@
 // handlePermit handles a request for a permit, or an answer to one of this router.
 func (m *Mesh) handlePermit(hb *Heartbeat, from netip.AddrPort, now time.Time) {
 	m.mergeLimits([]LimitReport{hb.Permit.Limit}, now)
-	if hb.Permit.Verdict == PermitRequested {
+	m.mergeBrittle(hb.Brittle, now)
+	switch hb.Permit.Verdict {
+	case PermitRequested:
 		m.answerPermit(hb.Permit, from, now)
 		return
+	case PermitRejected:
+		m.handleRejection(hb.Permit, now)
+		return
 	}
 	if hb.Permit.Verdict == PermitNotHolder {
 		m.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -103,7 +103,8 @@
 		Limits:       limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
 			return n.mesh.RequestPermit(id, precedence)
 		},
-		Helpers: func(service fleet.ServiceName) []string { return n.mesh.Helpers(service) }, Paths: paths,
+		ReportRejection: func(id fleet.TargetID) { n.mesh.ReportRejection(id) },
+		Helpers:         func(service fleet.ServiceName) []string { return n.mesh.Helpers(service) }, Paths: paths,
 		StreamVersions: n.versions, Connect: o.connectTarget, Metrics: n.metrics, Latency: latency, Log: log,
 	})
 	n.ingress = ingress.New(n.relay, n.limits, log)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -174,7 +174,7 @@
 		choice = s.choosePermitted(targets, mean, signals)
 	}
 	if choice.Target == nil {
-		s.limited = slices.ContainsFunc(targets.Serving(), signals.Limited)
+		s.limited = slices.ContainsFunc(targets.Serving(), signals.needsPermit)
 		return chosenTarget{}, false
 	}
 	chosen := chosenTarget{Target: choice.Target}
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -22,6 +22,7 @@
 	if reply.ID != s.call.ID || reply.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	s.recordBrittle(id, reply)
 	var change targetlimit.Change
 	var changed bool
 	switch {
@@ -35,6 +36,34 @@
 	}
 }
 
+// recordBrittle records what the response to this request says of the rejections that its
+// target bears.
+func (s *requestState) recordBrittle(id fleet.TargetID, reply *call.Reply) {
+	limits, now := s.relay.limits, time.Now()
+	changed := false
+	switch {
+	case reply.Brittle.State == call.LimitNamed:
+		changed = limits.RecordBrittle(id, reply.Brittle.PerSecond, now)
+		if reply.NotRun && reply.Status == http.StatusServiceUnavailable {
+			s.relay.reportRejection(id, now)
+		}
+	case reply.Brittle.State == call.LimitNone && reply.Signed:
+		changed = limits.RecordSound(id, now)
+	}
+	if changed {
+		s.Log(event.TargetBrittle).Bool("brittle", reply.Brittle.State == call.LimitNamed).Float64("rejections", reply.Brittle.PerSecond).Send()
+	}
+}
+
+// reportRejection tells the holder of a target's permits that the target rejected a request.
+func (r *Relay) reportRejection(id fleet.TargetID, now time.Time) {
+	if r.cfg.ReportRejection != nil {
+		r.cfg.ReportRejection(id)
+		return
+	}
+	r.limits.RecordRejection(id, now)
+}
+
 // choosePermitted returns the target for the next attempt, for which a permit has been
 // taken if it names a limit. mean is the mean load of targets.
 func (s *requestState) choosePermitted(targets *dispatch.Candidates, mean float64, signals *targetSignals) dispatch.Choice {
@@ -52,11 +81,15 @@
 // takePermit reports whether the request may be sent to the chosen one of targets.
 func (s *requestState) takePermit(choice dispatch.Choice, targets *dispatch.Candidates, now time.Time) bool {
 	r, id := s.relay, choice.Target.ID
-	if s.permit == id || !r.limits.IsLimited(id, now) {
+	if s.permit == id || !r.limits.NeedsPermit(id, now) {
 		return true
 	}
+	if r.limits.Denied(id, now) {
+		return false
+	}
 	answer := r.requestPermit(id, s.precedence(choice, targets, now))
 	if !answer.Granted {
+		r.limits.RecordDenial(id, answer.Wait, time.Now())
 		s.Log(event.PermitDenied).Str("limited", string(id)).Bool("holder_answered", answer.Answered).Dur("wait", answer.Wait).Send()
 	}
 	return answer.Granted
@@ -120,5 +153,9 @@
 			perSecond += report.PerSecond
 		}
 	}
+	if perSecond == 0 {
+		s.refuse(reason.TargetLimit, overloadRetryAfter)
+		return
+	}
 	s.refuse(reason.TargetLimit, r.returnPacer(s.service).Next(perSecond/float64(r.routerCount()), now))
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,9 @@
 	// RequestPermit asks for one send to a target with a limit; nil means that only this
 	// router's part of the limit is sent.
 	RequestPermit func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer
+	// ReportRejection tells the router that grants the permits of a brittle target that it
+	// rejected a request; nil means that this router is the only one.
+	ReportRejection func(id fleet.TargetID)
 	// StreamVersions tells at which software version resumable streams run; nil means that
 	// only the view is known.
 	StreamVersions StreamVersions
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -70,7 +70,7 @@
 	relay *Relay
 	now   time.Time
 	// withheld holds the targets for which a permit was denied. onlyUnlimited withholds
-	// all targets that name a limit.
+	// all targets that need permits.
 	withheld      []fleet.TargetID
 	onlyUnlimited bool
 }
@@ -92,5 +92,10 @@
 
 // Withheld implements dispatch.TargetState.
 func (s *targetSignals) Withheld(t *catalog.Target) bool {
-	return slices.Contains(s.withheld, t.ID) || (s.onlyUnlimited && s.Limited(t))
+	return slices.Contains(s.withheld, t.ID) || (s.onlyUnlimited && s.needsPermit(t))
+}
+
+// needsPermit reports whether sends to a target need permits.
+func (s *targetSignals) needsPermit(t *catalog.Target) bool {
+	return s.relay.limits.NeedsPermit(t.ID, s.now)
 }
--- a/targetlimit/tracker.go
+++ b/targetlimit/tracker.go
@@ -16,9 +16,12 @@
 type Tracker struct {
 	// known is the number of targets with state. It spares the lock while there is none.
 	known atomic.Int32
+	// knownBrittle is the same for brittle targets.
+	knownBrittle atomic.Int32
 
 	mu      sync.Mutex
 	targets map[fleet.TargetID]*target
+	brittle map[fleet.TargetID]*brittle
 }
 
 // target is the state of one target.
@@ -32,7 +35,7 @@
 
 // NewTracker returns a tracker that knows no limits.
 func NewTracker() *Tracker {
-	return &Tracker{targets: map[fleet.TargetID]*target{}}
+	return &Tracker{targets: map[fleet.TargetID]*target{}, brittle: map[fleet.TargetID]*brittle{}}
 }
 
 // Change tells that a target became limited or is no longer.
@@ -136,11 +139,16 @@
 }
 
 // Grant grants one send to a target, by any router, or returns the time until the next
-// permit. Only the target's holder may call it. share is the fraction of the limit that
-// the holder may grant.
+// permit. Only the target's holder may call it. share is the fraction of the limit, and of
+// the rejections that a brittle target bears, that the holder may use up.
 func (t *Tracker) Grant(id fleet.TargetID, precedence Precedence, share float64, now time.Time) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if b := t.brittle[id]; b.active(now) {
+		if granted, wait := b.take(share, now); !granted {
+			return false, wait
+		}
+	}
 	state, rate := t.limitedState(id, now)
 	if state == nil {
 		return true, 0
@@ -153,6 +161,11 @@
 func (t *Tracker) TakeOwnPart(id fleet.TargetID, part float64, now time.Time) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if b := t.brittle[id]; b.active(now) {
+		if granted, wait := b.take(part, now); !granted {
+			return false, wait
+		}
+	}
 	state, rate := t.limitedState(id, now)
 	if state == nil {
 		return true, 0
@@ -207,13 +220,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.targets, id)
+	delete(t.brittle, id)
+	t.countKnown()
+}
+
+// countKnown updates the numbers of targets with state; t.mu must be held.
+func (t *Tracker) countKnown() {
 	t.known.Store(int32(len(t.targets)))
+	t.knownBrittle.Store(int32(len(t.brittle)))
 }
 
 // Retain drops what is too old and the state of targets for which keep returns false. It
 // must be called every few seconds.
 func (t *Tracker) Retain(keep func(fleet.TargetID) bool, now time.Time) {
-	if t.known.Load() == 0 {
+	if t.known.Load() == 0 && t.knownBrittle.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -223,5 +243,10 @@
 			delete(t.targets, id)
 		}
 	}
-	t.known.Store(int32(len(t.targets)))
+	for id, b := range t.brittle {
+		if now.Sub(b.report.At) >= brittleLifetime || !keep(id) {
+			delete(t.brittle, id)
+		}
+	}
+	t.countKnown()
 }
