streamversion: streams that name no request are resumed while there is one version only

Callers saw (in the soak): a stream whose client names no request to resume was refused in the first 16 s after the start of its router, though all targets had one version. Only what the router had seen itself for that long counted. The splits in the store say it as well: if all that may have been in force name one version, and all targets have it, the stream goes on. The model (1,500 cases) resumes none at another version.

--- a/streamversion/history.go
+++ b/streamversion/history.go
@@ -90,3 +90,15 @@
 	}
 	return version, true
 }
+
+// SoleVersion returns the version at which all streams in progress began, or false if there
+// is more than one.
+func (h *History) SoleVersion(lifetime, unchanged time.Duration, now time.Time) (fleet.SoftwareVersion, bool) {
+	sole := h.Current()[0].Version
+	for _, entry := range h.relevant(lifetime, unchanged, now) {
+		if len(entry.Split) != 1 || entry.Split[0].Version != sole {
+			return "", false
+		}
+	}
+	return sole, true
+}
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -244,24 +244,36 @@
 	if version, ok := s.soleVersion(service, view); ok {
 		return version, true
 	}
-	if !named {
-		return "", false
-	}
-	origin, ok := s.registry.Find(key, s.now())
-	if !ok {
-		origin, ok = s.cfg.Peers().FindStream(ctx, key)
-	}
-	if ok {
-		return versionOfOrigin(view, service, origin)
+	if named {
+		origin, ok := s.registry.Find(key, s.now())
+		if !ok {
+			origin, ok = s.cfg.Peers().FindStream(ctx, key)
+		}
+		if ok {
+			return versionOfOrigin(view, service, origin)
+		}
 	}
 	lifetime := lifetimeOf(view, service)
 	history := s.newestHistory(ctx, service, lifetime)
 	if history == nil {
 		return "", false
 	}
+	if !named {
+		return s.soleInHistory(service, history, lifetime)
+	}
 	return s.versionInHistory(service, history, key, lifetime)
 }
 
+// soleInHistory returns the version of all targets, if all streams in progress began at it
+// by the splits.
+func (s *Service) soleInHistory(service fleet.ServiceName, history *History, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, now := s.stateOf(service), s.now()
+	version, ok := history.SoleVersion(lifetime, now.Sub(st.knownSince), now)
+	return version, ok && version == st.sole
+}
+
 // versionInHistory returns the version at which a stream began, or false if that is ambiguous.
 func (s *Service) versionInHistory(service fleet.ServiceName, history *History, key Key, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
 	s.mu.Lock()
