soak: engines of two software versions, streams that clients break off and resume, the end of all routers at once

Clients broke no streams off; they asked for the rest of streams that had not begun. Now they resume what they have broken off, at any router, by the ID that began it. The new guarantee 'one version' holds for all runs of a stream; a resumed stream may be refused in calm, since its version may not be known.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,6 +25,15 @@
 	routerIndex int
 	lastID      *atomic.Int64
 	record      func(Request)
+	// cut is the stream that the client broke off last; nil if it has resumed it.
+	cut *cutStream
+}
+
+// cutStream is a stream that its client has broken off.
+type cutStream struct {
+	id, account string
+	kind        Kind
+	events      int
 }
 
 // clientPause is the mean time between two requests of a client.
@@ -67,6 +78,12 @@
 func (c *client) request() Request {
 	kind := kinds[c.random.IntN(len(kinds))]
 	account := fmt.Sprintf("account-%d", c.random.IntN(4))
+	cut := c.cut
+	c.cut = nil
+	if cut != nil {
+		kind, account = cut.kind, cut.account
+		c.routerIndex = c.random.IntN(len(c.environment.routers))
+	}
 	dest := c.environment.routers[c.routerIndex]
 	n := c.lastID.Add(1)
 	r := Request{ID: fmt.Sprintf("q%d", n), Kind: kind, Account: account, Router: dest.name, Sent: time.Now()}
@@ -86,8 +103,9 @@
 		return r
 	}
 	request.Host = routeHost
-	if kind.Resumable && c.random.IntN(4) == 0 {
-		r.After = 1 + c.random.IntN(eventsPerStream-1)
+	if cut != nil {
+		r.After, r.Resumes = cut.events, cut.id
+		standin.SetResumes(request, cut.id)
 	}
 	standin.SetRequestHeaders(request, r.ID, c.environment.accounts[r.Account], clientTimeout, r.After)
 	if kind.Stream && c.environment.sendPrompts {
@@ -95,22 +113,53 @@
 		prompt, r.Crashing = c.environment.prompt(n)
 		standin.SetPrompt(request, prompt)
 	}
-	c.receive(request, &r)
+	cutAfter := 0
+	if kind.Resumable && cut == nil && c.random.IntN(4) == 0 {
+		cutAfter = 1 + c.random.IntN(eventsPerStream-1)
+	}
+	c.receive(request, &r, cutAfter)
 	r.Ended = time.Now()
 	return r
 }
 
-func (c *client) receive(request *http.Request, r *Request) {
+// errCutByClient is the error of a stream that its client broke off.
+var errCutByClient = errors.New("soak: the client broke the stream off")
+
+// receive reads the answer. If cutAfter is set, the client breaks a stream off after so many
+// events.
+func (c *client) receive(request *http.Request, r *Request, cutAfter int) {
 	response, err := c.http.Do(request)
 	if err != nil {
 		r.Err = err.Error()
 		return
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	var body []byte
+	if cutAfter > 0 && response.StatusCode == http.StatusOK {
+		body, err = readEvents(response.Body, cutAfter)
+		if errors.Is(err, errCutByClient) {
+			c.cut = &cutStream{id: r.ID, account: r.Account, kind: r.Kind, events: cutAfter}
+		}
+	} else {
+		body, err = io.ReadAll(response.Body)
+	}
 	r.Status, r.Seal, r.Body = response.StatusCode, standin.Signature(response), string(body)
 	r.Limited = standin.NamesLimit(response)
 	if err != nil {
 		r.Err = err.Error()
 	}
 }
+
+// readEvents reads n events of a stream and returns errCutByClient, or the error that ended
+// the stream before.
+func readEvents(r io.Reader, n int) ([]byte, error) {
+	var body []byte
+	buffer := make([]byte, 1)
+	for bytes.Count(body, []byte("\n\n")) < n {
+		if _, err := io.ReadFull(r, buffer); err != nil {
+			return body, err
+		}
+		body = append(body, buffer...)
+	}
+	return body, errCutByClient
+}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -101,7 +101,9 @@
 	// place of crashingPart among the shared parts, from one, or zero while no
 	// request has it. crashingRequest is set while clients send the request that crashes plain
 	// targets. crashed passes the targets that crashed, by crashes.
-	sendPrompts      bool
+	sendPrompts bool
+	// versions makes engines run two software versions.
+	versions         bool
 	crashingPosition atomic.Int64
 	crashingRequest  atomic.Bool
 	crashed          chan *target
@@ -110,8 +112,8 @@
 
 // newEnvironment starts stand-ins and routers. After an error the environment may
 // be non-nil; the caller closes it then.
-func newEnvironment(dir, program string, routers int) (*environment, error) {
-	env := &environment{dir: dir, program: program, accounts: map[string]string{}, revoked: map[string]bool{}, crashed: make(chan *target, 1000)}
+func newEnvironment(dir, program string, routers int, versions bool) (*environment, error) {
+	env := &environment{dir: dir, program: program, versions: versions, accounts: map[string]string{}, revoked: map[string]bool{}, crashed: make(chan *target, 1000)}
 	for i := range 4 {
 		env.accounts[fmt.Sprintf("account-%d", i)] = fmt.Sprintf("key-%d", i)
 	}
@@ -155,7 +157,10 @@
 func (env *environment) addTargetAt(addr, service, zone string) error {
 	env.mu.Lock()
 	env.targetCount++
-	t := &target{Target: &standin.Target{ID: fmt.Sprintf("t-%d", env.targetCount), Service: service, Zone: zone}}
+	t := &target{Target: &standin.Target{ID: fmt.Sprintf("t-%d", env.targetCount), Service: service, Zone: zone, Version: "v1"}}
+	if env.versions && env.targetCount%2 == 0 {
+		t.Version = "v2"
+	}
 	env.mu.Unlock()
 	if service == plainName {
 		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -257,3 +258,23 @@
 		i.recordChange(Change{At: time.Now(), Account: account})
 	}
 }
+
+// killAll ends all routers at once, some time after the warm-up, and starts them again.
+func (i *injector) killAll(ctx context.Context) {
+	if !i.awaitStart(ctx) {
+		return
+	}
+	var all sync.WaitGroup
+	for _, r := range i.environment.routers {
+		all.Go(func() {
+			i.duringAt(r, "kill-all", func() {
+				exited := r.signal(syscall.SIGKILL)
+				<-exited
+				if err := i.environment.restartRouter(r, exited); err == nil {
+					time.Sleep(routerStartTime)
+				}
+			})
+		})
+	}
+	all.Wait()
+}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -61,7 +61,13 @@
 		"whole answers":     func(h *History) { h.Requests[2].Body = "e2" },
 		"asked for":         func(h *History) { h.Runs = append(h.Runs, Run{Target: "t1", ID: "z"}) },
 		"in force":          func(h *History) { h.Runs[0].At = at(4000) },
-		"calm":              func(h *History) { h.Requests[1].Status = 502 },
+		"one version": func(h *History) {
+			h.Requests = append(h.Requests, Request{ID: "c2", Resumes: "c", Kind: stream, Account: "y", After: 2, Status: 200, Seal: "seal-t2", Body: "e3"})
+			h.Runs[3].Version = "v1"
+			h.Runs = append(h.Runs, Run{Target: "t2", ID: "c2", Account: "y", Version: "v2"})
+			h.Arrivals = append(h.Arrivals, Arrival{"s", "t2", "c2", at(20)})
+		},
+		"calm": func(h *History) { h.Requests[1].Status = 502 },
 		"quarantine": func(h *History) {
 			h.Requests[0].Crashing = true
 			h.Crashes = crashes(engineName, 0, 0, 0, 0, 0, 2500)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,6 +26,9 @@
 	CrashingPart, CrashingRequest bool
 	// Limits lets targets name limits for a while.
 	Limits bool
+	// Versions makes engines of two software versions serve side by side, clients break
+	// streams off and resume them, and all routers end at once.
+	Versions bool
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
 	// directory is created, and removed again if there is no violation.
 	Dir string
@@ -64,7 +67,7 @@
 			return nil, fmt.Errorf("soak: %w", err)
 		}
 	}
-	env, err := newEnvironment(dir, o.Program, o.Routers)
+	env, err := newEnvironment(dir, o.Program, o.Routers, o.Versions)
 	if env != nil {
 		defer env.close()
 	}
@@ -135,6 +138,9 @@
 	if o.Limits {
 		all.Go(func() { h.Limits = newInjector(2001).limitTargets(clientCtx) })
 	}
+	if o.Versions {
+		all.Go(func() { newInjector(2002).killAll(faultCtx) })
+	}
 	for lane := range o.FaultLanes {
 		i := newInjector(1000 + uint64(lane))
 		all.Go(func() {
@@ -159,7 +165,7 @@
 	var arrivals []Arrival
 	for _, t := range append(append([]*target{}, env.active...), env.replaced...) {
 		for _, r := range t.Runs() {
-			all = append(all, Run{Target: t.ID, ID: r.Request, Account: r.Account, Credential: r.Credential, At: r.At})
+			all = append(all, Run{Target: t.ID, ID: r.Request, Account: r.Account, Credential: r.Credential, At: r.At, Version: t.Version})
 		}
 		for _, a := range t.Arrivals() {
 			arrivals = append(arrivals, Arrival{Service: t.Service, Target: t.ID, ID: a.Request, At: a.At})
