streamversion, targetpath, relay: versions of targets are computed once a view, and a target cannot speak for a router

They are computed once a view, and nothing is shuffled unless a probe may be due. The header by which a router says that it has not taken a request is no longer passed on from targets: one that sent it would have had its request sent to another router as well.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -229,9 +228,7 @@
 // of lost paths.
 func (r *Relay) checkPaths(ctx context.Context, now time.Time) {
 	for service, targets := range r.cfg.View().Targets {
-		random := slices.Clone(targets)
-		rand.Shuffle(len(random), func(i, j int) { random[i], random[j] = random[j], random[i] })
-		for _, t := range r.paths.DueChecks(service, random, now) {
+		for _, t := range r.paths.DueChecks(service, targets, rand.Perm, now) {
 			go r.probe(ctx, t)
 		}
 	}
--- a/relay/response.go
+++ b/relay/response.go
@@ -29,9 +29,10 @@
 )
 
 // nonForwardedHeaders lists the response headers that are not forwarded: those that
-// apply to a single connection, and Content-Length, which writeHead sets itself.
+// apply to a single connection, Content-Length, which writeHead sets itself, and what only
+// routers may say.
 var nonForwardedHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", notTakenHeader,
 }
 
 // requestResult is the final result of a request, used as a metric label.
--- a/streamversion/plan.go
+++ b/streamversion/plan.go
@@ -1,9 +1,6 @@
 package streamversion
 
-import (
-	"ragwortpond.example/ragwortpond/catalog"
-	"ragwortpond.example/ragwortpond/fleet"
-)
+import "slices"
 
 // Bounds on the deviation of a split from the targets of each version. Each change makes the
 // version of some streams ambiguous for a while, so that small deviations are left.
@@ -24,20 +21,16 @@
 	Change, Urgent bool
 }
 
-// NewPlan compares the current split with the targets that accept requests. Without targets
-// the current split stays.
-func NewPlan(current Split, targets []*catalog.Target) Plan {
-	plan := Plan{Split: ByTargets(targets)}
+// newPlan compares the current split with the versions of the targets. Without targets the
+// current split stays.
+func newPlan(current Split, targets targetVersions) Plan {
+	plan := Plan{Split: targets.split}
 	if len(plan.Split) == 0 {
 		return plan
 	}
-	served := map[fleet.SoftwareVersion]bool{}
-	for _, t := range targets {
-		served[t.Version] = true
-	}
 	for _, share := range current {
 		now, want := current.fraction(share.Version), plan.Split.fraction(share.Version)
-		plan.Urgent = plan.Urgent || !served[share.Version]
+		plan.Urgent = plan.Urgent || !slices.Contains(targets.serving, share.Version)
 		plan.Change = plan.Change || now > maxOverload*want || now-want > maxFractionError
 	}
 	plan.Urgent = plan.Urgent || len(current) == 0
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,9 +86,9 @@
 	usedUntil time.Time
 	// history is nil unless the document at revision was read.
 	history *History
-	// sole is the only version among the targets, those leaving included, since soleSince;
-	// empty if there are several.
-	sole      fleet.SoftwareVersion
+	// targets are the versions of the targets in the newest view. The sole one has not changed
+	// since soleSince.
+	targets   targetVersions
 	soleSince time.Time
 	// wantedSince is since when the split should change, zero if it suits the targets.
 	wantedSince time.Time
@@ -189,11 +190,11 @@
 // reads the store if the service has several versions and this router knows no split.
 func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) fleet.SoftwareVersion {
 	view := s.cfg.View()
-	byTargets := ByTargets(view.Targets[service])
-	if len(byTargets) == 0 {
+	targets := s.targetsOf(service, view)
+	if len(targets.split) == 0 {
 		return ""
 	}
-	if revision, _, _ := s.known(service); revision == 0 && len(byTargets) > 1 {
+	if revision, _, _ := s.known(service); revision == 0 && len(targets.split) > 1 {
 		ctx, cancel := context.WithTimeout(ctx, startReadTimeout)
 		defer cancel()
 		// Without the store, the targets decide.
@@ -202,9 +203,9 @@
 	now := s.now()
 	revision, split, since := s.known(service)
 	version := split.VersionOf(key)
-	served := servedBy(view.Targets[service], version)
+	served := slices.Contains(targets.serving, version)
 	if !served {
-		version = byTargets.VersionOf(key)
+		version = targets.split.VersionOf(key)
 	}
 	if !served || revision == 0 || now.Sub(since) < lifetimeOf(view, service) {
 		origin := NewOrigin(service, version)
@@ -223,14 +224,20 @@
 	return st.revision, st.split, st.knownSince
 }
 
-// servedBy reports whether one of the targets has a version.
-func servedBy(targets []*catalog.Target, version fleet.SoftwareVersion) bool {
-	for _, t := range targets {
-		if t.Version == version {
-			return true
-		}
+// targetsOf returns the versions of a service's targets. They are computed once a view.
+func (s *Service) targetsOf(service fleet.ServiceName, view *catalog.View) targetVersions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	if st.targets.view == view {
+		return st.targets
+	}
+	before := st.targets
+	st.targets = newTargetVersions(view, service)
+	if before.view == nil || before.sole != st.targets.sole {
+		st.soleSince = s.now()
 	}
-	return false
+	return st.targets
 }
 
 // maxTargetsAge is the age up to which the targets are taken as current where one version
@@ -271,7 +278,7 @@
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
 	version, ok := history.SoleVersion(lifetime, now.Sub(st.knownSince), now)
-	return version, ok && version == st.sole
+	return version, ok && version == st.targets.sole
 }
 
 // versionInHistory returns the version at which a stream began, or false if that is ambiguous.
@@ -349,13 +356,14 @@
 	defer s.mu.Unlock()
 	st, lifetime := s.stateOf(service), lifetimeOf(view, service)
 	now := s.now()
-	if st.sole == "" || now.Sub(st.soleSince) < lifetime {
+	sole := st.targets.sole
+	if sole == "" || now.Sub(st.soleSince) < lifetime {
 		return "", false
 	}
-	if st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != st.sole || now.Sub(st.knownSince) < lifetime) {
+	if st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < lifetime) {
 		return "", false
 	}
-	return st.sole, true
+	return sole, true
 }
 
 // versionOfOrigin returns the version of targets that an origin stands for, or false if no
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -197,7 +198,7 @@
 				begun++
 				key := NewKey("a", fleet.RequestID(fmt.Sprint(begun)))
 				version := r.service.Begin(ctx, "s", key)
-				if !servedBy(r.view.Targets["s"], version) {
+				if !slices.Contains(distinctVersions(r.view.Targets["s"]), version) {
 					t.Fatalf("a new stream got version %q, which no target has", version)
 				}
 				streams = append(streams, stream{key, version, f.now})
@@ -213,16 +214,16 @@
 					continue
 				}
 				version, ok := r.service.Resume(ctx, "s", s.key, true)
-				ok = ok && servedBy(f.targets, version)
+				ok = ok && slices.Contains(distinctVersions(f.targets), version)
 				if ok && version != s.version {
 					t.Fatalf("a stream of %s was resumed at %s", s.version, version)
 				}
 				settled := f.now.Sub(changedAt) > 30*time.Second && !f.store.down && f.now.Sub(storeChangedAt) > storeBackoff
-				if !ok && settled && servedBy(r.view.Targets["s"], s.version) {
+				if !ok && settled && slices.Contains(distinctVersions(r.view.Targets["s"]), s.version) {
 					t.Fatalf("a stream of %s was not resumed, although the targets have not changed for long", s.version)
 				}
 				version, ok = r.service.Resume(ctx, "s", NewKey("", ""), false)
-				if ok && servedBy(f.targets, version) && version != s.version {
+				if ok && slices.Contains(distinctVersions(f.targets), version) && version != s.version {
 					t.Fatalf("a stream of %s that names no request was resumed at %s", s.version, version)
 				}
 			}
--- a/streamversion/split.go
+++ b/streamversion/split.go
@@ -1,12 +1,8 @@
 package streamversion
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
-	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/rendezvous"
 )
@@ -64,32 +60,3 @@
 	}
 	return own / sum
 }
-
-// Has reports whether a version receives new streams.
-func (s Split) Has(version fleet.SoftwareVersion) bool {
-	return slices.ContainsFunc(s, func(share Share) bool { return share.Version == version })
-}
-
-// minTargets is the number of targets from which on a version receives new streams while
-// another version has as many. A stream at the only target of its version cannot go on when
-// that target breaks it off.
-const minTargets = 2
-
-// ByTargets returns the split in proportion to the slots of the targets of each version.
-func ByTargets(targets []*catalog.Target) Split {
-	slots, counts := map[fleet.SoftwareVersion]int{}, map[fleet.SoftwareVersion]int{}
-	most := 0
-	for _, t := range targets {
-		slots[t.Version] += max(t.Slots, 1)
-		counts[t.Version]++
-		most = max(most, counts[t.Version])
-	}
-	split := Split{}
-	for version, weight := range slots {
-		if most < minTargets || counts[version] >= minTargets {
-			split = append(split, Share{version, uint32(weight)})
-		}
-	}
-	slices.SortFunc(split, func(a, b Share) int { return cmp.Compare(a.Version, b.Version) })
-	return split
-}
--- a/streamversion/split_test.go
+++ b/streamversion/split_test.go
@@ -85,7 +85,8 @@
 		{"old version gone", Split{{"v1", 10}, {"v2", 90}}, map[fleet.SoftwareVersion]int{"v2": 9}, true, true},
 		{"no target", Split{{"v1", 32}}, nil, false, false},
 	} {
-		plan := NewPlan(test.current, targetsOf(test.counts))
+		view := &catalog.View{Targets: catalog.Targets{"s": targetsOf(test.counts)}}
+		plan := newPlan(test.current, newTargetVersions(view, "s"))
 		if plan.Change != test.change || plan.Urgent != test.urgent {
 			t.Errorf("%s: got change %t, urgent %t, want %t and %t", test.name, plan.Change, plan.Urgent, test.change, test.urgent)
 		}
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
@@ -53,41 +52,24 @@
 		return
 	}
 	for service := range view.Config.StreamLifetimes {
-		s.observeVersions(service, view, now)
 		s.observeStore(service)
-		if due, plan := s.changeDue(service, view.Targets[service], now); due {
+		if due, plan := s.changeDue(service, s.targetsOf(service, view), now); due {
 			s.change(ctx, service, plan, now)
 		}
 	}
 }
 
-// observeVersions records whether all targets of a service have the same version.
-func (s *Service) observeVersions(service fleet.ServiceName, view *catalog.View, now time.Time) {
-	var sole fleet.SoftwareVersion
-	several := false
-	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
-		for _, t := range targets[service] {
-			several = several || (sole != "" && sole != t.Version)
-			sole = t.Version
-		}
-	}
-	if several {
-		sole = ""
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st := s.stateOf(service); st.sole != sole {
-		st.sole, st.soleSince = sole, now
-	}
-}
-
 // changeDue reports whether this router should change the split of a service now, and how.
-func (s *Service) changeDue(service fleet.ServiceName, targets []*catalog.Target, now time.Time) (bool, Plan) {
-	precedence := s.cfg.Peers().Precedence(service)
+func (s *Service) changeDue(service fleet.ServiceName, targets targetVersions, now time.Time) (bool, Plan) {
+	_, split, _ := s.known(service)
+	plan := newPlan(split, targets)
+	precedence := 0
+	if plan.Change {
+		precedence = s.cfg.Peers().Precedence(service)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stateOf(service)
-	plan := NewPlan(st.split, targets)
 	switch {
 	case !plan.Change:
 		st.wantedSince = time.Time{}
--- a/targetpath/targetpath.go
+++ b/targetpath/targetpath.go
@@ -125,25 +125,24 @@
 
 // DueChecks returns the targets of a service to probe now: while the paths may be lost, some
 // that were not tried lately, to tell a dead target from a lost path; while they are lost,
-// any, to notice their return. random must be a random permutation of the targets.
-func (t *Tracker) DueChecks(service fleet.ServiceName, random []*catalog.Target, now time.Time) []*catalog.Target {
+// any, to notice their return. permute returns a random permutation of the first n integers.
+func (t *Tracker) DueChecks(service fleet.ServiceName, targets []*catalog.Target, permute func(n int) []int, now time.Time) []*catalog.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.services[service]
-	if p == nil || now.Sub(p.checkedAt) < checkInterval {
+	if p == nil || len(p.results) == 0 && !p.lost || now.Sub(p.checkedAt) < checkInterval {
 		return nil
 	}
-	if p.lost {
-		p.checkedAt = now
-		return random[:min(probesPerCheck, len(random))]
-	}
-	if tried, failed := p.count(random, now); !mostlyFailed(tried, failed) {
+	if tried, failed := p.count(targets, now); !p.lost && !mostlyFailed(tried, failed) {
 		return nil
 	}
 	p.checkedAt = now
 	var due []*catalog.Target
-	for _, target := range random {
-		if r, ok := p.results[target.ID]; len(due) < probesPerCheck && (!ok || now.Sub(r.at) >= resultLifetime) {
+	for _, i := range permute(len(targets)) {
+		target := targets[i]
+		r, ok := p.results[target.ID]
+		untried := !ok || now.Sub(r.at) >= resultLifetime
+		if len(due) < probesPerCheck && (p.lost || untried) {
 			due = append(due, target)
 		}
 	}
--- a/targetpath/targetpath_test.go
+++ b/targetpath/targetpath_test.go
@@ -19,6 +19,15 @@
 	return list
 }
 
+// inOrder is a permutation that changes nothing.
+func inOrder(n int) []int {
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	return order
+}
+
 // play lets one connection fail and then probes as the tracker asks, for a time. reached
 // tells which targets can be reached.
 func play(tr *Tracker, targets []*catalog.Target, reached func(i int) bool, from time.Time, d time.Duration) (lostAt time.Time, probes int) {
@@ -31,7 +40,7 @@
 		}
 	}
 	for now := from; now.Before(from.Add(d)); now = now.Add(50 * time.Millisecond) {
-		for _, t := range tr.DueChecks("s", targets, now) {
+		for _, t := range tr.DueChecks("s", targets, inOrder, now) {
 			probes++
 			if _, lost := tr.Record(t, reached(index[t.ID]), targets, now); lost && lostAt.IsZero() {
 				lostAt = now
