--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -197,8 +197,10 @@
 	if revision, _, _ := s.known(service); revision == 0 && len(targets.split) > 1 {
 		ctx, cancel := context.WithTimeout(ctx, startReadTimeout)
 		defer cancel()
-		// Without the store, the targets decide.
-		_, _ = s.readHistory(ctx, service)
+		if _, err := s.readHistory(ctx, service); err != nil {
+			// The targets decide.
+			event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
+		}
 	}
 	now := s.now()
 	revision, split, since := s.known(service)
@@ -248,6 +250,7 @@
 // certain. named reports whether the client named the request that began it.
 func (s *Service) Resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, bool) {
 	view := s.cfg.View()
+	s.targetsOf(service, view)
 	if version, ok := s.soleVersion(service, view); ok {
 		return version, true
 	}
