--- a/relay/forward.go
+++ b/relay/forward.go
@@ -101,7 +101,7 @@
 		Header: header, Body: s.call.Body, RequireFreshConn: true,
 	})
 	if err != nil {
-		return &attemptResult{reason: reason.HomeUnreachable, err: err}
+		return &attemptResult{reason: reason.AnswerTruncated, err: err}
 	}
 	return &attemptResult{response: response}
 }
@@ -124,13 +124,13 @@
 		panic(http.ErrAbortHandler)
 	case s.headSent:
 		result.err = err
-		s.abortResponse(reason.HomeUnreachable)
+		s.abortResponse(reason.AnswerTruncated)
 	case errors.Is(cause, errRequestDeadline):
 		result.err = err
 		s.failUnknown(http.StatusGatewayTimeout, reason.TimedOut)
 	default:
 		result.err = err
-		s.failUnknown(http.StatusBadGateway, reason.HomeUnreachable)
+		s.failUnknown(http.StatusBadGateway, reason.AnswerTruncated)
 	}
 }
 
