--- a/streamversion/doc.go
+++ b/streamversion/doc.go
@@ -6,7 +6,7 @@
 // splits in force and before are an object of the platform's store, so that a router that
 // has just started finds the version of a stream that another one began. As long as a
 // change of the split makes that ambiguous, routers also record what they begin at
-// two others.
+// others.
 //
 // Split, History, Plan and Registry decide without I/O; Service reads and writes the store
 // and asks other routers.
