mesh, targetlimit, relay, node: one piece of code for newest reports, brittle grants and test fleets

No behaviour changes; tests keep their assertions.

- Loads, limits and brittle targets were each sorted by age and cut to a bound in the same words: newest.
- Grant and TakeOwnPart asked a brittle target in the same five lines: takeBrittle.
- relay.newRouterPool repeated what NewPool does by itself.
- The fleets before limited and before brittle targets were started by two copies: startFleetBefore.

--- a/mesh/brittle.go
+++ b/mesh/brittle.go
@@ -1,10 +1,8 @@
 package mesh
 
 import (
-	"cmp"
 	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -27,10 +25,7 @@
 	for id, r := range m.cfg.Limits.BrittleReports(now) {
 		list = append(list, newBrittleReport(id, r, now))
 	}
-	slices.SortFunc(list, func(a, b BrittleReport) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.TargetHash, b.TargetHash))
-	})
-	return list[:min(len(list), maxBrittle)]
+	return newest(list, maxBrittle, func(r BrittleReport) (uint32, uint32) { return r.AgeMS, r.TargetHash })
 }
 
 // brittleReport returns what this router knows of one target if that is brittle.
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -46,10 +46,18 @@
 			list = append(list, LoadReport{TargetHash: id.Hash(), Work: uint32(s.work), AgeMS: ageMS(s.reportedAt, now)})
 		}
 	}
-	slices.SortFunc(list, func(a, b LoadReport) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.TargetHash, b.TargetHash))
+	return newest(list, maxLoads, func(r LoadReport) (uint32, uint32) { return r.AgeMS, r.TargetHash })
+}
+
+// newest returns up to n of the reports with the lowest age, in order of increasing age. key
+// returns a report's age and the hash of its target.
+func newest[T any](list []T, n int, key func(T) (age, hash uint32)) []T {
+	slices.SortFunc(list, func(a, b T) int {
+		ageA, hashA := key(a)
+		ageB, hashB := key(b)
+		return cmp.Or(cmp.Compare(ageA, ageB), cmp.Compare(hashA, hashB))
 	})
-	return list[:min(len(list), maxLoads)]
+	return list[:min(len(list), n)]
 }
 
 // send sends a heartbeat to each address.
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -1,9 +1,7 @@
 package mesh
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -38,10 +36,7 @@
 	for id, r := range m.cfg.Limits.Reports(now) {
 		list = append(list, newLimitReport(id, r, now))
 	}
-	slices.SortFunc(list, func(a, b LimitReport) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.TargetHash, b.TargetHash))
-	})
-	return list[:min(len(list), maxLimits)]
+	return newest(list, maxLimits, func(r LimitReport) (uint32, uint32) { return r.AgeMS, r.TargetHash })
 }
 
 // mergeLimits adds the limits of targets of this router's view.
--- a/node/brittle_target_test.go
+++ b/node/brittle_target_test.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
-	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 )
 
@@ -64,25 +62,9 @@
 
 func startBrittleFleet(t *testing.T, config map[string]any) *limitFleet {
 	t.Helper()
-	f := &limitFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}}
-	t.Cleanup(f.client.CloseIdleConnections)
-	store, err := standin.StartStore("")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(store.Close)
-	store.Put(platform.KindConfig, platform.ConfigName, config)
-	for i := range brittleTargets {
-		target := &standin.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "d", RunTime: brittleRunTime, Room: brittleRoom, Brittle: maxRejections}
-		if err := target.Start(""); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(target.Close)
-		store.Put(platform.KindTargets, target.ID, target.Entry("ready"))
-		f.targets = append(f.targets, target)
-	}
-	f.routers = startRouters(t, store, brittleRouters, brittleTargets)
-	return f
+	return startFleetBefore(t, &http.Transport{MaxIdleConnsPerHost: 200}, config, brittleRouters, brittleTargets, func(int) *standin.Target {
+		return &standin.Target{RunTime: brittleRunTime, Room: brittleRoom, Brittle: maxRejections}
+	})
 }
 
 // overload sends twice as many requests as the targets can take, to all routers, for a time.
--- a/node/target_limit_test.go
+++ b/node/target_limit_test.go
@@ -60,19 +60,29 @@
 // the limit that limit returns.
 func startLimitFleet(t *testing.T, limited int, limit func() string) *limitFleet {
 	t.Helper()
-	f := &limitFleet{client: &http.Client{Transport: &http.Transport{}}}
+	return startFleetBefore(t, &http.Transport{}, limitConfig(), limitRouters, limitTargets, func(i int) *standin.Target {
+		target := &standin.Target{RunTime: 10 * time.Millisecond}
+		if i < limited {
+			target.Limit = limit
+		}
+		return target
+	})
+}
+
+// startFleetBefore starts routers, and targets of one service as newTarget returns them.
+func startFleetBefore(t *testing.T, transport *http.Transport, config map[string]any, routers, targets int, newTarget func(i int) *standin.Target) *limitFleet {
+	t.Helper()
+	f := &limitFleet{client: &http.Client{Transport: transport}}
 	t.Cleanup(f.client.CloseIdleConnections)
 	store, err := standin.StartStore("")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
-	store.Put(platform.KindConfig, platform.ConfigName, limitConfig())
-	for i := range limitTargets {
-		target := &standin.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "d", RunTime: 10 * time.Millisecond}
-		if i < limited {
-			target.Limit = limit
-		}
+	store.Put(platform.KindConfig, platform.ConfigName, config)
+	for i := range targets {
+		target := newTarget(i)
+		target.ID, target.Service, target.Zone = fmt.Sprintf("t%d", i), "s", "d"
 		if err := target.Start(""); err != nil {
 			t.Fatal(err)
 		}
@@ -80,7 +90,7 @@
 		store.Put(platform.KindTargets, target.ID, target.Entry("ready"))
 		f.targets = append(f.targets, target)
 	}
-	f.routers = startRouters(t, store, limitRouters, limitTargets)
+	f.routers = startRouters(t, store, routers, targets)
 	return f
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -12,7 +12,6 @@
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/netconn"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/targetconn"
@@ -233,8 +232,3 @@
 		}
 	}
 }
-
-// newRouterPool returns the connections to other routers.
-func newRouterPool() *targetconn.Pool {
-	return targetconn.NewPool(netconn.Dial, nil)
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,7 +141,7 @@
 	r := &Relay{
 		cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(),
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
-		routers: newRouterPool(), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
+		routers: targetconn.NewPool(nil, nil), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
 		crashChecks: map[fleet.TargetID][]brokenAttempt{},
 	}
 	if r.limits == nil {
--- a/targetlimit/brittle.go
+++ b/targetlimit/brittle.go
@@ -218,6 +218,15 @@
 	return true, 0
 }
 
+// takeBrittle is brittle.take for a target, which need not be brittle; t.mu must be held.
+func (t *Tracker) takeBrittle(id fleet.TargetID, share float64, now time.Time) (bool, time.Duration) {
+	b := t.brittle[id]
+	if !b.active(now) {
+		return true, 0
+	}
+	return b.take(share, now)
+}
+
 // closedFor returns how long nothing may be sent because of the rejections within
 // rejectionWindow.
 func (b *brittle) closedFor(share float64, now time.Time) time.Duration {
--- a/targetlimit/tracker.go
+++ b/targetlimit/tracker.go
@@ -144,10 +144,8 @@
 func (t *Tracker) Grant(id fleet.TargetID, precedence Precedence, share float64, now time.Time) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if b := t.brittle[id]; b.active(now) {
-		if granted, wait := b.take(share, now); !granted {
-			return false, wait
-		}
+	if granted, wait := t.takeBrittle(id, share, now); !granted {
+		return false, wait
 	}
 	state, rate := t.limitedState(id, now)
 	if state == nil {
@@ -161,10 +159,8 @@
 func (t *Tracker) TakeOwnPart(id fleet.TargetID, part float64, now time.Time) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if b := t.brittle[id]; b.active(now) {
-		if granted, wait := b.take(part, now); !granted {
-			return false, wait
-		}
+	if granted, wait := t.takeBrittle(id, part, now); !granted {
+		return false, wait
 	}
 	state, rate := t.limitedState(id, now)
 	if state == nil {
