--- a/review/cases/drill.go
+++ b/review/cases/drill.go
@@ -52,7 +52,7 @@
 				case <-time.After(200 * time.Millisecond):
 				}
 				id, sent := fmt.Sprintf("look-%d-%d", i, n), time.Now()
-				answer := standin.Send(standin.Ask{
+				answer := e.send(standin.Ask{
 					Router: e.serviceRouter(i), Method: http.MethodGet, Path: "/look/item", ID: id, Key: keyOfTwo, Deadline: 3 * time.Second,
 				})
 				e.record("answer %s from %s: %d whole=%v", id, e.fleet.Routers[i].Name, answer.Status, answer.Whole)
--- a/review/cases/leaving.go
+++ b/review/cases/leaving.go
@@ -63,7 +63,10 @@
 			e.record("late: %s reaches %s, which leaves", id, w.ID)
 		}
 	}
-	if err := e.addSiteWorkers(nil); err != nil {
+	onRun := func(w *standin.Worker, r *http.Request) {
+		e.record("run %s at %s", r.Header.Get("Attempt-Id"), w.ID)
+	}
+	if err := e.addSiteWorkers(onRun); err != nil {
 		return false, err
 	}
 	for _, w := range e.workers {
@@ -80,7 +83,7 @@
 		asked++
 		sentAt[id] = time.Now()
 		mu.Unlock()
-		answer := standin.Send(standin.Ask{
+		answer := e.send(standin.Ask{
 			Router: router, Method: http.MethodPost, Path: path, ID: id, Key: keyOfTwo, Body: "order", Deadline: deadline, OnEvent: onEvent,
 			OnHead: func(_ int, h http.Header) {
 				if seal := h.Get("Response-Seal"); h.Get("Server-Leaving") != "" && len(seal) > len("seal-") {
--- a/review/cases/roll.go
+++ b/review/cases/roll.go
@@ -136,7 +136,7 @@
 	id, router := fmt.Sprintf("new-%d", i), e.otherRouter(i, not)
 	answer := make(chan standin.Answer, 1)
 	go func() {
-		answer <- standin.Send(standin.Ask{
+		answer <- e.send(standin.Ask{
 			Router: router, Method: http.MethodPost, Path: "/walk/talk", ID: id, Key: keyOfTwo, Body: "prompt", Deadline: 2 * time.Second,
 			OnEvent: func(int, string) {
 				select {
--- a/review/cases/shared.go
+++ b/review/cases/shared.go
@@ -56,6 +56,12 @@
 	e.record("%s has ended", r.Name)
 }
 
+// send makes a client attempt and records it.
+func (e *environment) send(a standin.Ask) standin.Answer {
+	e.record("sent %s to %s: %s %s, key %s, after event %d, resumes %q", a.ID, a.Router.Name, a.Method, a.Path, a.Key, a.After, a.Resumes)
+	return standin.Send(a)
+}
+
 // streamResult is what a client got of a stream over its tries.
 type streamResult struct {
 	versions []string
@@ -82,7 +88,7 @@
 	first := fmt.Sprintf("walk-%d", i)
 	started := time.Now()
 	ask := standin.Ask{Router: router, Method: http.MethodPost, Path: "/walk/talk", ID: first, Key: keyOfTwo, Body: "prompt", Deadline: streamDeadline, OnEvent: onEvent}
-	answer := standin.Send(ask)
+	answer := e.send(ask)
 	e.record("answer %s from %s: %d whole=%v, last event %d, error %v", first, router.Name, answer.Status, answer.Whole, result.last, answer.Err)
 	result.end = fmt.Sprint(answer.Status)
 	left := streamDeadline - time.Since(started)
@@ -93,7 +99,7 @@
 	ask.Router, ask.ID, ask.Deadline, ask.After, ask.Resumes = e.otherRouter(i, router), first+"-again", left, result.last, first
 	result.resumedAt, result.resumedWhen = ask.Router.Name, time.Now()
 	before := result.last
-	answer = standin.Send(ask)
+	answer = e.send(ask)
 	result.goesOn = result.last > before
 	e.record("answer %s from %s: %d whole=%v, last event %d, error %v", ask.ID, ask.Router.Name, answer.Status, answer.Whole, result.last, answer.Err)
 	result.end = fmt.Sprintf("%s, again %d", result.end, answer.Status)
--- a/review/cases/stop.go
+++ b/review/cases/stop.go
@@ -50,7 +50,7 @@
 	}
 	router := e.fleet.Routers[stopRouter]
 	ask := func(id string, conn *standin.Conn) (answer standin.Answer, events int) {
-		answer = standin.Send(standin.Ask{
+		answer = e.send(standin.Ask{
 			Router: router, Method: http.MethodPost, Path: "/ask/talk", ID: id, Key: keyOfTwo, Body: "question", Usage: stopUsage,
 			Deadline: 12 * time.Second, Conn: conn, OnEvent: func(int, string) { events++ },
 		})
@@ -62,7 +62,7 @@
 	for i := range conns {
 		conns[i] = standin.NewConn()
 		defer conns[i].Close()
-		answer := standin.Send(standin.Ask{Router: router, Method: http.MethodGet, Path: "/look/item", ID: fmt.Sprintf("look-%d", i), Key: keyOfTwo, Deadline: 3 * time.Second, Conn: conns[i]})
+		answer := e.send(standin.Ask{Router: router, Method: http.MethodGet, Path: "/look/item", ID: fmt.Sprintf("look-%d", i), Key: keyOfTwo, Deadline: 3 * time.Second, Conn: conns[i]})
 		if !answer.Whole {
 			return false, fmt.Errorf("connection %d: %w", i, answer.Err)
 		}
