--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -54,6 +54,8 @@
 
 	dir  string
 	stop chan struct{}
+	// reservation keeps the fleet's block of the loopback network.
+	reservation net.Listener
 }
 
 // StartFleet starts the six routers of the site. Each reaches the store and the other routers
@@ -69,10 +71,17 @@
 	if err != nil {
 		return f, err
 	}
-	// Concurrent runs use other blocks of the loopback network.
-	block := 64 + os.Getpid()%128
+	block, err := f.reserveBlock()
+	if err != nil {
+		return f, err
+	}
+	port, front, ready := 0, 0, 0
+	for _, p := range []*int{&port, &front, &ready} {
+		if *p, err = freePort(block); err != nil {
+			return f, err
+		}
+	}
 	own, hub := make([]netip.AddrPort, len(zoneOfRouter)), make([]netip.AddrPort, len(zoneOfRouter))
-	port := 7340
 	for i := range own {
 		own[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(block), 1, byte(i + 1)}), uint16(port))
 		hub[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(block), 2, byte(i + 1)}), uint16(port))
@@ -88,7 +97,7 @@
 		}
 		ip := own[i].Addr().String()
 		r := &Router{
-			Name: fmt.Sprintf("edge-%d", i+1), Zone: zones[zoneOfRouter[i]], Front: ip + ":8227", Ready: ip + ":8220",
+			Name: fmt.Sprintf("edge-%d", i+1), Zone: zones[zoneOfRouter[i]], Front: fmt.Sprintf("%s:%d", ip, front), Ready: fmt.Sprintf("%s:%d", ip, ready),
 			settings: filepath.Join(dir, fmt.Sprintf("edge-%d.json", i+1)), program: program, store: link,
 		}
 		f.Routers = append(f.Routers, r)
@@ -110,6 +119,54 @@
 	return f, nil
 }
 
+// reserveBlock reserves one of the blocks 127.64.0.0/16 to 127.191.0.0/16, so that runs at the
+// same time use other addresses.
+func (f *Fleet) reserveBlock() (int, error) {
+	var err error
+	for n := range 128 {
+		block := 64 + (os.Getpid()+n)%128
+		if f.reservation, err = net.Listen("tcp4", fmt.Sprintf("127.%d.9.1:7340", block)); err == nil {
+			return block, nil
+		}
+	}
+	return 0, fmt.Errorf("no free block of the loopback network: %w", err)
+}
+
+// freePort returns a port that is free at all addresses of a block.
+func freePort(block int) (int, error) {
+	for range 50 {
+		first, err := net.Listen("tcp4", fmt.Sprintf("127.%d.1.1:0", block))
+		if err != nil {
+			return 0, err
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		_ = first.Close()
+		if portFree(block, port) {
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no port is free at all addresses of a block")
+}
+
+func portFree(block, port int) bool {
+	for _, part := range []int{1, 2} {
+		for i := range zoneOfRouter {
+			addr := fmt.Sprintf("127.%d.%d.%d:%d", block, part, i+1, port)
+			tcp, err := net.Listen("tcp4", addr)
+			if err != nil {
+				return false
+			}
+			_ = tcp.Close()
+			udp, err := net.ListenPacket("udp4", addr)
+			if err != nil {
+				return false
+			}
+			_ = udp.Close()
+		}
+	}
+	return true
+}
+
 // deployment returns the command and the settings template of the deploy file.
 func deployment() (program []string, template string, err error) {
 	data, err := os.ReadFile("deploy/system.toml")
@@ -311,6 +368,9 @@
 			}
 		}
 	}
+	if f.reservation != nil {
+		_ = f.reservation.Close()
+	}
 	if f.dir != "" {
 		_ = os.RemoveAll(f.dir)
 	}
