--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -30,6 +30,8 @@
 			&cli.IntFlag{Name: "lanes", Value: 3, Usage: "number of faults injected concurrently"},
 			&cli.BoolFlag{Name: "crashing-part", Usage: "send requests with a prompt part that crashes targets"},
 			&cli.BoolFlag{Name: "crashing-request", Usage: "repeat a request that crashes targets"},
+			&cli.StringFlag{Name: "crashing-kind", Value: "lookup", Usage: "`KIND` of the repeated request that crashes targets: lookup or dossier"},
+			&cli.StringFlag{Name: "crash-style", Value: string(soak.CrashRefuses), Usage: "what the addresses of crashed targets do: `STYLE` is refuses, resets, closes or hangs"},
 			&cli.BoolFlag{Name: "limits", Usage: "let targets name limits on their requests"},
 			&cli.BoolFlag{Name: "versions", Usage: "let engines of two software versions serve side by side"},
 			&cli.BoolFlag{Name: "kill-all", Usage: "end all routers at once"},
@@ -59,7 +61,8 @@
 		report, err := soak.Play(ctx, soak.Options{
 			Program: program, Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
-			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
+			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"),
+			CrashingKind: cmd.String("crashing-kind"), CrashStyle: soak.CrashStyle(cmd.String("crash-style")), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
 		})
 		if err != nil {
 			return err
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -58,8 +58,27 @@
 	}
 }
 
-// crashKinds names the crashes of targets of each service in reports: engines crash on a
-// prompt part, plain targets on a request.
+// CrashStyle is what a crashed target's address does until the next target starts there.
+type CrashStyle string
+
+// Styles of crashes.
+const (
+	// CrashRefuses means that connections are refused, as without a listener.
+	CrashRefuses CrashStyle = "refuses"
+	// CrashResets means that connections are accepted and reset at once, as by a proxy or a
+	// supervisor that keeps the port.
+	CrashResets CrashStyle = "resets"
+	// CrashCloses is like CrashResets with an orderly close.
+	CrashCloses CrashStyle = "closes"
+	// CrashHangs means that connections are accepted and nothing answers, as by a listener
+	// whose process hangs.
+	CrashHangs CrashStyle = "hangs"
+)
+
+// CrashStyles lists all styles.
+var CrashStyles = []CrashStyle{CrashRefuses, CrashResets, CrashCloses, CrashHangs}
+
+// crashKinds names the crashes of targets of each service in reports.
 var crashKinds = map[string]string{engineName: "part-crash", plainName: "request-crash"}
 
 func (env *environment) stopCrashing() {
@@ -67,24 +86,32 @@
 	env.crashingRequest.Store(false)
 }
 
-// hasCrashingPart reports whether a request crashes an engine.
-func hasCrashingPart(r *http.Request) bool {
-	return standin.HasSharedPart(r, crashingPart)
+// crashesEngine reports whether a request crashes an engine.
+func crashesEngine(r *http.Request) bool {
+	return standin.HasSharedPart(r, crashingPart) || isCrashingRequest(r)
 }
 
-// isCrashingRequest reports whether a request crashes a plain target.
+// isCrashingRequest reports whether a request is the one that crashes its targets.
 func isCrashingRequest(r *http.Request) bool {
 	return strings.HasSuffix(r.URL.Path, "/"+crashingName)
 }
 
-// recordCrash records the crash of a target and refuses connections to its proxy.
+// recordCrash records the crash of a target and disturbs its proxy as the crash style says.
 // The connections open there end with those of the target.
 func (env *environment) recordCrash(t *target) {
 	env.mu.Lock()
 	env.crashes = append(env.crashes, Crash{Service: t.Service, At: time.Now()})
 	env.mu.Unlock()
-	// An error means that the listener is closed already.
-	_ = t.proxy.listener.Close()
+	switch env.crashStyle {
+	case CrashResets:
+		t.proxy.SetMode(Refuse)
+	case CrashCloses:
+		t.proxy.SetMode(CloseNew)
+	case CrashHangs:
+		t.proxy.SetMode(Hang)
+	default:
+		t.proxy.stopListening()
+	}
 	env.crashed <- t
 }
 
@@ -109,6 +136,7 @@
 	}
 	env.mu.Unlock()
 	if index >= 0 {
+		t.proxy.stopListening()
 		// If the target cannot start, the soak continues without it.
 		_ = env.addTargetAt(t.proxy.Addr(), t.Service, t.Zone)
 	}
@@ -127,7 +155,7 @@
 	return fmt.Sprintf("%s:400,%s:200,own-%d:50", parts[0], parts[1], n), crashing
 }
 
-// sendsCrashing reports whether request n is the one that crashes plain targets.
+// sendsCrashing reports whether request n is the one that crashes targets.
 func (env *environment) sendsCrashing(kind Kind, n int64) bool {
-	return env.crashingRequest.Load() && !kind.Stream && !kind.Once && n%crashingShare == 0
+	return env.crashingRequest.Load() && kind.Name == env.crashingKind && n%crashingShare == 0
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -99,9 +99,13 @@
 	targetCount int
 	// sendPrompts makes clients send prompts on streams. crashingPosition is the
 	// place of crashingPart among the shared parts, from one, or zero while no
-	// request has it. crashingRequest is set while clients send the request that crashes plain
+	// request has it. crashingRequest is set while clients send the request that crashes
 	// targets. crashed passes the targets that crashed, by crashes.
 	sendPrompts bool
+	// crashStyle is what crashed targets do, crashingKind the kind of the request that
+	// crashes targets.
+	crashStyle   CrashStyle
+	crashingKind string
 	// versions makes engines run two software versions.
 	versions         bool
 	crashingPosition atomic.Int64
@@ -165,7 +169,7 @@
 	if service == plainName {
 		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
 	} else {
-		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, hasCrashingPart
+		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, crashesEngine
 	}
 	t.OnCrash, t.Limit = func() { env.recordCrash(t) }, t.limitText
 	t.Behave = t.chooseAct
--- a/soak/history.go
+++ b/soak/history.go
@@ -118,7 +118,10 @@
 	Repeats  settings.RetryBudget
 	// Crashes are the crashes of targets on a prompt part or a request.
 	Crashes []Crash
-	Limits  []Limit
+	// CrashesToQuarantine is the number of crashes of each service from which on what
+	// crashes its targets must be quarantined.
+	CrashesToQuarantine map[string]int
+	Limits              []Limit
 	// SeveralVersions is set if targets of several software versions serve side by side, so
 	// that the version of a stream to resume may not be known.
 	SeveralVersions bool
@@ -146,10 +149,12 @@
 	settleTime = 4 * time.Second
 	slack      = time.Second
 	// quarantineDelay is the maximum time until a prompt part or request that crashes
-	// targets is quarantined, from crash number crashesToQuarantine of its service. Up to
+	// targets is quarantined, from crash number crashesOfPart or crashesOfRequest. Up to
 	// maxCrashingArrivals requests with it may still arrive at targets afterwards.
 	quarantineDelay     = 3 * time.Second
 	maxCrashingArrivals = 3
+	crashesOfPart       = 5
+	crashesOfRequest    = 3
 	// limitDelay is the time from the first response that names a limit until it must be
 	// kept, toldDelay that from the response that a router has forwarded until its own
 	// requests count. In limitWindow a target may get limitFactor times what its limit
@@ -161,10 +166,6 @@
 	limitMargin = 5
 )
 
-// crashesToQuarantine is the number of crashes of engines on a prompt part, and of plain
-// targets on a request, from which on it must be quarantined.
-var crashesToQuarantine = map[string]int{engineName: 5, plainName: 3}
-
 // Check returns the violations in a history. It uses only the history, no state of
 // the routers.
 func Check(h *History) []Violation {
@@ -332,7 +333,7 @@
 		crashing[c.h.Requests[i].ID] = c.h.Requests[i].Crashing
 	}
 	slices.SortFunc(c.h.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	for service, first := range crashesToQuarantine {
+	for service, first := range c.h.CrashesToQuarantine {
 		var times []time.Time
 		for _, crash := range c.h.Crashes {
 			if crash.Service == service {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -36,8 +36,9 @@
 		Arrivals: []Arrival{
 			{"s", "t1", "a", at(10)}, {"s", "t1", "b", at(10)}, {"s", "t2", "b", at(20)}, {"s", "t1", "c", at(10)},
 		},
-		Repeats: settings.RetryBudget{Ratio: 0.5, Extra: 1, WindowSeconds: 1},
-		Faults:  []FaultInterval{{Kind: "kill", From: at(9000), To: at(10_000)}}, Changes: []Change{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
+		Repeats:             settings.RetryBudget{Ratio: 0.5, Extra: 1, WindowSeconds: 1},
+		CrashesToQuarantine: map[string]int{engineName: 5, plainName: 3},
+		Faults:              []FaultInterval{{Kind: "kill", From: at(9000), To: at(10_000)}}, Changes: []Change{{At: at(100), Target: "t1"}, {At: at(100), Account: "y"}},
 		Events:    3,
 		PlainBody: func(target string) string { return "plain " + target },
 		Event:     func(i int) string { return fmt.Sprintf("e%d", i) },
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,6 +24,10 @@
 	StallReplies
 	// Refuse resets open and new connections.
 	Refuse
+	// CloseNew accepts new connections and closes them at once.
+	CloseNew
+	// Hang accepts new connections and forwards nothing, not even their ends.
+	Hang
 )
 
 // proxyDelay is the delay before each write in mode Delay.
@@ -82,9 +86,15 @@
 	}
 }
 
+// stopListening refuses new connections.
+func (p *Proxy) stopListening() {
+	// An error means that the listener is closed already.
+	_ = p.listener.Close()
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.stopListening()
 	p.Reset()
 }
 
@@ -106,9 +116,19 @@
 
 func (p *Proxy) serve(c net.Conn) {
 	defer c.Close()
-	if p.currentMode() == Refuse {
+	switch p.currentMode() {
+	case Refuse:
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return
+	case CloseNew:
+		return
+	}
+	if p.currentMode() == Hang {
+		p.track(c)
+		defer p.untrack(c)
+		// The error is that of the peer, which gives up.
+		_, _ = io.Copy(io.Discard, c)
+		return
 	}
 	out, err := net.Dial("tcp4", p.to)
 	if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -22,8 +23,11 @@
 	// FaultLanes is the number of concurrent fault sequences.
 	FaultLanes int
 	// CrashingPart adds requests with a prompt part that crashes targets, CrashingRequest
-	// repeats of a request that does.
+	// repeats of a request that does, of the kind CrashingKind; empty means lookups.
 	CrashingPart, CrashingRequest bool
+	CrashingKind                  string
+	// CrashStyle is what crashed targets do; empty means CrashRefuses.
+	CrashStyle CrashStyle
 	// Limits lets targets name limits for a while.
 	Limits bool
 	// Versions makes engines of two software versions serve side by side. KillAll ends all
@@ -92,7 +96,7 @@
 	h := &History{
 		Events: eventsPerStream, Event: standin.EventText,
 		PlainBody: func(id string) string { return (&standin.Target{ID: id}).ResponseBody() },
-		Repeats:   repeatLimits, SeveralVersions: o.Versions,
+		Repeats:   repeatLimits, SeveralVersions: o.Versions, CrashesToQuarantine: crashesToQuarantine(o),
 	}
 	planned := map[string]int{}
 	// No guarantee holds while the routers start.
@@ -101,6 +105,7 @@
 	defer cancel()
 	var all sync.WaitGroup
 	env.sendPrompts = o.CrashingPart
+	env.crashStyle, env.crashingKind = o.CrashStyle, cmp.Or(o.CrashingKind, "lookup")
 	requestCtx, requestsEnded := context.WithCancel(ctx)
 	all.Go(func() {
 		defer requestsEnded()
@@ -157,6 +162,16 @@
 	return h, planned
 }
 
+// crashesToQuarantine returns the number of crashes of each service from which on what crashes
+// its targets must be quarantined.
+func crashesToQuarantine(o Options) map[string]int {
+	crashes := map[string]int{engineName: crashesOfPart, plainName: crashesOfRequest}
+	if o.CrashingRequest && !o.CrashingPart {
+		crashes[engineName] = crashesOfRequest
+	}
+	return crashes
+}
+
 // observations returns the runs and arrivals that the targets recorded.
 func (env *environment) observations() ([]Run, []Arrival) {
 	env.mu.Lock()
