--- a/event/request.go
+++ b/event/request.go
@@ -28,5 +28,6 @@
 	PathsLost           = define(3020, zerolog.WarnLevel, "paths-lost", "Connections to targets of a service fail, whichever is tried; until one succeeds, requests are passed on to routers that reach targets.")
 	PathsRegained       = define(3021, zerolog.InfoLevel, "paths-regained", "A connection to a target of a service was established again.")
 	TargetBrittle       = define(3022, zerolog.InfoLevel, "target-brittle", "A target named the number of rejections in a second beyond which it falls over, or no longer does; sends to it need permits meanwhile.")
+	TargetAlive         = define(3023, zerolog.InfoLevel, "target-alive", "A target broke off an attempt and was found to serve connections afterwards, so that the attempt is not held against its request; the fields give the digest of the request, which repeats share.")
 	LogDropped          = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -21,6 +21,9 @@
 	// Permits counts requests for permits to send to targets with a limit, by result:
 	// granted, denied, or unanswered.
 	Permits *prometheus.CounterVec
+	// Attempts counts the attempts that were sent to targets of a service: the first of each
+	// request, and the others by whether the retry budget was charged.
+	Attempts *prometheus.CounterVec
 }
 
 // ValueFuncs holds the functions that return the values of gauges and counters when
@@ -49,8 +52,9 @@
 		HeadSeconds:   histogram("head_seconds", "Time from a request's arrival to the head of its answer.", "kind", "outcome"),
 		WholeSeconds:  histogram("whole_seconds", "Time from a request's arrival to its end.", "kind", "outcome"),
 		Permits:       counter("permits_total", "Requests for permits to send to targets with a limit.", "result"),
+		Attempts:      counter("attempts_total", "Attempts sent to targets.", "service", "charge"),
 	}
-	r.MustRegister(d.PlacedSeconds, d.HeadSeconds, d.WholeSeconds, d.Permits,
+	r.MustRegister(d.PlacedSeconds, d.HeadSeconds, d.WholeSeconds, d.Permits, d.Attempts,
 		gauge("config_age_seconds", "Time since the configuration was known to be the newest.", s.ConfigAge),
 		gauge("targets_age_seconds", "Time since the targets were known to be the newest.", s.TargetsAge),
 		gauge("client_connections", "Open connections of clients.", s.ClientConns),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -98,7 +98,7 @@
 }
 
 // Attempt implements attemptloop.Attempter: it chooses a target and makes one attempt there.
-func (s *requestState) Attempt(ctx context.Context, _ retry.Step) (retry.AttemptResult, bool) {
+func (s *requestState) Attempt(ctx context.Context, step retry.Step) (retry.AttemptResult, bool) {
 	// Before the first attempt admitUnlessQuarantined has looked.
 	if s.attempts > 0 && s.findQuarantined() {
 		return retry.AttemptResult{}, false
@@ -109,11 +109,28 @@
 	}
 	s.current.close()
 	s.current = s.attempt(ctx, target)
+	s.countAttempt(step)
 	end := s.current.retryEnd(s.events)
 	end.CallerDisconnected = end.CallerDisconnected || errors.Is(ctx.Err(), context.Canceled)
 	return end, true
 }
 
+// countAttempt counts the current attempt if it was sent to its target.
+func (s *requestState) countAttempt(step retry.Step) {
+	if s.current.reason == reason.TargetDown {
+		return
+	}
+	charge := "uncharged"
+	switch {
+	case !s.sent:
+		charge = "first"
+	case step.Charged:
+		charge = "charged"
+	}
+	s.sent = true
+	s.relay.cfg.Latency.Attempts.WithLabelValues(string(s.service), charge).Inc()
+}
+
 // reserveNextAttempt reports whether another attempt can follow the one in progress, at a
 // target that is not avoided and has room, and takes its retry from the budget. It is
 // called while the attempt in progress waits for its target.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -154,6 +154,9 @@
 	r.mu.Unlock()
 	err := r.pool.Probe(context.Background(), t.ID, t.Addr)
 	if err == nil {
+		for _, a := range attempts {
+			event.TargetAlive.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).Send()
+		}
 		return
 	}
 	now := time.Now()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -112,6 +112,8 @@
 	// eventsBefore is the number of events before the current attempt.
 	eventsBefore int
 	attempts     int
+	// sent is set once an attempt was sent to its target.
+	sent bool
 	// digest stands for what the request asks; zero until asked has computed it.
 	digest uint64
 	// quarantined is set once the request, or a part of its prompt, was found to be
