--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -33,6 +33,7 @@
 			&cli.StringFlag{Name: "crashing-kind", Value: "lookup", Usage: "`KIND` of the repeated request that crashes targets: lookup or dossier"},
 			&cli.StringFlag{Name: "crash-style", Value: string(soak.CrashRefuses), Usage: "what the addresses of crashed targets do: `STYLE` is refuses, resets, closes or hangs"},
 			&cli.BoolFlag{Name: "limits", Usage: "let targets name limits on their requests"},
+			&cli.BoolFlag{Name: "quiet", Usage: "let targets reject requests and ask for quiet"},
 			&cli.BoolFlag{Name: "versions", Usage: "let engines of two software versions serve side by side"},
 			&cli.BoolFlag{Name: "kill-all", Usage: "end all routers at once"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the routers in `DIR`"},
@@ -61,7 +62,7 @@
 		report, err := soak.Play(ctx, soak.Options{
 			Program: program, Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
-			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"),
+			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"), Quiet: cmd.Bool("quiet"),
 			CrashingKind: cmd.String("crashing-kind"), CrashStyle: soak.CrashStyle(cmd.String("crash-style")), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
 		})
 		if err != nil {
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -75,6 +75,8 @@
 	// requests.
 	misbehavior     standin.Behavior
 	misbehaviorRate float64
+	// quiet is set while rejections ask for quietTime.
+	quiet bool
 	// limit is the rate limit that the target names, in requests per second; zero if it
 	// names none.
 	limit int
@@ -172,6 +174,7 @@
 		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, crashesEngine
 	}
 	t.OnCrash, t.Limit = func() { env.recordCrash(t) }, t.limitText
+	t.RetryAfter = t.retryAfterText
 	t.Behave = t.chooseAct
 	if err := t.Start(""); err != nil {
 		return err
--- a/soak/history.go
+++ b/soak/history.go
@@ -75,6 +75,9 @@
 	Target  string
 	ID      string
 	At      time.Time
+	// Quiet is the time for which the target asked the router for no requests as it
+	// rejected this one; zero if it did not.
+	Quiet time.Duration
 }
 
 // FaultInterval is an interval in which a fault was present.
@@ -164,6 +167,10 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitMargin = 5
+	// quietDelay is the time from a rejection with which a target asks for quiet until it
+	// must be kept; then up to maxQuietArrivals requests of the same router may still come.
+	quietDelay       = 500 * time.Millisecond
+	maxQuietArrivals = 2
 )
 
 // Check returns the violations in a history. It uses only the history, no state of
@@ -180,6 +187,7 @@
 	c.checkVersions()
 	c.checkRepeats()
 	c.checkQuarantine()
+	c.checkQuiet()
 	for _, l := range h.Limits {
 		c.checkLimit(l)
 	}
@@ -386,6 +394,31 @@
 	}
 }
 
+// checkQuiet checks that a router keeps the quiet that a target asked it for.
+func (c *checker) checkQuiet() {
+	routers := map[string]string{}
+	for i := range c.h.Requests {
+		routers[c.h.Requests[i].ID] = c.h.Requests[i].Router
+	}
+	type pair struct{ router, target string }
+	arrivals := map[pair][]time.Time{}
+	for _, a := range c.h.Arrivals {
+		p := pair{routers[a.ID], a.Target}
+		arrivals[p] = append(arrivals[p], a.At)
+	}
+	for _, a := range c.h.Arrivals {
+		p := pair{routers[a.ID], a.Target}
+		until := a.At.Add(a.Quiet)
+		if a.Quiet <= quietDelay || c.disturbed(p.router, a.At, until) {
+			continue
+		}
+		n := countBefore(arrivals[p], until) - countBefore(arrivals[p], a.At.Add(quietDelay))
+		if n > maxQuietArrivals {
+			c.add("quiet", a.ID, "target %s asked router %s for no requests for %v and got %d later than %v, want at most %d", a.Target, p.router, a.Quiet, n, quietDelay, maxQuietArrivals)
+		}
+	}
+}
+
 // disturbed reports whether a router's process was killed, paused or away in an interval.
 func (c *checker) disturbed(router string, from, to time.Time) bool {
 	return slices.ContainsFunc(c.h.Faults, func(f FaultInterval) bool {
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -19,6 +19,10 @@
 	return start.Add(time.Duration(ms) * time.Millisecond)
 }
 
+func arrival(service, target, id string, ms int) Arrival {
+	return Arrival{Service: service, Target: target, ID: id, At: at(ms)}
+}
+
 // validHistory returns a history without violations.
 func validHistory() *History {
 	return &History{
@@ -34,7 +38,7 @@
 			{Target: "t1", ID: "c", Account: "y", At: at(10)},
 		},
 		Arrivals: []Arrival{
-			{"s", "t1", "a", at(10)}, {"s", "t1", "b", at(10)}, {"s", "t2", "b", at(20)}, {"s", "t1", "c", at(10)},
+			arrival("s", "t1", "a", 10), arrival("s", "t1", "b", 10), arrival("s", "t2", "b", 20), arrival("s", "t1", "c", 10),
 		},
 		Repeats:             settings.RetryBudget{Ratio: 0.5, Extra: 1, WindowSeconds: 1},
 		CrashesToQuarantine: map[string]int{engineName: 5, plainName: 3},
@@ -66,27 +70,35 @@
 			h.Requests = append(h.Requests, Request{ID: "c2", Resumes: "c", Kind: stream, Account: "y", After: 2, Status: 200, Seal: "seal-t2", Body: "e3"})
 			h.Runs[3].Version = "v1"
 			h.Runs = append(h.Runs, Run{Target: "t2", ID: "c2", Account: "y", Version: "v2"})
-			h.Arrivals = append(h.Arrivals, Arrival{"s", "t2", "c2", at(20)})
+			h.Arrivals = append(h.Arrivals, arrival("s", "t2", "c2", 20))
 		},
 		"calm": func(h *History) { h.Requests[1].Status = 502 },
 		"quarantine": func(h *History) {
 			h.Requests[0].Crashing = true
 			h.Crashes = crashes(engineName, 0, 0, 0, 0, 0, 2500)
 			for range 4 {
-				h.Arrivals = append(h.Arrivals, Arrival{engineName, "t1", "a", at(3001)})
+				h.Arrivals = append(h.Arrivals, arrival(engineName, "t1", "a", 3001))
 			}
 			h.Repeats.Extra = 4
 		},
+		"quiet": func(h *History) {
+			h.Requests[0].Router = "r"
+			h.Arrivals[0].Quiet = time.Second
+			for range 3 {
+				h.Arrivals = append(h.Arrivals, arrival("other", "t1", "a", 900))
+			}
+			h.Repeats.Extra = 3
+		},
 		"limits": func(h *History) {
 			h.Requests[0].Limited, h.Requests[0].Router = true, "r"
 			h.Limits = []Limit{{Target: "t1", PerSecond: 1, From: at(0), To: at(8000)}}
 			for i := range 12 {
-				h.Arrivals = append(h.Arrivals, Arrival{"other", "t1", "a", at(4000 + i)})
+				h.Arrivals = append(h.Arrivals, arrival("other", "t1", "a", 4000+i))
 			}
 			h.Repeats.Extra = 12
 		},
 		"repeats": func(h *History) {
-			h.Arrivals = append(h.Arrivals, Arrival{"s", "t1", "a", at(500)}, Arrival{"s", "t1", "c", at(600)}, Arrival{"s", "t1", "b", at(900)})
+			h.Arrivals = append(h.Arrivals, arrival("s", "t1", "a", 500), arrival("s", "t1", "c", 600), arrival("s", "t1", "b", 900))
 		},
 	} {
 		h := validHistory()
@@ -133,7 +145,7 @@
 		h.Repeats.Extra = 10
 		h.Crashes = crashes(plainName, []int{0, 500, 1000}[:n]...)
 		for i := range 4 {
-			h.Arrivals = append(h.Arrivals, Arrival{plainName, "t1", "b", at(5000 + i)})
+			h.Arrivals = append(h.Arrivals, arrival(plainName, "t1", "b", 5000+i))
 		}
 		if found := Check(h); len(found) != want {
 			t.Errorf("%d crashes: got violations %+v, want %d", n, found, want)
@@ -159,7 +171,7 @@
 		h.Requests[0].Limited, h.Requests[0].Router = true, "r"
 		h.Limits = []Limit{{Target: "t1", PerSecond: 1, From: at(0), To: at(8000)}}
 		for i := range 12 {
-			h.Arrivals = append(h.Arrivals, Arrival{"other", "t1", "a", at(4000 + i)})
+			h.Arrivals = append(h.Arrivals, arrival("other", "t1", "a", 4000+i))
 		}
 		h.Repeats.Extra = 12
 		change(h)
@@ -175,7 +187,7 @@
 	h.Repeats.Extra = 10
 	h.Crashes = crashes(engineName, 0, 0, 0, 0, 0)
 	for _, ms := range []int{2000, 2900, 3000, 3001, 3500, 9000} {
-		h.Arrivals = append(h.Arrivals, Arrival{engineName, "t1", "a", at(ms)})
+		h.Arrivals = append(h.Arrivals, arrival(engineName, "t1", "a", ms))
 	}
 	if found := Check(h); len(found) != 0 {
 		t.Errorf("got violations %+v, want none", found)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	CrashStyle CrashStyle
 	// Limits lets targets name limits for a while.
 	Limits bool
+	// Quiet lets targets reject some requests and ask for quiet.
+	Quiet bool
 	// Versions makes engines of two software versions serve side by side. KillAll ends all
 	// routers at once, which forget what they know of crashes.
 	Versions, KillAll bool
@@ -143,6 +146,9 @@
 	if o.Limits {
 		all.Go(func() { h.Limits = newInjector(2001).limitTargets(clientCtx) })
 	}
+	if o.Quiet {
+		all.Go(func() { newInjector(2003).askForQuiet(clientCtx) })
+	}
 	if o.KillAll {
 		all.Go(func() { newInjector(2002).killAll(faultCtx) })
 	}
@@ -183,12 +189,19 @@
 			all = append(all, Run{Target: t.ID, ID: r.Request, Account: r.Account, Credential: r.Credential, At: r.At, Version: t.Version})
 		}
 		for _, a := range t.Arrivals() {
-			arrivals = append(arrivals, Arrival{Service: t.Service, Target: t.ID, ID: a.Request, At: a.At})
+			arrivals = append(arrivals, Arrival{Service: t.Service, Target: t.ID, ID: a.Request, At: a.At, Quiet: quiet(a)})
 		}
 	}
 	return all, arrivals
 }
 
+// quiet returns the time for which a target asked for no requests as it rejected one.
+func quiet(a standin.Arrival) time.Duration {
+	// An empty text gives zero: the target did not ask.
+	seconds, _ := strconv.ParseFloat(a.RetryAfter, 64)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func newReport(o Options, h *History, planned map[string]int) *Report {
 	r := &Report{Seed: o.Seed, Requests: len(h.Requests), Runs: len(h.Runs), Faults: map[string]int{}, Planned: planned}
 	for _, f := range h.Faults {
