node: failing test of targets that ask for quiet, known red

Half or all of the targets reject every third request with Retry-After 2: 13 to 16 requests of one router reach a target in a time for which it had asked that router for none, where 2 may.

--- a/node/target_limit_test.go
+++ b/node/target_limit_test.go
@@ -36,6 +36,8 @@
 	routers []*fixture
 	client  *http.Client
 	sent    atomic.Int64
+	// senders maps the IDs of requests to the routers that got them.
+	senders sync.Map
 }
 
 // loadResult counts the results of a load.
@@ -138,7 +140,9 @@
 		return 0, 0
 	}
 	r.Host = "h"
-	standin.SetRequestHeaders(r, fmt.Sprint("l", f.sent.Add(1)), "", requestTimeout, 0)
+	id := fmt.Sprint("l", f.sent.Add(1))
+	f.senders.Store(id, string(router.cfg.ID))
+	standin.SetRequestHeaders(r, id, "", requestTimeout, 0)
 	response, err := f.client.Do(r)
 	if err != nil {
 		return 0, 0
@@ -152,6 +156,12 @@
 	return response.StatusCode, retryAfter
 }
 
+// routerOf returns the ID of the router that got a request.
+func (f *limitFleet) routerOf(request string) string {
+	router, _ := f.senders.Load(request)
+	return fmt.Sprint(router)
+}
+
 // mostArrivals returns the largest number of requests that reached a target within
 // limitWindow later than from.
 func mostArrivals(target *standin.Target, from time.Time) int {
--- /dev/null
+++ b/node/target_quiet_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/platform/standin"
+)
+
+// Bounds on requests to a target that asks a router for none, and the time that it asks for.
+const (
+	quietTime        = 2 * time.Second
+	quietDelay       = 500 * time.Millisecond
+	maxQuietArrivals = 2
+)
+
+// overlooked returns the largest number of requests that one router sent to a target in a time
+// for which the target had asked it for none.
+func (f *limitFleet) overlooked(target *standin.Target) int {
+	arrivals := map[string][]standin.Arrival{}
+	for _, a := range target.Arrivals() {
+		router := f.routerOf(a.Request)
+		arrivals[router] = append(arrivals[router], a)
+	}
+	most := 0
+	for _, list := range arrivals {
+		for _, asked := range list {
+			n := 0
+			for _, a := range list {
+				if asked.RetryAfter != "" && a.At.After(asked.At.Add(quietDelay)) && a.At.Before(asked.At.Add(quietTime)) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// TestTargetsThatAskForQuietGetIt guards against routers that ignore the Retry-After of targets.
+func TestTargetsThatAskForQuietGetIt(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		asking int
+	}{{"some targets", limitTargets / 2}, {"all targets", limitTargets}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleetBefore(t, &http.Transport{}, limitConfig(), limitRouters, limitTargets, func(i int) *standin.Target {
+				target := &standin.Target{RunTime: 10 * time.Millisecond}
+				if i < test.asking {
+					var requests counter
+					target.Behave = func(*http.Request) standin.Behavior { return requests.everyThird() }
+					target.RetryAfter = func() string { return strconv.FormatFloat(quietTime.Seconds(), 'f', -1, 64) }
+				}
+				return target
+			})
+			result := f.load(limitedPeriod)
+			t.Logf("%d served, %d refused, %d other", result.served, result.refused, result.other)
+			for _, target := range f.targets[:test.asking] {
+				if got := f.overlooked(target); got > maxQuietArrivals {
+					t.Errorf("%s: got %d requests of one router while it asked for none, want at most %d", target.ID, got, maxQuietArrivals)
+				}
+			}
+			if result.slow > 0 || result.withoutTime > 0 {
+				t.Errorf("got %d refusals that took longer than %v and %d without a time to come back, want none", result.slow, promptRefusal, result.withoutTime)
+			}
+			if sent := result.served + result.refused + result.other; test.asking < limitTargets && result.served*10 < sent*9 {
+				t.Errorf("got %d of %d requests served, want at least 9 of 10 while some targets ask for nothing", result.served, sent)
+			}
+		})
+	}
+}
+
+// counter counts the requests of a target.
+type counter struct {
+	mu sync.Mutex
+	n  int
+}
+
+// everyThird returns Reject for every third request.
+func (c *counter) everyThird() standin.Behavior {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n++; c.n%3 == 0 {
+		return standin.Reject
+	}
+	return standin.Serve
+}
