relay: a target that accepts connections but serves nothing has crashed

What callers saw: a request that crashes its targets went on from target to target, and sound requests beside it failed, where the address of a crashed target goes on accepting connections.

Cause: 0.1 s after an attempt broke, the router connected to its target and took an accepted connection for a sign of life. A supervisor, a proxy or the backlog of a hung process accepts as well, so that no crash was ever held against the request.

Now the target has to have served something since, or to serve a check of its health on a new connection, whatever the result; a check that is served by another target counts as a crash.

--- a/call/call.go
+++ b/call/call.go
@@ -91,6 +91,9 @@
 	Signed bool
 	// NotRun means that the target did not run the request and never will.
 	NotRun bool
+	// Target is the target that names itself in the answer; empty if none does. Only answers
+	// at the health path and those that misdirected a request have it.
+	Target fleet.TargetID
 	// Load is nil if the target does not report its load.
 	Load  *Load
 	Limit Limit
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -107,6 +107,9 @@
 	// Slots is the batch size of each of its engines, in requests; zero for plain
 	// services.
 	Slots int
+	// HealthPath is the path at which its targets tell of their health; empty if there is
+	// none.
+	HealthPath string
 }
 
 // Account is a client account.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,11 +1,7 @@
 package relay
 
 import (
-	"context"
-	"errors"
-	"io"
 	"strconv"
-	"syscall"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
@@ -14,17 +10,11 @@
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/quarantine"
 	"ragwortpond.example/ragwortpond/reason"
-	"ragwortpond.example/ragwortpond/targetconn"
 )
 
-const (
-	// crashCheckDelay is the time between a broken attempt and the check whether its
-	// target still accepts connections. A target that crashed is away for seconds.
-	crashCheckDelay = 100 * time.Millisecond
-	// maxQuarantineRetryAfter bounds the mean Retry-After of requests with a
-	// quarantined part, whose verdict may be lifted earlier than it expires.
-	maxQuarantineRetryAfter = 30 * time.Second
-)
+// maxQuarantineRetryAfter bounds the mean Retry-After of requests with a quarantined part,
+// whose verdict may be lifted earlier than it expires.
+const maxQuarantineRetryAfter = 30 * time.Second
 
 // quarantinedPart is a quarantined part of a request's prompt, or the digest of a
 // quarantined request.
@@ -34,14 +24,6 @@
 	remaining time.Duration
 }
 
-// brokenAttempt is an attempt that the target broke off before quarantine.ClearingEvents
-// events.
-type brokenAttempt struct {
-	request fleet.RequestID
-	asked   quarantine.Request
-	at      time.Time
-}
-
 // asked returns what the request asks of its target. It needs the body.
 func (s *requestState) asked() quarantine.Request {
 	if s.digest == 0 {
@@ -115,61 +97,6 @@
 	}
 }
 
-// brokenByTarget reports whether an attempt failed because the target ended its
-// connection or, without framing, its stream. If this router ended it, the error wraps
-// the cause instead.
-func brokenByTarget(err error) bool {
-	if errors.Is(err, errNoEvent) || errors.Is(err, errPartialEvent) {
-		return true
-	}
-	if !errors.Is(err, targetconn.ErrBroken) {
-		return false
-	}
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
-
-// checkCrash checks in the background, after crashCheckDelay, whether the target of a
-// broken attempt has crashed. Attempts at the same target share a check.
-func (r *Relay) checkCrash(t *catalog.Target, attempt brokenAttempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	waiting := r.crashChecks[t.ID]
-	r.crashChecks[t.ID] = append(waiting, attempt)
-	if len(waiting) == 0 {
-		time.AfterFunc(crashCheckDelay, func() { r.recordIfCrashed(t) })
-	}
-}
-
-// recordIfCrashed connects to a target and, if that fails, records its crash under the
-// requests of the waiting attempts. Otherwise only their answers were lost.
-func (r *Relay) recordIfCrashed(t *catalog.Target) {
-	r.mu.Lock()
-	attempts := r.crashChecks[t.ID]
-	delete(r.crashChecks, t.ID)
-	r.mu.Unlock()
-	err := r.pool.Probe(context.Background(), t.ID, t.Addr)
-	if err == nil {
-		for _, a := range attempts {
-			event.TargetAlive.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).Send()
-		}
-		return
-	}
-	now := time.Now()
-	var changes quarantine.Changes
-	for _, a := range attempts {
-		event.TargetCrashed.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).
-			Strs("parts", sharedPartNames(a.asked.Prompt)).Dur("age", now.Sub(a.at)).Err(err).Send()
-		changes.Add(r.evidence.RecordCrash(a.asked, t.ID, a.at, now))
-	}
-	r.reportChanges(changes)
-	time.AfterFunc(quarantine.SettleTime, func() { r.reportChanges(r.evidence.Sweep(time.Now())) })
-}
-
 // reportChanges logs changes of the quarantined parts and requests and publishes new evidence.
 func (r *Relay) reportChanges(changes quarantine.Changes) {
 	r.logChanges(changes)
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// closeFromNow makes the target close all connections that it accepts from now on.
+func (t *mortalTarget) closeFromNow() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashed = true
+}
+
 // writeHead sends the head of a response with a chunked body.
 func writeHead(c net.Conn, r *http.Request) {
 	_, _ = fmt.Fprintf(c, chunkedHead, r.Header.Get("Attempt-Id"))
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -34,6 +34,8 @@
 	// RequireFreshConn requires a connection that is new or was used so recently that the
 	// target has not closed it as idle.
 	RequireFreshConn bool
+	// RequireNewConn requires a new connection.
+	RequireNewConn bool
 	// Matches reports whether a response with this status and header belongs to the
 	// request; reused tells that the connection carried other requests before, whose
 	// responses may arrive late. Responses to other requests are skipped. If Matches
@@ -74,7 +76,11 @@
 // connection is closed and the exchange fails. Errors wrap ErrNotSent,
 // ErrBroken or ErrMismatch.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Target, r.Addr, r.RequireFreshConn)
+	get := p.get
+	if r.RequireNewConn {
+		get = p.dialNew
+	}
+	c, err := get(ctx, r.Target, r.Addr, r.RequireFreshConn)
 	if err != nil {
 		return nil, err
 	}
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -16,6 +16,7 @@
 
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/netconn"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // Errors of an exchange. Callers test them with errors.Is.
@@ -148,6 +149,11 @@
 	return p.dial(ctx, id, addr)
 }
 
+// dialNew is get without idle connections.
+func (p *Pool) dialNew(ctx context.Context, id fleet.TargetID, addr string, _ bool) (*conn, error) {
+	return p.dial(ctx, id, addr)
+}
+
 func (p *Pool) dial(ctx context.Context, id fleet.TargetID, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -173,6 +179,25 @@
 	return nil
 }
 
+// ErrNotServed means that a connection was accepted and closed without being served.
+var ErrNotServed = errors.New("targetconn: connection closed at once")
+
+// ProbeOpen is like Probe and checks as well that the connection is still open after wait.
+func (p *Pool) ProbeOpen(ctx context.Context, id fleet.TargetID, addr string, wait time.Duration) error {
+	c, err := p.dial(ctx, id, addr)
+	if err != nil {
+		return err
+	}
+	// The error is ignored: a connection that is still open after a shorter time may be kept.
+	_ = sleep.For(ctx, wait)
+	if !netconn.Reusable(c.Conn) {
+		_ = c.Close()
+		return ErrNotServed
+	}
+	p.put(c, defaultIdleTimeout)
+	return nil
+}
+
 // takeIdle removes and returns the most recently used idle connection to a
 // target, or nil if there is none.
 func (p *Pool) takeIdle(id fleet.TargetID) *conn {
--- a/targethealth/targethealth.go
+++ b/targethealth/targethealth.go
@@ -93,6 +93,8 @@
 	consecutiveUnreachable int
 	consecutiveBroken      int
 	avoidUntil             time.Time
+	// answeredAt is the time of the last complete answer.
+	answeredAt time.Time
 }
 
 // domainRecord is the recorded reachability of a failure domain.
@@ -173,11 +175,26 @@
 		r.add(now, failed)
 		serviceRate.add(now, failed)
 	}
+	if s == Succeeded || s == Failed || s == Rejected {
+		r.answeredAt = now
+	}
 	r.update(s, now)
 	b.recordReachability(t, s, now)
 	return before, b.recordHealth(r, now)
 }
 
+// HeardSince reports whether a target has ended an answer, or sent an event of one in
+// progress, later than since.
+func (b *Tracker) HeardSince(id fleet.TargetID, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.records[id]; r != nil && r.answeredAt.After(since) {
+		return true
+	}
+	activity := b.streams[id]
+	return activity != nil && activity.lastEvent.After(since)
+}
+
 // recordReachability records whether a failure domain can be reached.
 func (b *Tracker) recordReachability(t *catalog.Target, s Observation, now time.Time) {
 	d := b.domains[t.Domain]
