targetnotice, dispatch, relay: targets that ask for quiet get it

Cause: nothing read the header in a response of a target. A rejection made the router avoid the target for 50 ms, and only as long as there was another.

Now a target is left out of all choices of this router for that time, ten minutes at most. If no other is left, requests are refused at once, not run, with the time until the first of them takes requests again.

--- a/call/call.go
+++ b/call/call.go
@@ -94,6 +94,9 @@
 	// Target is the target that names itself in the answer; empty if none does. Only answers
 	// at the health path and those that misdirected a request have it.
 	Target fleet.TargetID
+	// RetryAfter is the time for which the target wants no requests from this router; zero if
+	// it does not say so.
+	RetryAfter time.Duration
 	// Load is nil if the target does not report its load.
 	Load  *Load
 	Limit Limit
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -58,6 +58,9 @@
 	// Withheld reports whether no request may be sent to the target for the moment
 	// because of its limit.
 	Withheld(t *catalog.Target) bool
+	// Unavailable reports whether the target wants no requests, so that it is as if it were
+	// not there.
+	Unavailable(t *catalog.Target) bool
 }
 
 // rankIterator iterates over targets in a key's rendezvous order without sorting
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -128,10 +128,10 @@
 	return slices.Contains(sel.query.Tried, sel.candidates.targets[i].ID)
 }
 
-// unfit reports whether the request cannot be sent to a target: it was sent there before, or
-// the target runs another software version.
+// unfit reports whether the request cannot be sent to a target: it was sent there before, the
+// target wants no requests, or it runs another software version.
 func (sel *selection) unfit(i int) bool {
-	return sel.tried(i) || (sel.query.Version != "" && sel.candidates.targets[i].Version != sel.query.Version)
+	return sel.tried(i) || sel.state.Unavailable(sel.candidates.targets[i]) || (sel.query.Version != "" && sel.candidates.targets[i].Version != sel.query.Version)
 }
 
 // excluded reports whether a target is unfit or withheld.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -26,6 +26,8 @@
 	// limited and withheld hold the indexes of targets with a limit, and of those that
 	// may get no request for the moment.
 	limited, withheld map[int]bool
+	// unavailable holds the indexes of targets that want no requests.
+	unavailable map[int]bool
 	// leaving holds the indexes of targets that accept no more requests.
 	leaving map[int]bool
 	// total is the sum of all loads.
@@ -36,6 +38,10 @@
 func (f *fakeFleet) Limited(t *catalog.Target) bool {
 	return f.limited[f.indexes[t.ID]]
 }
+func (f *fakeFleet) Unavailable(t *catalog.Target) bool {
+	return f.unavailable[f.indexes[t.ID]]
+}
+
 func (f *fakeFleet) Withheld(t *catalog.Target) bool {
 	return f.withheld[f.indexes[t.ID]]
 }
@@ -78,7 +84,7 @@
 // newFakeFleet returns a fleet of n targets that have been up for an hour.
 func newFakeFleet(n int) *fakeFleet {
 	f := &fakeFleet{
-		indexes: map[fleet.TargetID]int{}, load: make([]float64, n), health: make([]targethealth.Health, n), leaving: map[int]bool{}, limited: map[int]bool{}, withheld: map[int]bool{},
+		indexes: map[fleet.TargetID]int{}, load: make([]float64, n), health: make([]targethealth.Health, n), leaving: map[int]bool{}, limited: map[int]bool{}, withheld: map[int]bool{}, unavailable: map[int]bool{},
 	}
 	for i := range n {
 		id := fleet.TargetID(fmt.Sprintf("t-%d", i))
@@ -164,6 +170,23 @@
 
 // TestChooseFindsOnlyUsableTarget checks that the one target of a large fleet that
 // is not avoided is found at any position in the key's order.
+func TestChooseLeavesUnavailableTargetsOut(t *testing.T) {
+	f := newFakeFleet(20)
+	for _, key := range []uint64{0, 7} {
+		clear(f.unavailable)
+		for left := range f.targets {
+			_, i := f.choose(Query{Key: key}, len(f.targets))
+			if i < 0 || f.unavailable[i] {
+				t.Fatalf("key %d: got target %d with %d unavailable, want another one", key, i, left)
+			}
+			f.unavailable[i] = true
+		}
+		if choice, _ := f.choose(Query{Key: key}, len(f.targets)); choice.Target != nil {
+			t.Errorf("key %d: got %s although all are unavailable", key, choice.Target.ID)
+		}
+	}
+}
+
 func TestChooseFindsOnlyUsableTarget(t *testing.T) {
 	f := newFakeFleet(400)
 	for i := range f.health {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -46,6 +46,7 @@
 	PromptQuarantined  Code = "prompt-quarantined"
 	RequestQuarantined Code = "request-quarantined"
 	TargetLimit        Code = "target-limit"
+	TargetsWantQuiet   Code = "targets-want-quiet"
 	// StreamVersionUnknown and StreamVersionGone refuse streams that cannot be resumed.
 	StreamVersionUnknown Code = "stream-version-unknown"
 	StreamVersionGone    Code = "stream-version-gone"
@@ -114,6 +115,7 @@
 	RetryBudget:          {503, true, "The retry budget is spent."},
 	RequestQuarantined:   {503, true, "Targets crashed again and again under this request."},
 	TargetLimit:          {503, true, "The targets of the service take no more requests for the moment, by the limits that they name."},
+	TargetsWantQuiet:     {503, true, "The targets of the service have asked this router for no requests for a time."},
 	StreamVersionUnknown: {503, false, "The software version that began the stream is not known, so that no target can continue it. Start the stream anew."},
 	StreamVersionGone:    {503, false, "No target runs the software version that began the stream. Start the stream anew."},
 	PromptQuarantined:    {503, true, "Targets crashed again and again under a part of the prompt."},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -192,6 +192,7 @@
 	}
 	if choice.Target == nil {
 		s.limited = slices.ContainsFunc(targets.Serving(), signals.needsPermit)
+		s.quietFor = signals.shortestQuiet(targets.Serving())
 		return chosenTarget{}, false
 	}
 	chosen := chosenTarget{Target: choice.Target}
@@ -323,6 +324,7 @@
 	}
 	result := &attemptResult{response: response, reply: codec.DecodeResponse(response.Status, response.Header)}
 	s.recordLimit(t.ID, &result.reply)
+	s.recordNotice(t.ID, &result.reply)
 	if result.reply.Load != nil {
 		s.relay.recordLoad(t.ID, result.reply.Load)
 	}
--- /dev/null
+++ b/relay/notice.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"time"
+
+	"ragwortpond.example/ragwortpond/call"
+	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// recordNotice records what the response to this request says of the requests that its target
+// wants from this router.
+func (s *requestState) recordNotice(id fleet.TargetID, reply *call.Reply) {
+	if reply.ID != s.call.ID || reply.RetryAfter == 0 {
+		return
+	}
+	if s.relay.notices.RecordQuiet(id, reply.RetryAfter, time.Now()) {
+		s.Log(event.TargetWantsQuiet).Dur("retry_after", reply.RetryAfter).Send()
+	}
+}
+
+// shortestQuiet returns the time until the first of those targets that want no requests takes
+// them again, or zero if there is no such target.
+func (s *targetSignals) shortestQuiet(targets []*catalog.Target) time.Duration {
+	shortest := time.Duration(0)
+	for _, t := range targets {
+		if quiet := s.relay.notices.Remaining(t.ID, s.now); quiet > 0 && (shortest == 0 || quiet < shortest) {
+			shortest = quiet
+		}
+	}
+	return shortest
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targethealth"
 	"ragwortpond.example/ragwortpond/targetlimit"
+	"ragwortpond.example/ragwortpond/targetnotice"
 	"ragwortpond.example/ragwortpond/targetpath"
 )
 
@@ -109,6 +110,7 @@
 	holders  *dispatch.CacheHolders
 	evidence *quarantine.Tracker
 	limits   *targetlimit.Tracker
+	notices  *targetnotice.Tracker
 	started  time.Time
 	inFlight atomic.Int64
 	// lastEndUnixNano is the Unix time, in nanoseconds, at which the last request
@@ -141,7 +143,7 @@
 	r := &Relay{
 		cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(),
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
-		routers: targetconn.NewPool(nil, nil), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
+		routers: targetconn.NewPool(nil, nil), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, notices: targetnotice.NewTracker(), returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
 		crashChecks: map[fleet.TargetID][]brokenAttempt{},
 	}
 	if r.limits == nil {
@@ -258,6 +260,7 @@
 	r.health.Retain(keep)
 	r.loads.prune(keep)
 	r.limits.Retain(keep, now)
+	r.notices.Retain(keep, now)
 	r.updateRetryBudgets(r.routerCount())
 	r.reportChanges(r.evidence.Sweep(now))
 }
@@ -314,11 +317,12 @@
 	r.loads.mergePeerReport(id, work, at)
 }
 
-// ResetTarget drops health state, idle connections, cache records and the limit of a
+// ResetTarget drops health state, idle connections, cache records, the limit and the notice of a
 // target whose process was restarted.
 func (r *Relay) ResetTarget(id fleet.TargetID) {
 	r.health.Reset(id)
 	r.limits.Reset(id)
+	r.notices.Reset(id)
 	r.pool.CloseIdle(id)
 	r.holders.RemoveTarget(id)
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -151,6 +151,8 @@
 	case s.forwardUnreached(step.Outcome, code):
 	case step.Outcome == outcome.NotDispatched && s.quarantined != nil:
 		s.refuseQuarantined()
+	case step.Outcome == outcome.NotDispatched && s.quietFor > 0:
+		s.refuseAfter(reason.Describe(reason.TargetsWantQuiet).Status, reason.TargetsWantQuiet, s.quietFor+rand.N(overloadRetryAfter))
 	case step.Outcome == outcome.NotDispatched && s.limited:
 		s.refuseLimited()
 	case step.Outcome == outcome.NotDispatched:
@@ -189,10 +191,14 @@
 // refuseWithStatus is refuse with a status other than the default of the reason
 // code.
 func (s *requestState) refuseWithStatus(status int, code reason.Code, retryAfter time.Duration) {
+	s.refuseAfter(status, code, time.Duration(float64(retryAfter)*(0.5+rand.Float64())))
+}
+
+// refuseAfter is refuseWithStatus with the exact Retry-After.
+func (s *requestState) refuseAfter(status int, code reason.Code, retryAfter time.Duration) {
 	s.relay.cfg.Metrics.CountRefusal(code)
 	s.recordResult(resultNotRun)
 	if retryAfter > 0 {
-		retryAfter = time.Duration(float64(retryAfter) * (0.5 + rand.Float64()))
 		s.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	s.Log(event.RequestNotRun).AnErr("error", s.current.err).Str("reason", string(code)).Dur("retry_after", retryAfter).Int("attempts", s.attempts).Send()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -121,6 +121,9 @@
 	quarantined *quarantinedPart
 	// limited is set once no target was left because of the limits that targets name.
 	limited bool
+	// quietFor is the time until the first target takes requests again, once none was left
+	// and some want no requests; zero otherwise.
+	quietFor time.Duration
 	// permit is the target for which a permit was taken while the attempt before was in
 	// progress; empty if there is none.
 	permit fleet.TargetID
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -95,6 +95,11 @@
 	return slices.Contains(s.withheld, t.ID) || (s.onlyUnlimited && s.needsPermit(t))
 }
 
+// Unavailable implements dispatch.TargetState.
+func (s *targetSignals) Unavailable(t *catalog.Target) bool {
+	return s.relay.notices.Remaining(t.ID, s.now) > 0
+}
+
 // needsPermit reports whether sends to a target need permits.
 func (s *targetSignals) needsPermit(t *catalog.Target) bool {
 	return s.relay.limits.NeedsPermit(t.ID, s.now)
