--- a/node/node_test.go
+++ b/node/node_test.go
@@ -77,6 +77,13 @@
 
 // start starts a router with the settings of s and waits until it is ready.
 func (s *fixture) start(t *testing.T) {
+	t.Helper()
+	s.startUnready(t)
+	await.Until(t, "the router to be ready", func() bool { return s.ready() })
+}
+
+// startUnready starts a router with the settings of s.
+func (s *fixture) startUnready(t *testing.T) {
 	t.Helper()
 	var err error
 	if s.node, err = New(s.cfg, zerolog.Nop(), func() uint64 { return 0 }, WithTargetConnect(s.connect)); err != nil {
@@ -87,7 +94,6 @@
 	node := s.node
 	go func() { s.done <- node.Run(ctx) }()
 	t.Cleanup(s.stop)
-	await.Until(t, "the router to be ready", func() bool { return s.ready() })
 }
 
 func (s *fixture) ready() bool {
