--- a/directory/directory.go
+++ b/directory/directory.go
@@ -76,6 +76,8 @@
 	// replaced when it starts or stops to watch.
 	role        WatchRole
 	modeChanged chan struct{}
+	// invalidEntries counts the invalid entries of targets that were read.
+	invalidEntries atomic.Uint64
 	// takingOver is set from the start of a watch to its first list of targets.
 	takingOver bool
 }
@@ -335,16 +337,25 @@
 	line.Str("change", "entry").Bool("leaving", t.Leaving).Send()
 }
 
+// InvalidEntries returns the number of invalid entries of targets that were read so far.
+func (d *Directory) InvalidEntries() uint64 {
+	return d.invalidEntries.Load()
+}
+
 // decodeTarget decodes an entry. It logs an invalid one and returns nil.
 func (d *Directory) decodeTarget(o platform.Object) *catalog.Target {
 	t, err := platform.DecodeTarget(o)
 	if err != nil {
-		event.StoreEntryInvalid.Log(d.log).Str("kind", platform.KindTargets).Str("target", o.Name).Err(err).Send()
+		d.invalidEntries.Add(1)
+		event.StoreEntryInvalid.Log(d.log).Str("kind", platform.KindTargets).Str("target", o.Name[:min(len(o.Name), maxLoggedName)]).Err(err).Send()
 		return nil
 	}
 	return t
 }
 
+// maxLoggedName bounds the names of invalid entries in the log, in bytes.
+const maxLoggedName = 64
+
 // expiryInterval is the interval at which targets whose entries are missing after a
 // store outage are checked for the end of their grace period.
 const expiryInterval = 200 * time.Millisecond
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -40,6 +40,8 @@
 	QuarantinedParts func() float64
 	// LimitedTargets returns the number of targets that name a limit on their requests.
 	LimitedTargets func() float64
+	// InvalidEntries returns the number of invalid entries of targets read since the start.
+	InvalidEntries func() float64
 	// LinesDropped returns the number of dropped log lines since the start.
 	LinesDropped func() float64
 }
@@ -65,6 +67,9 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines over the budget or not written.",
 		}, s.LinesDropped),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "invalid_entries_total", Help: "Entries of targets that were read and are invalid.",
+		}, s.InvalidEntries),
 	)
 	return d
 }
--- a/node/node.go
+++ b/node/node.go
@@ -175,6 +175,7 @@
 		QuarantinedParts: func() float64 { return float64(n.relay.QuarantinedParts()) },
 		LimitedTargets:   func() float64 { return float64(n.relay.LimitedTargets()) },
 		LinesDropped:     func() float64 { return float64(dropped()) },
+		InvalidEntries:   func() float64 { return float64(n.directory.InvalidEntries()) },
 	}
 }
 
