streamversion, mesh, stall: routers out of step neither begin nor resume streams at the wrong version

Cause: two places took a bound on clocks and messages for a rule. - Others looked for a stream that the router began under the split that it still used at the version of the new split, once that was 16 s old. - The router trusted the only version that it knew while it counted as connected, up to 4 s after its last heartbeat; and after a standstill that its clock does not count, all it knew seemed fresh.

Now - a router tells the others of its streams that a new split would send elsewhere, as it learns of that split, and keeps a record of all its own streams for that; a router that stops hands over all records; - splits from before an absence of any known router stay possible for as long as a stream of it may last, and streams are recorded meanwhile; - a router is connected only if it has received heartbeats in the last 1.5 s, of three others or half of them, from half of the failure domains; - package stall tells from the boot clock that the process stood still; for 3 s afterwards the store is read before a stream is resumed.

Old builds ignore the new field of heartbeats, which are complete without it, and learn nothing of those streams, as before.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -129,6 +129,7 @@
 	}
 	m.mergeLimits(hb.Limits, now)
 	m.mergeSplits(hb.Splits, now)
+	m.mergeStreams(hb.Streams, now)
 	m.mergeBrittle(hb.Brittle, now)
 	switch {
 	case hb.Joining:
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -378,6 +378,7 @@
 	defer m.mu.Unlock()
 	m.tickCount++
 	m.table.RemoveExpired(now)
+	m.table.updateAbsence(now)
 	fleet := m.table.FleetSize(now)
 	m.fleetSize.Store(int64(fleet))
 	m.updateTargetHashes()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -60,6 +60,8 @@
 	// Stream is set in a datagram about where a stream began. It carries nothing else but
 	// the sender.
 	Stream *StreamMessage `cbor:"21,keyasint,omitempty"`
+	// Streams tells where streams began that other routers may be asked for.
+	Streams []StreamRecordItem `cbor:"24,keyasint,omitempty"`
 	// Brittle holds the newest brittle targets known to the sender, or, with Permit, the one
 	// that the permit is for.
 	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -73,15 +73,62 @@
 	return m.table.Connected(time.Now())
 }
 
-// Connected reports whether at least half of the known routers have been heard lately.
+const (
+	// hearingTimeout is the time within which a router has to receive heartbeats of others to
+	// count as connected: of minHeard or half of those that it knows, and from half of the
+	// failure domains. A partition shows by that long before the others are absent.
+	hearingTimeout = 1500 * time.Millisecond
+	minHeard       = 3
+)
+
+// Connected reports whether this router hears others now, and at least half of the known
+// routers have been heard of lately.
 func (t *Table) Connected(now time.Time) bool {
-	present := 1
+	present, heard := 1, 0
+	domains, heardDomains := map[fleet.DomainName]bool{t.domain: true}, map[fleet.DomainName]bool{t.domain: true}
+	for _, m := range t.members {
+		if now.Sub(m.lastReported) >= t.permitPresence() {
+			continue
+		}
+		present++
+		domains[m.domain] = true
+		if now.Sub(m.lastReceived) < hearingTimeout {
+			heard++
+			heardDomains[m.domain] = true
+		}
+	}
+	return 2*present >= t.KnownRouters() && heard >= min(minHeard, present/2) && 2*len(heardDomains) >= len(domains)
+}
+
+// absenceMemory is how long the absence of routers is remembered after its end.
+const absenceMemory = 30 * time.Second
+
+// absence is a time in which other routers were absent.
+type absence struct {
+	from, until time.Time
+}
+
+// Absence implements streamversion.Peers.
+func (m *Mesh) Absence() (from, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.absence.from, m.table.absence.until
+}
+
+// updateAbsence records whether known routers are absent that do not leave.
+func (t *Table) updateAbsence(now time.Time) {
+	if now.Sub(t.absence.until) >= absenceMemory {
+		t.absence = absence{}
+	}
 	for _, m := range t.members {
-		if now.Sub(m.lastReported) < t.permitPresence() {
-			present++
+		if m.leaving || now.Sub(m.lastReported) < t.permitPresence() {
+			continue
 		}
+		if t.absence.from.IsZero() || m.lastReported.Before(t.absence.from) {
+			t.absence.from = m.lastReported
+		}
+		t.absence.until = now
 	}
-	return 2*present >= t.KnownRouters()
 }
 
 // Precedence implements streamversion.Peers.
@@ -155,6 +202,45 @@
 	m.send(&Heartbeat{From: m.cfg.Self, Stream: message}, m.streamHolders(key, 0))
 }
 
+// StreamRecordItem tells where one of several streams began.
+type StreamRecordItem struct {
+	_      struct{} `cbor:",toarray"`
+	Key    streamversion.Key
+	Origin streamversion.Origin
+}
+
+// maxStreamRecords is the number of records that fit into a heartbeat.
+const maxStreamRecords = 64
+
+// RecordStreams implements streamversion.Peers.
+func (m *Mesh) RecordStreams(records map[streamversion.Key]streamversion.Origin) {
+	batches := map[netip.AddrPort][]StreamRecordItem{}
+	flush := func(addr netip.AddrPort) {
+		hb := m.newHeartbeat()
+		hb.Streams = batches[addr]
+		m.send(hb, []netip.AddrPort{addr})
+		delete(batches, addr)
+	}
+	for key, origin := range records {
+		for _, addr := range m.streamHolders(key, 0) {
+			batches[addr] = append(batches[addr], StreamRecordItem{Key: key, Origin: origin})
+			if len(batches[addr]) == maxStreamRecords {
+				flush(addr)
+			}
+		}
+	}
+	for addr := range batches {
+		flush(addr)
+	}
+}
+
+// mergeStreams records where other routers know that streams began.
+func (m *Mesh) mergeStreams(list []StreamRecordItem, now time.Time) {
+	for _, r := range list[:min(len(list), maxStreamRecords)] {
+		m.cfg.StreamVersions.Registry().Record(r.Key, r.Origin, now)
+	}
+}
+
 // FindStream implements streamversion.Peers.
 func (m *Mesh) FindStream(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
 	holders := m.streamHolders(key, 1)
--- a/mesh/streams_test.go
+++ b/mesh/streams_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -58,3 +60,91 @@
 	}
 	return found
 }
+
+// TestRecordsOfManyStreamsReachOtherRouters guards against records that do not fit into one datagram.
+func TestRecordsOfManyStreamsReachOtherRouters(t *testing.T) {
+	store := platform.NewStore(startStore(t, 1).Addr(), nil)
+	var routers []*testRouter
+	for i := range 3 {
+		routers = append(routers, startRouterInDomain(t, "a", i, store, []string{freeAddr(t, 0)}))
+	}
+	for _, r := range routers {
+		await.Until(t, "the routers to know each other", func() bool { return r.mesh.FleetSize() == len(routers) })
+	}
+	const streams = 3 * maxStreamRecords / 2
+	records := map[streamversion.Key]streamversion.Origin{}
+	for key := range streamversion.Key(streams) {
+		// Both take the most bytes.
+		records[^key] = ^streamversion.Origin(0)
+	}
+	routers[0].mesh.RecordStreams(records)
+	known := func(r *testRouter) int {
+		n := 0
+		for key, want := range records {
+			if origin, ok := r.mesh.cfg.StreamVersions.Registry().Find(key, time.Now()); ok && origin == want {
+				n++
+			}
+		}
+		return n
+	}
+	for _, r := range routers[1:] {
+		await.Until(t, "the records to arrive", func() bool { return known(r) == streams })
+	}
+}
+
+// heardTable returns a table that has just heard five other routers in three failure domains.
+func heardTable(now time.Time) *Table {
+	table := NewTable("self", "d0", 1)
+	for i := range 5 {
+		hb := &Heartbeat{From: fleet.RouterID(fmt.Sprint("r", i)), Domain: fleet.DomainName(fmt.Sprint("d", i%3)), Incarnation: 1}
+		table.HandleHeartbeat(hb, netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+i)), now)
+	}
+	return table
+}
+
+// TestRouterThatWasJustCutOffIsNotConnected guards against a router that trusts what it knows until others count as absent.
+func TestRouterThatWasJustCutOffIsNotConnected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := heardTable(now)
+	for after, want := range map[time.Duration]bool{0: true, time.Second: true, 2 * time.Second: false, 3 * time.Second: false, 10 * time.Second: false} {
+		if got := table.Connected(now.Add(after)); got != want {
+			t.Errorf("%v after the last heartbeat: got connected %t, want %t", after, got, want)
+		}
+	}
+	own := &Heartbeat{From: "r0", Domain: "d0", Incarnation: 1}
+	table.HandleHeartbeat(own, netip.MustParseAddrPort("127.0.0.1:1000"), now.Add(2*time.Second))
+	if table.Connected(now.Add(2 * time.Second)) {
+		t.Error("got connected with the own failure domain only, want not")
+	}
+}
+
+func TestAbsenceIsRememberedUntilNobodyMissedIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := heardTable(now)
+	step := func(after time.Duration, heard ...fleet.RouterID) absence {
+		for _, id := range heard {
+			table.HandleHeartbeat(&Heartbeat{From: id, Incarnation: 1}, netip.MustParseAddrPort("127.0.0.1:1000"), now.Add(after))
+		}
+		table.updateAbsence(now.Add(after))
+		return table.absence
+	}
+	all := []fleet.RouterID{"r0", "r1", "r2", "r3", "r4"}
+	if got := step(3*time.Second, all[1:]...); !got.until.IsZero() {
+		t.Errorf("got absence %v although all were heard of within the timeout", got)
+	}
+	if got := step(5*time.Second, all[1:]...); !got.from.Equal(now) || !got.until.Equal(now.Add(5*time.Second)) {
+		t.Errorf("got absence %v, want that of r0 since its last heartbeat", got)
+	}
+	step(20*time.Second, all...)
+	if got := step(21*time.Second, all...); !got.from.Equal(now) {
+		t.Errorf("got absence %v, want it remembered", got)
+	}
+	leaving := &Heartbeat{From: "r1", Incarnation: 1, Leaving: true}
+	for after := 22 * time.Second; after < 60*time.Second; after += time.Second {
+		table.HandleHeartbeat(leaving, netip.MustParseAddrPort("127.0.0.1:1000"), now.Add(22*time.Second))
+		step(after, "r0", "r2", "r3", "r4")
+	}
+	if !table.absence.until.IsZero() {
+		t.Errorf("got absence %v, want none: the router that is gone had announced it", table.absence)
+	}
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -74,6 +74,8 @@
 	// servedAt is when this router last received a heartbeat of a router of its failure
 	// domain with a live watch, or when it first chose its role.
 	servedAt time.Time
+	// absence is the last time in which other routers were absent.
+	absence absence
 	// largest is the largest fleet that another router told of.
 	largest fleetSize
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -46,6 +46,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	remaining := n.relay.InFlight()
+	n.versions.HandOver()
 	n.ingress.EndRequests(relay.ErrRouterStopped)
 	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"ragwortpond.example/ragwortpond/relay"
 	"ragwortpond.example/ragwortpond/retry"
 	"ragwortpond.example/ragwortpond/settings"
+	"ragwortpond.example/ragwortpond/stall"
 	"ragwortpond.example/ragwortpond/streamversion"
 	"ragwortpond.example/ragwortpond/targetconn"
 	"ragwortpond.example/ragwortpond/targetlimit"
@@ -53,6 +54,7 @@
 	directory *directory.Directory
 	relay     *relay.Relay
 	versions  *streamversion.Service
+	stall     *stall.Detector
 	mesh      *mesh.Mesh
 	ingress   *ingress.Server
 	seedAddrs atomic.Pointer[[]string]
@@ -84,13 +86,13 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryLimitRatio * (1 << 20)))
-	n := &Node{cfg: cfg, started: time.Now(), log: log, metrics: metrics.NewSet()}
+	n := &Node{cfg: cfg, started: time.Now(), log: log, metrics: metrics.NewSet(), stall: stall.New()}
 	n.setStore(cfg.StoreAddr)
 	n.seedAddrs.Store(&cfg.Seeds)
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
 	n.versions = streamversion.New(streamversion.Config{
 		Store: func() streamversion.Store { return n.store.Load() }, Peers: func() streamversion.Peers { return n.mesh }, View: n.directory.View,
-		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, Log: log,
+		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, Log: log,
 	})
 	limits, paths := targetlimit.NewTracker(), targetpath.NewTracker()
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
@@ -243,6 +245,7 @@
 	}
 	start("directory", func() error { return n.directory.Run(background) })
 	start("relay", func() error { return n.relay.Run(background) })
+	start("stall detector", func() error { return n.stall.Run(background) })
 	start("stream versions", func() error { return n.versions.Run(background) })
 	event.NodeStarted.Log(n.log).Str("node", string(n.cfg.ID)).Str("failure_domain", string(n.cfg.Domain)).
 		Str("clients", n.cfg.ClientAddr).Str("store", n.cfg.StoreAddr).Float64("memory_mb", n.cfg.MemoryMB).Send()
--- a/streamversion/history.go
+++ b/streamversion/history.go
@@ -69,21 +69,40 @@
 	return next
 }
 
-// relevant returns the splits under which streams in progress may have begun, if none lasts
-// longer than lifetime. unchanged is how long this router has known that the newest split is
-// in force.
-func (h *History) relevant(lifetime, unchanged time.Duration, now time.Time) []Entry {
+// Window is the time in which streams in progress began.
+type Window struct {
+	// Lifetime is how long a stream lasts at most.
+	Lifetime time.Duration
+	// Unchanged is how long this router has known that the newest split is in force.
+	Unchanged time.Duration
+	// AbsentFrom and AbsentUntil are the time in which routers were absent, which used the
+	// splits from before it; zero if all were present.
+	AbsentFrom, AbsentUntil time.Time
+}
+
+// mayHaveBegun reports whether a stream in progress may have begun under a split that was
+// replaced at a time.
+func (w Window) mayHaveBegun(replacedAt, now time.Time) bool {
+	bound := w.Lifetime + clockError
+	if w.Unchanged < w.Lifetime && now.Sub(replacedAt) < bound {
+		return true
+	}
+	return !w.AbsentUntil.IsZero() && replacedAt.After(w.AbsentFrom.Add(-clockError)) && now.Sub(w.AbsentUntil) < bound
+}
+
+// relevant returns the splits under which streams in progress may have begun.
+func (h *History) relevant(w Window, now time.Time) []Entry {
 	n := 1
-	for n < len(h.Splits) && unchanged < lifetime && now.Sub(time.UnixMilli(h.Splits[n].ReplacedAtMS)) < lifetime+clockError {
+	for n < len(h.Splits) && w.mayHaveBegun(time.UnixMilli(h.Splits[n].ReplacedAtMS), now) {
 		n++
 	}
 	return h.Splits[:n]
 }
 
 // VersionOf returns the version at which a stream began, or false if that is ambiguous.
-func (h *History) VersionOf(key Key, lifetime, unchanged time.Duration, now time.Time) (fleet.SoftwareVersion, bool) {
+func (h *History) VersionOf(key Key, w Window, now time.Time) (fleet.SoftwareVersion, bool) {
 	version := h.Current().VersionOf(key)
-	for _, entry := range h.relevant(lifetime, unchanged, now) {
+	for _, entry := range h.relevant(w, now) {
 		if entry.Split.VersionOf(key) != version {
 			return "", false
 		}
@@ -93,9 +112,9 @@
 
 // SoleVersion returns the version at which all streams in progress began, or false if there
 // is more than one.
-func (h *History) SoleVersion(lifetime, unchanged time.Duration, now time.Time) (fleet.SoftwareVersion, bool) {
+func (h *History) SoleVersion(w Window, now time.Time) (fleet.SoftwareVersion, bool) {
 	sole := h.Current()[0].Version
-	for _, entry := range h.relevant(lifetime, unchanged, now) {
+	for _, entry := range h.relevant(w, now) {
 		if len(entry.Split) != 1 || entry.Split[0].Version != sole {
 			return "", false
 		}
--- a/streamversion/registry.go
+++ b/streamversion/registry.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -62,6 +63,27 @@
 	return origin, ok
 }
 
+// All returns the records of the last recordLifetime or more.
+func (r *Registry) All(now time.Time) map[Key]Origin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rotate(now)
+	all := maps.Clone(r.older)
+	if all == nil {
+		all = map[Key]Origin{}
+	}
+	maps.Copy(all, r.recent)
+	return all
+}
+
+// Moved returns the records of streams, all of one service, that did not begin at the version that a
+// split gives them.
+func (r *Registry) Moved(service fleet.ServiceName, split Split, now time.Time) map[Key]Origin {
+	moved := r.All(now)
+	maps.DeleteFunc(moved, func(key Key, origin Origin) bool { return origin == NewOrigin(service, split.VersionOf(key)) })
+	return moved
+}
+
 // rotate starts a new generation of records when recordLifetime has passed; r.mu must be
 // held.
 func (r *Registry) rotate(now time.Time) {
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -28,8 +28,10 @@
 	// Precedence returns the number of routers that come before this one in the order in
 	// which routers change the split of a service.
 	Precedence(service fleet.ServiceName) int
-	// RecordStream records at other routers where a stream began.
+	// RecordStream records at other routers where a stream began, RecordStreams where several
+	// did.
 	RecordStream(key Key, origin Origin)
+	RecordStreams(records map[Key]Origin)
 	// FindStream asks other routers where a stream began. It takes a few ten milliseconds
 	// at most.
 	FindStream(ctx context.Context, key Key) (Origin, bool)
@@ -38,6 +40,10 @@
 	// Connected reports whether this router hears from most others that it knows, so that it
 	// learns of what they know.
 	Connected() bool
+	// Absence returns the time in which other routers were lately not heard of, or this one did
+	// not hear of them, so that they may have used older splits; zero if all were present for
+	// at least recordLifetime.
+	Absence() (from, until time.Time)
 }
 
 // Report is what routers tell each other of a service's split.
@@ -60,7 +66,10 @@
 	TargetsAge func() time.Duration
 	// StoreLost reports whether calls to the store fail.
 	StoreLost func() bool
-	Log       zerolog.Logger
+	// StoodStill reports whether the process stood still until a moment ago, so that what it
+	// knows may be older than it seems; nil means never.
+	StoodStill func() bool
+	Log        zerolog.Logger
 }
 
 // Service tells at which software version streams run. It is safe for concurrent use.
@@ -86,6 +95,10 @@
 	usedUntil time.Time
 	// history is nil unless the document at revision was read.
 	history *History
+	// own holds the streams that this router began, moved those of them that others are to be
+	// told of.
+	own   *Registry
+	moved map[Key]Origin
 	// targets are the versions of the targets in the newest view. The sole one has not changed
 	// since soleSince.
 	targets   targetVersions
@@ -106,6 +119,9 @@
 }
 
 func newWithClock(cfg Config, now func() time.Time) *Service {
+	if cfg.StoodStill == nil {
+		cfg.StoodStill = func() bool { return false }
+	}
 	return &Service{cfg: cfg, registry: NewRegistry(), now: now, started: now(), services: map[fleet.ServiceName]*serviceState{}}
 }
 
@@ -119,7 +135,7 @@
 func (s *Service) stateOf(service fleet.ServiceName) *serviceState {
 	st := s.services[service]
 	if st == nil {
-		st = &serviceState{}
+		st = &serviceState{own: NewRegistry()}
 		s.services[service] = st
 	}
 	return st
@@ -132,6 +148,10 @@
 	case r.Revision < st.revision || len(r.Split) == 0:
 		return
 	case r.Revision > st.revision:
+		if st.revision > 0 {
+			// Under the new split, others would look for them at other versions.
+			st.moved = st.own.Moved(r.Service, r.Split, s.now())
+		}
 		st.before, st.usedUntil = st.split, s.now()
 		st.revision, st.split, st.knownSince, st.history, st.wantedSince = r.Revision, r.Split, r.KnownSince, nil, time.Time{}
 		line := event.SplitChanged.Log(s.cfg.Log).Str("service", string(r.Service)).Uint64("revision", r.Revision)
@@ -147,6 +167,27 @@
 	}
 }
 
+// recordOwn records a stream that this router began.
+func (s *Service) recordOwn(service fleet.ServiceName, key Key, origin Origin, now time.Time) {
+	s.mu.Lock()
+	own := s.stateOf(service).own
+	s.mu.Unlock()
+	own.Record(key, origin, now)
+}
+
+// announce records at other routers where streams began.
+func (s *Service) announce(records map[Key]Origin) {
+	if len(records) > 0 {
+		s.cfg.Peers().RecordStreams(records)
+	}
+}
+
+// HandOver records at other routers what this one knows of where streams began. It is for a
+// router that stops.
+func (s *Service) HandOver() {
+	s.announce(s.registry.All(s.now()))
+}
+
 // Merge records a split that another router told of, if the service has resumable streams.
 func (s *Service) Merge(r Report) {
 	view := s.cfg.View()
@@ -209,14 +250,21 @@
 	if !served {
 		version = targets.split.VersionOf(key)
 	}
-	if !served || revision == 0 || now.Sub(since) < lifetimeOf(view, service) {
-		origin := NewOrigin(service, version)
-		s.registry.Record(key, origin, now)
+	origin := NewOrigin(service, version)
+	s.registry.Record(key, origin, now)
+	s.recordOwn(service, key, origin, now)
+	if !served || revision == 0 || now.Sub(since) < lifetimeOf(view, service) || s.absentLately() {
 		s.cfg.Peers().RecordStream(key, origin)
 	}
 	return version
 }
 
+// absentLately reports whether other routers may have used an older split lately.
+func (s *Service) absentLately() bool {
+	_, until := s.cfg.Peers().Absence()
+	return !until.IsZero()
+}
+
 // known returns the newest known split of a service and since when it is known; the revision
 // is zero if none is.
 func (s *Service) known(service fleet.ServiceName) (revision uint64, split Split, since time.Time) {
@@ -277,19 +325,21 @@
 // soleInHistory returns the version of all targets, if all streams in progress began at it
 // by the splits.
 func (s *Service) soleInHistory(service fleet.ServiceName, history *History, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
+	window := s.window(service, lifetime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
-	version, ok := history.SoleVersion(lifetime, now.Sub(st.knownSince), now)
+	version, ok := history.SoleVersion(window, now)
 	return version, ok && version == st.targets.sole
 }
 
 // versionInHistory returns the version at which a stream began, or false if that is ambiguous.
 func (s *Service) versionInHistory(service fleet.ServiceName, history *History, key Key, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
+	window := s.window(service, lifetime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
-	version, ok := history.VersionOf(key, lifetime, now.Sub(st.knownSince), now)
+	version, ok := history.VersionOf(key, window, now)
 	if !ok || len(st.before) == 0 || now.Sub(st.usedUntil) >= lifetime {
 		return version, ok
 	}
@@ -297,6 +347,15 @@
 	return version, st.before.VersionOf(key) == version
 }
 
+// window returns the time in which streams in progress began, and what is known of the splits in
+// use then.
+func (s *Service) window(service fleet.ServiceName, lifetime time.Duration) Window {
+	_, _, since := s.known(service)
+	w := Window{Lifetime: lifetime, Unchanged: s.now().Sub(since)}
+	w.AbsentFrom, w.AbsentUntil = s.cfg.Peers().Absence()
+	return w
+}
+
 // newestHistory returns a service's history from the store. Without the store, which no
 // split changes without, it returns what this router knows, or nil if that is not enough.
 func (s *Service) newestHistory(ctx context.Context, service fleet.ServiceName, lifetime time.Duration) *History {
@@ -314,6 +373,7 @@
 		return nil
 	}
 	s.observeStore(service)
+	absent := s.absentLately()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
@@ -321,7 +381,7 @@
 	case st.revision == 0, now.Sub(st.awaySince) < clockError:
 		// Another router may have written a split that this one has not heard of.
 		return nil
-	case st.history == nil && now.Sub(st.knownSince) >= lifetime:
+	case st.history == nil && now.Sub(st.knownSince) >= lifetime && !absent:
 		return &History{Splits: []Entry{{Split: st.split}}}
 	default:
 		return st.history
@@ -352,9 +412,10 @@
 // soleVersion returns the version of all targets, if this router has known for longer than a
 // stream lasts that there is no other one.
 func (s *Service) soleVersion(service fleet.ServiceName, view *catalog.View) (fleet.SoftwareVersion, bool) {
-	if age := s.cfg.TargetsAge(); (age < 0 || age > maxTargetsAge) && !s.cfg.Peers().Connected() {
+	if age := s.cfg.TargetsAge(); s.cfg.StoodStill() || ((age < 0 || age > maxTargetsAge) && !s.cfg.Peers().Connected()) {
 		return "", false
 	}
+	absent := s.absentLately()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, lifetime := s.stateOf(service), lifetimeOf(view, service)
@@ -363,7 +424,7 @@
 	if sole == "" || now.Sub(st.soleSince) < lifetime {
 		return "", false
 	}
-	if st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < lifetime) {
+	if st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < lifetime || (absent && now.Sub(st.knownSince) < historyLifetime)) {
 		return "", false
 	}
 	return sole, true
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -77,8 +77,15 @@
 	index   int
 	service *Service
 	view    *catalog.View
+	// cut drops its messages and hides the store and the targets from it, since cutAt. Its
+	// absence becomes known to the others after presence.
+	cut          bool
+	cutAt, cutTo time.Time
 }
 
+// presence is how long a router of the fleet may be silent unnoticed.
+const presence = 4 * time.Second
+
 const modelTimeout = 10 * time.Second
 
 func newFakeFleet(routers int) *fakeFleet {
@@ -97,14 +104,14 @@
 	r.view = &catalog.View{}
 	r.service = newWithClock(Config{
 		Store: func() Store { return f.store }, Peers: func() Peers { return r }, View: func() *catalog.View { return r.view },
-		TargetsAge: func() time.Duration { return 0 }, StoreLost: func() bool { return f.store.down },
+		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut },
 	}, func() time.Time { return f.now })
 	f.refresh(r)
 }
 
 // refresh gives a router the targets of the moment, if the store can be read.
 func (f *fakeFleet) refresh(r *fakeRouter) {
-	if f.store.down {
+	if f.store.down || r.cut {
 		return
 	}
 	route := &catalog.Route{Name: "r", RunPolicy: catalog.Resumable, Timeout: modelTimeout, WeightedServices: []catalog.WeightedService{{Service: "s", Weight: 1}}}
@@ -123,7 +130,9 @@
 		for _, r := range f.routers {
 			other := f.routers[(r.index+1)%len(f.routers)]
 			for _, report := range r.service.Reports() {
-				other.service.Merge(report)
+				if !r.cut && !other.cut {
+					other.service.Merge(report)
+				}
 			}
 		}
 	}
@@ -131,7 +140,48 @@
 
 func (r *fakeRouter) Precedence(fleet.ServiceName) int { return r.index }
 
-func (r *fakeRouter) Connected() bool { return true }
+func (r *fakeRouter) Connected() bool { return !r.cut }
+
+func (r *fakeRouter) targetsAge() time.Duration {
+	if !r.cut {
+		return 0
+	}
+	return r.fleet.now.Sub(r.cutAt)
+}
+
+// setCut cuts the router off, or ends that.
+func (r *fakeRouter) setCut(cut bool) {
+	if cut != r.cut && cut {
+		r.cutAt = r.fleet.now
+	}
+	if cut != r.cut && !cut {
+		r.cutTo = r.fleet.now
+	}
+	r.cut = cut
+}
+
+// Absence implements Peers.
+func (r *fakeRouter) Absence() (from, until time.Time) {
+	now := r.fleet.now
+	for _, other := range r.fleet.routers {
+		end := other.cutTo
+		if other.cut || r.cut {
+			end = now
+		}
+		begin := other.cutAt
+		if r.cut {
+			begin = r.cutAt
+		}
+		if begin.IsZero() || end.Sub(begin) < presence || now.Sub(end) >= recordLifetime || other == r {
+			continue
+		}
+		if from.IsZero() || begin.Before(from) {
+			from = begin
+		}
+		until = latest(until, end)
+	}
+	return from, until
+}
 
 // holders returns the first n other routers by the hash of a key.
 func (r *fakeRouter) holders(key Key, n int) []*fakeRouter {
@@ -148,15 +198,21 @@
 
 func (r *fakeRouter) RecordStream(key Key, origin Origin) {
 	for _, holder := range r.holders(key, 2) {
-		if !r.fleet.lossy {
+		if !r.fleet.lossy && !r.cut && !holder.cut {
 			holder.service.Registry().Record(key, origin, r.fleet.now)
 		}
 	}
 }
 
+func (r *fakeRouter) RecordStreams(records map[Key]Origin) {
+	for key, origin := range records {
+		r.RecordStream(key, origin)
+	}
+}
+
 func (r *fakeRouter) FindStream(_ context.Context, key Key) (Origin, bool) {
 	for _, holder := range r.holders(key, 3) {
-		if origin, ok := holder.service.Registry().Find(key, r.fleet.now); ok && !r.fleet.lossy {
+		if origin, ok := holder.service.Registry().Find(key, r.fleet.now); ok && !r.fleet.lossy && !r.cut && !holder.cut {
 			return origin, true
 		}
 	}
@@ -165,7 +221,7 @@
 
 func (r *fakeRouter) PublishSplit(report Report) {
 	for _, other := range r.fleet.routers {
-		if other != r && !r.fleet.lossy {
+		if other != r && !r.fleet.lossy && !r.cut && !other.cut {
 			other.service.Merge(report)
 		}
 	}
@@ -302,3 +358,78 @@
 		t.Errorf("50 streams at once took %d reads, want few", got)
 	}
 }
+
+// TestStreamsOfRouterThatWasCutOffAreNotJoined guards against streams that a router begins under a split that others
+// have replaced (review case 1).
+func TestStreamsOfRouterThatWasCutOffAreNotJoined(t *testing.T) {
+	const streams = 60
+	for name, test := range map[string]struct {
+		// resumeAt is when the streams are resumed elsewhere, since the start of the cut, which
+		// lasts for 12 s.
+		resumeAt time.Duration
+		// resumed is set if the router has told the others of its streams by then.
+		resumed bool
+	}{"during the cut": {9 * time.Second, false}, "after the cut": {20 * time.Second, true}, "long after": {27 * time.Second, true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeFleet(4)
+			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+			f.advance(time.Minute)
+			cut, ctx := f.routers[1], context.Background()
+			cut.setCut(true)
+			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+			f.advance(8 * time.Second)
+			var list []stream
+			for i := range streams {
+				key := NewKey("a", fleet.RequestID(fmt.Sprint("cut-", i)))
+				list = append(list, stream{key, cut.service.Begin(ctx, "s", key), f.now})
+			}
+			f.advance(min(12*time.Second, test.resumeAt) - 8*time.Second)
+			if test.resumeAt > 12*time.Second {
+				cut.setCut(false)
+				f.advance(test.resumeAt - 12*time.Second)
+			}
+			resumed := 0
+			for i, s := range list {
+				version, ok := f.routers[[]int{0, 2, 3}[i%3]].service.Resume(ctx, "s", s.key, true)
+				if ok && version != s.version {
+					t.Errorf("a stream of %s was resumed at %s", s.version, version)
+				}
+				if ok {
+					resumed++
+				}
+			}
+			if test.resumed && resumed < streams {
+				t.Errorf("got %d of %d streams resumed, want all", resumed, streams)
+			}
+		})
+	}
+}
+
+// TestRouterThatStoodStillDoesNotTrustItsTargets guards against a router that wakes with old targets and resumes streams
+// of a version that it has not heard of at the only one that it knows.
+func TestRouterThatStoodStillDoesNotTrustItsTargets(t *testing.T) {
+	f := newFakeFleet(3)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.advance(time.Minute)
+	still, ctx := f.routers[0], context.Background()
+	still.setCut(true)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+	f.advance(5 * time.Second)
+	// Its clocks have not counted the time, and the store answers at once.
+	still.cut, still.cutAt = false, time.Time{}
+	still.service.cfg.StoodStill = func() bool { return true }
+	for i := range 40 {
+		key := NewKey("a", fleet.RequestID(fmt.Sprint(i)))
+		begun := f.routers[1].service.Begin(ctx, "s", key)
+		if version, ok := still.service.Resume(ctx, "s", key, true); ok && version != begun {
+			t.Errorf("a stream of %s was resumed at %s", begun, version)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/streamversion/split_test.go
+++ b/streamversion/split_test.go
@@ -102,15 +102,15 @@
 	counts := map[string]int{}
 	for i := range 1000 {
 		key := NewKey("a", fleet.RequestID(fmt.Sprint(i)))
-		version, ok := h.VersionOf(key, lifetime, 0, now.Add(time.Second))
+		version, ok := h.VersionOf(key, Window{Lifetime: lifetime}, now.Add(time.Second))
 		counts[fmt.Sprint(version, ok)]++
 		if ok != (h.Current().VersionOf(key) == "v1") {
 			t.Fatalf("got version %q known %t, want it known where v1 is it under both splits", version, ok)
 		}
-		if later, ok := h.VersionOf(key, lifetime, 0, now.Add(lifetime+clockError)); !ok || later != h.Current().VersionOf(key) {
+		if later, ok := h.VersionOf(key, Window{Lifetime: lifetime}, now.Add(lifetime+clockError)); !ok || later != h.Current().VersionOf(key) {
 			t.Fatal("a split that was replaced long ago still makes a version ambiguous")
 		}
-		if _, ok := h.VersionOf(key, lifetime, lifetime, now); !ok {
+		if _, ok := h.VersionOf(key, Window{Lifetime: lifetime, Unchanged: lifetime}, now); !ok {
 			t.Fatal("a split that this router has known long enough is still ambiguous")
 		}
 	}
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -53,12 +53,23 @@
 	}
 	for service := range view.Config.StreamLifetimes {
 		s.observeStore(service)
+		s.announce(s.takeMoved(service))
 		if due, plan := s.changeDue(service, s.targetsOf(service, view), now); due {
 			s.change(ctx, service, plan, now)
 		}
 	}
 }
 
+// takeMoved returns the streams that others are to be told of.
+func (s *Service) takeMoved(service fleet.ServiceName) map[Key]Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	moved := st.moved
+	st.moved = nil
+	return moved
+}
+
 // changeDue reports whether this router should change the split of a service now, and how.
 func (s *Service) changeDue(service fleet.ServiceName, targets targetVersions, now time.Time) (bool, Plan) {
 	_, split, _ := s.known(service)
