targetnotice, relay: a target that says it leaves gets no more requests

Cause: only the store and other routers told a router of leaving targets. Nothing read what targets say in their own answers.

Now such an answer, with the ID of its request, makes the target unavailable to this router until its process is restarted or its entry is gone.

TestTargetThatSaysItLeavesGetsNoMoreRequests failed without the change.

--- a/call/call.go
+++ b/call/call.go
@@ -94,6 +94,8 @@
 	// Target is the target that names itself in the answer; empty if none does. Only answers
 	// at the health path and those that misdirected a request have it.
 	Target fleet.TargetID
+	// Leaving means that the target is about to stop and wants no more requests.
+	Leaving bool
 	// RetryAfter is the time for which the target wants no requests from this router; zero if
 	// it does not say so.
 	RetryAfter time.Duration
--- a/event/request.go
+++ b/event/request.go
@@ -30,5 +30,6 @@
 	TargetBrittle       = define(3022, zerolog.InfoLevel, "target-brittle", "A target named the number of rejections in a second beyond which it falls over, or no longer does; sends to it need permits meanwhile.")
 	TargetAlive         = define(3023, zerolog.InfoLevel, "target-alive", "A target broke off an attempt and was found to serve afterwards, so that the attempt is not held against its request; the fields give the digest of the request, which repeats share.")
 	TargetWantsQuiet    = define(3024, zerolog.InfoLevel, "target-wants-quiet", "A target rejected a request and asked this router for no requests for a time, which the field gives.")
+	TargetLeaves        = define(3025, zerolog.InfoLevel, "target-leaves", "A target said in a response that it leaves; this router sends it no more requests.")
 	LogDropped          = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/node/target_quiet_test.go
+++ b/node/target_quiet_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,39 @@
 	}
 	return standin.Serve
 }
+
+// TestTargetThatSaysItLeavesGetsNoMoreRequests guards against routers that wait for the store to tell that a target
+// leaves, which may be away.
+func TestTargetThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	t.Parallel()
+	var leaving atomic.Bool
+	f := startFleetBefore(t, &http.Transport{}, limitConfig(), limitRouters, limitTargets, func(i int) *standin.Target {
+		target := &standin.Target{RunTime: 10 * time.Millisecond}
+		if i == 0 {
+			target.Leaving = leaving.Load
+		}
+		return target
+	})
+	f.load(time.Second)
+	leaving.Store(true)
+	from := time.Now()
+	result := f.load(3 * time.Second)
+	told := map[string]time.Time{}
+	for _, a := range f.targets[0].Arrivals() {
+		router := f.routerOf(a.Request)
+		first, ok := told[router]
+		switch {
+		case a.At.Before(from):
+		case !ok:
+			told[router] = a.At
+		case a.At.Sub(first) > quietDelay:
+			t.Errorf("router %s sent a request %v after the target had told it that it leaves", router, a.At.Sub(first))
+		}
+	}
+	if len(told) != limitRouters {
+		t.Errorf("got %d routers that were told, want %d", len(told), limitRouters)
+	}
+	if result.refused+result.other > 0 {
+		t.Errorf("got %d of %d requests served, want all by the other targets", result.served, result.served+result.refused+result.other)
+	}
+}
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -12,9 +12,12 @@
 // recordNotice records what the response to this request says of the requests that its target
 // wants from this router.
 func (s *requestState) recordNotice(id fleet.TargetID, reply *call.Reply) {
-	if reply.ID != s.call.ID || reply.RetryAfter == 0 {
+	if reply.ID != s.call.ID {
 		return
 	}
+	if reply.Leaving && s.relay.notices.RecordLeaving(id) {
+		s.Log(event.TargetLeaves).Send()
+	}
 	if s.relay.notices.RecordQuiet(id, reply.RetryAfter, time.Now()) {
 		s.Log(event.TargetWantsQuiet).Dur("retry_after", reply.RetryAfter).Send()
 	}
--- a/targetnotice/targetnotice.go
+++ b/targetnotice/targetnotice.go
@@ -1,11 +1,12 @@
 // Package targetnotice keeps what targets say in their responses of the requests that they
-// want from this router: none for a time.
+// want from this router: none for a time, or no more.
 //
 // The package does no I/O; the current time is a parameter. A Tracker is safe for concurrent
 // use.
 package targetnotice
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,11 +24,13 @@
 
 	mu    sync.Mutex
 	quiet map[fleet.TargetID]time.Time
+	// leaving holds the targets that want no more requests.
+	leaving map[fleet.TargetID]bool
 }
 
 // NewTracker returns a tracker without notices.
 func NewTracker() *Tracker {
-	return &Tracker{quiet: map[fleet.TargetID]time.Time{}}
+	return &Tracker{quiet: map[fleet.TargetID]time.Time{}, leaving: map[fleet.TargetID]bool{}}
 }
 
 // RecordQuiet records that a target wants no requests for a time. It reports whether this
@@ -43,26 +46,57 @@
 		return false
 	}
 	t.quiet[id] = until
-	t.known.Store(int32(len(t.quiet)))
+	t.updateKnown()
 	return true
 }
 
-// Remaining returns for how long a target wants no requests; zero if it takes them.
+// updateKnown updates the counter that is read without the lock; t.mu must be held.
+func (t *Tracker) updateKnown() {
+	t.known.Store(int32(len(t.quiet) + len(t.leaving)))
+}
+
+// RecordLeaving records that a target wants no more requests until its process is restarted.
+// It reports whether that is new.
+func (t *Tracker) RecordLeaving(id fleet.TargetID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.leaving[id]
+	t.leaving[id] = true
+	t.updateKnown()
+	return !known
+}
+
+// Unavailable reports whether a target wants no requests.
+func (t *Tracker) Unavailable(id fleet.TargetID, now time.Time) bool {
+	if t.known.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving[id] || t.quiet[id].After(now)
+}
+
+// Remaining returns for how long a target wants no requests; zero if it takes them, or if it
+// wants no more.
 func (t *Tracker) Remaining(id fleet.TargetID, now time.Time) time.Duration {
 	if t.known.Load() == 0 {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.leaving[id] {
+		return 0
+	}
 	return max(t.quiet[id].Sub(now), 0)
 }
 
-// Reset forgets the notice of a target whose process was restarted.
+// Reset forgets the notices of a target whose process was restarted.
 func (t *Tracker) Reset(id fleet.TargetID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.quiet, id)
-	t.known.Store(int32(len(t.quiet)))
+	delete(t.leaving, id)
+	t.updateKnown()
 }
 
 // Retain drops the notices that have passed and those of targets for which keep returns false.
@@ -74,5 +108,6 @@
 			delete(t.quiet, id)
 		}
 	}
-	t.known.Store(int32(len(t.quiet)))
+	maps.DeleteFunc(t.leaving, func(id fleet.TargetID, _ bool) bool { return !keep(id) })
+	t.updateKnown()
 }
--- a/targetnotice/targetnotice_test.go
+++ b/targetnotice/targetnotice_test.go
@@ -29,6 +29,34 @@
 	}
 }
 
+func TestLeavingTargetIsUnavailableUntilItsProcessIsRestarted(t *testing.T) {
+	tracker := NewTracker()
+	if tracker.Unavailable("t", start) {
+		t.Error("got unavailable without a notice")
+	}
+	tracker.RecordQuiet("t", time.Second, start)
+	if !tracker.Unavailable("t", start) || tracker.Unavailable("t", start.Add(time.Second)) {
+		t.Error("want unavailable for the time that the target asked for")
+	}
+	if !tracker.RecordLeaving("t") || tracker.RecordLeaving("t") {
+		t.Error("only the first notice is new")
+	}
+	if !tracker.Unavailable("t", start.Add(time.Hour)) || tracker.Remaining("t", start) != 0 {
+		t.Error("want a leaving target unavailable without an end")
+	}
+	tracker.Retain(func(fleet.TargetID) bool { return true }, start.Add(time.Hour))
+	if !tracker.Unavailable("t", start) {
+		t.Error("want a listed target's notice kept")
+	}
+	if tracker.Reset("t"); tracker.Unavailable("t", start) {
+		t.Error("got unavailable after the restart")
+	}
+	tracker.RecordLeaving("gone")
+	if tracker.Retain(func(fleet.TargetID) bool { return false }, start); tracker.known.Load() != 0 {
+		t.Error("got a notice kept of a target that is not listed")
+	}
+}
+
 func TestRestartAndRemovalEndQuiet(t *testing.T) {
 	tracker := NewTracker()
 	for _, id := range []fleet.TargetID{"restarted", "gone", "listed"} {
