platform, directory: revisions are ordered by the store's era

Cause: revisions are this fleet's only order, and a restored store gives them out again. Nothing read Store-Era, so that configurations and entries of targets below the highest lost revision were taken for old ones.

A configuration of an older version than the one in force does not replace it in a new era; targets that the copy lacks have the time of an outage to come back, and one that was leaving leaves on until its process writes its entry again.

An old build beside new ones fails after a drill as it did before.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -74,6 +74,12 @@
 	s.loaded = true
 }
 
+// Find returns a target of the set, or false.
+func (s *TargetSet) Find(id fleet.TargetID) (*Target, bool) {
+	t, ok := s.targets[id]
+	return t, ok
+}
+
 // IsRestart reports whether t is an entry of a new process of a known target.
 func (s *TargetSet) IsRestart(t *Target) bool {
 	old, ok := s.targets[t.ID]
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -224,6 +224,12 @@
 	if d.config != nil && config.Revision <= d.config.Revision {
 		return false
 	}
+	if d.config != nil && config.Version < d.config.Version && platform.EraOf(config.Revision) > platform.EraOf(d.config.Revision) {
+		// The copy from which the store came back is older. The operator writes again what it
+		// lacks.
+		event.ConfigOutdated.Log(d.log).Uint64("config", config.Version).Uint64("in_force", d.config.Version).Uint64("revision", config.Revision).Send()
+		return false
+	}
 	d.config, d.document = config, o
 	d.publishLocked()
 	event.ConfigInForce.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", string(source)).Send()
@@ -249,6 +255,10 @@
 	if source == sourceStore {
 		d.endTakeover(listed)
 	}
+	if platform.EraOf(revision) > platform.EraOf(d.members.Revision()) {
+		// Targets that have registered since the copy was made do so again.
+		d.members.StartGracePeriod(d.now())
+	}
 	changes := make([]platform.Change, 0, len(objects))
 	for _, o := range objects {
 		changes = append(changes, platform.Change{Object: o})
@@ -314,6 +324,7 @@
 			if !d.entries.put(c.Object) {
 				continue
 			}
+			d.keepLeaving(t)
 			if d.members.IsRestart(t) {
 				d.onRestart(t.ID)
 			}
@@ -328,6 +339,15 @@
 	return applied
 }
 
+// keepLeaving lets a target leave on that did so in an earlier era of the store, if t, its first
+// entry of a newer one, is of the same process; d.mu must be held.
+func (d *Directory) keepLeaving(t *catalog.Target) {
+	old, ok := d.members.Find(t.ID)
+	if ok && old.Leaving && old.StartedAt.Equal(t.StartedAt) && platform.EraOf(t.Revision) > platform.EraOf(old.Revision) {
+		t.Leaving = true
+	}
+}
+
 func (d *Directory) logTargetChange(c platform.Change, t *catalog.Target, source dataSource) {
 	line := event.TargetChanged.Log(d.log).Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Str("from", string(source))
 	if t == nil {
--- a/event/directory.go
+++ b/event/directory.go
@@ -9,5 +9,6 @@
 	StoreLost         = define(3102, zerolog.WarnLevel, "store-lost", "The store does not answer; the router continues with its last known configuration and targets.")
 	StoreRegained     = define(3103, zerolog.InfoLevel, "store-regained", "The store answers again.")
 	StoreWatchChanged = define(3105, zerolog.InfoLevel, "store-watch", "This router started or stopped watching the store on behalf of its failure domain.")
+	ConfigOutdated    = define(3106, zerolog.InfoLevel, "config-outdated", "The store came back from a copy with an older version of the configuration than the one in force, which stays.")
 	StoreEntryInvalid = define(3104, zerolog.WarnLevel, "entry-unusable", "An entry of the store is invalid and is ignored.")
 )
