admission, relay: a stopping router takes streams by the pace of its engines

Cause: a constant of 5 ms a token decided whether a stream ends in time. Engines with many requests need more, here 8 ms.

Now the slowest of the last 32 complete answers of the service and half more decide, or 15 ms a token while fewer than eight are known. What does not fit is refused at once, not run, with a short time to come back.

TestStopRefusesStreamThatEnginesAreTooSlowFor.

--- a/admission/stopping.go
+++ b/admission/stopping.go
@@ -11,10 +11,8 @@
 const (
 	// plainCallTime covers a plain call with a second attempt.
 	plainCallTime = 1600 * time.Millisecond
-	// firstEventTime covers the time to a stream's first event, timePerToken one
-	// token of its answer at a busy engine.
+	// firstEventTime covers the time to a stream's first event.
 	firstEventTime = time.Second
-	timePerToken   = 5 * time.Millisecond
 )
 
 // defaultAnswerTokens is the assumed answer size, in tokens, of a request that sets
@@ -33,12 +31,13 @@
 // Accepts reports whether to accept a request that arrives during a planned stop.
 // After LeaveAt, or shortly before EndAt, a request is accepted only if it is expected to
 // finish before EndAt.
-// answerTokens bounds the answer of a stream; zero means that its size is unknown.
+// answerTokens bounds the answer of a stream; zero means that its size is unknown. perToken is
+// the time for one of them.
 //
 // A stopping router still receives requests over kept-alive connections, and when
 // its neighbors are stopping too. If it refused them all, requests whose second
 // attempt reaches another stopping router would be lost.
-func (s StopSchedule) Accepts(r *catalog.Route, answerTokens int, now time.Time) bool {
+func (s StopSchedule) Accepts(r *catalog.Route, answerTokens int, perToken time.Duration, now time.Time) bool {
 	if now.Before(s.LeaveAt) && s.EndAt.Sub(now) >= plainCallTime {
 		return true
 	}
@@ -47,7 +46,7 @@
 		if answerTokens <= 0 {
 			answerTokens = defaultAnswerTokens
 		}
-		required = firstEventTime + time.Duration(answerTokens)*timePerToken
+		required = firstEventTime + time.Duration(answerTokens)*perToken
 	}
 	if r.Timeout > 0 {
 		required = min(required, r.Timeout)
--- a/admission/stopping_test.go
+++ b/admission/stopping_test.go
@@ -28,7 +28,7 @@
 		{"a plain call at the end", plain, 0, 6 * time.Second, false},
 		{"after the end", plain, 0, 9 * time.Second, false},
 	} {
-		if got := stop.Accepts(test.route, test.tokens, start.Add(test.at)); got != test.want {
+		if got := stop.Accepts(test.route, test.tokens, (&Pace{}).TimePerToken(), start.Add(test.at)); got != test.want {
 			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
@@ -71,8 +71,39 @@
 		return count
 	}
 	refusing := lost(func(s StopSchedule, _ int, now time.Time) bool { return now.Before(s.LeaveAt) })
-	taking := lost(func(s StopSchedule, tokens int, now time.Time) bool { return s.Accepts(route, tokens, now) })
+	taking := lost(func(s StopSchedule, tokens int, now time.Time) bool {
+		return s.Accepts(route, tokens, 5*time.Millisecond, now)
+	})
 	if taking*2 > refusing {
 		t.Errorf("got %d callers lost when accepting requests that can finish, want at most half of the %d lost when refusing all", taking, refusing)
 	}
 }
+
+// TestStopRefusesStreamThatEnginesAreTooSlowFor guards against streams that are accepted and cut (review case 3).
+func TestStopRefusesStreamThatEnginesAreTooSlowFor(t *testing.T) {
+	const tokens = 600
+	start := time.Unix(100, 0)
+	stop := StopSchedule{LeaveAt: start.Add(2500 * time.Millisecond), EndAt: start.Add(7400 * time.Millisecond)}
+	stream := &catalog.Route{Stream: true, Timeout: 12 * time.Second}
+	for _, test := range []struct {
+		name string
+		// answers is the number of answers that showed took for as many tokens.
+		answers int
+		took    time.Duration
+		want    bool
+	}{
+		{"of unknown pace", 0, 0, false},
+		{"of a pace that few answers showed", minPaceSamples - 1, time.Second, false},
+		{"of fast engines", paceSamples, time.Second, true},
+		{"of slow engines", paceSamples, 4800 * time.Millisecond, false},
+	} {
+		pace := &Pace{}
+		for range test.answers {
+			pace.Record(tokens, test.took)
+		}
+		pace.Record(0, time.Hour)
+		if got := stop.Accepts(stream, tokens, pace.TimePerToken(), start.Add(3200*time.Millisecond)); got != test.want {
+			t.Errorf("a stream %s: got accepted %t, want %t", test.name, got, test.want)
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,6 +128,8 @@
 	// returnPacers holds what tells when requests come back that were refused because
 	// of the limits of a service's targets.
 	returnPacers map[fleet.ServiceName]*admission.ReturnPacer
+	// paces holds the pace of the answers of each service's engines.
+	paces map[fleet.ServiceName]*admission.Pace
 	// crashChecks holds the broken attempts at each target whose crash is being checked.
 	crashChecks map[fleet.TargetID][]brokenAttempt
 }
@@ -144,6 +146,7 @@
 		cfg: cfg, started: time.Now(), health: targethealth.NewTracker(), loads: newLoadTable(), holders: dispatch.NewCacheHolders(),
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
 		routers: targetconn.NewPool(nil, nil), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, notices: targetnotice.NewTracker(), returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
+		paces:       map[fleet.ServiceName]*admission.Pace{},
 		crashChecks: map[fleet.TargetID][]brokenAttempt{},
 	}
 	if r.limits == nil {
@@ -282,6 +285,11 @@
 	return getOrCreate(r, r.returnPacers, service, func() *admission.ReturnPacer { return &admission.ReturnPacer{} })
 }
 
+// pace returns the pace of a service's answers.
+func (r *Relay) pace(service fleet.ServiceName) *admission.Pace {
+	return getOrCreate(r, r.paces, service, func() *admission.Pace { return &admission.Pace{} })
+}
+
 // getOrCreate returns a service's entry in one of the relay's maps, creating it on first
 // use.
 func getOrCreate[T any](r *Relay, entries map[fleet.ServiceName]*T, service fleet.ServiceName, create func() *T) *T {
--- a/relay/response.go
+++ b/relay/response.go
@@ -131,6 +131,9 @@
 	s.completeResponse()
 	s.relay.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.timeToHead.Seconds())
 	s.recordResult(resultCompleted)
+	if s.route.Stream && s.call.LastEventID == 0 {
+		s.relay.pace(s.service).Record(s.call.AnswerTokens, time.Since(s.arrivedAt))
+	}
 	s.Log(event.RequestServed).Int("status", s.current.response.Status).Dur("first", s.timeToHead).
 		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Int("attempts", s.attempts).Send()
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -64,7 +64,7 @@
 	if !s.checkHeaderSize(req) || !s.resolveRoute() {
 		return
 	}
-	if stop != nil && !stop.Accepts(s.route, s.call.AnswerTokens, s.arrivedAt) {
+	if stop != nil && !stop.Accepts(s.route, s.call.AnswerTokens, s.relay.pace(s.service).TimePerToken(), s.arrivedAt) {
 		s.refuse(reason.Draining, drainingRetryAfter)
 		return
 	}
