node: clients of the fleets of limited targets close idle connections in time, as clients do

Known red: requests of two tests ended with neither an answer nor a refusal. The review traced 14 of 16 to connections that the test's client had left idle for 301 to 330 ms, where routers close them after 300 and clients may use four fifths of that. The client now keeps to it; what the tests check is the same.

--- a/node/target_limit_test.go
+++ b/node/target_limit_test.go
@@ -30,6 +30,10 @@
 	promptRefusal = 300 * time.Millisecond
 )
 
+// clientIdleTime is how long clients reuse idle connections: four fifths of the IdleTimeoutMs of the
+// configurations here, after which routers close them.
+const clientIdleTime = 240 * time.Millisecond
+
 // limitFleet is a fleet of routers before targets of which some name a limit.
 type limitFleet struct {
 	targets []*standin.Target
@@ -74,6 +78,7 @@
 // startFleetBefore starts routers, and targets of one service as newTarget returns them.
 func startFleetBefore(t *testing.T, transport *http.Transport, config map[string]any, routers, targets int, newTarget func(i int) *standin.Target) *limitFleet {
 	t.Helper()
+	transport.IdleConnTimeout = clientIdleTime
 	f := &limitFleet{client: &http.Client{Transport: transport}}
 	t.Cleanup(f.client.CloseIdleConnections)
 	store, err := standin.StartStore("")
