--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -22,6 +22,7 @@
 		Name: "soak", Usage: "run router processes with injected faults and check the guarantees towards clients and targets",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "program", Usage: "router binary `FILE`; if not given, it is built from the working directory"},
+			&cli.StringFlag{Name: "old-program", Usage: "router binary `FILE` of an older build, with which the routers start; they are replaced one after the other"},
 			&cli.UintFlag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.UintFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after another"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "duration of the run for each seed"},
@@ -60,7 +61,7 @@
 	violations := 0
 	for i := range cmd.Uint("seeds") {
 		report, err := soak.Play(ctx, soak.Options{
-			Program: program, Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
+			Program: program, OldProgram: cmd.String("old-program"), Seed: uint64(cmd.Uint("seed") + i), Duration: cmd.Duration("duration"),
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
 			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"), Quiet: cmd.Bool("quiet"),
 			CrashingKind: cmd.String("crashing-kind"), CrashStyle: soak.CrashStyle(cmd.String("crash-style")), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -52,10 +52,12 @@
 	name         string
 	address      string
 	settingsFile string
-	log          *os.File
-	store        *Proxy
-	mu           sync.Mutex
-	process      *os.Process
+	// program is the binary of the next process; mu guards it.
+	program string
+	log     *os.File
+	store   *Proxy
+	mu      sync.Mutex
+	process *os.Process
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	// starts is the number of processes started so far.
@@ -84,7 +86,8 @@
 
 // environment holds the stand-ins and router processes of a soak.
 type environment struct {
-	dir     string
+	dir string
+	// program is the binary with which routers start first.
 	program string
 	store   *standin.Store
 	routers []*router
@@ -256,7 +259,7 @@
 // newRouter writes the settings file of a router. Each router has its own address
 // and reaches the store through its own proxy.
 func (env *environment) newRouter(i int) (*router, error) {
-	r := &router{name: fmt.Sprintf("router-%d", i), address: fmt.Sprintf("127.0.90.%d", i+1)}
+	r := &router{name: fmt.Sprintf("router-%d", i), address: fmt.Sprintf("127.0.90.%d", i+1), program: env.program}
 	var err error
 	if r.store, err = StartProxy("", env.store.Addr()); err != nil {
 		return nil, err
@@ -291,7 +294,7 @@
 	if ended != nil && ended != (<-chan struct{})(r.exited) {
 		return nil
 	}
-	command := exec.Command(env.program, "run", "--config", r.settingsFile)
+	command := exec.Command(r.program, "run", "--config", r.settingsFile)
 	command.Stdout, command.Stderr = r.log, r.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", r.name, err)
--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -10,8 +10,8 @@
 // of the new processes would never be stopped.
 func TestConcurrentRestartsStartOneProcess(t *testing.T) {
 	program := "/bin/true"
-	env := &environment{program: program}
-	r := &router{name: "r"}
+	env := &environment{}
+	r := &router{name: "r", program: program}
 	if err := env.startRouter(r); err != nil {
 		t.Fatal(err)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -259,6 +259,26 @@
 	}
 }
 
+// upgrade replaces the routers by those of another build, one after the other. It is planned
+// work; only the time without a process counts as a fault.
+func (i *injector) upgrade(ctx context.Context, program string) {
+	if !i.awaitStart(ctx) {
+		return
+	}
+	for _, r := range i.environment.routers {
+		r.mu.Lock()
+		r.program = program
+		r.mu.Unlock()
+		i.countPlanned("upgrade")
+		exited := r.signal(syscall.SIGTERM)
+		<-exited
+		i.duringAt(r, "down", func() { i.restartAfterExit(r, exited) })
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // killAll ends all routers at once, some time after the warm-up, and starts them again.
 func (i *injector) killAll(ctx context.Context) {
 	if !i.awaitStart(ctx) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -15,12 +15,14 @@
 
 // Options configures a soak.
 type Options struct {
-	// Program is the path of the router's binary.
-	Program  string
-	Seed     uint64
-	Duration time.Duration
-	Routers  int
-	Clients  int
+	// Program is the path of the router's binary. OldProgram is that of an older build with
+	// which the routers start and which they replace one after the other; empty means none.
+	Program    string
+	OldProgram string
+	Seed       uint64
+	Duration   time.Duration
+	Routers    int
+	Clients    int
 	// FaultLanes is the number of concurrent fault sequences.
 	FaultLanes int
 	// CrashingPart adds requests with a prompt part that crashes targets, CrashingRequest
@@ -74,7 +76,7 @@
 			return nil, fmt.Errorf("soak: %w", err)
 		}
 	}
-	env, err := newEnvironment(dir, o.Program, o.Routers, o.Versions)
+	env, err := newEnvironment(dir, cmp.Or(o.OldProgram, o.Program), o.Routers, o.Versions)
 	if env != nil {
 		defer env.close()
 	}
@@ -149,6 +151,9 @@
 	if o.Quiet {
 		all.Go(func() { newInjector(2003).askForQuiet(clientCtx) })
 	}
+	if o.OldProgram != "" {
+		all.Go(func() { newInjector(2004).upgrade(faultCtx, o.Program) })
+	}
 	if o.KillAll {
 		all.Go(func() { newInjector(2002).killAll(faultCtx) })
 	}
