--- a/admission/pace.go
+++ b/admission/pace.go
@@ -7,8 +7,8 @@
 
 const (
 	// unknownTimePerToken is the time for one token of an answer while few answers have
-	// shown it: that of an engine with a full batch.
-	unknownTimePerToken = 15 * time.Millisecond
+	// shown it. firstEventTime leaves a margin for longer ones.
+	unknownTimePerToken = 6 * time.Millisecond
 	// minTimePerToken is the lower bound of what a Pace tells.
 	minTimePerToken = 3 * time.Millisecond
 	// paceSamples is the number of answers that a Pace remembers, minPaceSamples that of
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -75,8 +75,8 @@
 	CrashHangs CrashStyle = "hangs"
 )
 
-// CrashStyles lists all styles.
-var CrashStyles = []CrashStyle{CrashRefuses, CrashResets, CrashCloses, CrashHangs}
+// crashStyles lists all styles.
+var crashStyles = []CrashStyle{CrashRefuses, CrashResets, CrashCloses, CrashHangs}
 
 // crashKinds names the crashes of targets of each service in reports.
 var crashKinds = map[string]string{engineName: "part-crash", plainName: "request-crash"}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -202,3 +202,16 @@
 		t.Errorf("got violations %+v, want none", found)
 	}
 }
+
+func TestOptionsWithUnknownValuesAreErrors(t *testing.T) {
+	for _, o := range []Options{{CrashStyle: "refuse"}, {CrashingKind: "order"}, {CrashingKind: "x"}} {
+		if err := o.Validate(); err == nil {
+			t.Errorf("%+v: got no error", o)
+		}
+	}
+	for _, o := range []Options{{}, {CrashStyle: CrashHangs, CrashingKind: "dossier"}} {
+		if err := o.Validate(); err != nil {
+			t.Errorf("%+v: got error %v", o, err)
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -58,6 +59,17 @@
 	Logs string `json:"logs,omitempty"`
 }
 
+// Validate returns an error that names the first option with an unknown value.
+func (o *Options) Validate() error {
+	if o.CrashStyle != "" && !slices.Contains(crashStyles, o.CrashStyle) {
+		return fmt.Errorf("soak: crash style %q, want one of %q", o.CrashStyle, crashStyles)
+	}
+	if o.CrashingKind != "" && !slices.ContainsFunc(kinds, func(k Kind) bool { return k.Name == o.CrashingKind && !k.Once }) {
+		return fmt.Errorf("soak: kind %q of the request that crashes targets, want lookup or dossier", o.CrashingKind)
+	}
+	return nil
+}
+
 // Phases of a soak.
 const (
 	// warmUp is the time before the first fault; recoveryTime is the time after
@@ -69,6 +81,9 @@
 // Play runs one soak with the seed of o and checks its history. The error is about
 // the set-up of the soak; violations are in the report.
 func Play(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
 	dir := o.Dir
 	if dir == "" {
 		var err error
