mesh: of two sides of a partition at most one counts as connected

Streams that are resumed without the store rest on what a router hears from most others. A router that was cut off for over a minute had forgotten the others and took itself for the whole fleet, and in a fleet of two failure domains both sides did. Either may resume a stream at another software version than the one that began it (ORDER).

Routers that were removed without a word count as known for 15 minutes, and most, not half, of the routers and failure domains have to be heard.

--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -75,14 +75,15 @@
 
 const (
 	// hearingTimeout is the time within which a router has to receive heartbeats of others to
-	// count as connected: of minHeard or half of those that it knows, and from half of the
+	// count as connected: of minHeard or half of those that it knows, and from most of the
 	// failure domains. A partition shows by that long before the others are absent.
 	hearingTimeout = 1500 * time.Millisecond
 	minHeard       = 3
 )
 
-// Connected reports whether this router hears others now, and at least half of the known
-// routers have been heard of lately.
+// Connected reports whether this router hears others now, and most of the known routers have
+// been heard of lately, those of the last absenceLimit included. Of two sides of a partition
+// at most one is connected.
 func (t *Table) Connected(now time.Time) bool {
 	present, heard := 1, 0
 	domains, heardDomains := map[fleet.DomainName]bool{t.domain: true}, map[fleet.DomainName]bool{t.domain: true}
@@ -97,7 +98,8 @@
 			heardDomains[m.domain] = true
 		}
 	}
-	return 2*present >= t.KnownRouters() && heard >= min(minHeard, present/2) && 2*len(heardDomains) >= len(domains)
+	heardDomainsSuffice := len(domains) == 1 || 2*len(heardDomains) > len(domains)
+	return 2*present > t.KnownRouters()+len(t.forgotten) && heard >= min(minHeard, present/2) && heardDomainsSuffice
 }
 
 // absenceMemory is how long the absence of routers is remembered after its end.
--- a/mesh/streams_test.go
+++ b/mesh/streams_test.go
@@ -148,3 +148,44 @@
 		t.Errorf("got absence %v, want none: the router that is gone had announced it", table.absence)
 	}
 }
+
+// TestSmallSideOfPartitionIsNeverConnected guards against a side that forgets the others after a while and takes itself
+// for the whole fleet.
+func TestSmallSideOfPartitionIsNeverConnected(t *testing.T) {
+	for name, side := range map[string][]fleet.RouterID{"alone": nil, "with one": {"r0"}, "half": {"r0", "r1"}} {
+		now := time.Unix(1000, 0)
+		table := heardTable(now)
+		for after := time.Second; after < 5*time.Minute; after += time.Second {
+			at := now.Add(after)
+			for i, id := range side {
+				hb := &Heartbeat{From: id, Domain: fleet.DomainName(fmt.Sprint("d", i%3)), Incarnation: 1}
+				table.HandleHeartbeat(hb, netip.MustParseAddrPort("127.0.0.1:1000"), at)
+			}
+			table.RemoveExpired(at)
+			if connected := table.Connected(at); connected && after > presenceTimeout {
+				t.Fatalf("%s: got connected %v after the others were last heard of", name, after)
+			}
+		}
+	}
+}
+
+// TestHalfOfTwoFailureDomainsIsNotConnected guards against two sides that both take themselves for most of the fleet.
+func TestHalfOfTwoFailureDomainsIsNotConnected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable("self", "d0", 1)
+	hear := func(id fleet.RouterID, domain fleet.DomainName, at time.Time) {
+		table.HandleHeartbeat(&Heartbeat{From: id, Domain: domain, Incarnation: 1}, netip.MustParseAddrPort("127.0.0.1:1000"), at)
+	}
+	for _, id := range []fleet.RouterID{"b0", "b1", "b2"} {
+		hear(id, "d1", now)
+	}
+	for after := time.Duration(0); after < time.Minute; after += time.Second {
+		at := now.Add(after)
+		hear("a0", "d0", at)
+		hear("a1", "d0", at)
+		table.RemoveExpired(at)
+		if got, want := table.Connected(at), after < hearingTimeout; got != want {
+			t.Errorf("%v after the other domain was last heard of: got connected %t, want %t", after, got, want)
+		}
+	}
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -30,6 +30,9 @@
 	// share. It is longer than a network partition lasts, because routers behind the
 	// partition spend the budget too.
 	membershipTimeout = time.Minute
+	// absenceLimit is the time since its last known heartbeat after which a router is taken
+	// for gone, rather than for cut off.
+	absenceLimit = 15 * time.Minute
 	// fleetSizeLifetime is how long the number of routers that another one told of is
 	// used.
 	fleetSizeLifetime = 10 * time.Second
@@ -76,6 +79,9 @@
 	servedAt time.Time
 	// absence is the last time in which other routers were absent.
 	absence absence
+	// forgotten holds the routers that were removed without having announced that they leave,
+	// and when they were last heard of.
+	forgotten map[fleet.RouterID]time.Time
 	// largest is the largest fleet that another router told of.
 	largest fleetSize
 }
@@ -88,7 +94,7 @@
 
 // NewTable returns an empty table for the router self.
 func NewTable(self fleet.RouterID, domain fleet.DomainName, strength uint8) *Table {
-	return &Table{self: self, domain: domain, strength: strength, members: map[fleet.RouterID]*member{}}
+	return &Table{self: self, domain: domain, strength: strength, members: map[fleet.RouterID]*member{}, forgotten: map[fleet.RouterID]time.Time{}}
 }
 
 // HandleHeartbeat updates the table with a heartbeat received from addr. It ignores
@@ -140,15 +146,26 @@
 	if m == nil && len(t.members) < maxMembers {
 		m = &member{id: id, hash: routerHash(id)}
 		t.members[id] = m
+		delete(t.forgotten, id)
 	}
 	return m
 }
 
-// RemoveExpired removes the routers that were not seen within membershipTimeout.
+// RemoveExpired removes the routers that were not seen within membershipTimeout, and forgets them
+// after absenceLimit.
 func (t *Table) RemoveExpired(now time.Time) {
 	for id, m := range t.members {
-		if now.Sub(m.lastReported) > membershipTimeout {
-			delete(t.members, id)
+		if now.Sub(m.lastReported) <= membershipTimeout {
+			continue
+		}
+		delete(t.members, id)
+		if !m.leaving && len(t.forgotten) < maxMembers {
+			t.forgotten[id] = m.lastReported
+		}
+	}
+	for id, at := range t.forgotten {
+		if now.Sub(at) > absenceLimit {
+			delete(t.forgotten, id)
 		}
 	}
 }
