streamversion, mesh: a router begins streams only under a split that was confirmed lately

Cause: the age of a split was bounded at those that resume streams, by what they had heard of absent routers, but not at the one that begins them.

A router has a lease of 15 s by the boot clock on the newest split, confirmed by a read of the store or by another router that read it. Without one it refuses new resumable streams, not run. Others take a replaced split as in use for that long, unless all routers are known to know the new one, which one of them writes to the store.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -31,6 +31,7 @@
 	hb.Loads = newestLoads(m.loads, now)
 	hb.Limits = m.newestLimits(now)
 	hb.Splits = m.splitReports(now)
+	hb.Confirmations = m.splitConfirmations()
 	hb.Paths = m.pathReports(now)
 	hb.Brittle = m.newestBrittle(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
@@ -86,7 +87,7 @@
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
 		func() { hb.Limits, hb.Brittle = nil, nil },
-		func() { hb.Splits, hb.Paths = nil, nil },
+		func() { hb.Splits, hb.Confirmations, hb.Paths = nil, nil, nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
 		func() { hb.Evidence = nil },
@@ -129,6 +130,7 @@
 	}
 	m.mergeLimits(hb.Limits, now)
 	m.mergeSplits(hb.Splits, now)
+	m.mergeConfirmations(hb.Confirmations)
 	m.mergeStreams(hb.Streams, now)
 	m.mergeBrittle(hb.Brittle, now)
 	switch {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -101,6 +101,8 @@
 	Registry() *streamversion.Registry
 	Merge(r streamversion.Report)
 	Reports() []streamversion.Report
+	Confirmations() []streamversion.Confirmation
+	MergeConfirmation(c streamversion.Confirmation)
 }
 
 // Mesh exchanges heartbeats and data with the other routers; it implements
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -62,6 +62,8 @@
 	Stream *StreamMessage `cbor:"21,keyasint,omitempty"`
 	// Streams tells where streams began that other routers may be asked for.
 	Streams []StreamRecordItem `cbor:"24,keyasint,omitempty"`
+	// Confirmations tell when the splits that the sender knows were last confirmed.
+	Confirmations []SplitConfirmation `cbor:"25,keyasint,omitempty"`
 	// Brittle holds the newest brittle targets known to the sender, or, with Permit, the one
 	// that the permit is for.
 	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -59,6 +59,16 @@
 	Shares   []SplitShare
 }
 
+// SplitConfirmation tells that a split was the newest in the store; see
+// streamversion.Confirmation.
+type SplitConfirmation struct {
+	_        struct{} `cbor:",toarray"`
+	Service  fleet.ServiceName
+	Revision uint64
+	AgeMS    uint32
+	Alone    bool
+}
+
 // SplitShare is one share of a split.
 type SplitShare struct {
 	_       struct{} `cbor:",toarray"`
@@ -102,6 +112,41 @@
 	return 2*present > t.KnownRouters()+len(t.forgotten) && heard >= min(minHeard, present/2) && heardDomainsSuffice
 }
 
+// AllKnowSplit implements streamversion.Peers.
+func (m *Mesh) AllKnowSplit(service fleet.ServiceName, revision uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.allKnowSplit(service, revision, time.Now())
+}
+
+// allKnowSplit reports whether all other routers of the fleet have told that they know the split
+// of a service at a revision or a newer one.
+func (t *Table) allKnowSplit(service fleet.ServiceName, revision uint64, now time.Time) bool {
+	if t.KnownRouters() < t.FleetSize(now) {
+		return false
+	}
+	for _, m := range t.members {
+		if m.splits[service] < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// mergeSplitReports records which splits another router knows.
+func (t *Table) mergeSplitReports(from fleet.RouterID, list []SplitReport) {
+	m := t.members[from]
+	if m == nil || len(list) == 0 {
+		return
+	}
+	if m.splits == nil {
+		m.splits = map[fleet.ServiceName]uint64{}
+	}
+	for _, r := range list[:min(len(list), maxSplits)] {
+		m.splits[r.Service] = max(m.splits[r.Service], r.Revision)
+	}
+}
+
 // absenceMemory is how long the absence of routers is remembered after its end.
 const absenceMemory = 30 * time.Second
 
@@ -315,6 +360,28 @@
 	return append(list, report)
 }
 
+// splitConfirmations returns the known confirmations of splits for a full heartbeat.
+func (m *Mesh) splitConfirmations() []SplitConfirmation {
+	var list []SplitConfirmation
+	for _, c := range m.cfg.StreamVersions.Confirmations() {
+		if len(list) < maxSplits {
+			// Rounded up, since a split may be used for a time after its confirmation.
+			age := uint32(c.Age.Milliseconds()) + 1
+			list = append(list, SplitConfirmation{Service: c.Service, Revision: c.Revision, AgeMS: age, Alone: c.Alone})
+		}
+	}
+	return list
+}
+
+// mergeConfirmations passes on the confirmations that another router knows.
+func (m *Mesh) mergeConfirmations(list []SplitConfirmation) {
+	for _, c := range list[:min(len(list), maxSplits)] {
+		m.cfg.StreamVersions.MergeConfirmation(streamversion.Confirmation{
+			Service: c.Service, Revision: c.Revision, Age: time.Duration(c.AgeMS) * time.Millisecond, Alone: c.Alone,
+		})
+	}
+}
+
 // mergeSplits passes on the splits that another router knows.
 func (m *Mesh) mergeSplits(list []SplitReport, now time.Time) {
 	for _, r := range list[:min(len(list), maxSplits)] {
--- a/mesh/streams_test.go
+++ b/mesh/streams_test.go
@@ -189,3 +189,47 @@
 		}
 	}
 }
+
+func TestSplitIsSettledOnceAllRoutersKnowIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := heardTable(now)
+	tell := func(id fleet.RouterID, incarnation int64, revision uint64) {
+		hb := &Heartbeat{From: id, Domain: "d0", Incarnation: incarnation, Splits: []SplitReport{{Service: "s", Revision: revision}}}
+		table.HandleHeartbeat(hb, netip.MustParseAddrPort("127.0.0.1:1000"), now)
+	}
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := table.allKnowSplit("s", 7, now); got != want {
+			t.Errorf("%s: got %t, want %t", what, got, want)
+		}
+	}
+	check("nobody told of it", false)
+	for _, id := range []fleet.RouterID{"r0", "r1", "r2", "r3"} {
+		tell(id, 1, 7)
+	}
+	tell("r4", 1, 6)
+	check("one knows an older one", false)
+	tell("r4", 1, 9)
+	check("all know it or a newer one", true)
+	table.recordFleetSize(9, now)
+	check("others know more routers", false)
+	table.largest = fleetSize{}
+	table.HandleHeartbeat(&Heartbeat{From: "r2", Domain: "d0", Incarnation: 2}, netip.MustParseAddrPort("127.0.0.1:1000"), now)
+	check("one was restarted", false)
+	if table.allKnowSplit("other", 1, now) {
+		t.Error("a service that nobody told of is settled")
+	}
+}
+
+// TestConfirmationsOfSplitsSpread guards against routers that each ask the store for what one of them knows.
+func TestConfirmationsOfSplitsSpread(t *testing.T) {
+	hb := &Heartbeat{From: "r1", Confirmations: []SplitConfirmation{{Service: "s", Revision: 7, AgeMS: 300, Alone: true}}}
+	data, err := encode(hb)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decode(data)
+	if err != nil || len(got.Confirmations) != 1 || got.Confirmations[0] != hb.Confirmations[0] {
+		t.Errorf("got %+v, error %v, want %+v", got, err, hb.Confirmations)
+	}
+}
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -63,6 +63,8 @@
 	strength                      uint8
 	// paths holds its paths to targets, by the hash of their service.
 	paths map[uint32]helperRecord
+	// splits holds the revisions of the splits that it knows.
+	splits map[fleet.ServiceName]uint64
 }
 
 // Table holds a router's records of the other routers. It does no I/O; the time is
@@ -107,6 +109,9 @@
 	if m == nil || hb.Incarnation < m.incarnation {
 		return
 	}
+	if hb.Incarnation > m.incarnation {
+		m.splits = nil
+	}
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
 	m.watching, m.storeLost, m.leaving, m.strength = hb.Watching, hb.StoreLost, hb.Leaving, hb.Strength
@@ -116,6 +121,7 @@
 	m.configRevision, m.targetsDigest = hb.ConfigRevision, hb.TargetsDigest
 	t.recordFleetSize(int(hb.FleetSize), now)
 	t.mergePaths(hb.From, hb.Paths, now)
+	t.mergeSplitReports(hb.From, hb.Splits)
 	for _, peer := range hb.Peers {
 		t.mergePeer(peer, now)
 	}
@@ -131,7 +137,7 @@
 		return
 	}
 	if peer.Incarnation > m.incarnation {
-		m.leaving, m.watching, m.storeLost = false, false, false
+		m.leaving, m.watching, m.storeLost, m.splits = false, false, false, nil
 	}
 	m.domain, m.addr, m.incarnation, m.strength = peer.Domain, peer.Addr, peer.Incarnation, peer.Strength
 	if reportedAt := timeOf(peer.AgeMS, now); reportedAt.After(m.lastReported) {
--- a/node/node.go
+++ b/node/node.go
@@ -92,7 +92,7 @@
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
 	n.versions = streamversion.New(streamversion.Config{
 		Store: func() streamversion.Store { return n.store.Load() }, Peers: func() streamversion.Peers { return n.mesh }, View: n.directory.View,
-		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, Log: log,
+		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, BootTime: stall.BootTime, Log: log,
 	})
 	limits, paths := targetlimit.NewTracker(), targetpath.NewTracker()
 	latency := metrics.NewRelayMetrics(n.metrics.Registry, n.metricSources(dropped))
--- a/relay/response.go
+++ b/relay/response.go
@@ -21,8 +21,8 @@
 const (
 	// notReadyRetryAfter is about the time a router takes to load its first view.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// drainingRetryAfter is short because the client retries at another router.
-	drainingRetryAfter = 50 * time.Millisecond
+	// otherRouterRetryAfter is short because the client retries at another router.
+	otherRouterRetryAfter = 50 * time.Millisecond
 	// overloadRetryAfter is used if targets are overloaded, or if no target took the
 	// request; it is about the time a request takes at a target.
 	overloadRetryAfter = 400 * time.Millisecond
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if stop != nil && !stop.Accepts(s.route, s.call.AnswerTokens, s.relay.pace(s.service).TimePerToken(), s.arrivedAt) {
-		s.refuse(reason.Draining, drainingRetryAfter)
+		s.refuse(reason.Draining, otherRouterRetryAfter)
 		return
 	}
 	if !s.readBody(req) || s.forwardOrRefuse() || !s.admitUnlessQuarantined() || !s.admit() || !s.bindVersion(req.Context()) {
--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -12,8 +12,8 @@
 // StreamVersions tells at which software version resumable streams run. It must be safe for
 // concurrent use. streamversion.Service implements it.
 type StreamVersions interface {
-	// Begin returns the version of a new stream; empty means any.
-	Begin(ctx context.Context, service fleet.ServiceName, key streamversion.Key) fleet.SoftwareVersion
+	// Begin returns the version of a new stream, empty for any, or false if that is not known.
+	Begin(ctx context.Context, service fleet.ServiceName, key streamversion.Key) (fleet.SoftwareVersion, bool)
 	// Resume returns the version at which a stream began, or false if that is not known.
 	// named reports whether the client named the request that began it.
 	Resume(ctx context.Context, service fleet.ServiceName, key streamversion.Key, named bool) (fleet.SoftwareVersion, bool)
@@ -26,8 +26,8 @@
 }
 
 // Begin implements StreamVersions.
-func (soleVersions) Begin(context.Context, fleet.ServiceName, streamversion.Key) fleet.SoftwareVersion {
-	return ""
+func (soleVersions) Begin(context.Context, fleet.ServiceName, streamversion.Key) (fleet.SoftwareVersion, bool) {
+	return "", true
 }
 
 // Resume implements StreamVersions.
@@ -68,7 +68,12 @@
 	versions := s.relay.cfg.StreamVersions
 	key, named := s.streamKey()
 	if s.call.LastEventID == 0 {
-		s.version = versions.Begin(ctx, s.service, key)
+		version, ok := versions.Begin(ctx, s.service, key)
+		if !ok {
+			s.refuse(reason.StreamVersionsUnconfirmed, otherRouterRetryAfter)
+			return false
+		}
+		s.version = version
 		return true
 	}
 	version, ok := versions.Resume(ctx, s.service, key, named)
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -29,7 +29,7 @@
 
 // New returns a detector. It detects nothing until Run is called.
 func New() *Detector {
-	return newWithClock(bootTime)
+	return newWithClock(BootTime)
 }
 
 func newWithClock(now func() time.Duration) *Detector {
@@ -38,9 +38,9 @@
 	return d
 }
 
-// bootTime returns the time since the machine was started. It includes the time in which the
+// BootTime returns the time since the machine was started. It includes the time in which the
 // machine was suspended, which the clock of package time does not.
-func bootTime() time.Duration {
+func BootTime() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		return 0
--- a/streamversion/read.go
+++ b/streamversion/read.go
@@ -76,8 +76,10 @@
 // fetch reads a service's history from the store and adopts it.
 func (s *Service) fetch(ctx context.Context, service fleet.ServiceName) (*History, error) {
 	before, _, _ := s.known(service)
+	asked := s.cfg.BootTime()
 	object, err := s.cfg.Store().Get(ctx, Kind, string(service))
 	if errors.Is(err, platform.ErrNotFound) {
+		s.confirmNone(service, asked)
 		return nil, errNoHistory
 	}
 	if err != nil {
@@ -89,7 +91,43 @@
 		st.revision = 0
 	}
 	s.mu.Unlock()
-	return s.adoptObject(service, object)
+	history, err := s.adoptObject(service, object)
+	if err != nil {
+		return nil, err
+	}
+	s.confirmRead(service, object.Revision, history, asked)
+	return history, nil
+}
+
+// confirmNone records that the store held no history at a time of the boot clock, if this router
+// knows of none.
+func (s *Service) confirmNone(service fleet.ServiceName, asked time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.stateOf(service); st.revision == 0 {
+		st.confirm(asked)
+	}
+}
+
+// confirmRead records that a history was the newest at a time of the boot clock.
+func (s *Service) confirmRead(service fleet.ServiceName, revision uint64, history *History, asked time.Duration) {
+	window := Window{Lifetime: lifetimeOf(s.cfg.View(), service)}
+	window.AbsentFrom, window.AbsentUntil = s.cfg.Peers().Absence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	if st.revision < revision {
+		return
+	}
+	st.confirm(asked)
+	if st.revision == revision {
+		st.alone = st.alone || len(history.relevant(window, s.now())) == 1
+	}
+}
+
+// isNoHistory reports whether an error means that the store holds no history.
+func isNoHistory(err error) bool {
+	return errors.Is(err, errNoHistory)
 }
 
 // adoptObject decodes and adopts an object of the store.
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -40,6 +40,9 @@
 	// Connected reports whether this router hears from most others that it knows, so that it
 	// learns of what they know.
 	Connected() bool
+	// AllKnowSplit reports whether all known routers have told that they know the split of a
+	// service at a revision or a newer one.
+	AllKnowSplit(service fleet.ServiceName, revision uint64) bool
 	// Absence returns the time in which other routers were lately not heard of, or this one did
 	// not hear of them, so that they may have used older splits; zero if all were present for
 	// at least recordLifetime.
@@ -69,7 +72,10 @@
 	// StoodStill reports whether the process stood still until a moment ago, so that what it
 	// knows may be older than it seems; nil means never.
 	StoodStill func() bool
-	Log        zerolog.Logger
+	// BootTime returns the time of a clock that does not stop while the machine is suspended;
+	// nil means that there is only the clock of package time.
+	BootTime func() time.Duration
+	Log      zerolog.Logger
 }
 
 // Service tells at which software version streams run. It is safe for concurrent use.
@@ -81,6 +87,10 @@
 
 	mu       sync.Mutex
 	services map[fleet.ServiceName]*serviceState
+	// connectedSince is since when this router has heard most others, by the boot clock; valid
+	// if connected is set.
+	connected      bool
+	connectedSince time.Duration
 }
 
 // serviceState is what a router knows of a service's versions; Service.mu guards it.
@@ -111,6 +121,16 @@
 	// awaySince is since when calls to the store have failed, zero if they do not.
 	awaySince time.Time
 	reads     readQueue
+	// confirmedAt is when the split was last confirmed, by the boot clock; valid if confirmed
+	// is set. confirmRetryAt is when the store may be asked for it again.
+	confirmed      bool
+	confirmedAt    time.Duration
+	confirmRetryAt time.Time
+	// alone is set once no stream in progress can have begun under another split.
+	alone bool
+	// settled is the newest revision whose split all routers are known to know.
+	settled                       uint64
+	settleRetryAt, settledAskedAt time.Time
 }
 
 // New returns a service that knows no split.
@@ -122,7 +142,11 @@
 	if cfg.StoodStill == nil {
 		cfg.StoodStill = func() bool { return false }
 	}
-	return &Service{cfg: cfg, registry: NewRegistry(), now: now, started: now(), services: map[fleet.ServiceName]*serviceState{}}
+	started := now()
+	if cfg.BootTime == nil {
+		cfg.BootTime = func() time.Duration { return now().Sub(started) }
+	}
+	return &Service{cfg: cfg, registry: NewRegistry(), now: now, started: started, services: map[fleet.ServiceName]*serviceState{}}
 }
 
 // Registry returns the records of where streams began, this router's own and those that
@@ -153,7 +177,7 @@
 			st.moved = st.own.Moved(r.Service, r.Split, s.now())
 		}
 		st.before, st.usedUntil = st.split, s.now()
-		st.revision, st.split, st.knownSince, st.history, st.wantedSince = r.Revision, r.Split, r.KnownSince, nil, time.Time{}
+		st.revision, st.split, st.knownSince, st.history, st.wantedSince, st.alone = r.Revision, r.Split, r.KnownSince, nil, time.Time{}, false
 		line := event.SplitChanged.Log(s.cfg.Log).Str("service", string(r.Service)).Uint64("revision", r.Revision)
 		for _, share := range r.Split {
 			line.Uint32(string(share.Version), share.Weight)
@@ -228,35 +252,64 @@
 const startReadTimeout = 200 * time.Millisecond
 
 // Begin returns the version of a new stream, or an empty one if the service has no target. It
-// reads the store if the service has several versions and this router knows no split.
-func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) fleet.SoftwareVersion {
+// returns false if the split may have been replaced for too long, so that others would resume
+// the stream at another version. It reads the store if that may tell.
+func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) (fleet.SoftwareVersion, bool) {
 	view := s.cfg.View()
 	targets := s.targetsOf(service, view)
 	if len(targets.split) == 0 {
-		return ""
+		return "", true
 	}
-	if revision, _, _ := s.known(service); revision == 0 && len(targets.split) > 1 {
+	leased := s.leased(service)
+	if revision, _, _ := s.known(service); !leased || (revision == 0 && len(targets.split) > 1) {
 		ctx, cancel := context.WithTimeout(ctx, startReadTimeout)
 		defer cancel()
-		if _, err := s.readHistory(ctx, service); err != nil {
-			// The targets decide.
+		if _, err := s.readHistory(ctx, service); err != nil && !isNoHistory(err) {
+			// The targets decide if there was a lease.
 			event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
 		}
+		if !leased && !s.leased(service) {
+			return "", false
+		}
 	}
 	now := s.now()
 	revision, split, since := s.known(service)
 	version := split.VersionOf(key)
 	served := slices.Contains(targets.serving, version)
 	if !served {
+		if !s.targetsCurrent() {
+			// The version that the split gives may well be in service.
+			return "", false
+		}
 		version = targets.split.VersionOf(key)
 	}
 	origin := NewOrigin(service, version)
 	s.registry.Record(key, origin, now)
 	s.recordOwn(service, key, origin, now)
-	if !served || revision == 0 || now.Sub(since) < lifetimeOf(view, service) || s.absentLately() {
+	if !served || revision == 0 || now.Sub(since) < s.ambiguousTime(service, view) || s.absentLately() {
 		s.cfg.Peers().RecordStream(key, origin)
 	}
-	return version
+	return version, true
+}
+
+// targetsCurrent reports whether this router has the targets of the moment, or learns of them
+// with most others.
+func (s *Service) targetsCurrent() bool {
+	age := s.cfg.TargetsAge()
+	return !s.cfg.StoodStill() && ((age >= 0 && age <= maxTargetsAge) || s.caughtUp())
+}
+
+// ambiguousTime returns how long after a change of the split streams in progress may have begun
+// under an older one, as far as is known without the store.
+func (s *Service) ambiguousTime(service fleet.ServiceName, view *catalog.View) time.Duration {
+	lifetime := lifetimeOf(view, service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	if st.alone || (st.settled >= st.revision && st.revision > 0) {
+		return lifetime
+	}
+	return lifetime + leaseTime + clockError
 }
 
 // absentLately reports whether other routers may have used an older split lately.
@@ -319,7 +372,14 @@
 	if !named {
 		return s.soleInHistory(service, history, lifetime)
 	}
-	return s.versionInHistory(service, history, key, lifetime)
+	window := s.window(service, lifetime)
+	if version, ok := s.versionInHistory(service, history, key, window); ok {
+		return version, true
+	}
+	if window.Settled = s.isSettled(ctx, service); !window.Settled {
+		return "", false
+	}
+	return s.versionInHistory(service, history, key, window)
 }
 
 // soleInHistory returns the version of all targets, if all streams in progress began at it
@@ -334,13 +394,12 @@
 }
 
 // versionInHistory returns the version at which a stream began, or false if that is ambiguous.
-func (s *Service) versionInHistory(service fleet.ServiceName, history *History, key Key, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
-	window := s.window(service, lifetime)
+func (s *Service) versionInHistory(service fleet.ServiceName, history *History, key Key, window Window) (fleet.SoftwareVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
 	version, ok := history.VersionOf(key, window, now)
-	if !ok || len(st.before) == 0 || now.Sub(st.usedUntil) >= lifetime {
+	if !ok || len(st.before) == 0 || now.Sub(st.usedUntil) >= window.Lifetime {
 		return version, ok
 	}
 	// This router may have learned late that the split before was replaced.
@@ -369,7 +428,7 @@
 		s.stateOf(service).retryAt = s.now().Add(storeBackoff)
 		s.mu.Unlock()
 	}
-	if !s.cfg.Peers().Connected() {
+	if !s.caughtUp() || !s.confirmedLately(service) {
 		return nil
 	}
 	s.observeStore(service)
@@ -381,7 +440,7 @@
 	case st.revision == 0, now.Sub(st.awaySince) < clockError:
 		// Another router may have written a split that this one has not heard of.
 		return nil
-	case st.history == nil && now.Sub(st.knownSince) >= lifetime && !absent:
+	case st.history == nil && (st.alone || (now.Sub(st.knownSince) >= lifetime+leaseTime+clockError && !absent)):
 		return &History{Splits: []Entry{{Split: st.split}}}
 	default:
 		return st.history
@@ -412,7 +471,7 @@
 // soleVersion returns the version of all targets, if this router has known for longer than a
 // stream lasts that there is no other one.
 func (s *Service) soleVersion(service fleet.ServiceName, view *catalog.View) (fleet.SoftwareVersion, bool) {
-	if age := s.cfg.TargetsAge(); s.cfg.StoodStill() || ((age < 0 || age > maxTargetsAge) && !s.cfg.Peers().Connected()) {
+	if !s.targetsCurrent() {
 		return "", false
 	}
 	absent := s.absentLately()
@@ -420,14 +479,19 @@
 	defer s.mu.Unlock()
 	st, lifetime := s.stateOf(service), lifetimeOf(view, service)
 	now := s.now()
-	sole := st.targets.sole
-	if sole == "" || now.Sub(st.soleSince) < lifetime {
+	sole, certainAfter := st.targets.sole, lifetime+leaseTime+clockError
+	switch {
+	case sole == "":
 		return "", false
-	}
-	if st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < lifetime || (absent && now.Sub(st.knownSince) < historyLifetime)) {
+	case st.revision > 0 && st.alone:
+		return sole, len(st.split) == 1 && st.split[0].Version == sole && now.Sub(st.soleSince) >= lifetime
+	case now.Sub(st.soleSince) < certainAfter:
 		return "", false
+	case st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < certainAfter || (absent && now.Sub(st.knownSince) < historyLifetime)):
+		return "", false
+	default:
+		return sole, true
 	}
-	return sole, true
 }
 
 // versionOfOrigin returns the version of targets that an origin stands for, or false if no
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -47,6 +47,7 @@
 // check updates what is known of the versions of each service with resumable streams, and
 // changes the splits that this router has to change.
 func (s *Service) check(ctx context.Context, now time.Time) {
+	s.observePeers()
 	view := s.cfg.View()
 	if !view.Ready() {
 		return
@@ -57,6 +58,13 @@
 		if due, plan := s.changeDue(service, s.targetsOf(service, view), now); due {
 			s.change(ctx, service, plan, now)
 		}
+		s.extendLease(service, now)
+		if s.confirmDue(service, now) {
+			s.confirmSplit(ctx, service, now)
+		}
+		if s.settleDue(service, now) {
+			s.settle(ctx, service, now)
+		}
 	}
 }
 
@@ -74,9 +82,9 @@
 func (s *Service) changeDue(service fleet.ServiceName, targets targetVersions, now time.Time) (bool, Plan) {
 	_, split, _ := s.known(service)
 	plan := newPlan(split, targets)
-	precedence := 0
+	precedence, connected := 0, false
 	if plan.Change {
-		precedence = s.cfg.Peers().Precedence(service)
+		precedence, connected = s.cfg.Peers().Precedence(service), s.cfg.Peers().Connected()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +95,9 @@
 		return false, plan
 	case now.Before(st.retryAt), !plan.Urgent && now.Sub(st.knownSince) < minSplitInterval:
 		return false, plan
+	case !plan.Urgent && !connected:
+		// Most routers may be without the store and rely on the split that they know.
+		return false, plan
 	case st.wantedSince.IsZero():
 		st.wantedSince = now
 	}
@@ -116,7 +127,7 @@
 func (s *Service) tryChange(ctx context.Context, service fleet.ServiceName, plan Plan, now time.Time) error {
 	before, _, _ := s.known(service)
 	history, err := s.currentHistory(ctx, service)
-	if err != nil && !errors.Is(err, errNoHistory) {
+	if err != nil && !isNoHistory(err) {
 		return err
 	}
 	// Reading the history may have brought a newer split.
@@ -129,6 +140,7 @@
 	if err != nil {
 		return fmt.Errorf("streamversion: encode history: %w", err)
 	}
+	asked := s.cfg.BootTime()
 	object, err := s.cfg.Store().Put(ctx, Kind, platform.Object{Name: string(service), Revision: revision, Spec: document})
 	if errors.Is(err, platform.ErrConflict) {
 		_, err = s.fetch(ctx, service)
@@ -137,9 +149,11 @@
 	if err != nil {
 		return fmt.Errorf("streamversion: write history: %w", err)
 	}
-	if _, err := s.adoptObject(service, object); err != nil {
+	written, err := s.adoptObject(service, object)
+	if err != nil {
 		return err
 	}
+	s.confirmRead(service, object.Revision, written, asked)
 	s.cfg.Peers().PublishSplit(Report{service, object.Revision, plan.Split, s.now()})
 	return nil
 }
