directory: a target that was gone does not return with a copy of the store

When the store came back from a copy that still had a removed target, routers sent it requests again until its entry lapsed, although they had acknowledged that it left (DRAIN).

Cause: an entry of a newer era is newer than any tombstone. It may be older than the removal all the same.

Removed targets are remembered with their start and their count of writes. An entry of a newer era with no further writes of that process counts as leaving.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -236,6 +236,8 @@
 	// StartedAt is the start time of its process. When it changes, the process has
 	// restarted and lost its state.
 	StartedAt time.Time
+	// Sequence counts what its process has written to the store; zero if that is not known.
+	Sequence uint64
 	// Revision is the store's revision of this description.
 	Revision uint64
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -80,7 +80,7 @@
 		t.Errorf("within the grace period: got %v expired, want none", expired)
 	}
 	expired := m.Expire(start.Add(2 * time.Second))
-	if len(expired) != 1 || expired[0] != "a" {
+	if len(expired) != 1 || expired[0].ID != "a" {
 		t.Errorf("got %v expired, want a only, since b was listed again", expired)
 	}
 	serving, leaving := m.Serving()
--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -119,16 +119,18 @@
 	return slices.Collect(maps.Keys(s.targets))
 }
 
-// Expire removes the targets whose grace period has ended and returns their IDs.
-func (s *TargetSet) Expire(now time.Time) []fleet.TargetID {
-	var expired []fleet.TargetID
+// Expire removes the targets whose grace period has ended and returns them.
+func (s *TargetSet) Expire(now time.Time) []*Target {
+	var expired []*Target
 	for id, until := range s.lapsed {
 		if now.Before(until) {
 			continue
 		}
+		if t, ok := s.targets[id]; ok {
+			expired = append(expired, t)
+		}
 		delete(s.lapsed, id)
 		delete(s.targets, id)
-		expired = append(expired, id)
 	}
 	return expired
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -64,6 +64,7 @@
 	mu      sync.Mutex
 	members *catalog.TargetSet
 	entries *entries
+	gone    goneTargets
 	config  *catalog.Config
 	// document is the store's object from which config was decoded.
 	document platform.Object
@@ -93,7 +94,7 @@
 	}
 	d := &Directory{
 		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {},
-		pace: pace, ready: make(chan struct{}), members: catalog.NewTargetSet(), entries: newEntries(), unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
+		pace: pace, ready: make(chan struct{}), members: catalog.NewTargetSet(), entries: newEntries(), gone: goneTargets{}, unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{},
 		role: role, modeChanged: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
@@ -316,10 +317,14 @@
 			}
 		}
 		if c.Deleted {
+			old, known := d.members.Find(fleet.TargetID(c.Object.Name))
 			if !d.entries.deletionApplies(c.Object.Name, c.Object.Revision) || !d.members.Remove(fleet.TargetID(c.Object.Name), now) {
 				continue
 			}
 			d.entries.remove(c.Object.Name, c.Object.Revision)
+			if known {
+				d.gone.record(old, c.Object.Revision)
+			}
 		} else {
 			if !d.entries.put(c.Object) {
 				continue
@@ -339,13 +344,16 @@
 	return applied
 }
 
-// keepLeaving lets a target leave on that did so in an earlier era of the store, if t, its first
-// entry of a newer one, is of the same process; d.mu must be held.
+// keepLeaving lets a target leave on that did so, or was gone, in an earlier era of the store, if t,
+// its first entry of a newer one, is what the copy had of the same process; d.mu must be held.
 func (d *Directory) keepLeaving(t *catalog.Target) {
 	old, ok := d.members.Find(t.ID)
 	if ok && old.Leaving && old.StartedAt.Equal(t.StartedAt) && platform.EraOf(t.Revision) > platform.EraOf(old.Revision) {
 		t.Leaving = true
 	}
+	if d.gone.isCopyOf(t) {
+		t.Leaving = true
+	}
 }
 
 func (d *Directory) logTargetChange(c platform.Change, t *catalog.Target, source dataSource) {
@@ -393,8 +401,10 @@
 func (d *Directory) expire() {
 	var changes []platform.Change
 	d.mu.Lock()
-	for _, id := range d.members.Expire(d.now()) {
+	for _, t := range d.members.Expire(d.now()) {
+		id := t.ID
 		d.entries.remove(string(id), 0)
+		d.gone.record(t, d.members.Revision())
 		changes = append(changes, platform.Change{Object: platform.Object{Name: string(id)}, Deleted: true})
 		event.TargetChanged.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Send()
 	}
