directory, mesh: between eras of the store the operator's versions order configurations

A router that started after the store had come back from a copy served by the copy's configuration until the operator wrote again, although other routers had the newer one, which the store had confirmed (CONFIG). These fetched the older one from it again and again.

Cause: revisions of different eras were compared by the era alone.

The operator's version decides where eras differ. Heartbeats and fetches carry it, and a router with a live watch asks others for what the store lost.

Heartbeats of earlier builds are read as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -210,9 +210,9 @@
 		return false
 	}
 	d.mu.Lock()
-	outdated := d.config != nil && o.Revision <= d.config.Revision
+	known := configVersion(d.config)
 	d.mu.Unlock()
-	if outdated {
+	if o.Revision == known.Revision || (o.Revision < known.Revision && platform.EraOf(o.Revision) == platform.EraOf(known.Revision)) {
 		return false
 	}
 	config, err := platform.DecodeConfig(o)
@@ -222,13 +222,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.config != nil && config.Revision <= d.config.Revision {
-		return false
-	}
-	if d.config != nil && config.Version < d.config.Version && platform.EraOf(config.Revision) > platform.EraOf(d.config.Revision) {
-		// The copy from which the store came back is older. The operator writes again what it
-		// lacks.
-		event.ConfigOutdated.Log(d.log).Uint64("config", config.Version).Uint64("in_force", d.config.Version).Uint64("revision", config.Revision).Send()
+	if known = configVersion(d.config); !configVersion(config).NewerThan(known) {
+		if config.Revision > known.Revision {
+			// The copy from which the store came back is older. The operator writes again what it
+			// lacks.
+			event.ConfigOutdated.Log(d.log).Uint64("config", config.Version).Uint64("in_force", known.Version).Uint64("revision", config.Revision).Send()
+		}
 		return false
 	}
 	d.config, d.document = config, o
@@ -237,6 +236,31 @@
 	return true
 }
 
+// ConfigVersion orders configurations.
+type ConfigVersion struct {
+	// Version is the operator's, zero if it is not known, Revision that of the store. Both are
+	// zero if there is no configuration.
+	Version, Revision uint64
+}
+
+// configVersion returns the version of a configuration, which may be nil.
+func configVersion(c *catalog.Config) ConfigVersion {
+	if c == nil {
+		return ConfigVersion{}
+	}
+	return ConfigVersion{c.Version, c.Revision}
+}
+
+// NewerThan reports whether a configuration is newer than another one: by the store's revision, or
+// by the operator's version if the store came back from a copy between them, which may be older
+// than what was in force.
+func (v ConfigVersion) NewerThan(other ConfigVersion) bool {
+	if v.Version != other.Version && v.Version > 0 && other.Version > 0 && platform.EraOf(v.Revision) != platform.EraOf(other.Revision) {
+		return v.Version > other.Version
+	}
+	return v.Revision > other.Revision
+}
+
 // handleTargetList applies the store's complete list of targets.
 func (d *Directory) handleTargetList(objects []platform.Object, revision uint64) {
 	if changes := d.replaceTargets(objects, revision, sourceStore); len(changes) > 0 {
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -10,7 +10,9 @@
 // Snapshot is a copy of a directory's data, exchanged between routers.
 type Snapshot struct {
 	// Config is the configuration as stored; its revision is zero if there is none.
-	Config platform.Object
+	// ConfigVersion is the operator's version of it.
+	Config        platform.Object
+	ConfigVersion uint64
 	// Targets are the targets' entries as stored.
 	Targets []platform.Object
 	// TargetsRevision is the store revision of Targets, TargetsDigest their digest.
@@ -22,7 +24,7 @@
 func (d *Directory) Snapshot() Snapshot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	snapshot := Snapshot{Config: d.document}
+	snapshot := Snapshot{Config: d.document, ConfigVersion: configVersion(d.config).Version}
 	if !d.members.Loaded() {
 		return snapshot
 	}
@@ -37,8 +39,8 @@
 // Versions are the versions of a router's data, by which routers compare it. Each is
 // zero if its data is not known.
 type Versions struct {
-	// Config is the revision of the configuration.
-	Config uint64
+	// Config is the version of the configuration.
+	Config ConfigVersion
 	// TargetsDigest is the digest of the targets, TargetsRevision the newest store
 	// revision that they are known to reflect.
 	TargetsDigest, TargetsRevision uint64
@@ -49,9 +51,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var v Versions
-	if d.config != nil {
-		v.Config = d.config.Revision
-	}
+	v.Config = configVersion(d.config)
 	if d.members.Loaded() {
 		v.TargetsDigest, v.TargetsRevision = d.targetsDigest(), max(d.members.Revision(), d.entries.newest)
 	}
--- a/directory/store_copy_test.go
+++ b/directory/store_copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/platform"
@@ -89,3 +90,26 @@
 		await.Until(t, "the version after the drill", func() bool { return version() == uint64(lost+1) })
 	}
 }
+
+// TestRouterThatStartsAfterDrillTakesNewerVersionOfOthers guards against a router that serves by the old configuration of
+// the copy although others know the newer one.
+func TestRouterThatStartsAfterDrillTakesNewerVersionOfOthers(t *testing.T) {
+	server, d := followedStore(t)
+	copied := server.TakeCopy()
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(4))
+	await.Until(t, "the version that is lost", func() bool { return d.View().Config.Version == 4 })
+	known := d.Snapshot()
+	restore(t, server, d, copied)
+	store := platform.NewStore(server.Addr(), nil)
+	started := New(func() Store { return store }, PrimaryWatch, testPace, d.log, nil)
+	runDirectory(t, started)
+	await.Until(t, "a view", func() bool { return started.View().Ready() })
+	started.ApplySnapshot(known)
+	if got := started.View().Config.Version; got != 4 {
+		t.Errorf("got version %d, want 4, which others know", got)
+	}
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(4))
+	time.Sleep(50 * time.Millisecond)
+	server.Put(platform.KindConfig, platform.ConfigName, configSpec(5))
+	await.Until(t, "the version after the drill", func() bool { return started.View().Config.Version == 5 && d.View().Config.Version == 5 })
+}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -18,7 +18,7 @@
 	versions, live := m.cfg.Directory.Versions(), m.cfg.Directory.HasLiveWatch()
 	return &Heartbeat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
-		Leaving: m.leaving.Load(), ConfigRevision: versions.Config, TargetsDigest: versions.TargetsDigest,
+		Leaving: m.leaving.Load(), ConfigRevision: versions.Config.Revision, ConfigVersion: versions.Config.Version, TargetsDigest: versions.TargetsDigest,
 		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
 	}
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -64,6 +64,9 @@
 	Streams []StreamRecordItem `cbor:"24,keyasint,omitempty"`
 	// Confirmations tell when the splits that the sender knows were last confirmed.
 	Confirmations []SplitConfirmation `cbor:"25,keyasint,omitempty"`
+	// ConfigVersion is the operator's version of the configuration in force. It orders those of
+	// different eras of the store.
+	ConfigVersion uint64 `cbor:"26,keyasint,omitempty"`
 	// Brittle holds the newest brittle targets known to the sender, or, with Permit, the one
 	// that the permit is for.
 	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -27,7 +27,7 @@
 // is fetched at its end.
 func (m *Mesh) syncIfBehind(ctx context.Context, hb *Heartbeat, from netip.AddrPort, now time.Time) {
 	versions := m.cfg.Directory.Versions()
-	missing := (versions.Config == 0 && hb.ConfigRevision > 0) || (versions.TargetsDigest == 0 && hb.TargetsDigest > 0)
+	missing := (versions.Config.Revision == 0 && hb.ConfigRevision > 0) || (versions.TargetsDigest == 0 && hb.TargetsDigest > 0)
 	if missing && hb.Domain != m.cfg.Domain && now.Sub(m.startedAt) < foreignViewDelay {
 		// Otherwise a restarted fleet would fetch all its views from the seeds.
 		return
@@ -36,19 +36,22 @@
 	m.mu.Lock()
 	reliesOnPeers := !live && (hb.Domain == m.cfg.Domain || !m.table.HasDomainWatcher(now))
 	sameTargets := versions.TargetsDigest == hb.TargetsDigest
-	behind := reliesOnPeers && (hb.ConfigRevision > versions.Config || (!sameTargets && hasNewerTargets(hb, versions)))
+	newerConfig := hb.config().NewerThan(versions.Config)
+	behind := reliesOnPeers && (newerConfig || (!sameTargets && hasNewerTargets(hb, versions)))
+	// The store itself lacks what it lost with its last era.
+	behind = behind || (newerConfig && platform.EraOf(hb.ConfigRevision) < platform.EraOf(versions.Config.Revision))
 	switch {
 	case missing:
 		m.behindSince = now.Add(-syncDelay)
 	case behind && m.behindSince.IsZero():
 		m.behindSince = now
-		if hb.ConfigRevision > versions.Config {
+		if newerConfig {
 			m.behindSince = now.Add(-syncDelay)
 		}
 	case hb.Watching && sameTargets && !behind:
 		m.behindSince = time.Time{}
 	}
-	if hb.Watching && versions.Config == hb.ConfigRevision && sameTargets {
+	if hb.Watching && versions.Config.Revision == hb.ConfigRevision && sameTargets {
 		m.cfg.Directory.ConfirmCurrent()
 	}
 	fetch := (missing || behind) && !m.fetching && now.Sub(m.behindSince) >= syncDelay
@@ -59,6 +62,11 @@
 	}
 }
 
+// config returns the version of the sender's configuration.
+func (hb *Heartbeat) config() directory.ConfigVersion {
+	return directory.ConfigVersion{Version: hb.ConfigVersion, Revision: hb.ConfigRevision}
+}
+
 // hasNewerTargets reports whether the sender of a heartbeat has a live watch of the
 // store and read its targets no earlier than the newest change that this router knows.
 // A watcher that gathers changes for longer than another one is behind this router for
@@ -82,14 +90,14 @@
 		return
 	}
 	m.cfg.Directory.ApplySnapshot(*snapshot)
-	event.ViewFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", versions.Config).
+	event.ViewFetched.Log(m.cfg.Log).Str("from", from.String()).Uint64("config_before", versions.Config.Revision).
 		Uint64("config", snapshot.Config.Revision).Uint64("targets_revision", snapshot.TargetsRevision).Send()
 }
 
 // requestSnapshot fetches the data of another router that differs from the given
-// configuration revision and digest of targets.
-func (m *Mesh) requestSnapshot(ctx context.Context, from netip.AddrPort, config, targets uint64) (*directory.Snapshot, error) {
-	url := fmt.Sprintf("http://%s/held?config=%d&targets=%d", from, config, targets)
+// version of the configuration and digest of targets.
+func (m *Mesh) requestSnapshot(ctx context.Context, from netip.AddrPort, config directory.ConfigVersion, targets uint64) (*directory.Snapshot, error) {
+	url := fmt.Sprintf("http://%s/held?config=%d&version=%d&targets=%d", from, config.Revision, config.Version, targets)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -138,7 +146,8 @@
 }
 
 // ServeHTTP serves the data of this router that the requesting router lacks. The
-// query parameters are that router's configuration revision and digest of targets.
+// query parameters are that router's configuration revision and digest of targets, and the
+// operator's version of the configuration, which earlier builds do not send.
 func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	config, err1 := strconv.ParseUint(r.URL.Query().Get("config"), 10, 64)
 	targets, err2 := strconv.ParseUint(r.URL.Query().Get("targets"), 10, 64)
@@ -146,7 +155,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	snapshot, err := m.snapshotSince(config, targets)
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		version = 0
+	}
+	snapshot, err := m.snapshotSince(directory.ConfigVersion{Version: version, Revision: config}, targets)
 	var data []byte
 	if err == nil {
 		data, err = cbor.Marshal(snapshot)
@@ -161,12 +174,12 @@
 	_, _ = w.Write(data)
 }
 
-// snapshotSince returns this router's configuration if it is newer than a revision,
+// snapshotSince returns this router's configuration if it is newer than another one,
 // and its targets if their digest differs from the given one.
-func (m *Mesh) snapshotSince(config, targets uint64) (*Snapshot, error) {
+func (m *Mesh) snapshotSince(config directory.ConfigVersion, targets uint64) (*Snapshot, error) {
 	local := m.cfg.Directory.Snapshot()
 	wire := &Snapshot{ConfigRevision: local.Config.Revision}
-	if local.Config.Revision > config {
+	if own := (directory.ConfigVersion{Version: local.ConfigVersion, Revision: local.Config.Revision}); own.NewerThan(config) {
 		var err error
 		produceConfig := func() ([]byte, error) { return local.Config.Spec, nil }
 		if wire.Config, err = m.deflateCached(&m.deflatedConfig, local.Config.Revision, produceConfig); err != nil {
--- a/mesh/watchrole.go
+++ b/mesh/watchrole.go
@@ -110,7 +110,7 @@
 	timeout := t.watcherTimeout()
 	for _, m := range t.members {
 		if m.domain == t.domain && m.hasLiveWatch(now, timeout) &&
-			m.configRevision == versions.Config && m.targetsDigest == versions.TargetsDigest {
+			m.configRevision == versions.Config.Revision && m.targetsDigest == versions.TargetsDigest {
 			return true
 		}
 	}
