admission, relay: a stopping router takes requests by the pace of their service, at the time of sending

In a planned stop, in calm, plain calls to slow targets were accepted late in the grace period and ended with 502 or 504 at its end, though they may have run (LOST).

Cause: plain calls were judged by a constant of 1.6 s, and every request once, at its head, also if its body took its time or the stop began meanwhile, or if a target had rejected it.

What does not fit is refused, not run.

The tests of StopSchedule pass the pace itself, where they passed its time for a token.

--- a/admission/stopping.go
+++ b/admission/stopping.go
@@ -9,7 +9,8 @@
 // Estimated durations, used to decide whether a request finishes before the end of
 // a planned stop. Most requests take less.
 const (
-	// plainCallTime covers a plain call with a second attempt.
+	// plainCallTime covers a plain call with a second attempt, as long as no slower ones are
+	// known.
 	plainCallTime = 1600 * time.Millisecond
 	// firstEventTime covers the time to a stream's first event.
 	firstEventTime = time.Second
@@ -31,22 +32,21 @@
 // Accepts reports whether to accept a request that arrives during a planned stop.
 // After LeaveAt, or shortly before EndAt, a request is accepted only if it is expected to
 // finish before EndAt.
-// answerTokens bounds the answer of a stream; zero means that its size is unknown. perToken is
-// the time for one of them.
+// answerTokens bounds the answer of a stream; zero means that its size is unknown. pace is
+// that of the route's service.
 //
 // A stopping router still receives requests over kept-alive connections, and when
 // its neighbors are stopping too. If it refused them all, requests whose second
 // attempt reaches another stopping router would be lost.
-func (s StopSchedule) Accepts(r *catalog.Route, answerTokens int, perToken time.Duration, now time.Time) bool {
+func (s StopSchedule) Accepts(r *catalog.Route, answerTokens int, pace *Pace, now time.Time) bool {
 	if now.Before(s.LeaveAt) && s.EndAt.Sub(now) >= plainCallTime {
 		return true
 	}
-	required := plainCallTime
+	var required time.Duration
 	if r.Stream {
-		if answerTokens <= 0 {
-			answerTokens = defaultAnswerTokens
-		}
-		required = firstEventTime + time.Duration(answerTokens)*perToken
+		required = pace.StreamTime(answerTokens)
+	} else {
+		required = pace.CallTime()
 	}
 	if r.Timeout > 0 {
 		required = min(required, r.Timeout)
--- a/admission/stopping_test.go
+++ b/admission/stopping_test.go
@@ -28,7 +28,7 @@
 		{"a plain call at the end", plain, 0, 6 * time.Second, false},
 		{"after the end", plain, 0, 9 * time.Second, false},
 	} {
-		if got := stop.Accepts(test.route, test.tokens, (&Pace{}).TimePerToken(), start.Add(test.at)); got != test.want {
+		if got := stop.Accepts(test.route, test.tokens, &Pace{}, start.Add(test.at)); got != test.want {
 			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
@@ -72,7 +72,7 @@
 	}
 	refusing := lost(func(s StopSchedule, _ int, now time.Time) bool { return now.Before(s.LeaveAt) })
 	taking := lost(func(s StopSchedule, tokens int, now time.Time) bool {
-		return s.Accepts(route, tokens, (&Pace{}).TimePerToken(), now)
+		return s.Accepts(route, tokens, &Pace{}, now)
 	})
 	if taking*2 > refusing {
 		t.Errorf("got %d callers lost when accepting requests that can finish, want at most half of the %d lost when refusing all", taking, refusing)
@@ -99,11 +99,43 @@
 	} {
 		pace := &Pace{}
 		for range test.answers {
-			pace.Record(tokens, test.took)
+			pace.RecordStream(tokens, test.took)
 		}
-		pace.Record(0, time.Hour)
-		if got := stop.Accepts(stream, tokens, pace.TimePerToken(), start.Add(3200*time.Millisecond)); got != test.want {
+		pace.RecordStream(0, time.Hour)
+		if got := stop.Accepts(stream, tokens, pace, start.Add(3200*time.Millisecond)); got != test.want {
 			t.Errorf("a stream %s: got accepted %t, want %t", test.name, got, test.want)
 		}
 	}
 }
+
+// TestStopRefusesCallThatServiceIsTooSlowFor guards against plain calls that are accepted and cut.
+func TestStopRefusesCallThatServiceIsTooSlowFor(t *testing.T) {
+	start := time.Unix(100, 0)
+	stop := StopSchedule{LeaveAt: start.Add(2500 * time.Millisecond), EndAt: start.Add(7400 * time.Millisecond)}
+	plain := &catalog.Route{RunPolicy: catalog.RunOnce, Timeout: 3 * time.Second}
+	unbounded := &catalog.Route{Stream: true, Timeout: 15 * time.Second}
+	for _, test := range []struct {
+		name  string
+		route *catalog.Route
+		// took is how long earlier answers took, at when the request arrives.
+		took, at time.Duration
+		want     bool
+	}{
+		{"fast calls", plain, 50 * time.Millisecond, 5800 * time.Millisecond, true},
+		{"slow calls, in time", plain, 1500 * time.Millisecond, 5 * time.Second, true},
+		{"slow calls", plain, 1500 * time.Millisecond, 5800 * time.Millisecond, false},
+		{"calls that take up to the timeout, in time", plain, 2800 * time.Millisecond, 4400 * time.Millisecond, true},
+		{"calls that take up to the timeout", plain, 2800 * time.Millisecond, 4500 * time.Millisecond, false},
+		{"short streams without a bound", unbounded, 600 * time.Millisecond, 6 * time.Second, true},
+		{"long streams without a bound", unbounded, 4 * time.Second, 3 * time.Second, false},
+	} {
+		pace := &Pace{}
+		for range minPaceSamples {
+			pace.RecordCall(test.took)
+			pace.RecordStream(0, test.took)
+		}
+		if got := stop.Accepts(test.route, 0, pace, start.Add(test.at)); got != test.want {
+			t.Errorf("%s: got accepted %t, want %t", test.name, got, test.want)
+		}
+	}
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -131,13 +131,22 @@
 	s.completeResponse()
 	s.relay.cfg.Metrics.FirstByteSeconds.WithLabelValues(string(s.service)).Observe(s.timeToHead.Seconds())
 	s.recordResult(resultCompleted)
-	if s.route.Stream && s.call.LastEventID == 0 {
-		s.relay.pace(s.service).Record(s.call.AnswerTokens, time.Since(s.arrivedAt))
-	}
+	s.recordPace()
 	s.Log(event.RequestServed).Int("status", s.current.response.Status).Dur("first", s.timeToHead).
 		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Int("attempts", s.attempts).Send()
 }
 
+// recordPace records how long a complete answer took from the arrival of the whole request.
+func (s *requestState) recordPace() {
+	pace, took := s.relay.pace(s.service), time.Since(s.receivedAt)
+	switch {
+	case !s.route.Stream:
+		pace.RecordCall(took)
+	case s.call.LastEventID == 0:
+		pace.RecordStream(s.call.AnswerTokens, took)
+	}
+}
+
 // finishIncomplete ends a request for which no attempt delivered a complete
 // response: it aborts a response already started, forwards the target's failure,
 // or writes an error response.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -64,16 +64,31 @@
 	if !s.checkHeaderSize(req) || !s.resolveRoute() {
 		return
 	}
-	if stop != nil && !stop.Accepts(s.route, s.call.AnswerTokens, s.relay.pace(s.service).TimePerToken(), s.arrivedAt) {
-		s.refuse(reason.Draining, otherRouterRetryAfter)
-		return
-	}
-	if !s.readBody(req) || s.forwardOrRefuse() || !s.admitUnlessQuarantined() || !s.admit() || !s.bindVersion(req.Context()) {
+	if !s.acceptWhileStopping() || !s.readBody(req) || !s.acceptWhileStopping() || s.forwardOrRefuse() || !s.admitUnlessQuarantined() || !s.admit() || !s.bindVersion(req.Context()) {
 		return
 	}
 	s.serve(req.Context())
 }
 
+// acceptWhileStopping refuses a request that would not finish before the end of a planned stop, and
+// reports whether it goes on.
+func (s *requestState) acceptWhileStopping() bool {
+	s.receivedAt = time.Now()
+	if s.finishesBeforeStop() {
+		return true
+	}
+	s.w.Header().Set("Connection", "close")
+	s.refuse(reason.Draining, otherRouterRetryAfter)
+	return false
+}
+
+// finishesBeforeStop reports whether a request that is sent to a target now is expected to finish
+// before this router stops, or whether it does not stop.
+func (s *requestState) finishesBeforeStop() bool {
+	stop := s.relay.stop.Load()
+	return stop == nil || stop.Accepts(s.route, s.call.AnswerTokens, s.relay.pace(s.service), time.Now())
+}
+
 // requestState is the state of one in-flight request. It is used by the request's
 // goroutine only.
 type requestState struct {
@@ -84,12 +99,14 @@
 	// client.
 	forwardedBy string
 	arrivedAt   time.Time
-	view        *catalog.View
-	call        *call.Call
-	route       *catalog.Route
-	account     *catalog.Account
-	service     fleet.ServiceName
-	priority    int
+	// receivedAt is when the request had arrived as far as it was read.
+	receivedAt time.Time
+	view       *catalog.View
+	call       *call.Call
+	route      *catalog.Route
+	account    *catalog.Account
+	service    fleet.ServiceName
+	priority   int
 	// version is the software version at which a resumable stream has to run; empty means
 	// any.
 	version   fleet.SoftwareVersion
