relay, eventstream: a stream goes on by answers that continue it only

A stream had begun and broke off, the next target answered with a text, an event without an ID, 204, or a head and nothing more: clients found the text in their stream, or got the stream as complete (ORDER, MIXED).

Cause: whatever a signed answer with a status of success held was taken for the rest of the stream.

A continuation has status 200, the media type of events, and an ID in each event, and it ends by its framing or behind an event. What falls short is a broken attempt. Streams whose events have no IDs are not begun anew, and resumable streams are sent in chunks, since the length of a first answer does not hold for the rest that another target sends.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -32,6 +32,8 @@
 	// ID is the number in the event's id field. HasID is set if there is one.
 	ID    uint64
 	HasID bool
+	// HasFields is set if a line is neither empty nor a comment.
+	HasFields bool
 }
 
 // Reader reads events from a stream. It is not safe for concurrent use.
@@ -64,7 +66,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) && bytes.HasSuffix(r.buf, crEmptyLine) {
-			return Event{Raw: r.buf}, nil
+			return Event{Raw: r.buf, HasFields: true}, nil
 		}
 		if err != nil {
 			return Event{Raw: r.buf}, err
@@ -75,6 +77,7 @@
 			event.Raw = r.buf
 			return event, nil
 		}
+		event.HasFields = event.HasFields || line[0] != ':'
 		if id, ok := eventID(line); ok {
 			event.ID, event.HasID = id, true
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,6 +31,7 @@
 	errSilenceTimeout      = errors.New("relay: target stopped sending data")
 	errPartialEvent        = errors.New("relay: stream ended within an event")
 	errNoEvent             = errors.New("relay: connection ended before the first event")
+	errNoContinuation      = errors.New("relay: response does not continue the stream")
 )
 
 const (
@@ -353,7 +354,13 @@
 		result.reason, result.err = reason.AnswerMismatch, targetconn.ErrMismatch
 	case result.response.Header.Get("Content-Encoding") != "":
 		result.reason, result.err = reason.AnswerMismatch, errUnrequestedEncoding
-	case s.route.Stream && (s.headSent || !isJSON(result.response.Header)):
+	case s.route.Stream && s.lastEventID > 0:
+		if err := s.continuationError(result.response); err != nil {
+			result.reason, result.err = reason.AnswerTruncated, err
+			break
+		}
+		s.forwardStream(t, result, timer)
+	case s.route.Stream && !isJSON(result.response.Header):
 		s.forwardStream(t, result, timer)
 	default:
 		s.forwardBody(result, timer)
--- a/relay/response.go
+++ b/relay/response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/reason"
@@ -79,6 +81,8 @@
 // maxBufferedBodyBytes.
 func (s *requestState) writeHead(result *attemptResult, bufferedBytes int64) {
 	s.headSent = true
+	// A media type that cannot be read is never that of a continuation.
+	s.mediaType, _, _ = mime.ParseMediaType(result.response.Header.Get("Content-Type"))
 	s.timeToHead = time.Since(s.arrivedAt)
 	h := s.w.Header()
 	for name, values := range result.response.Header {
@@ -97,7 +101,8 @@
 	switch {
 	case bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && delimited:
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
-	case result.response.Length >= 0:
+	case result.response.Length >= 0 && (bufferedBytes >= 0 || s.route.RunPolicy != catalog.Resumable):
+		// The rest of a stream that another target continues may have another length.
 		h.Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
 	case !delimited && s.forwardedBy == "":
 		// The end of an undelimited response is marked by closing the connection, on
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -122,6 +122,8 @@
 	// the ID of the last event that the client has.
 	headSent    bool
 	lastEventID uint64
+	// mediaType is that of the response whose head was sent.
+	mediaType string
 	// completeClose is called once the response is complete; see Config.GuardClose. It is
 	// nil if the close of the connection does not mark the end of the response.
 	completeClose func()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -10,6 +12,7 @@
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/eventstream"
 	"ragwortpond.example/ragwortpond/reason"
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // forwardStream forwards a stream event by event, skipping events that the client
@@ -19,24 +22,29 @@
 	recordEvent, unregister := s.relay.health.TrackStream(t.ID, t.Domain, time.Now())
 	defer unregister()
 	timeout := max(silencePauseFactor*s.route.MaxEventGap, minSilenceTimeout)
+	continues, received := s.lastEventID > 0, 0
 	for {
 		ev, err := events.Next()
 		// A client that reads slowly is not the target's silence.
 		timer.Pause()
 		if errors.Is(err, io.EOF) {
-			s.finishStream(result, ev.Raw)
+			s.finishStream(result, ev.Raw, received)
 			return
 		}
+		if err == nil && continues && ev.HasFields && !ev.HasID {
+			err = errNoContinuation
+		}
 		if err != nil {
 			result.reason, result.err = reason.AnswerTruncated, err
 			return
 		}
+		received++
 		recordEvent(time.Now())
 		if ev.HasID && ev.ID <= s.lastEventID {
 			timer.Restart(timeout)
 			continue
 		}
-		if s.route.RunPolicy != catalog.Resumable {
+		if s.route.RunPolicy != catalog.Resumable || (ev.HasFields && !ev.HasID) {
 			if err := result.commit(timer); err != nil {
 				result.reason, result.err = reason.AnswerTruncated, err
 				return
@@ -51,15 +59,33 @@
 	}
 }
 
+// continuationError returns an error if the head of a response does not announce the rest of a
+// stream of which the client has a part.
+func (s *requestState) continuationError(response *targetconn.Response) error {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	sameType := err == nil && s.headSent && mediaType == s.mediaType
+	switch {
+	case response.Status != http.StatusOK:
+		return fmt.Errorf("%w: status %d", errNoContinuation, response.Status)
+	case response.Header.Get("Content-Type") != "" && mediaType != eventStreamType && !sameType:
+		return fmt.Errorf("%w: media type %q", errNoContinuation, mediaType)
+	default:
+		return nil
+	}
+}
+
+// eventStreamType is the media type of streams.
+const eventStreamType = "text/event-stream"
+
 // finishStream ends a stream after its last event. rest is the data after that event:
-// an incomplete event, after which the stream is not complete. A stream without any event
-// is complete only if its framing says so, or if the client has its events already.
-func (s *requestState) finishStream(result *attemptResult, rest []byte) {
+// an incomplete event, after which the stream is not complete. A stream of which no event was
+// received is complete only if its framing says so.
+func (s *requestState) finishStream(result *attemptResult, rest []byte, received int) {
 	switch {
 	case len(rest) > 0:
 		result.reason, result.err = reason.AnswerTruncated, errPartialEvent
 		return
-	case s.lastEventID == 0 && s.events == 0 && !result.response.Delimited:
+	case received == 0 && !result.response.Delimited:
 		result.reason, result.err = reason.AnswerTruncated, errNoEvent
 		return
 	}
