streamversion: histories of splits say in which era of the store they were written

After the store came back from a copy, streams that had begun under a split which the copy lacks were resumed at the version of the older one by routers that were started later (ORDER). A history that the copy lacks as a whole was never written again, so that resumed streams were refused (LOST).

Cause: the newest history in the store was taken for complete in each era.

A history names its era. In a newer one it is incomplete until a router that had a lease when the era ended adds what it remembers, or, if none does within 2 s, that splits may be unknown. A missing history is created again.

--- a/streamversion/lease.go
+++ b/streamversion/lease.go
@@ -6,6 +6,7 @@
 
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
 )
 
 const (
@@ -149,7 +150,12 @@
 	s.mu.Lock()
 	st := s.stateOf(service)
 	age, retryAt := st.confirmationAge(boot), st.confirmRetryAt
+	newEra := st.revision > 0 && !st.missing && s.cfg.Store().Era() > platform.EraOf(st.revision)
 	s.mu.Unlock()
+	if newEra && !now.Before(retryAt) {
+		// The store came back from a copy.
+		return true
+	}
 	if now.Before(retryAt) || (age != noConfirmation && age < confirmInterval) {
 		return false
 	}
--- a/streamversion/read.go
+++ b/streamversion/read.go
@@ -99,20 +99,22 @@
 	return history, nil
 }
 
-// confirmNone records that the store held no history at a time of the boot clock, if this router
-// knows of none.
+// confirmNone records that the store held no history at a time of the boot clock. That is lost if
+// this router knows one.
 func (s *Service) confirmNone(service fleet.ServiceName, asked time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st := s.stateOf(service); st.revision == 0 {
+	st := s.stateOf(service)
+	if st.missing = st.revision > 0; !st.missing {
 		st.confirm(asked)
 	}
 }
 
 // confirmRead records that a history was the newest at a time of the boot clock.
 func (s *Service) confirmRead(service fleet.ServiceName, revision uint64, history *History, asked time.Duration) {
-	window := Window{Lifetime: lifetimeOf(s.cfg.View(), service)}
-	window.AbsentFrom, window.AbsentUntil = s.cfg.Peers().Absence()
+	window := s.window(service, lifetimeOf(s.cfg.View(), service))
+	// Others knew the split before, or later.
+	window.Unchanged = 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stateOf(service)
@@ -120,8 +122,8 @@
 		return
 	}
 	st.confirm(asked)
-	if st.revision == revision {
-		st.alone = st.alone || len(history.relevant(window, s.now())) == 1
+	if now := s.now(); st.revision == revision && !history.incomplete(window, now) && len(history.relevant(window, now)) == 1 {
+		st.alone = true
 	}
 }
 
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -21,6 +21,7 @@
 type Store interface {
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error)
+	Era() uint64
 }
 
 // Peers are the other routers of the fleet.
@@ -105,6 +106,13 @@
 	usedUntil time.Time
 	// history is nil unless the document at revision was read.
 	history *History
+	// lost is the history when the store's last era ended, at endedAt, nil if this router did not
+	// know it then.
+	lost    *History
+	endedAt time.Time
+	// missing is set if the store holds no history although one is known: it came back from a
+	// copy that has none.
+	missing bool
 	// own holds the streams that this router began, moved those of them that others are to be
 	// told of.
 	own   *Registry
@@ -172,12 +180,15 @@
 	case r.Revision < st.revision || len(r.Split) == 0:
 		return
 	case r.Revision > st.revision:
+		if platform.EraOf(r.Revision) > platform.EraOf(st.revision) {
+			st.lost, st.endedAt = st.remembered(s.cfg.BootTime()), s.now()
+		}
 		if st.revision > 0 {
 			// Under the new split, others would look for them at other versions.
 			st.moved = st.own.Moved(r.Service, r.Split, s.now())
 		}
 		st.before, st.usedUntil = st.split, s.now()
-		st.revision, st.split, st.knownSince, st.history, st.wantedSince, st.alone = r.Revision, r.Split, r.KnownSince, nil, time.Time{}, false
+		st.revision, st.split, st.knownSince, st.history, st.wantedSince, st.alone, st.missing = r.Revision, r.Split, r.KnownSince, nil, time.Time{}, false, false
 		line := event.SplitChanged.Log(s.cfg.Log).Str("service", string(r.Service)).Uint64("revision", r.Revision)
 		for _, share := range r.Split {
 			line.Uint32(string(share.Version), share.Weight)
@@ -191,6 +202,24 @@
 	}
 }
 
+// remembered returns the newest history of the store's era that has ended, or nil if this router may
+// not know it.
+func (st *serviceState) remembered(now time.Duration) *History {
+	age := st.confirmationAge(now)
+	switch {
+	case age == noConfirmation || age >= leaseTime:
+		return nil
+	case st.history != nil && st.history.Era < platform.EraOf(st.revision) && st.lost == nil:
+		return nil
+	case st.history != nil:
+		return st.history.inEra(platform.EraOf(st.revision), st.lost, st.endedAt)
+	case st.alone:
+		return &History{Splits: []Entry{{Split: st.split}}, Era: platform.EraOf(st.revision)}
+	default:
+		return nil
+	}
+}
+
 // recordOwn records a stream that this router began.
 func (s *Service) recordOwn(service fleet.ServiceName, key Key, origin Origin, now time.Time) {
 	s.mu.Lock()
@@ -369,6 +398,7 @@
 	if history == nil {
 		return "", false
 	}
+	history = s.withLost(service, history)
 	if !named {
 		return s.soleInHistory(service, history, lifetime)
 	}
@@ -382,6 +412,17 @@
 	return s.versionInHistory(service, history, key, window)
 }
 
+// withLost returns a history with the splits that the store lost, as far as this router knows them.
+func (s *Service) withLost(service fleet.ServiceName, history *History) *History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	if st.lost == nil {
+		return history
+	}
+	return history.inEra(platform.EraOf(st.revision), st.lost, st.endedAt)
+}
+
 // soleInHistory returns the version of all targets, if all streams in progress began at it
 // by the splits.
 func (s *Service) soleInHistory(service fleet.ServiceName, history *History, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
@@ -412,6 +453,10 @@
 	_, _, since := s.known(service)
 	w := Window{Lifetime: lifetime, Unchanged: s.now().Sub(since)}
 	w.AbsentFrom, w.AbsentUntil = s.cfg.Peers().Absence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	w.Era = platform.EraOf(st.revision)
 	return w
 }
 
@@ -441,7 +486,7 @@
 		// Another router may have written a split that this one has not heard of.
 		return nil
 	case st.history == nil && (st.alone || (now.Sub(st.knownSince) >= lifetime+leaseTime+clockError && !absent)):
-		return &History{Splits: []Entry{{Split: st.split}}}
+		return &History{Splits: []Entry{{Split: st.split}}, Era: platform.EraOf(st.revision)}
 	default:
 		return st.history
 	}
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -26,6 +26,9 @@
 	// minSplitInterval is the shortest time between two changes of a split that are not
 	// urgent.
 	minSplitInterval = time.Second
+	// memoryDelay is how much longer a router that does not know which split the store lost waits
+	// before it writes that.
+	memoryDelay = 2 * time.Second
 	// storeBackoff is the pause after a failed call.
 	storeBackoff = time.Second
 )
@@ -83,14 +86,14 @@
 	_, split, _ := s.known(service)
 	plan := newPlan(split, targets)
 	precedence, connected := 0, false
-	if plan.Change {
+	if plan.Change || s.lostByStore(service) {
 		precedence, connected = s.cfg.Peers().Precedence(service), s.cfg.Peers().Connected()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stateOf(service)
 	switch {
-	case !plan.Change:
+	case !plan.Change && !st.lostByStore():
 		st.wantedSince = time.Time{}
 		return false, plan
 	case now.Before(st.retryAt), !plan.Urgent && now.Sub(st.knownSince) < minSplitInterval:
@@ -105,9 +108,26 @@
 	if now.Sub(s.started) < discoveryTime {
 		wait += discoveryTime
 	}
+	if st.lostByStore() && !st.missing && st.lost == nil {
+		// Others may know what the store lost.
+		wait += memoryDelay
+	}
 	return now.Sub(st.wantedSince) >= wait, plan
 }
 
+// lostByStore reports whether the store came back from a copy, so that it holds no history, or one
+// that may lack splits.
+func (st *serviceState) lostByStore() bool {
+	return st.missing || (st.history != nil && st.history.Era < platform.EraOf(st.revision))
+}
+
+// lostByStore is that of a service's state.
+func (s *Service) lostByStore(service fleet.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stateOf(service).lostByStore()
+}
+
 // change writes a new split to the store. If another router was faster, its split is
 // adopted instead.
 func (s *Service) change(ctx context.Context, service fleet.ServiceName, plan Plan, now time.Time) {
@@ -126,8 +146,8 @@
 
 func (s *Service) tryChange(ctx context.Context, service fleet.ServiceName, plan Plan, now time.Time) error {
 	before, _, _ := s.known(service)
-	history, err := s.currentHistory(ctx, service)
-	if err != nil && !isNoHistory(err) {
+	history, missing, err := s.currentHistory(ctx, service)
+	if err != nil {
 		return err
 	}
 	// Reading the history may have brought a newer split.
@@ -136,7 +156,10 @@
 		// The plan was made for an older split.
 		return nil
 	}
-	document, err := json.Marshal(history.Replace(plan.Split, now))
+	if missing {
+		revision = 0
+	}
+	document, err := json.Marshal(s.nextHistory(service, history, plan, now))
 	if err != nil {
 		return fmt.Errorf("streamversion: encode history: %w", err)
 	}
@@ -154,18 +177,52 @@
 		return err
 	}
 	s.confirmRead(service, object.Revision, written, asked)
-	s.cfg.Peers().PublishSplit(Report{service, object.Revision, plan.Split, s.now()})
+	s.cfg.Peers().PublishSplit(Report{service, object.Revision, written.Current(), s.now()})
 	return nil
 }
 
+// nextHistory returns the history to be written after one, which is nil if none is known. It has the
+// splits that the store lost with its last era.
+func (s *Service) nextHistory(service fleet.ServiceName, history *History, plan Plan, now time.Time) *History {
+	era := s.cfg.Store().Era()
+	s.mu.Lock()
+	st := s.stateOf(service)
+	lost, endedAt := st.lost, st.endedAt
+	if era > platform.EraOf(st.revision) {
+		// This router has seen nothing of the newest era.
+		lost, endedAt = st.remembered(s.cfg.BootTime()), now
+	}
+	split := st.split
+	s.mu.Unlock()
+	if history == nil && len(split) > 0 {
+		history = &History{Splits: []Entry{{Split: split}}}
+	}
+	if history == nil {
+		return &History{Splits: []Entry{{Split: plan.Split}}, Era: era}
+	}
+	if lost == nil {
+		endedAt = now
+	}
+	history = history.inEra(era, lost, endedAt)
+	if plan.Change {
+		history = history.Replace(plan.Split, now)
+	}
+	return history
+}
+
 // currentHistory returns the history at the newest known revision, from the store if this
-// router has not read it.
-func (s *Service) currentHistory(ctx context.Context, service fleet.ServiceName) (*History, error) {
+// router has not read it, nil if there is none. missing reports whether the store holds none.
+func (s *Service) currentHistory(ctx context.Context, service fleet.ServiceName) (history *History, missing bool, err error) {
 	s.mu.Lock()
-	history := s.stateOf(service).history
+	st := s.stateOf(service)
+	history, missing = st.history, st.missing
 	s.mu.Unlock()
-	if history != nil {
-		return history, nil
+	if history != nil && !missing {
+		return history, false, nil
+	}
+	read, err := s.fetch(ctx, service)
+	if isNoHistory(err) {
+		return history, true, nil
 	}
-	return s.fetch(ctx, service)
+	return read, false, err
 }
