--- a/relay/response.go
+++ b/relay/response.go
@@ -218,7 +218,8 @@
 	if retryAfter > 0 {
 		s.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	s.Log(event.RequestNotRun).AnErr("error", s.current.err).Str("reason", string(code)).Dur("retry_after", retryAfter).Int("attempts", s.attempts).Send()
+	s.Log(event.RequestNotRun).AnErr("error", s.current.err).Str("reason", string(code)).Dur("retry_after", retryAfter).Int("attempts", s.attempts).
+		Dur("whole", time.Since(s.arrivedAt)).Send()
 	s.writeError(status, code)
 }
 
