soak: the store comes back from copies some seconds old

A copy is taken, the store refuses for up to a second and comes back from the copy in a new era. The operator and the targets write again, entries of targets that are gone lapse.

--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -36,6 +36,7 @@
 			&cli.BoolFlag{Name: "limits", Usage: "let targets name limits on their requests"},
 			&cli.BoolFlag{Name: "quiet", Usage: "let targets reject requests and ask for quiet"},
 			&cli.BoolFlag{Name: "versions", Usage: "let engines of two software versions serve side by side"},
+			&cli.BoolFlag{Name: "store-copies", Usage: "let the store come back from copies some seconds old"},
 			&cli.BoolFlag{Name: "kill-all", Usage: "end all routers at once"},
 			&cli.StringFlag{Name: "logs", Usage: "keep the logs of the routers in `DIR`"},
 			&cli.BoolFlag{Name: "json", Usage: "print reports as JSON"},
@@ -65,6 +66,7 @@
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
 			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"), Quiet: cmd.Bool("quiet"),
 			CrashingKind: cmd.String("crashing-kind"), CrashStyle: soak.CrashStyle(cmd.String("crash-style")), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
+			StoreCopies: cmd.Bool("store-copies"),
 		})
 		if err != nil {
 			return err
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -98,9 +98,13 @@
 	replaced []*target
 	// accounts maps client accounts to their keys; revoked marks the accounts
 	// whose keys are no longer in the configuration.
-	accounts    map[string]string
-	revoked     map[string]bool
-	version     int
+	accounts map[string]string
+	revoked  map[string]bool
+	version  int
+	// config is the newest configuration, leaving marks the targets that have said so in the
+	// store.
+	config      any
+	leaving     map[*target]bool
 	targetCount int
 	// sendPrompts makes clients send prompts on streams. crashingPosition is the
 	// place of crashingPart among the shared parts, from one, or zero while no
@@ -122,7 +126,7 @@
 // newEnvironment starts stand-ins and routers. After an error the environment may
 // be non-nil; the caller closes it then.
 func newEnvironment(dir, program string, routers int, versions bool) (*environment, error) {
-	env := &environment{dir: dir, program: program, versions: versions, accounts: map[string]string{}, revoked: map[string]bool{}, crashed: make(chan *target, 1000)}
+	env := &environment{dir: dir, program: program, versions: versions, accounts: map[string]string{}, revoked: map[string]bool{}, leaving: map[*target]bool{}, crashed: make(chan *target, 1000)}
 	for i := range 4 {
 		env.accounts[fmt.Sprintf("account-%d", i)] = fmt.Sprintf("key-%d", i)
 	}
@@ -240,7 +244,8 @@
 			Name: fmt.Sprintf("spare-%d", i), Host: routeHost, Prefix: fmt.Sprintf("/spare-%d/", i), Service: plainName, Repeatable: true, MaxTargets: 1,
 		})
 	}
-	env.store.Put(platform.KindConfig, platform.ConfigName, c.Spec())
+	env.config = c.Spec()
+	env.store.Put(platform.KindConfig, platform.ConfigName, env.config)
 }
 
 // revoke removes the keys of a client account from the configuration. It returns
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -237,11 +237,12 @@
 	t := i.pickTarget(true)
 	i.countPlanned("release")
 	i.replace(t)
+	i.environment.markLeaving(t)
 	i.environment.putTarget(t, "draining")
 	i.recordChange(Change{At: time.Now(), Target: t.ID})
 	go func() {
 		time.Sleep(drainTime)
-		i.environment.store.Delete(platform.KindTargets, t.ID)
+		i.environment.deleteLeaving(t)
 	}()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,8 @@
 	// Versions makes engines of two software versions serve side by side. KillAll ends all
 	// routers at once, which forget what they know of crashes.
 	Versions, KillAll bool
+	// StoreCopies makes the store come back from copies some seconds old.
+	StoreCopies bool
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
 	// directory is created, and removed again if there is no violation.
 	Dir string
@@ -169,6 +171,9 @@
 	if o.OldProgram != "" {
 		all.Go(func() { newInjector(2004).upgrade(faultCtx, o.Program) })
 	}
+	if o.StoreCopies {
+		all.Go(func() { newInjector(2005).loseStore(faultCtx) })
+	}
 	if o.KillAll {
 		all.Go(func() { newInjector(2002).killAll(faultCtx) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// TestSoakThroughCopiesOfStore lets the store come back from copies, while streams of two software versions are broken off
+// and resumed.
+func TestSoakThroughCopiesOfStore(t *testing.T) {
+	o := options(buildRouter(t, ""), 3)
+	o.CrashingPart, o.CrashingRequest, o.Versions, o.StoreCopies = false, false, true, true
+	r, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Violations > 0 {
+		t.Errorf("got violations %+v, want none", r.Found)
+	}
+}
+
 // TestSoakFindsPlantedFault runs routers built with the tag planted, which retry
 // requests that may run only once. The soak must report that.
 func TestSoakFindsPlantedFault(t *testing.T) {
