--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,33 +51,27 @@
 	}
 }
 
-// TestSoakThroughLossOfAllRouters ends all routers at once, while streams of two software
+// TestSoakThroughLosses ends all routers at once, or lets the store come back from copies, while streams of two software
 // versions are broken off and resumed.
-func TestSoakThroughLossOfAllRouters(t *testing.T) {
-	o := options(buildRouter(t, ""), 2)
-	o.CrashingPart, o.CrashingRequest, o.Versions, o.KillAll = false, false, true, true
-	r, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", r)
-	if r.Violations > 0 {
-		t.Errorf("got violations %+v, want none", r.Found)
-	}
-}
-
-// TestSoakThroughCopiesOfStore lets the store come back from copies, while streams of two software versions are broken off
-// and resumed.
-func TestSoakThroughCopiesOfStore(t *testing.T) {
-	o := options(buildRouter(t, ""), 3)
-	o.CrashingPart, o.CrashingRequest, o.Versions, o.StoreCopies = false, false, true, true
-	r, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", r)
-	if r.Violations > 0 {
-		t.Errorf("got violations %+v, want none", r.Found)
+func TestSoakThroughLosses(t *testing.T) {
+	program := buildRouter(t, "")
+	for name, lose := range map[string]func(*Options){
+		"all routers": func(o *Options) { o.Seed, o.KillAll = 2, true },
+		"the store":   func(o *Options) { o.Seed, o.StoreCopies = 3, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := options(program, 0)
+			o.CrashingPart, o.CrashingRequest, o.Versions = false, false, true
+			lose(&o)
+			r, err := Play(t.Context(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", r)
+			if r.Violations > 0 {
+				t.Errorf("got violations %+v, want none", r.Found)
+			}
+		})
 	}
 }
 
--- a/streamversion/lease.go
+++ b/streamversion/lease.go
@@ -168,10 +168,14 @@
 
 // confirmSplit reads the history of a service to confirm its split.
 func (s *Service) confirmSplit(ctx context.Context, service fleet.ServiceName, now time.Time) {
-	if _, err := s.readHistory(ctx, service); err != nil && !isNoHistory(err) {
+	_, err := s.readHistory(ctx, service)
+	if err == nil {
+		return
+	}
+	if !isNoHistory(err) {
 		event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
-		s.mu.Lock()
-		s.stateOf(service).confirmRetryAt = now.Add(confirmBackoff)
-		s.mu.Unlock()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stateOf(service).confirmRetryAt = now.Add(confirmBackoff)
 }
