--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -24,6 +24,8 @@
 	// is read from the store.
 	maxSplits = 4
 	maxShares = 4
+	// maxMemberSplits bounds the splits that a router is remembered to know.
+	maxMemberSplits = 64
 	// maxVersionBytes bounds the text of a version in a split; longer ones are left out.
 	maxVersionBytes = 32
 )
@@ -139,7 +141,7 @@
 	if m == nil || len(list) == 0 {
 		return
 	}
-	if m.splits == nil {
+	if m.splits == nil || len(m.splits) >= maxMemberSplits {
 		m.splits = map[fleet.ServiceName]uint64{}
 	}
 	for _, r := range list[:min(len(list), maxSplits)] {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -354,7 +354,7 @@
 		result.reason, result.err = reason.AnswerMismatch, targetconn.ErrMismatch
 	case result.response.Header.Get("Content-Encoding") != "":
 		result.reason, result.err = reason.AnswerMismatch, errUnrequestedEncoding
-	case s.route.Stream && s.lastEventID > 0:
+	case s.continuesStream():
 		if err := s.continuationError(result.response); err != nil {
 			result.reason, result.err = reason.AnswerTruncated, err
 			break
--- a/relay/continuation_test.go
+++ b/relay/continuation_test.go
@@ -131,3 +131,15 @@
 		t.Errorf("got body %q without an error, want a broken stream", body)
 	}
 }
+
+// TestAnswerOnRouteWithoutResumptionIsPassedOn guards against taking a client's Last-Event-Id for a resumption where the
+// route has none.
+func TestAnswerOnRouteWithoutResumptionIsPassedOn(t *testing.T) {
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	const body = "{\"error\":\"none\"}"
+	s.useRawTargets(serveAnswers(t, withType("application/json", withLength(body))))
+	if response, got, err := s.do(s.request(http.MethodPost, "x", "Last-Event-Id", "2")); err != nil || response.StatusCode != http.StatusOK || got != body {
+		t.Errorf("got response %v, body %q, error %v, want the target's", response, got, err)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -22,7 +22,7 @@
 	recordEvent, unregister := s.relay.health.TrackStream(t.ID, t.Domain, time.Now())
 	defer unregister()
 	timeout := max(silencePauseFactor*s.route.MaxEventGap, minSilenceTimeout)
-	continues, received := s.lastEventID > 0, 0
+	continues, received := s.continuesStream(), 0
 	for {
 		ev, err := events.Next()
 		// A client that reads slowly is not the target's silence.
@@ -59,6 +59,12 @@
 	}
 }
 
+// continuesStream reports whether the next answer has to continue a stream of which the client has a
+// part.
+func (s *requestState) continuesStream() bool {
+	return s.route.RunPolicy == catalog.Resumable && s.route.Stream && s.lastEventID > 0
+}
+
 // continuationError returns an error if the head of a response does not announce the rest of a
 // stream of which the client has a part.
 func (s *requestState) continuationError(response *targetconn.Response) error {
