targetnotice, catalog, relay: a notice holds for the process that gave it, not for its entry

What callers saw: requests to a target that had said that it leaves, once its entry had been away from the store for two seconds and came back as ready; they are broken off when the target ends. And 503 for requests to a new process whose entry followed that of a leaving one within a second.

Cause: notices were kept by target ID.

Why this works: a notice names the process by the start, the revision and the era of its entry, and ends with its time or once a later process is listed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -238,8 +238,8 @@
 	StartedAt time.Time
 	// Sequence counts what its process has written to the store; zero if that is not known.
 	Sequence uint64
-	// Revision is the store's revision of this description.
-	Revision uint64
+	// Revision is the store's revision of this description, Era the store's era then.
+	Revision, Era uint64
 }
 
 // Targets maps each service to its targets, sorted by ID.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -329,7 +329,7 @@
 	}
 	result := &attemptResult{response: response, reply: codec.DecodeResponse(response.Status, response.Header)}
 	s.recordLimit(t.ID, &result.reply)
-	s.recordNotice(t.ID, &result.reply)
+	s.recordNotice(t.Target, &result.reply)
 	if result.reply.Load != nil {
 		s.relay.recordLoad(t.ID, result.reply.Load)
 	}
--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
 	path := r.cfg.View().Config.Services[t.Service].HealthPath
-	if path == "" || r.notices.Remaining(t.ID, time.Now()) > 0 {
+	if path == "" || r.notices.Remaining(t, time.Now()) > 0 {
 		return r.pool.ProbeOpen(ctx, t.ID, t.Addr, crashCheckDelay)
 	}
 	response, err := r.pool.Do(ctx, &targetconn.Request{
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -6,19 +6,19 @@
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/fleet"
 )
 
 // recordNotice records what the response to this request says of the requests that its target
 // wants from this router.
-func (s *requestState) recordNotice(id fleet.TargetID, reply *call.Reply) {
+func (s *requestState) recordNotice(t *catalog.Target, reply *call.Reply) {
 	if reply.ID != s.call.ID {
 		return
 	}
-	if reply.Leaving && s.relay.notices.RecordLeaving(id) {
+	now := time.Now()
+	if reply.Leaving && s.relay.notices.RecordLeaving(t, now) {
 		s.Log(event.TargetLeaves).Send()
 	}
-	if s.relay.notices.RecordQuiet(id, reply.RetryAfter, time.Now()) {
+	if s.relay.notices.RecordQuiet(t, reply.RetryAfter, now) {
 		s.Log(event.TargetWantsQuiet).Dur("retry_after", reply.RetryAfter).Send()
 	}
 }
@@ -28,7 +28,7 @@
 func (s *targetSignals) shortestQuiet(targets []*catalog.Target) time.Duration {
 	shortest := time.Duration(0)
 	for _, t := range targets {
-		if quiet := s.relay.notices.Remaining(t.ID, s.now); quiet > 0 && (shortest == 0 || quiet < shortest) {
+		if quiet := s.relay.notices.Remaining(t, s.now); quiet > 0 && (shortest == 0 || quiet < shortest) {
 			shortest = quiet
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -251,19 +251,19 @@
 	r.routers.CloseExpired(now)
 	r.paths.Prune(now)
 	view := r.cfg.View()
-	listed := map[fleet.TargetID]bool{}
+	listed := map[fleet.TargetID]*catalog.Target{}
 	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
 		for _, list := range targets {
 			for _, t := range list {
-				listed[t.ID] = true
+				listed[t.ID] = t
 			}
 		}
 	}
-	keep := func(id fleet.TargetID) bool { return listed[id] }
+	keep := func(id fleet.TargetID) bool { return listed[id] != nil }
 	r.health.Retain(keep)
 	r.loads.prune(keep)
 	r.limits.Retain(keep, now)
-	r.notices.Retain(keep, now)
+	r.notices.Prune(func(id fleet.TargetID) *catalog.Target { return listed[id] }, now)
 	r.updateRetryBudgets(r.routerCount())
 	r.reportChanges(r.evidence.Sweep(now))
 }
@@ -325,12 +325,11 @@
 	r.loads.mergePeerReport(id, work, at)
 }
 
-// ResetTarget drops health state, idle connections, cache records, the limit and the notice of a
-// target whose process was restarted.
+// ResetTarget drops health state, idle connections, cache records and the limit of a target
+// whose process was restarted.
 func (r *Relay) ResetTarget(id fleet.TargetID) {
 	r.health.Reset(id)
 	r.limits.Reset(id)
-	r.notices.Reset(id)
 	r.pool.CloseIdle(id)
 	r.holders.RemoveTarget(id)
 }
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -97,7 +97,7 @@
 
 // Unavailable implements dispatch.TargetState.
 func (s *targetSignals) Unavailable(t *catalog.Target) bool {
-	return s.relay.notices.Unavailable(t.ID, s.now)
+	return s.relay.notices.Unavailable(t, s.now)
 }
 
 // needsPermit reports whether sends to a target need permits.
--- a/targetnotice/targetnotice.go
+++ b/targetnotice/targetnotice.go
@@ -6,108 +6,143 @@
 package targetnotice
 
 import (
-	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
 )
 
-// maxQuiet bounds the time for which one response can keep requests from a target.
-const maxQuiet = 10 * time.Minute
+const (
+	// maxQuiet bounds the time for which one response can keep requests from a target.
+	maxQuiet = 10 * time.Minute
+	// maxUnlisted bounds the notices of targets that are not listed. The oldest are dropped.
+	maxUnlisted = 1 << 14
+)
 
-// Tracker holds the notices of all targets to one router.
+// Tracker holds the notices of all targets to one router. A notice holds for the process that
+// gave it, whether the target is listed or not.
 type Tracker struct {
 	// known is the number of targets with a notice. It spares the lock while there is none.
 	known atomic.Int32
 
-	mu    sync.Mutex
-	quiet map[fleet.TargetID]time.Time
-	// leaving holds the targets that want no more requests.
-	leaving map[fleet.TargetID]bool
+	mu      sync.Mutex
+	notices map[fleet.TargetID]*notice
+}
+
+// notice is what a process of a target wants.
+type notice struct {
+	process    catalog.Process
+	recordedAt time.Time
+	quietUntil time.Time
+	// leaving means that it wants no more requests.
+	leaving bool
 }
 
 // NewTracker returns a tracker without notices.
 func NewTracker() *Tracker {
-	return &Tracker{quiet: map[fleet.TargetID]time.Time{}, leaving: map[fleet.TargetID]bool{}}
+	return &Tracker{notices: map[fleet.TargetID]*notice{}}
 }
 
 // RecordQuiet records that a target wants no requests for a time. It reports whether this
 // prolongs what it asked before.
-func (t *Tracker) RecordQuiet(id fleet.TargetID, d time.Duration, now time.Time) bool {
+func (t *Tracker) RecordQuiet(target *catalog.Target, d time.Duration, now time.Time) bool {
 	if d <= 0 {
 		return false
 	}
 	until := now.Add(min(d, maxQuiet))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !until.After(t.quiet[id]) {
+	n := t.update(target, now)
+	if !until.After(n.quietUntil) {
 		return false
 	}
-	t.quiet[id] = until
-	t.updateKnown()
+	n.quietUntil = until
 	return true
 }
 
-// updateKnown updates the counter that is read without the lock; t.mu must be held.
-func (t *Tracker) updateKnown() {
-	t.known.Store(int32(len(t.quiet) + len(t.leaving)))
-}
-
 // RecordLeaving records that a target wants no more requests until its process is restarted.
 // It reports whether that is new.
-func (t *Tracker) RecordLeaving(id fleet.TargetID) bool {
+func (t *Tracker) RecordLeaving(target *catalog.Target, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.leaving[id]
-	t.leaving[id] = true
-	t.updateKnown()
+	n := t.update(target, now)
+	known := n.leaving
+	n.leaving = true
 	return !known
 }
 
+// update returns the notice of a target's process, empty if there was none; t.mu must be held.
+func (t *Tracker) update(target *catalog.Target, now time.Time) *notice {
+	n := t.notices[target.ID]
+	if n == nil || target.Process().Replaces(n.process) {
+		n = &notice{process: target.Process(), recordedAt: now}
+		t.notices[target.ID] = n
+		t.known.Store(int32(len(t.notices)))
+	}
+	return n
+}
+
+// find returns the notice that holds for a target, or an empty one; t.mu must be held.
+func (t *Tracker) find(target *catalog.Target) notice {
+	n := t.notices[target.ID]
+	if n == nil || target.Process().Replaces(n.process) {
+		return notice{}
+	}
+	return *n
+}
+
 // Unavailable reports whether a target wants no requests.
-func (t *Tracker) Unavailable(id fleet.TargetID, now time.Time) bool {
+func (t *Tracker) Unavailable(target *catalog.Target, now time.Time) bool {
 	if t.known.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.leaving[id] || t.quiet[id].After(now)
+	n := t.find(target)
+	return n.leaving || n.quietUntil.After(now)
 }
 
 // Remaining returns for how long a target wants no requests; zero if it takes them, or if it
 // wants no more.
-func (t *Tracker) Remaining(id fleet.TargetID, now time.Time) time.Duration {
+func (t *Tracker) Remaining(target *catalog.Target, now time.Time) time.Duration {
 	if t.known.Load() == 0 {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leaving[id] {
+	n := t.find(target)
+	if n.leaving {
 		return 0
 	}
-	return max(t.quiet[id].Sub(now), 0)
-}
-
-// Reset forgets the notices of a target whose process was restarted.
-func (t *Tracker) Reset(id fleet.TargetID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.quiet, id)
-	delete(t.leaving, id)
-	t.updateKnown()
+	return max(n.quietUntil.Sub(now), 0)
 }
 
-// Retain drops the notices that have passed and those of targets for which keep returns false.
-func (t *Tracker) Retain(keep func(fleet.TargetID) bool, now time.Time) {
+// Prune drops the notices that have passed, and those of processes that others have replaced.
+// listed returns a target as the store has it, or nil if it is not listed.
+func (t *Tracker) Prune(listed func(fleet.TargetID) *catalog.Target, now time.Time) {
+	if t.known.Load() == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, until := range t.quiet {
-		if !keep(id) || !until.After(now) {
-			delete(t.quiet, id)
+	var unlisted []fleet.TargetID
+	for id, n := range t.notices {
+		target := listed(id)
+		switch {
+		case !n.leaving && !n.quietUntil.After(now), target != nil && target.Process().Replaces(n.process):
+			delete(t.notices, id)
+		case target == nil:
+			unlisted = append(unlisted, id)
+		}
+	}
+	if excess := len(unlisted) - maxUnlisted; excess > 0 {
+		slices.SortFunc(unlisted, func(a, b fleet.TargetID) int { return t.notices[a].recordedAt.Compare(t.notices[b].recordedAt) })
+		for _, id := range unlisted[:excess] {
+			delete(t.notices, id)
 		}
 	}
-	maps.DeleteFunc(t.leaving, func(id fleet.TargetID, _ bool) bool { return !keep(id) })
-	t.updateKnown()
+	t.known.Store(int32(len(t.notices)))
 }
