relay: what a target says in a response by way of another router is recorded

What callers saw: a request sent to a target although an earlier answer, which another router had passed on, said that it leaves.

Cause: notices and limits are recorded for the target that was chosen for an attempt; a forwarded response has none, and does not name its target.

Ruled out: the helping router; it records the notice itself.

Why this works: the helping router names the target and its process, if the asking one wants that.

--- a/relay/notice.go
+++ b/relay/notice.go
@@ -16,10 +16,10 @@
 	}
 	now := time.Now()
 	if reply.Leaving && s.relay.notices.RecordLeaving(t, now) {
-		s.Log(event.TargetLeaves).Send()
+		s.Log(event.TargetLeaves).Str("leaving", string(t.ID)).Send()
 	}
 	if s.relay.notices.RecordQuiet(t, reply.RetryAfter, now) {
-		s.Log(event.TargetWantsQuiet).Dur("retry_after", reply.RetryAfter).Send()
+		s.Log(event.TargetWantsQuiet).Str("quiet", string(t.ID)).Dur("retry_after", reply.RetryAfter).Send()
 	}
 }
 
--- a/relay/response.go
+++ b/relay/response.go
@@ -34,7 +34,7 @@
 // apply to a single connection, Content-Length, which writeHead sets itself, and what only
 // routers may say.
 var nonForwardedHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", notTakenHeader,
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", notTakenHeader, targetHeader,
 }
 
 // requestResult is the final result of a request, used as a metric label.
@@ -90,6 +90,9 @@
 			h[name] = values
 		}
 	}
+	if s.forwardedBy.wantsTarget && s.target != nil {
+		h.Set(targetHeader, formatTarget(s.target))
+	}
 	// nil keeps net/http from adding its own Content-Type and Date.
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
@@ -104,7 +107,7 @@
 	case result.response.Length >= 0 && (bufferedBytes >= 0 || s.route.RunPolicy != catalog.Resumable):
 		// The rest of a stream that another target continues may have another length.
 		h.Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
-	case !delimited && s.forwardedBy == "":
+	case !delimited && s.forwardedBy.id == "":
 		// The end of an undelimited response is marked by closing the connection, on
 		// the client's side as on the target's.
 		h.Set("Transfer-Encoding", "identity")
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -34,12 +34,11 @@
 
 // ServeHTTP serves one client request.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.serveRequest(w, req, "")
+	r.serveRequest(w, req, forwarder{})
 }
 
-// serveRequest serves one request, which another router passed on if forwardedBy is not
-// empty.
-func (r *Relay) serveRequest(w http.ResponseWriter, req *http.Request, forwardedBy string) {
+// serveRequest serves one request, which another router may have passed on.
+func (r *Relay) serveRequest(w http.ResponseWriter, req *http.Request, forwardedBy forwarder) {
 	r.inFlight.Add(1)
 	defer func() {
 		r.lastEndUnixNano.Store(time.Now().UnixNano())
@@ -92,12 +91,10 @@
 // requestState is the state of one in-flight request. It is used by the request's
 // goroutine only.
 type requestState struct {
-	relay   *Relay
-	w       http.ResponseWriter
-	request *http.Request
-	// forwardedBy names the router that passed the request on; empty if it came from its
-	// client.
-	forwardedBy string
+	relay       *Relay
+	w           http.ResponseWriter
+	request     *http.Request
+	forwardedBy forwarder
 	arrivedAt   time.Time
 	// receivedAt is when the request had arrived as far as it was read.
 	receivedAt time.Time
