directory, catalog: an entry of an earlier process in a copy of the store is no restart

What callers saw: requests to a target that leaves, and to the address of a process that had ended, after the store came back from a copy made before the last restart of the target.

Cause: any other start counted as a restart, and only entries of the same process were recognized as those of the copy.

Ruled out: the entries as stored and exchanged; they stay as they are.

Why this works: between eras the start of a process orders it, within one the revision does. Until the targets of an era are listed, an earlier process is that of the copy, and what is known stays in use.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -83,7 +83,7 @@
 // IsRestart reports whether t is an entry of a new process of a known target.
 func (s *TargetSet) IsRestart(t *Target) bool {
 	old, ok := s.targets[t.ID]
-	return ok && !old.StartedAt.Equal(t.StartedAt)
+	return ok && t.Process().Replaces(old.Process())
 }
 
 // Put adds or replaces an entry, unless the set holds a newer revision of it.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -353,7 +353,7 @@
 			if !d.entries.put(c.Object) {
 				continue
 			}
-			d.keepLeaving(t)
+			t = d.withoutCopied(t)
 			if d.members.IsRestart(t) {
 				d.onRestart(t.ID)
 			}
@@ -368,18 +368,6 @@
 	return applied
 }
 
-// keepLeaving lets a target leave on that did so, or was gone, in an earlier era of the store, if t,
-// its first entry of a newer one, is what the copy had of the same process; d.mu must be held.
-func (d *Directory) keepLeaving(t *catalog.Target) {
-	old, ok := d.members.Find(t.ID)
-	if ok && old.Leaving && old.StartedAt.Equal(t.StartedAt) && platform.EraOf(t.Revision) > platform.EraOf(old.Revision) {
-		t.Leaving = true
-	}
-	if d.gone.isCopyOf(t) {
-		t.Leaving = true
-	}
-}
-
 func (d *Directory) logTargetChange(c platform.Change, t *catalog.Target, source dataSource) {
 	line := event.TargetChanged.Log(d.log).Str("target", c.Object.Name).Uint64("revision", c.Object.Revision).Str("from", string(source))
 	if t == nil {
--- a/directory/gone.go
+++ b/directory/gone.go
@@ -30,10 +30,3 @@
 	}
 	g[t.ID] = goneTarget{t.StartedAt, t.Sequence, platform.EraOf(revision)}
 }
-
-// isCopyOf reports whether t is an entry of a removed process that this has written before it
-// was removed in an earlier era.
-func (g goneTargets) isCopyOf(t *catalog.Target) bool {
-	old, ok := g[t.ID]
-	return ok && old.startedAt.Equal(t.StartedAt) && t.Sequence > 0 && t.Sequence <= old.sequence && platform.EraOf(t.Revision) > old.era
-}
