targetlimit, relay: a limit holds while the entry of its target is away

What callers saw: nothing at once; the target got more requests than it takes, when its entry had been away from the store for over a second.

Evidence: TestLimitOutlivesEntryOfTarget failed before, status 200 where permits were denied.

Ruled out: health and load, which only guide choices.

Why this works: limits have a time of their own.

--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -106,6 +107,24 @@
 	}
 }
 
+// TestLimitOutlivesEntryOfTarget guards against sends beyond a target's limit once its entry has been away.
+func TestLimitOutlivesEntryOfTarget(t *testing.T) {
+	t.Parallel()
+	f := newLimitFixture(t, 1, deny, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = f.relay.Run(ctx) }()
+	f.limit.Store("2.5")
+	f.post(http.StatusOK)
+	f.publish()
+	time.Sleep(1500 * time.Millisecond)
+	f.publish(f.targets...)
+	f.post(http.StatusServiceUnavailable)
+	if got := len(f.runs()); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
 func TestRestartedTargetHasNoLimit(t *testing.T) {
 	f := newLimitFixture(t, 1, deny, nil)
 	f.limits.RecordNamed("t0", 5, time.Now())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -262,7 +262,7 @@
 	keep := func(id fleet.TargetID) bool { return listed[id] != nil }
 	r.health.Retain(keep)
 	r.loads.prune(keep)
-	r.limits.Retain(keep, now)
+	r.limits.Prune(now)
 	r.notices.Prune(func(id fleet.TargetID) *catalog.Target { return listed[id] }, now)
 	r.updateRetryBudgets(r.routerCount())
 	r.reportChanges(r.evidence.Sweep(now))
--- a/targetlimit/tracker.go
+++ b/targetlimit/tracker.go
@@ -226,21 +226,20 @@
 	t.knownBrittle.Store(int32(len(t.brittle)))
 }
 
-// Retain drops what is too old and the state of targets for which keep returns false. It
-// must be called every few seconds.
-func (t *Tracker) Retain(keep func(fleet.TargetID) bool, now time.Time) {
+// Prune drops what is too old. A target keeps its limit while its entry is away from the store.
+func (t *Tracker) Prune(now time.Time) {
 	if t.known.Load() == 0 && t.knownBrittle.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, state := range t.targets {
-		if state.report.tooOld(now) || !keep(id) {
+		if state.report.tooOld(now) {
 			delete(t.targets, id)
 		}
 	}
 	for id, b := range t.brittle {
-		if now.Sub(b.report.At) >= brittleLifetime || !keep(id) {
+		if now.Sub(b.report.At) >= brittleLifetime {
 			delete(t.brittle, id)
 		}
 	}
