targetconn, relay: connections with answers without an ID, or of another target, are not kept

What callers saw: 504 after the whole timeout of the route, for every second request to an address that another target uses now, though nothing had run.

Cause: on a kept connection a response without an ID counts as a late one and is skipped. The connection of the first such response was kept.

Ruled out: believing such a response on a kept connection; late ones look the same (TestRepeatedRefusalIsNotTakenForThatOfNextRequest).

Why this works: only connections whose responses name their requests are kept.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -328,6 +328,11 @@
 		return &attemptResult{reason: reason.AnswerTruncated, err: err}
 	}
 	result := &attemptResult{response: response, reply: codec.DecodeResponse(response.Status, response.Header)}
+	if result.reply.ID == "" || result.reply.Status == http.StatusMisdirectedRequest {
+		// On a reused connection a response without an ID counts as a late one. One that
+		// misdirects requests leads to another target.
+		response.DiscardConn()
+	}
 	s.recordLimit(t.ID, &result.reply)
 	s.recordNotice(t.Target, &result.reply)
 	if result.reply.Load != nil {
--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -114,10 +114,10 @@
 		return nil
 	}
 	defer response.Close()
-	// The connection is kept if the response is complete.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBodyBytes))
 	if id := r.cfg.Codec.DecodeResponse(response.Status, response.Header).Target; id != "" && id != t.ID {
 		return fmt.Errorf("%w: %s", errOtherTarget, id)
 	}
+	// The connection is kept if the response is complete.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBodyBytes))
 	return nil
 }
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -240,6 +240,12 @@
 	_ = a.conn.Close()
 }
 
+// DiscardConn keeps the connection from being used again after this exchange. It must be called
+// before the body is read.
+func (a *Response) DiscardConn() {
+	a.idleTimeout = 0
+}
+
 // Reused reports whether the connection came from the pool.
 func (a *Response) Reused() bool {
 	return a.conn.reused
