soak: the planted fault is looked for among more requests

TestSoakFindsPlantedFault failed once beside load: the planted router, which repeats requests without a bound, showed as "most targets" only.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,10 +75,16 @@
 	}
 }
 
+// plantedClients is the number of clients of the play with the planted fault: few of their requests
+// meet a fault after they have run.
+const plantedClients = 64
+
 // TestSoakFindsPlantedFault runs routers built with the tag planted, which retry
 // requests that may run only once. The soak must report that.
 func TestSoakFindsPlantedFault(t *testing.T) {
-	r, err := Play(t.Context(), options(buildRouter(t, "planted"), 1))
+	o := options(buildRouter(t, "planted"), 1)
+	o.Clients = plantedClients
+	r, err := Play(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
