node: a stopped router that has ended may refuse connections after its deregistration

TestStopWaitsForTargetThatPauses failed once beside load 30: four of ten requests met a closed port.

Trace, 14 plays beside 20 busy processes: the router ends 1.78 to 2.11 s after the stop began, 0.3 s after its last request and not before 1.5 s, when the platform has taken it out of its rotation. The ten requests are sent from 1.0 to 1.48 s if the test is on time, and were sent until 1.78 s where it was not. A test that is late by 0.3 s meets a router that has ended, as it may.

A refused connection is allowed for a request that is sent after that deregistration only; any other error, and a refusal before it, fail as before.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,13 +38,20 @@
 func TestStopWaitsForTargetThatPauses(t *testing.T) {
 	s := startFixture(t, nextAddress())
 	s.target.RunTime = 1300 * time.Millisecond
+	stopped := time.Now()
 	s.stop()
 	await.Until(t, "readiness to fail", func() bool { return !s.ready() })
 	time.Sleep(time.Second)
+	// The platform sends nobody here any more once it has seen that the router is not ready.
+	deregistered := stopped.Add(s.cfg.StopGrace() / 2)
 	var wg sync.WaitGroup
 	for i := range 10 {
 		wg.Go(func() {
+			sent := time.Now()
 			response, _, err := s.post(&http.Client{Transport: &http.Transport{}}, fmt.Sprint("a", i))
+			if sent.After(deregistered) && errors.Is(err, syscall.ECONNREFUSED) {
+				return
+			}
 			if err != nil || (response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable) {
 				t.Errorf("got %v, error %v, want the target's answer or a refusal", response, err)
 			}
