soak: targets say in their answers that they leave, some of them there only

A third of the releases do not reach the store: the entry goes for 2.5 s and comes back as ready. The check asks from what clients and targets saw that a router sends no more requests there, 2 s after it has passed on an answer that says so.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -144,7 +144,7 @@
 		body, err = io.ReadAll(response.Body)
 	}
 	r.Status, r.Seal, r.Body = response.StatusCode, standin.Signature(response), string(body)
-	r.Limited = standin.NamesLimit(response)
+	r.Limited, r.Leaving = standin.NamesLimit(response), standin.SaysLeaving(response)
 	if err != nil {
 		r.Err = err.Error()
 	}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -79,6 +79,8 @@
 	misbehaviorRate float64
 	// quiet is set while rejections ask for quietTime.
 	quiet bool
+	// leaves is set once answers say that the target leaves.
+	leaves atomic.Bool
 	// limit is the rate limit that the target names, in requests per second; zero if it
 	// names none.
 	limit int
@@ -181,7 +183,7 @@
 		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, crashesEngine
 	}
 	t.OnCrash, t.Limit = func() { env.recordCrash(t) }, t.limitText
-	t.RetryAfter = t.retryAfterText
+	t.RetryAfter, t.Leaving = t.retryAfterText, t.leaves.Load
 	t.Behave = t.chooseAct
 	if err := t.Start(""); err != nil {
 		return err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -232,11 +232,17 @@
 }
 
 // release replaces a target as in a planned release: it starts the new target
-// first, then marks the old one as draining and deletes it after drainTime.
+// first, then marks the old one as draining and deletes it after drainTime. Some old ones do not reach
+// the store.
 func (i *injector) release() {
 	t := i.pickTarget(true)
 	i.countPlanned("release")
 	i.replace(t)
+	t.leaves.Store(true)
+	if i.random.IntN(3) == 0 {
+		i.leaveUnheard(t)
+		return
+	}
 	i.environment.markLeaving(t)
 	i.environment.putTarget(t, "draining")
 	i.recordChange(Change{At: time.Now(), Target: t.ID})
--- a/soak/history.go
+++ b/soak/history.go
@@ -46,6 +46,8 @@
 	Crashing bool
 	// Limited is set if the answer names a limit of its target.
 	Limited bool
+	// Leaving is set if the answer says that its target leaves.
+	Leaving bool
 	// Status is the HTTP status; zero if no response headers arrived.
 	Status int
 	// Seal is the target's signature of the answer.
@@ -188,6 +190,7 @@
 	c.checkRepeats()
 	c.checkQuarantine()
 	c.checkQuiet()
+	c.checkLeaving()
 	for _, l := range h.Limits {
 		c.checkLimit(l)
 	}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -89,6 +89,11 @@
 			}
 			h.Repeats.Extra = 3
 		},
+		"leaving": func(h *History) {
+			h.Requests[0].Router, h.Requests[0].Leaving, h.Requests[3].Router = "r", true, "r"
+			h.Requests[3].Status = 502
+			h.Arrivals = append(h.Arrivals, arrival("s", "t1", "d", 9600))
+		},
 		"limits": func(h *History) {
 			h.Requests[0].Limited, h.Requests[0].Router = true, "r"
 			h.Limits = []Limit{{Target: "t1", PerSecond: 1, From: at(0), To: at(8000)}}
