--- a/mesh/store_copy_test.go
+++ b/mesh/store_copy_test.go
@@ -1,10 +1,12 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 )
@@ -35,3 +37,46 @@
 		t.Errorf("got versions %d and %d, want 5", version(started), version(cut))
 	}
 }
+
+// TestOnlyWatchersListAfterDrill guards against a herd of list calls when the store comes back from a copy.
+func TestOnlyWatchersListAfterDrill(t *testing.T) {
+	const routers, kinds = 9, 2
+	server := startStore(t, 1)
+	server.Put(platform.KindTargets, "a", targetSpec(1))
+	var fleet []*testRouter
+	for i := range routers {
+		fleet = append(fleet, startRouter(t, i, platform.NewStore(server.Addr(), nil), []string{freeAddr(t, 0)}))
+	}
+	watching := func() int {
+		n := 0
+		for _, r := range fleet {
+			if r.directory.HasLiveWatch() {
+				n++
+			}
+		}
+		return n
+	}
+	for _, r := range fleet {
+		await.Until(t, "all routers to know each other and the target", func() bool { return r.mesh.FleetSize() == routers && targetCount(r) == 1 })
+	}
+	await.Until(t, "three watchers", func() bool { return watching() == watchersPerDomain })
+	copied := server.TakeCopy()
+	server.Put(platform.KindTargets, "b", targetSpec(2))
+	for _, r := range fleet {
+		await.Until(t, "the target that is lost", func() bool { return targetCount(r) == 2 })
+	}
+	lists, writes := server.Calls("list"), server.Calls("write")
+	server.Restore(copied)
+	server.Put(platform.KindTargets, "c", targetSpec(3))
+	for _, r := range fleet {
+		await.Until(t, "a target of the new era", func() bool {
+			return slices.ContainsFunc(r.directory.View().Targets["s"], func(t *catalog.Target) bool { return t.ID == "c" })
+		})
+	}
+	time.Sleep(4 * heartbeatInterval)
+	lists, writes = server.Calls("list")-lists, server.Calls("write")-writes
+	t.Logf("%d lists and %d writes of %d routers", lists, writes, routers)
+	if most := watchersPerDomain * kinds; lists > most || writes > 0 {
+		t.Errorf("got %d lists and %d writes after the drill, want at most %d and none", lists, writes, most)
+	}
+}
--- a/relay/late_response_test.go
+++ b/relay/late_response_test.go
@@ -55,3 +55,28 @@
 		})
 	}
 }
+
+// TestNoticeInForeignResponseIsNotRead guards against a sound target that gets no more requests because of a response to
+// another request, or one that names none.
+func TestNoticeInForeignResponseIsNotRead(t *testing.T) {
+	for name, head := range map[string]string{
+		"leaving, of another": "200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nServer-Leaving: 1",
+		"leaving, without ID": "500 Internal Server Error\r\nServer-Leaving: 1",
+		"quiet, of another":   "503 Service Unavailable\r\nAttempt-Id: other\r\nNot-Executed: full\r\nRetry-After: 60",
+		"quiet, without ID":   "503 Service Unavailable\r\nNot-Executed: full\r\nRetry-After: 60",
+		"limit, of another":   "200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nServer-Limit: 0.1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			late := "HTTP/1.1 " + head + "\r\nContent-Length: 3\r\n\r\nold"
+			s := newFixture(t, 0, repeatableRoute, nil)
+			s.useRawTargets(conntest.Serve(t, func(c net.Conn) { serveLate(c, late) }))
+			for range 4 {
+				response, body, err := s.do(s.request(http.MethodGet, ""))
+				if err != nil || response.StatusCode != http.StatusOK || body != "mine" {
+					t.Fatalf("got %v, body %q, error %v, want status 200 and the request's own body", response, body, err)
+				}
+			}
+		})
+	}
+}
