--- a/node/target_notice_test.go
+++ b/node/target_notice_test.go
@@ -113,3 +113,31 @@
 		t.Errorf("got %d arrivals at the new process, want 1", got)
 	}
 }
+
+// TestNoticeOfProcessThatIsNotListedYetHolds guards against requests to a target that leaves, because its process started
+// while this router was cut off from the store, and its entry becomes known after its notice.
+func TestNoticeOfProcessThatIsNotListedYetHolds(t *testing.T) {
+	t.Parallel()
+	f := newNoticeFixture(t, &standin.Target{})
+	if f.arrivals() != 1 {
+		t.Fatal("got no arrival, want 1")
+	}
+	addr, first := f.target.Addr(), f.node.directory.View().Targets["s"][0].StartedAt
+	f.target.Close()
+	f.store.Fail(standin.Refusing)
+	second := &standin.Target{ID: "n", Service: "s", Zone: "d", Leaving: func() bool { return true }}
+	if err := second.Start(addr); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.Close)
+	f.target = second
+	within(t, followTime, "the notice of the second process", func() bool { return f.arrivals() == 1 })
+	f.store.Put(platform.KindTargets, "n", second.Entry("ready"))
+	f.store.Fail(standin.Healthy)
+	within(t, followTime, "the entry of the second process", func() bool {
+		return f.node.directory.View().Targets["s"][0].StartedAt.After(first)
+	})
+	if got := f.arrivals(); got != 1 {
+		t.Errorf("got %d arrivals after the entry became known, want 1", got)
+	}
+}
