--- a/relay/forward.go
+++ b/relay/forward.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -23,11 +22,6 @@
 	// forwardedHeader marks a request that another router passes on. It is read from requests
 	// on the listener for routers only.
 	forwardedHeader = "Ragwort-Forwarded-By"
-	// wantsTarget follows the router's ID there if it reads targetHeader. Routers of earlier
-	// builds would pass that header on to clients.
-	wantsTarget = ";target"
-	// targetHeader names the target whose response another router passes on.
-	targetHeader = "Ragwort-Target"
 	// notTakenHeader marks the response to such a request if this router cannot reach the
 	// targets either, so that another one may be asked.
 	notTakenHeader = "Ragwort-Not-Taken"
@@ -42,60 +36,13 @@
 // because it reaches no target. It is checked, limited and retried like a client's own, but
 // not passed on again.
 func (r *Relay) ServeForwarded(w http.ResponseWriter, req *http.Request) {
-	from, wants := strings.CutSuffix(req.Header.Get(forwardedHeader), wantsTarget)
+	from, wants := strings.CutSuffix(req.Header.Get(forwardedHeader), wantsTargetSuffix)
 	req.Header.Del(forwardedHeader)
 	// An error means that the connection is closed already.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	r.serveRequest(w, req, forwarder{from, wants})
 }
 
-// forwarder is the router that passed a request on.
-type forwarder struct {
-	// id is empty if the request came from its client.
-	id string
-	// wantsTarget is set if the router wants to know which target responds.
-	wantsTarget bool
-}
-
-// formatTarget returns the value of targetHeader for a target.
-func formatTarget(t *catalog.Target) string {
-	p := t.Process()
-	return fmt.Sprintf("%d %d %d %s", p.StartedAt.UnixMilli(), p.Revision, p.Era, url.PathEscape(string(t.ID)))
-}
-
-// parseTarget parses the value of targetHeader. It returns a target with its ID and process only.
-func parseTarget(text string) (*catalog.Target, error) {
-	var startedAt int64
-	var id string
-	t := &catalog.Target{}
-	if _, err := fmt.Sscanf(text, "%d %d %d %s", &startedAt, &t.Revision, &t.Era, &id); err != nil {
-		return nil, fmt.Errorf("relay: target in the response of another router: %w", err)
-	}
-	id, err := url.PathUnescape(id)
-	if err != nil {
-		return nil, fmt.Errorf("relay: target in the response of another router: %w", err)
-	}
-	t.ID, t.StartedAt = fleet.TargetID(id), time.UnixMilli(startedAt)
-	return t, nil
-}
-
-// recordForwarded records what a target says of itself in a response that another router passes
-// on. Routers of earlier builds do not name the target.
-func (s *requestState) recordForwarded(response *targetconn.Response) {
-	text := response.Header.Get(targetHeader)
-	if text == "" {
-		return
-	}
-	target, err := parseTarget(text)
-	if err != nil {
-		s.Log(event.ForwardedTargetInvalid).Err(err).Send()
-		return
-	}
-	reply := s.relay.cfg.Codec.DecodeResponse(response.Status, response.Header)
-	s.recordLimit(target.ID, &reply)
-	s.recordNotice(target, &reply)
-}
-
 // pathsLost reports whether this router has lost its paths to the targets of the request's
 // service.
 func (s *requestState) pathsLost() bool {
@@ -148,7 +95,7 @@
 // sendToRouter sends the request to another router and reads the head of its response.
 func (s *requestState) sendToRouter(ctx context.Context, addr string) *attemptResult {
 	header := s.relay.cfg.Codec.EncodeForwarded(s.request.Header, time.Until(s.deadline))
-	header.Set(forwardedHeader, string(s.relay.cfg.Self)+wantsTarget)
+	header.Set(forwardedHeader, string(s.relay.cfg.Self)+wantsTargetSuffix)
 	response, err := s.relay.routers.Do(ctx, &targetconn.Request{
 		Target: fleet.TargetID(addr), Addr: addr, Method: s.call.Method, URI: s.call.URI, Host: s.call.Host,
 		Header: header, Body: s.call.Body, RequireFreshConn: true,
