targetnotice, relay: a notice holds for a later process until this is asked

What callers saw: a request sent to a target that had said that it leaves, when its process had started while the router was cut off from the store and its entry, still ready, became known.

Cause: the notice was recorded for the process that the router knew and ended with the entry of the later one, which had given it.

Ruled out: telling the processes apart by clocks.

Why this works: the later process is asked at the health path, where it says whether it leaves, and gets no request before.

--- a/event/request.go
+++ b/event/request.go
@@ -32,5 +32,6 @@
 	TargetWantsQuiet       = define(3024, zerolog.InfoLevel, "target-wants-quiet", "A target rejected a request and asked this router for no requests for a time, which the field gives.")
 	TargetLeaves           = define(3025, zerolog.InfoLevel, "target-leaves", "A target said in a response that it leaves; this router sends it no more requests.")
 	ForwardedTargetInvalid = define(3026, zerolog.WarnLevel, "forwarded-target-invalid", "Another router passed a response on and named its target in a way that cannot be read; what the target says of itself is not used.")
+	TargetNoticeChecked    = define(3027, zerolog.InfoLevel, "target-notice-checked", "A target that had said that it leaves has a new process, which was asked whether it leaves too; without an answer it gets no requests and is asked again.")
 	LogDropped             = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // recordNotice records what the response to this request says of the requests that its target
@@ -23,6 +27,49 @@
 	}
 }
 
+// checkNotices asks the targets which have a new process, but have said that they leave, whether
+// this still holds: the new process may have said it before its entry was known here.
+func (r *Relay) checkNotices(ctx context.Context, now time.Time) {
+	view := r.cfg.View()
+	if view.Config == nil {
+		return
+	}
+	for service, targets := range view.Targets {
+		path := view.Config.Services[service].HealthPath
+		for _, t := range targets {
+			switch {
+			case !r.notices.DueCheck(t, now):
+			case path == "":
+				r.notices.RecordCheck(t, false)
+			default:
+				go r.checkNotice(ctx, t, path)
+			}
+		}
+	}
+}
+
+// checkNotice asks a target's present process whether it leaves. Without an answer the notice
+// holds.
+func (r *Relay) checkNotice(ctx context.Context, t *catalog.Target, path string) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	response, err := r.pool.Do(ctx, &targetconn.Request{
+		Target: t.ID, Addr: t.Addr, Method: http.MethodGet, URI: path, Host: t.Addr, RequireNewConn: true,
+	})
+	if err != nil {
+		event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Err(err).Send()
+		return
+	}
+	defer response.Close()
+	reply := r.cfg.Codec.DecodeResponse(response.Status, response.Header)
+	if reply.Target != "" && reply.Target != t.ID {
+		event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Err(fmt.Errorf("%w: %s", errOtherTarget, reply.Target)).Send()
+		return
+	}
+	r.notices.RecordCheck(t, reply.Leaving)
+	event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Bool("leaving", reply.Leaving).Send()
+}
+
 // shortestQuiet returns the time until the first of those targets that want no requests takes
 // them again, or zero if there is no such target.
 func (s *targetSignals) shortestQuiet(targets []*catalog.Target) time.Duration {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -206,6 +206,7 @@
 			return nil
 		case now := <-sweepTicker.C:
 			r.sweep(now)
+			r.checkNotices(ctx, now)
 		case now := <-probeTicker.C:
 			r.probeDue(ctx, now)
 			r.checkPaths(ctx, now)
--- a/targetnotice/targetnotice.go
+++ b/targetnotice/targetnotice.go
@@ -20,6 +20,8 @@
 	maxQuiet = 10 * time.Minute
 	// maxUnlisted bounds the notices of targets that are not listed. The oldest are dropped.
 	maxUnlisted = 1 << 14
+	// checkInterval is the time between two checks of a later process.
+	checkInterval = time.Second
 )
 
 // Tracker holds the notices of all targets to one router. A notice holds for the process that
@@ -39,6 +41,8 @@
 	quietUntil time.Time
 	// leaving means that it wants no more requests.
 	leaving bool
+	// nextCheck is the earliest time of the next check of a later process.
+	nextCheck time.Time
 }
 
 // NewTracker returns a tracker without notices.
@@ -63,21 +67,25 @@
 	return true
 }
 
-// RecordLeaving records that a target wants no more requests until its process is restarted.
+// RecordLeaving records that a target wants no more requests until it has a process that says
+// otherwise, see RecordCheck.
 // It reports whether that is new.
 func (t *Tracker) RecordLeaving(target *catalog.Target, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := t.update(target, now)
-	known := n.leaving
-	n.leaving = true
+	known := n.leaving && !target.Process().Replaces(n.process)
+	if !known {
+		n.process, n.leaving = target.Process(), true
+	}
 	return !known
 }
 
-// update returns the notice of a target's process, empty if there was none; t.mu must be held.
+// update returns the notice that is to be changed by what a target's process says, an empty one if
+// there was none; t.mu must be held.
 func (t *Tracker) update(target *catalog.Target, now time.Time) *notice {
 	n := t.notices[target.ID]
-	if n == nil || target.Process().Replaces(n.process) {
+	if n == nil || (!n.leaving && target.Process().Replaces(n.process)) {
 		n = &notice{process: target.Process(), recordedAt: now}
 		t.notices[target.ID] = n
 		t.known.Store(int32(len(t.notices)))
@@ -85,15 +93,48 @@
 	return n
 }
 
-// find returns the notice that holds for a target, or an empty one; t.mu must be held.
+// find returns the notice that holds for a target, or an empty one; t.mu must be held. That a
+// target leaves holds for a later process too until this is checked, since the later process may
+// have said it before its entry was known.
 func (t *Tracker) find(target *catalog.Target) notice {
 	n := t.notices[target.ID]
-	if n == nil || target.Process().Replaces(n.process) {
+	if n == nil || (!n.leaving && target.Process().Replaces(n.process)) {
 		return notice{}
 	}
 	return *n
 }
 
+// DueCheck reports whether a target has to be asked whether its present process leaves, because a
+// process of it that may be an earlier one has said so. It counts the check as made.
+func (t *Tracker) DueCheck(target *catalog.Target, now time.Time) bool {
+	if t.known.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.notices[target.ID]
+	if n == nil || !n.leaving || !target.Process().Replaces(n.process) || now.Before(n.nextCheck) {
+		return false
+	}
+	n.nextCheck = now.Add(checkInterval)
+	return true
+}
+
+// RecordCheck records whether the present process of a target said in a check that it leaves.
+func (t *Tracker) RecordCheck(target *catalog.Target, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.notices[target.ID]
+	switch {
+	case n == nil || !target.Process().Replaces(n.process):
+	case leaving:
+		n.process = target.Process()
+	default:
+		delete(t.notices, target.ID)
+		t.known.Store(int32(len(t.notices)))
+	}
+}
+
 // Unavailable reports whether a target wants no requests.
 func (t *Tracker) Unavailable(target *catalog.Target, now time.Time) bool {
 	if t.known.Load() == 0 {
@@ -120,7 +161,7 @@
 	return max(n.quietUntil.Sub(now), 0)
 }
 
-// Prune drops the notices that have passed, and those of processes that others have replaced.
+// Prune drops the notices that have passed, and the times that replaced processes asked for.
 // listed returns a target as the store has it, or nil if it is not listed.
 func (t *Tracker) Prune(listed func(fleet.TargetID) *catalog.Target, now time.Time) {
 	if t.known.Load() == 0 {
@@ -132,7 +173,7 @@
 	for id, n := range t.notices {
 		target := listed(id)
 		switch {
-		case !n.leaving && !n.quietUntil.After(now), target != nil && target.Process().Replaces(n.process):
+		case !n.leaving && (!n.quietUntil.After(now) || (target != nil && target.Process().Replaces(n.process))):
 			delete(t.notices, id)
 		case target == nil:
 			unlisted = append(unlisted, id)
