--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
@@ -103,21 +104,31 @@
 	if path == "" || r.notices.Remaining(t, time.Now()) > 0 {
 		return r.pool.ProbeOpen(ctx, t.ID, t.Addr, crashCheckDelay)
 	}
-	response, err := r.pool.Do(ctx, &targetconn.Request{
-		Target: t.ID, Addr: t.Addr, Method: http.MethodGet, URI: path, Host: t.Addr, RequireNewConn: true,
-	})
+	_, err := r.askHealth(ctx, t, path)
 	switch {
-	case errors.Is(err, targetconn.ErrNotSent), brokenByTarget(err), ctx.Err() != nil:
+	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, errOtherTarget), brokenByTarget(err), ctx.Err() != nil:
 		return err
-	case err != nil:
-		// Something was sent that is no response.
+	default:
+		// Something was sent, if not a response.
 		return nil
 	}
+}
+
+// askHealth asks a target at its service's health path, on a new connection. It returns
+// errOtherTarget if another one answers.
+func (r *Relay) askHealth(ctx context.Context, t *catalog.Target, path string) (call.Reply, error) {
+	response, err := r.pool.Do(ctx, &targetconn.Request{
+		Target: t.ID, Addr: t.Addr, Method: http.MethodGet, URI: path, Host: t.Addr, RequireNewConn: true,
+	})
+	if err != nil {
+		return call.Reply{}, err
+	}
 	defer response.Close()
-	if id := r.cfg.Codec.DecodeResponse(response.Status, response.Header).Target; id != "" && id != t.ID {
-		return fmt.Errorf("%w: %s", errOtherTarget, id)
+	reply := r.cfg.Codec.DecodeResponse(response.Status, response.Header)
+	if reply.Target != "" && reply.Target != t.ID {
+		return reply, fmt.Errorf("%w: %s", errOtherTarget, reply.Target)
 	}
 	// The connection is kept if the response is complete.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBodyBytes))
-	return nil
+	return reply, nil
 }
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"time"
 
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
-	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // recordNotice records what the response to this request says of the requests that its target
@@ -53,21 +50,11 @@
 func (r *Relay) checkNotice(ctx context.Context, t *catalog.Target, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	response, err := r.pool.Do(ctx, &targetconn.Request{
-		Target: t.ID, Addr: t.Addr, Method: http.MethodGet, URI: path, Host: t.Addr, RequireNewConn: true,
-	})
-	if err != nil {
-		event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Err(err).Send()
-		return
-	}
-	defer response.Close()
-	reply := r.cfg.Codec.DecodeResponse(response.Status, response.Header)
-	if reply.Target != "" && reply.Target != t.ID {
-		event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Err(fmt.Errorf("%w: %s", errOtherTarget, reply.Target)).Send()
-		return
+	reply, err := r.askHealth(ctx, t, path)
+	if err == nil {
+		r.notices.RecordCheck(t, reply.Leaving)
 	}
-	r.notices.RecordCheck(t, reply.Leaving)
-	event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Bool("leaving", reply.Leaving).Send()
+	event.TargetNoticeChecked.Log(r.cfg.Log).Str("target", string(t.ID)).Bool("leaving", reply.Leaving).AnErr("error", err).Send()
 }
 
 // shortestQuiet returns the time until the first of those targets that want no requests takes
