--- a/node/target_notice_test.go
+++ b/node/target_notice_test.go
@@ -19,13 +19,16 @@
 type noticeFixture struct {
 	*fixture
 	t       *testing.T
+	client  *http.Client
 	target  *standin.Target
 	request int
 }
 
 func newNoticeFixture(t *testing.T, target *standin.Target) *noticeFixture {
 	t.Helper()
-	f := &noticeFixture{fixture: startFixture(t, nextAddress()), t: t}
+	// The pauses of these tests are longer than routers keep idle connections.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	f := &noticeFixture{fixture: startFixture(t, nextAddress()), t: t, client: client}
 	f.store.Delete(platform.KindTargets, "t")
 	config := configDocument(2)
 	config["Services"] = []any{map[string]any{"Name": "s", "HealthPath": standin.HealthPath}}
@@ -63,7 +66,7 @@
 func (f *noticeFixture) arrivals() int {
 	f.t.Helper()
 	f.request++
-	response, _, err := f.post(http.DefaultClient, "a"+strconv.Itoa(f.request))
+	response, _, err := f.post(f.client, "a"+strconv.Itoa(f.request))
 	if err != nil {
 		f.t.Fatal(err)
 	}
