--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -57,6 +57,14 @@
 // startVersionFleet starts routers before targetsPerVersion targets of each version. setup
 // may change a target before its start.
 func startVersionFleet(t *testing.T, setup func(*standin.Target), versions ...string) *versionFleet {
+	t.Helper()
+	f := newVersionFleet(t, setup, versions...)
+	f.routers = startRouters(t, f.store, versionRouters, len(f.targets))
+	return f
+}
+
+// newVersionFleet starts a store and targetsPerVersion targets of each version.
+func newVersionFleet(t *testing.T, setup func(*standin.Target), versions ...string) *versionFleet {
 	t.Helper()
 	f := &versionFleet{client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
@@ -71,7 +79,6 @@
 			f.startTarget(t, version, setup)
 		}
 	}
-	f.routers = startRouters(t, f.store, versionRouters, len(f.targets))
 	return f
 }
 
