streamversion, relay: logs tell what the version of a resumed stream rests on, and how the end of an answer was known

`stream-version` (3308) gives version and basis (the only version, a record, one of another router, the splits) with the stream's key, which `request-placed` has for streams that go on; `request-served` tells whether the answer was delimited.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -204,7 +204,8 @@
 	s.target = choice.Target
 	line := s.Log(event.RequestPlaced).Str("version", string(choice.Target.Version))
 	if s.lastEventID > 0 {
-		line.Uint64("after_event", s.lastEventID).Str("resumes", string(s.call.Resumes))
+		stream, _ := s.streamKey()
+		line.Uint64("after_event", s.lastEventID).Str("resumes", string(s.call.Resumes)).Str("stream", stream.String())
 	}
 	if key := s.promptKey(); key != 0 {
 		line.Str("key", partName(key))
--- a/relay/response.go
+++ b/relay/response.go
@@ -141,7 +141,7 @@
 	s.recordResult(resultCompleted)
 	s.recordPace()
 	s.Log(event.RequestServed).Int("status", s.current.response.Status).Dur("first", s.timeToHead).
-		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Int("attempts", s.attempts).Send()
+		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Bool("delimited", s.current.response.Delimited).Int("attempts", s.attempts).Send()
 }
 
 // recordPace records how long a complete answer took from the arrival of the whole request.
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -376,40 +376,69 @@
 // among them decides: a version that is not among them yet receives no stream within it.
 const maxTargetsAge = 1500 * time.Millisecond
 
+// basis is what the version of a resumed stream rests on.
+type basis string
+
+// Bases of versions.
+const (
+	basisOnlyVersion  basis = "only-version"
+	basisRecord       basis = "record"
+	basisPeerRecord   basis = "record-of-other"
+	basisSplits       basis = "splits"
+	basisSettledSplit basis = "settled-split"
+)
+
 // Resume returns the version at which a stream began, or false if that is not known for
 // certain. named reports whether the client named the request that began it.
 func (s *Service) Resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, bool) {
+	version, from, ok := s.resume(ctx, service, key, named)
+	event.StreamVersionFound.Log(s.cfg.Log).Str("service", string(service)).Str("stream", key.String()).Bool("named", named).
+		Str("version", string(version)).Str("basis", string(from)).Bool("known", ok).Send()
+	return version, ok
+}
+
+// resume is Resume with the basis of the result.
+func (s *Service) resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, basis, bool) {
 	view := s.cfg.View()
 	s.targetsOf(service, view)
 	if version, ok := s.soleVersion(service, view); ok {
-		return version, true
+		return version, basisOnlyVersion, true
 	}
-	if named {
-		origin, ok := s.registry.Find(key, s.now())
-		if !ok {
-			origin, ok = s.cfg.Peers().FindStream(ctx, key)
-		}
-		if ok {
-			return versionOfOrigin(view, service, origin)
-		}
+	if origin, from, ok := s.findRecord(ctx, key, named); ok {
+		version, ok := versionOfOrigin(view, service, origin)
+		return version, from, ok
 	}
 	lifetime := lifetimeOf(view, service)
 	history := s.newestHistory(ctx, service, lifetime)
 	if history == nil {
-		return "", false
+		return "", basisSplits, false
 	}
 	history = s.withLost(service, history)
 	if !named {
-		return s.soleInHistory(service, history, lifetime)
+		version, ok := s.soleInHistory(service, history, lifetime)
+		return version, basisSplits, ok
 	}
 	window := s.window(service, lifetime)
 	if version, ok := s.versionInHistory(service, history, key, window); ok {
-		return version, true
+		return version, basisSplits, true
 	}
 	if window.Settled = s.isSettled(ctx, service); !window.Settled {
-		return "", false
+		return "", basisSettledSplit, false
+	}
+	version, ok := s.versionInHistory(service, history, key, window)
+	return version, basisSettledSplit, ok
+}
+
+// findRecord looks for a record of a stream, here and at other routers.
+func (s *Service) findRecord(ctx context.Context, key Key, named bool) (Origin, basis, bool) {
+	if !named {
+		return 0, basisRecord, false
+	}
+	if origin, ok := s.registry.Find(key, s.now()); ok {
+		return origin, basisRecord, true
 	}
-	return s.versionInHistory(service, history, key, window)
+	origin, ok := s.cfg.Peers().FindStream(ctx, key)
+	return origin, basisPeerRecord, ok
 }
 
 // withLost returns a history with the splits that the store lost, as far as this router knows them.
--- a/streamversion/split.go
+++ b/streamversion/split.go
@@ -1,6 +1,8 @@
 package streamversion
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortpond.example/ragwortpond/fleet"
@@ -22,6 +24,11 @@
 	return Key(h.Sum64())
 }
 
+// String returns the key's name in logs.
+func (k Key) String() string {
+	return strconv.FormatUint(uint64(k), 36)
+}
+
 // Share is the weight of one version in a split.
 type Share struct {
 	Version fleet.SoftwareVersion `json:"version"`
