streamversion, relay: a stream is recorded where and at the version at which it begins

The router that received the stream recorded the version that it had chosen, and told the others; the router to which the stream was passed on chose again, by a newer split, and its record came second, where the first one holds.

Ruled out: the split's computation (both routers used splits that were in force), the drill (the test has none).

A choice is no longer recorded. The router whose target sends the first event records that version before the event goes on, and tells the others unless they can compute it by the split of that moment. A record by a router of an earlier build is followed by the router to which the stream is passed on. Streams that never begin are no longer told to anybody.

--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -14,6 +14,9 @@
 type StreamVersions interface {
 	// Begin returns the version of a new stream, empty for any, or false if that is not known.
 	Begin(ctx context.Context, service fleet.ServiceName, key streamversion.Key) (fleet.SoftwareVersion, bool)
+	// RecordBegun records at which version a new stream began. It is called before its first
+	// event is forwarded.
+	RecordBegun(service fleet.ServiceName, key streamversion.Key, version fleet.SoftwareVersion)
 	// Resume returns the version at which a stream began, or false if that is not known.
 	// named reports whether the client named the request that began it.
 	Resume(ctx context.Context, service fleet.ServiceName, key streamversion.Key, named bool) (fleet.SoftwareVersion, bool)
@@ -30,6 +33,9 @@
 	return "", true
 }
 
+// RecordBegun implements StreamVersions.
+func (soleVersions) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
+
 // Resume implements StreamVersions.
 func (v soleVersions) Resume(_ context.Context, service fleet.ServiceName, _ streamversion.Key, _ bool) (fleet.SoftwareVersion, bool) {
 	view := v.view()
@@ -92,9 +98,12 @@
 }
 
 // keepVersion keeps the rest of a resumable stream at the version of the target that sent
-// its first event.
+// its first event, and records that it began there.
 func (s *requestState) keepVersion(t *catalog.Target) {
-	if s.route.RunPolicy == catalog.Resumable && s.lastEventID == 0 {
-		s.version = t.Version
+	if s.route.RunPolicy != catalog.Resumable || s.lastEventID > 0 || s.events > 0 {
+		return
 	}
+	s.version = t.Version
+	key, _ := s.streamKey()
+	s.relay.cfg.StreamVersions.RecordBegun(s.service, key, t.Version)
 }
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -301,24 +301,34 @@
 			return "", false
 		}
 	}
-	now := s.now()
-	revision, split, since := s.known(service)
+	if origin, ok := s.registry.Find(key, s.now()); ok {
+		// A router of an earlier build has passed the stream on, and told what it chose.
+		version, ok := versionOfOrigin(view, service, origin)
+		return version, ok && slices.Contains(targets.serving, version)
+	}
+	_, split, _ := s.known(service)
 	version := split.VersionOf(key)
-	served := slices.Contains(targets.serving, version)
-	if !served {
-		if !s.targetsCurrent() {
-			// The version that the split gives may well be in service.
-			return "", false
-		}
-		version = targets.split.VersionOf(key)
+	if slices.Contains(targets.serving, version) {
+		return version, true
 	}
+	if !s.targetsCurrent() {
+		// The version that the split gives may well be in service.
+		return "", false
+	}
+	return targets.split.VersionOf(key), true
+}
+
+// RecordBegun records at which version a stream began, here and, unless they can compute it, at
+// other routers. It must be called before the client gets the first event.
+func (s *Service) RecordBegun(service fleet.ServiceName, key Key, version fleet.SoftwareVersion) {
+	now, view := s.now(), s.cfg.View()
+	revision, split, since := s.known(service)
 	origin := NewOrigin(service, version)
 	s.registry.Record(key, origin, now)
 	s.recordOwn(service, key, origin, now)
-	if !served || revision == 0 || now.Sub(since) < s.ambiguousTime(service, view) || s.absentLately() {
+	if revision == 0 || split.VersionOf(key) != version || now.Sub(since) < s.ambiguousTime(service, view) || s.absentLately() {
 		s.cfg.Peers().RecordStream(key, origin)
 	}
-	return version, true
 }
 
 // targetsCurrent reports whether this router has the targets of the moment, or learns of them
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -308,6 +308,15 @@
 	}
 }
 
+// begin begins a stream as a router does that sends it to a target at once.
+func (r *fakeRouter) begin(key Key) (fleet.SoftwareVersion, bool) {
+	version, ok := r.service.Begin(context.Background(), "s", key)
+	if ok {
+		r.service.RecordBegun("s", key, version)
+	}
+	return version, ok
+}
+
 // stream is a stream in progress.
 type stream struct {
 	key     Key
@@ -315,6 +324,14 @@
 	begunAt time.Time
 }
 
+// waitingStream is a stream whose version a router has chosen, and that has no event yet.
+type waitingStream struct {
+	stream
+	router *fakeRouter
+	// process is the router's process that has it.
+	process *Service
+}
+
 // TestStreamsResumeAtTheirVersionOrNotAtAll plays releases, restarts of some and of all
 // routers, outages of the store and lost messages.
 func TestStreamsResumeAtTheirVersionOrNotAtAll(t *testing.T) {
@@ -324,6 +341,7 @@
 		f.advance(2 * discoveryTime)
 		ctx := context.Background()
 		var streams []stream
+		var waiting []waitingStream
 		changedAt, storeChangedAt, begun := f.now, f.now, 0
 		var drilledAt, storeBackAt time.Time
 		copied, copiedSettled := f.store.object, f.store.settled
@@ -333,6 +351,7 @@
 			if !r.view.Ready() {
 				return
 			}
+			waits := rapid.Bool().Draw(t, "waits")
 			for range 5 {
 				begun++
 				key := NewKey("a", fleet.RequestID(fmt.Sprint(begun)))
@@ -344,8 +363,34 @@
 				if !ok || !slices.Contains(distinctVersions(r.view.Targets["s"]), version) {
 					t.Fatalf("a new stream got version %q, which no target has", version)
 				}
-				streams = append(streams, stream{key, version, f.now})
+				s := stream{key, version, f.now}
+				if waits {
+					waiting = append(waiting, waitingStream{s, r, r.service})
+					continue
+				}
+				r.service.RecordBegun("s", key, version)
+				streams = append(streams, s)
+			}
+		}
+		// send lets the waiting streams begin where they are, or at a router to which they are passed on.
+		send := func(t *rapid.T) {
+			for _, w := range waiting {
+				if w.router.service != w.process || f.now.Sub(w.begunAt) > modelTimeout {
+					continue
+				}
+				if other := router(t); rapid.Bool().Draw(t, "pass on") && other.view.Ready() && !other.cut && !w.router.cut {
+					version, ok := other.begin(w.key)
+					if ok && slices.Contains(distinctVersions(f.targets), version) {
+						streams = append(streams, stream{w.key, version, w.begunAt})
+					}
+					continue
+				}
+				if slices.Contains(distinctVersions(f.targets), w.version) {
+					w.router.service.RecordBegun("s", w.key, w.version)
+					streams = append(streams, w.stream)
+				}
 			}
+			waiting = nil
 		}
 		resume := func(t *rapid.T) {
 			r := router(t)
@@ -374,6 +419,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"begin":  begin,
+			"send":   send,
 			"resume": resume,
 			"release": func(t *rapid.T) {
 				counts := map[fleet.SoftwareVersion]int{}
@@ -486,7 +532,7 @@
 			var list []stream
 			for i := range streams {
 				key := NewKey("a", fleet.RequestID(fmt.Sprint("cut-", i)))
-				version, _ := cut.service.Begin(ctx, "s", key)
+				version, _ := cut.begin(key)
 				list = append(list, stream{key, version, f.now})
 			}
 			f.advance(min(12*time.Second, test.resumeAt) - 8*time.Second)
@@ -544,7 +590,7 @@
 			var list []stream
 			for i := range streams {
 				key := NewKey("a", fleet.RequestID(fmt.Sprint("cut-", i)))
-				if version, ok := cut.service.Begin(ctx, "s", key); ok {
+				if version, ok := cut.begin(key); ok {
 					list = append(list, stream{key, version, f.now})
 				}
 			}
@@ -566,7 +612,7 @@
 	f.store.down = true
 	f.advance(2 * time.Minute)
 	for i := range 40 {
-		if version, ok := f.routers[i%4].service.Begin(context.Background(), "s", Key(i)); !ok || version != "v1" {
+		if version, ok := f.routers[i%4].begin(Key(i)); !ok || version != "v1" {
 			t.Fatalf("got version %q, %t, want v1", version, ok)
 		}
 	}
@@ -582,7 +628,7 @@
 	f.advance(lifetimeOf(f.routers[0].view, "s") + clockError + time.Second)
 	ctx, begun := context.Background(), map[Key]fleet.SoftwareVersion{}
 	for i := range 40 {
-		version, _ := f.routers[i%4].service.Begin(ctx, "s", Key(i))
+		version, _ := f.routers[i%4].begin(Key(i))
 		begun[Key(i)] = version
 	}
 	for i := range f.routers {
@@ -611,7 +657,7 @@
 	still.service.cfg.StoodStill = func() bool { return true }
 	for i := range 40 {
 		key := NewKey("a", fleet.RequestID(fmt.Sprint(i)))
-		begun, _ := f.routers[1].service.Begin(ctx, "s", key)
+		begun, _ := f.routers[1].begin(key)
 		if version, ok := still.service.Resume(ctx, "s", key, true); ok && version != begun {
 			t.Errorf("a stream of %s was resumed at %s", begun, version)
 		}
@@ -659,7 +705,7 @@
 			t.Fatalf("drill %d: the store holds no history", drill)
 		}
 		ctx, key := context.Background(), Key(100+drill)
-		begun, ok := f.routers[0].service.Begin(ctx, "s", key)
+		begun, ok := f.routers[0].begin(key)
 		for i := range f.routers {
 			f.restart(i)
 		}
@@ -687,7 +733,7 @@
 			ctx := context.Background()
 			for i := range 60 {
 				key := NewKey("a", fleet.RequestID(fmt.Sprint("lost-", i)))
-				if version, ok := f.routers[i%4].service.Begin(ctx, "s", key); ok {
+				if version, ok := f.routers[i%4].begin(key); ok {
 					list = append(list, stream{key, version, f.now})
 				}
 			}
