relay: an answer without length or chunks is complete only if its target still serves

Cause: the end of a connection was taken for the completion of such an answer. The kernel ends the connections of a killed process in the same way, without a reset, and between two events nothing else tells. Ruled out: streams cut within an event (held back before), resets, framed answers, answers by way of another router.

Now the router asks the target for its health 40 ms after such an end, unless it has heard from it meanwhile. Ends at the same target share a check. If it does not serve, the answer is broken off: a resumable stream goes on elsewhere, a repeatable body is replaced, any other is aborted. Bodies and long bodies had the same fault.

--- a/event/request.go
+++ b/event/request.go
@@ -33,5 +33,6 @@
 	TargetLeaves           = define(3025, zerolog.InfoLevel, "target-leaves", "A target said in a response that it leaves; this router sends it no more requests.")
 	ForwardedTargetInvalid = define(3026, zerolog.WarnLevel, "forwarded-target-invalid", "Another router passed a response on and named its target in a way that cannot be read; what the target says of itself is not used.")
 	TargetNoticeChecked    = define(3027, zerolog.InfoLevel, "target-notice-checked", "A target that had said that it leaves has a new process, which was asked whether it leaves too; without an answer it gets no requests and is asked again.")
+	TargetEnded            = define(3028, zerolog.WarnLevel, "target-ended", "The end of an answer that has neither a length nor chunks is not taken for its completion, because its target did not serve a check afterwards.")
 	LogDropped             = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -339,13 +339,13 @@
 	if result.reply.Load != nil {
 		s.relay.recordLoad(t.ID, result.reply.Load)
 	}
-	s.readResponse(t, result, timer)
+	s.readResponse(ctx, t, result, timer)
 	return result
 }
 
 // readResponse validates the head of a response and forwards the response, or
 // buffers it if it is a failure.
-func (s *requestState) readResponse(t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
+func (s *requestState) readResponse(ctx context.Context, t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
 	reply := &result.reply
 	switch {
 	case reply.NotRun && (reply.ID == s.call.ID || !result.response.Reused()):
@@ -365,11 +365,11 @@
 			result.reason, result.err = reason.AnswerTruncated, err
 			break
 		}
-		s.forwardStream(t, result, timer)
+		s.forwardStream(ctx, t, result, timer)
 	case s.route.Stream && !isJSON(result.response.Header):
-		s.forwardStream(t, result, timer)
+		s.forwardStream(ctx, t, result, timer)
 	default:
-		s.forwardBody(result, timer)
+		s.forwardBody(ctx, t, result, timer)
 	}
 	if !result.complete && result.reason != reason.TargetFailed {
 		result.close()
@@ -401,14 +401,22 @@
 
 // forwardBody forwards a success response once it is buffered completely. A body
 // larger than maxBufferedBodyBytes is forwarded as it arrives.
-func (s *requestState) forwardBody(result *attemptResult, timer *attemptloop.GiveUpTimer) {
+func (s *requestState) forwardBody(ctx context.Context, t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
 	body, err := io.ReadAll(io.LimitReader(result.response, maxBufferedBodyBytes+1))
 	if err != nil {
 		result.reason, result.err = reason.AnswerTruncated, err
 		return
 	}
 	result.body = body
-	if err := result.commit(timer); err != nil && len(body) > maxBufferedBodyBytes {
+	long := len(body) > maxBufferedBodyBytes
+	if !long {
+		err = s.confirmEnd(ctx, t.Target, result)
+	}
+	if err != nil {
+		result.reason, result.err = reason.AnswerTruncated, err
+		return
+	}
+	if err := result.commit(timer); err != nil && long {
 		result.reason, result.err = reason.AnswerTruncated, err
 		return
 	}
@@ -417,8 +425,12 @@
 		result.err, result.clientGone = err, true
 		return
 	}
-	if len(body) > maxBufferedBodyBytes {
-		if _, err := io.Copy(s.w, result.response); err != nil {
+	if long {
+		_, err = io.Copy(s.w, result.response)
+		if err == nil {
+			err = s.confirmEnd(ctx, t.Target, result)
+		}
+		if err != nil {
 			result.reason, result.err = reason.AnswerTruncated, err
 			return
 		}
--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -40,7 +40,7 @@
 // connection or, without framing, its stream. If this router ended it, the error wraps
 // the cause instead.
 func brokenByTarget(err error) bool {
-	if errors.Is(err, errNoEvent) || errors.Is(err, errPartialEvent) {
+	if errors.Is(err, errNoEvent) || errors.Is(err, errPartialEvent) || errors.Is(err, errTargetEnded) {
 		return true
 	}
 	if !errors.Is(err, targetconn.ErrBroken) {
@@ -73,7 +73,7 @@
 	attempts := r.crashChecks[t.ID]
 	delete(r.crashChecks, t.ID)
 	r.mu.Unlock()
-	err := r.checkServes(t, attempts[len(attempts)-1].at)
+	err := r.checkServes(t, attempts[len(attempts)-1].at.Add(crashCheckDelay/2))
 	if err == nil {
 		for _, a := range attempts {
 			event.TargetAlive.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).Send()
@@ -91,11 +91,11 @@
 	time.AfterFunc(quarantine.SettleTime, func() { r.reportChanges(r.evidence.Sweep(time.Now())) })
 }
 
-// checkServes returns nil if a target has served anything since an attempt broke at time at, or
-// serves a check of its health, whatever the result. That its address accepts connections
-// says nothing: a supervisor or a proxy may keep it.
-func (r *Relay) checkServes(t *catalog.Target, at time.Time) error {
-	if r.health.HeardSince(t.ID, at.Add(crashCheckDelay/2)) {
+// checkServes returns nil if a target has served anything since a time, or serves a check of
+// its health, whatever the result. That its address accepts connections says nothing: a
+// supervisor or a proxy may keep it.
+func (r *Relay) checkServes(t *catalog.Target, since time.Time) error {
+	if r.health.HeardSince(t.ID, since) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
--- /dev/null
+++ b/relay/endcheck.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/event"
+)
+
+// errTargetEnded means that the end of a response that only the end of its connection marks may be that
+// of its target.
+var errTargetEnded = errors.New("relay: target ended with its response")
+
+// endCheckDelay is the time between the end of a response and the check of its target. What the target sends
+// to others meanwhile makes the check needless.
+const endCheckDelay = 40 * time.Millisecond
+
+// endCheck is a check of a target that the ends of several responses may share.
+type endCheck struct {
+	// endedAt is the end of the last of these responses; Relay.mu guards it.
+	endedAt time.Time
+	// done is closed once err is set.
+	done chan struct{}
+	err  error
+}
+
+// confirmEnd returns nil if the end of the current response is its completion. The kernel ends the
+// connections of a killed process as the process itself does, so that a response without framing is complete only
+// if its target still serves.
+func (s *requestState) confirmEnd(ctx context.Context, t *catalog.Target, result *attemptResult) error {
+	if result.response.Delimited {
+		return nil
+	}
+	check := s.relay.checkEnd(t, time.Now())
+	select {
+	case <-check.done:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", errTargetEnded, context.Cause(ctx))
+	}
+	if check.err != nil {
+		s.Log(event.TargetEnded).Err(check.err).Int("events", s.events).Send()
+		return fmt.Errorf("%w: %w", errTargetEnded, check.err)
+	}
+	return nil
+}
+
+// checkEnd returns the check of a target that follows the end of a response at time at.
+func (r *Relay) checkEnd(t *catalog.Target, at time.Time) *endCheck {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	check := r.endChecks[t.ID]
+	if check == nil {
+		check = &endCheck{done: make(chan struct{})}
+		r.endChecks[t.ID] = check
+		time.AfterFunc(endCheckDelay, func() { r.runEndCheck(t, check) })
+	}
+	check.endedAt = at
+	return check
+}
+
+// runEndCheck makes a check, which later ends do not share any more.
+func (r *Relay) runEndCheck(t *catalog.Target, check *endCheck) {
+	r.mu.Lock()
+	endedAt := check.endedAt
+	delete(r.endChecks, t.ID)
+	r.mu.Unlock()
+	check.err = r.checkServes(t, endedAt.Add(endCheckDelay/2))
+	close(check.done)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -17,7 +18,7 @@
 
 // forwardStream forwards a stream event by event, skipping events that the client
 // already has. The response head is sent with the first event.
-func (s *requestState) forwardStream(t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
+func (s *requestState) forwardStream(ctx context.Context, t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
 	events := eventstream.NewReader(result.response)
 	recordEvent, unregister := s.relay.health.TrackStream(t.ID, t.Domain, time.Now())
 	defer unregister()
@@ -28,7 +29,7 @@
 		// A client that reads slowly is not the target's silence.
 		timer.Pause()
 		if errors.Is(err, io.EOF) {
-			s.finishStream(result, ev.Raw, received)
+			s.finishStream(ctx, t, result, ev.Raw, received)
 			return
 		}
 		if err == nil && continues && ev.HasFields && !ev.HasID {
@@ -86,7 +87,7 @@
 // finishStream ends a stream after its last event. rest is the data after that event:
 // an incomplete event, after which the stream is not complete. A stream of which no event was
 // received is complete only if its framing says so.
-func (s *requestState) finishStream(result *attemptResult, rest []byte, received int) {
+func (s *requestState) finishStream(ctx context.Context, t chosenTarget, result *attemptResult, rest []byte, received int) {
 	switch {
 	case len(rest) > 0:
 		result.reason, result.err = reason.AnswerTruncated, errPartialEvent
@@ -95,6 +96,10 @@
 		result.reason, result.err = reason.AnswerTruncated, errNoEvent
 		return
 	}
+	if err := s.confirmEnd(ctx, t.Target, result); err != nil {
+		result.reason, result.err = reason.AnswerTruncated, err
+		return
+	}
 	if !s.headSent {
 		s.writeHead(result, -1)
 	}
