targetconn, relay: a resumable stream goes only to the process that its target's entry tells of

Cause: the version of a target is that of its last entry, and `Expect-Instance` names an ID, not a process. Until the new entry has come round, 0.3 s here and as long as a cut for a router that is cut off, the next process got the streams of the one before. Ruled out: the records and the splits, which named the version that the entry told.

A connection belongs to one process. One that was open before another one to the same target was lost is that of the process before; one that was opened later is asked at /report for the start of its process before a resumable stream is sent on it, and before a stream is taken up on any connection that was not asked yet. If the start is not that of the entry, nothing is sent there.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -320,7 +320,11 @@
 			id := codec.DecodeResponse(status, h).ID
 			return id == s.call.ID || (id == "" && !reused)
 		},
+		Identity: s.streamIdentity(t.Target),
 	})
+	if errors.Is(err, targetconn.ErrNotIdentified) {
+		return &attemptResult{reason: reason.TargetDown, err: err}
+	}
 	s.relay.recordPath(t.Target, err, err == nil && response.Reused())
 	if errors.Is(err, targetconn.ErrNotSent) {
 		return &attemptResult{reason: reason.TargetDown, err: err}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,10 @@
 	EncodeAttempt(c *call.Call, a *call.Attempt) http.Header
 	// DecodeResponse reads the head of a target's response.
 	DecodeResponse(status int, h http.Header) call.Reply
+	// ProcessURI returns where engines tell of their process, and DecodeProcess its start from
+	// what they tell, or false if they do not.
+	ProcessURI() string
+	DecodeProcess(body []byte) (startedAt time.Time, ok bool)
 	// EncodeForwarded returns the header of a client's request as passed on to another
 	// router, with the time that is left.
 	EncodeForwarded(h http.Header, timeout time.Duration) http.Header
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -41,6 +41,9 @@
 	// responses may arrive late. Responses to other requests are skipped. If Matches
 	// is nil, every response belongs to the request.
 	Matches func(status int, h http.Header, reused bool) bool
+	// Identity, if it is not nil, keeps the request from being sent to another process of the
+	// target than the expected one, as far as lost connections tell that there may be one.
+	Identity *Identity
 }
 
 // Response is a response whose body is still being read. It must be used by one
@@ -84,8 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Response{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
-	a.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if c, err = p.identified(ctx, c, r); err != nil {
+		return nil, err
+	}
+	a := newResponse(ctx, p, c)
 	if err := a.exchange(r); err != nil {
 		a.Close()
 		return nil, err
@@ -93,6 +98,14 @@
 	return a, nil
 }
 
+// newResponse returns a response that is still to come on a connection. When ctx ends, the
+// connection is closed.
+func newResponse(ctx context.Context, p *Pool, c *conn) *Response {
+	a := &Response{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
+	a.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
+	return a
+}
+
 // maxInlineBodyBytes is the size up to which a body is written before the
 // response is read. A larger body is written in a goroutine while the response
 // is read, because a target may respond before it has read the whole body.
@@ -266,6 +279,8 @@
 func (a *Response) wrapBroken(err error) error {
 	if cause := context.Cause(a.ctx); cause != nil {
 		err = cause
+	} else {
+		a.pool.recordLoss(a.conn.target, a.conn.lastRead)
 	}
 	return fmt.Errorf("%w: %w", ErrBroken, err)
 }
--- /dev/null
+++ b/targetconn/identify.go
@@ -0,0 +1,166 @@
+package targetconn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/netconn"
+)
+
+// ErrNotIdentified means that the request was not sent, because the process at the other end of its
+// connection is, or may be, not the expected one. It wraps ErrNotSent.
+var ErrNotIdentified = fmt.Errorf("%w: process not identified", ErrNotSent)
+
+var (
+	// errCannotReuse means that a process was identified and closes the connection.
+	errCannotReuse = errors.New("targetconn: connection is closed after the response")
+	// errIdentityTooLong means that a target tells more than maxIdentityBytes.
+	errIdentityTooLong = errors.New("targetconn: response too long")
+)
+
+const (
+	// maxIdentityBytes bounds what a target tells of its process.
+	maxIdentityBytes = 64 << 10
+	// identifyTimeout bounds the question. A target that is alive may pause for a second.
+	identifyTimeout = 1500 * time.Millisecond
+	// lossMemory is how long after the loss of a connection a target may have another process than
+	// its entry tells.
+	lossMemory = 10 * time.Minute
+)
+
+// Identity tells how to identify the process of a target. A connection belongs to one process, so that
+// it is asked once. A connection that was open before another one to the same target was lost has the same process
+// as before.
+type Identity struct {
+	// URI is what the target is asked for, by GET.
+	URI string
+	// Always is set if every connection is asked, not only those opened after a loss.
+	Always bool
+	// Check returns an error if the body of the answer is of another process than the expected one.
+	Check func(status int, body []byte) error
+}
+
+// recordLoss records that a connection to a target was lost which had its process until a time.
+func (p *Pool) recordLoss(id fleet.TargetID, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if before, ok := p.losses[id]; !ok || until.After(before) {
+		p.losses[id] = until
+	}
+}
+
+// recordDialLoss records the loss of a target that refused a connection.
+func (p *Pool) recordDialLoss(id fleet.TargetID, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		p.recordLoss(id, time.Now())
+	}
+}
+
+// mustIdentify reports whether the process of a connection has to be identified.
+func (p *Pool) mustIdentify(c *conn, identity *Identity) bool {
+	if identity == nil || c.identified {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lostAt, lost := p.losses[c.target]
+	return identity.Always || (lost && c.openedAt.After(lostAt))
+}
+
+// HasOpenSince reports whether a connection to a target that is kept was opened before a time and is still
+// open, so that its process runs as before.
+func (p *Pool) HasOpenSince(id fleet.TargetID, before time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[id], func(c *conn) bool {
+		return c.openedAt.Before(before) && netconn.Reusable(c.Conn)
+	})
+}
+
+// Identify identifies the process of a target over a new connection, which is kept. Errors wrap
+// ErrNotSent.
+func (p *Pool) Identify(ctx context.Context, id fleet.TargetID, addr string, identity *Identity) error {
+	c, err := p.dial(ctx, id, addr)
+	if err != nil {
+		return err
+	}
+	err = p.identify(ctx, c, identity, addr)
+	if err == nil {
+		p.put(c, defaultIdleTimeout)
+		return nil
+	}
+	_ = c.Close()
+	if errors.Is(err, errCannotReuse) {
+		return nil
+	}
+	return err
+}
+
+// identified returns a connection for a request whose process is the expected one as far as it has to be
+// identified: c, or a new one if c ends with that.
+func (p *Pool) identified(ctx context.Context, c *conn, r *Request) (*conn, error) {
+	if !p.mustIdentify(c, r.Identity) {
+		return c, nil
+	}
+	err := p.identify(ctx, c, r.Identity, r.Host)
+	if err == nil {
+		return c, nil
+	}
+	_ = c.Close()
+	if errors.Is(err, errCannotReuse) {
+		return p.dial(ctx, r.Target, r.Addr)
+	}
+	return nil, err
+}
+
+// identify makes sure that the process of a connection is the expected one.
+func (p *Pool) identify(ctx context.Context, c *conn, identity *Identity, host string) error {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	a := newResponse(ctx, p, c)
+	defer a.detachContext()
+	if err := a.exchange(&Request{Method: http.MethodGet, URI: identity.URI, Host: host}); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotIdentified, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.body, maxIdentityBytes+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrNotIdentified, a.wrapBroken(err))
+	case len(body) > maxIdentityBytes:
+		return fmt.Errorf("%w: %w", ErrNotIdentified, errIdentityTooLong)
+	}
+	if err := identity.Check(a.Status, body); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotIdentified, err)
+	}
+	c.identified = true
+	p.forgetLoss(c)
+	if !a.Delimited || a.idleTimeout <= 0 {
+		return errCannotReuse
+	}
+	return nil
+}
+
+// forgetLoss records that the process of a connection is the expected one.
+func (p *Pool) forgetLoss(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lostAt, ok := p.losses[c.target]; ok && c.openedAt.After(lostAt) {
+		delete(p.losses, c.target)
+	}
+}
+
+// forgetOldLosses drops losses that no longer matter; p.mu must be held.
+func (p *Pool) forgetOldLosses(now time.Time) {
+	for id, lostAt := range p.losses {
+		if now.Sub(lostAt) > lossMemory {
+			delete(p.losses, id)
+		}
+	}
+}
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -70,6 +70,9 @@
 	opened func()
 	// open counts the connections that are not closed.
 	open atomic.Int64
+	// losses holds, for targets to which a connection was lost, until when the last one of these
+	// had its process; mu guards it.
+	losses map[fleet.TargetID]time.Time
 }
 
 // conn is a connection to a target. It carries one exchange at a time.
@@ -80,6 +83,10 @@
 	target fleet.TargetID
 	addr   string
 	reader *bufio.Reader
+	// openedAt is when it was opened, lastRead when bytes were last received. identified is set
+	// once its process was found to be the expected one.
+	openedAt, lastRead time.Time
+	identified         bool
 	// lastUsed is the end of the last exchange. After idleUntil the connection is
 	// no longer reused, since the target may close it.
 	lastUsed, idleUntil time.Time
@@ -95,14 +102,19 @@
 // Read implements net.Conn. It fails with errHeadTooLarge once the head that is being
 // read exceeds its limit.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == unlimited {
-		return c.Conn.Read(p)
-	}
 	if c.headLeft == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
+	if c.headLeft != unlimited {
+		p = p[:min(len(p), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead = time.Now()
+	}
+	if c.headLeft != unlimited {
+		c.headLeft -= n
+	}
 	return n, err
 }
 
@@ -126,7 +138,7 @@
 	if opened == nil {
 		opened = func() {}
 	}
-	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened}
+	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened, losses: map[fleet.TargetID]time.Time{}}
 }
 
 // get returns an idle connection to the target or opens one. If fresh is set,
@@ -139,7 +151,12 @@
 		}
 		now := time.Now()
 		expired := now.After(c.idleUntil) || c.addr != addr || (fresh && now.Sub(c.lastUsed) > maxFreshAge)
-		if expired || !netconn.Reusable(c.Conn) {
+		if expired {
+			_ = c.Close()
+			continue
+		}
+		if !netconn.Reusable(c.Conn) {
+			p.recordLoss(id, c.lastRead)
 			_ = c.Close()
 			continue
 		}
@@ -157,13 +174,15 @@
 func (p *Pool) dial(ctx context.Context, id fleet.TargetID, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	openedAt := time.Now()
 	raw, err := p.connect(ctx, addr)
 	if err != nil {
+		p.recordDialLoss(id, err)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.opened()
 	p.open.Add(1)
-	c := &conn{Conn: raw, pool: p, target: id, addr: addr, headLeft: unlimited}
+	c := &conn{Conn: raw, pool: p, target: id, addr: addr, headLeft: unlimited, openedAt: openedAt, lastRead: openedAt}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -253,6 +272,7 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
+	p.forgetOldLosses(now)
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
