relay: the end of an answer without framing is confirmed by the process that sent it

A connection that the router has kept since before the end and that is still open proves that the process runs, and costs nothing. Otherwise an engine is asked for the start of its process; another process, or an entry of another one, breaks the answer off.

--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -14,8 +15,8 @@
 // of its target.
 var errTargetEnded = errors.New("relay: target ended with its response")
 
-// endCheckDelay is the time between the end of a response and the check of its target. What the target sends
-// to others meanwhile makes the check needless.
+// endCheckDelay is the time between the end of a response and the check of its target, whose other connections
+// have ended by then if its process has.
 const endCheckDelay = 40 * time.Millisecond
 
 // endCheck is a check of a target that the ends of several responses may share.
@@ -67,6 +68,31 @@
 	endedAt := check.endedAt
 	delete(r.endChecks, t.ID)
 	r.mu.Unlock()
-	check.err = r.checkServes(t, endedAt.Add(endCheckDelay/2))
+	check.err = r.checkStillServes(t, endedAt)
 	close(check.done)
 }
+
+// checkStillServes returns nil if the process of a target that ended a response at a time still serves.
+func (r *Relay) checkStillServes(t *catalog.Target, endedAt time.Time) error {
+	switch identity := r.identityOf(t); {
+	case r.replaced(t):
+		return errOtherProcess
+	case r.pool.HasOpenSince(t.ID, endedAt):
+		return nil
+	case identity == nil:
+		return r.checkServes(t, endedAt.Add(endCheckDelay/2))
+	default:
+		ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+		defer cancel()
+		return r.pool.Identify(ctx, t.ID, t.Addr, identity)
+	}
+}
+
+// replaced reports whether another process of a target has written its entry.
+func (r *Relay) replaced(t *catalog.Target) bool {
+	view := r.cfg.View()
+	isOther := func(present *catalog.Target) bool {
+		return present.ID == t.ID && !present.StartedAt.Equal(t.StartedAt)
+	}
+	return slices.ContainsFunc(view.Targets[t.Service], isOther) || slices.ContainsFunc(view.Leaving[t.Service], isOther)
+}
