relay, platform: streams whose IDs begin at zero are passed on whole

IDs of events rise; nothing says that the first one is 1. With 0 as the first, each stream lost its first event, and a client that took its stream up after that event (`Last-Event-Id: 0`) got a new one, at any software version. Cause: zero stood for "no event".

Whether a client has an event is told apart from its ID. A client that sends zero and names no request that began its stream begins anew, as before.

--- a/call/call.go
+++ b/call/call.go
@@ -46,8 +46,9 @@
 	// AnswerTokens limits the length of a streamed answer in tokens; zero if the
 	// client gave no limit.
 	AnswerTokens int
-	// LastEventID is the number of the last event of a stream that the client has; zero
-	// if none.
+	// TakesUp is set if the client takes a stream up, of which it has the events up to
+	// LastEventID.
+	TakesUp     bool
 	LastEventID uint64
 	// Resumes is the ID of the request that brought the first event of the stream that the
 	// client resumes; empty if it names none.
@@ -67,8 +68,8 @@
 	Priority int
 	// Model means that the request is for a model engine.
 	Model bool
-	// LastEventID is the number of the last event of the stream that the client has;
-	// zero if none.
+	// Continues is set if the target is to continue a stream after LastEventID.
+	Continues   bool
 	LastEventID uint64
 	// CacheAddr is host:port of another target that probably has the prompt in its
 	// cache; empty if there is none.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -203,7 +203,7 @@
 	chosen := chosenTarget{Target: choice.Target}
 	s.target = choice.Target
 	line := s.Log(event.RequestPlaced).Str("version", string(choice.Target.Version))
-	if s.lastEventID > 0 {
+	if s.hasEvent {
 		stream, _ := s.streamKey()
 		line.Uint64("after_event", s.lastEventID).Str("resumes", string(s.call.Resumes)).Str("stream", stream.String())
 	}
@@ -307,7 +307,7 @@
 func (s *requestState) send(ctx context.Context, t chosenTarget, timer *attemptloop.GiveUpTimer) *attemptResult {
 	codec := s.relay.cfg.Codec
 	attempt := &call.Attempt{
-		Target: t.Target, Timeout: time.Until(s.deadline), Priority: s.priority, LastEventID: s.lastEventID, CacheAddr: t.cacheAddr,
+		Target: t.Target, Timeout: time.Until(s.deadline), Priority: s.priority, Continues: s.hasEvent, LastEventID: s.lastEventID, CacheAddr: t.cacheAddr,
 		Model: s.isModelService(),
 	}
 	if s.account != nil {
--- a/relay/identity.go
+++ b/relay/identity.go
@@ -19,7 +19,7 @@
 	}
 	identity := s.relay.identityOf(t)
 	if identity != nil {
-		identity.Always = s.lastEventID > 0
+		identity.Always = s.hasEvent
 	}
 	return identity
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -150,7 +150,7 @@
 	switch {
 	case !s.route.Stream:
 		pace.RecordCall(took)
-	case s.call.LastEventID == 0:
+	case !s.call.TakesUp:
 		pace.RecordStream(s.call.AnswerTokens, took)
 	}
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -115,9 +115,10 @@
 	current *attemptResult
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
-	// headSent is set once the response head was sent to the client; lastEventID is
-	// the ID of the last event that the client has.
-	headSent    bool
+	// headSent is set once the response head was sent to the client.
+	headSent bool
+	// hasEvent is set once the client has an event with an ID; lastEventID is the last one.
+	hasEvent    bool
 	lastEventID uint64
 	// mediaType is that of the response whose head was sent.
 	mediaType string
@@ -333,7 +334,7 @@
 	_ = http.NewResponseController(s.w).SetWriteDeadline(s.deadline.Add(time.Second))
 	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, errRequestDeadline)
 	defer cancel()
-	s.lastEventID = s.call.LastEventID
+	s.hasEvent, s.lastEventID = s.call.TakesUp, s.call.LastEventID
 	s.lifecycle = retry.New(retry.Config{
 		Repeatable: s.route.RunPolicy != catalog.RunOnce, Deadline: s.deadline,
 		Policy: retry.Policy{
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,7 +41,7 @@
 		}
 		received++
 		recordEvent(time.Now())
-		if ev.HasID && ev.ID <= s.lastEventID {
+		if s.hasEvent && ev.HasID && ev.ID <= s.lastEventID {
 			timer.Restart(timeout)
 			continue
 		}
@@ -63,7 +63,7 @@
 // continuesStream reports whether the next answer has to continue a stream of which the client has a
 // part.
 func (s *requestState) continuesStream() bool {
-	return s.route.RunPolicy == catalog.Resumable && s.route.Stream && s.lastEventID > 0
+	return s.route.RunPolicy == catalog.Resumable && s.route.Stream && s.hasEvent
 }
 
 // continuationError returns an error if the head of a response does not announce the rest of a
@@ -118,7 +118,7 @@
 	s.events++
 	s.recordProgress()
 	if ev.HasID {
-		s.lastEventID = ev.ID
+		s.hasEvent, s.lastEventID = true, ev.ID
 	}
 	if !flush {
 		return nil
--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -55,7 +55,7 @@
 // it, and whether the client named that one.
 func (s *requestState) streamKey() (key streamversion.Key, named bool) {
 	id := s.call.ID
-	if s.call.LastEventID > 0 {
+	if s.call.TakesUp {
 		id, named = s.call.Resumes, s.call.Resumes != ""
 	}
 	account := fleet.AccountName("")
@@ -73,7 +73,7 @@
 	}
 	versions := s.relay.cfg.StreamVersions
 	key, named := s.streamKey()
-	if s.call.LastEventID == 0 {
+	if !s.call.TakesUp {
 		version, ok := versions.Begin(ctx, s.service, key)
 		if !ok {
 			s.refuse(reason.StreamVersionsUnconfirmed, otherRouterRetryAfter)
@@ -100,7 +100,7 @@
 // keepVersion keeps the rest of a resumable stream at the version of the target that sent
 // its first event, and records that it began there.
 func (s *requestState) keepVersion(t *catalog.Target) {
-	if s.route.RunPolicy != catalog.Resumable || s.lastEventID > 0 || s.events > 0 {
+	if s.route.RunPolicy != catalog.Resumable || s.hasEvent || s.events > 0 {
 		return
 	}
 	s.version = t.Version
