--- a/soak/environment.go
+++ b/soak/environment.go
@@ -28,6 +28,8 @@
 	eventGap        = 8 * time.Millisecond
 	plainDelay      = 5 * time.Millisecond
 	routeHost       = "soak.example"
+	// undelimitedRate is the share of answers that have neither a length nor chunks.
+	undelimitedRate = 0.2
 	engineName      = "chat"
 	plainName       = "orders"
 	// routeTimeout, latencyObjective and pauseObjective apply to all routes.
@@ -207,10 +209,14 @@
 func (t *target) chooseAct(*http.Request) standin.Behavior {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if rand.Float64() < t.misbehaviorRate {
+	switch {
+	case rand.Float64() < t.misbehaviorRate:
 		return t.misbehavior
+	case rand.Float64() < undelimitedRate:
+		return standin.Undelimited
+	default:
+		return standin.Serve
 	}
-	return standin.Serve
 }
 
 func (t *target) setMisbehavior(act standin.Behavior, misbehaviorRate float64) {
