--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -604,6 +604,36 @@
 	}
 }
 
+// TestCutOffRoutersGoOnBeginningStreams guards against routers that refuse new streams for as long as they are cut off
+// from the store and from most others, although no split is replaced.
+func TestCutOffRoutersGoOnBeginningStreams(t *testing.T) {
+	const cutTime = 75 * time.Second
+	for name, counts := range map[string]map[fleet.SoftwareVersion]int{"one version": {"v1": 6}, "two versions": {"v1": 6, "v2": 6}} {
+		for _, cut := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s, %d of 9 routers", name, cut), func(t *testing.T) {
+				f := newFakeFleet(9)
+				f.targets = targetsOf(counts)
+				f.advance(time.Minute)
+				for _, r := range f.routers[:cut] {
+					r.setCut(true)
+				}
+				asked, begun := 0, 0
+				for since := f.now; f.now.Sub(since) < cutTime; f.advance(time.Second) {
+					for _, r := range f.routers[:cut] {
+						asked++
+						if _, ok := r.begin(Key(asked)); ok {
+							begun++
+						}
+					}
+				}
+				if begun*10 < asked*9 {
+					t.Errorf("got %d of %d streams begun in a cut of %v, want nine in ten", begun, asked, cutTime)
+				}
+			})
+		}
+	}
+}
+
 // TestStreamsBeginWhileStoreIsAway guards against an outage of the store that ends all new streams.
 func TestStreamsBeginWhileStoreIsAway(t *testing.T) {
 	f := newFakeFleet(4)
