relay, streamversion: a router without news of its targets identifies each connection before a new stream

While the entries of the targets are not confirmed (1.5 s), every connection is asked for the start of its process before a resumable stream goes over it, once. In touch nothing changes. `TestRouterWithoutNewsBeginsNoStreamAtRestartedTarget` failed before.

--- a/relay/identity.go
+++ b/relay/identity.go
@@ -19,7 +19,8 @@
 	}
 	identity := s.relay.identityOf(t)
 	if identity != nil {
-		identity.Always = s.hasEvent
+		// Without news of the targets, none tells that one has started again.
+		identity.Always = s.hasEvent || !s.relay.cfg.StreamVersions.TargetsConfirmed()
 	}
 	return identity
 }
--- a/relay/restarted_target_test.go
+++ b/relay/restarted_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/relay"
+	"ragwortpond.example/ragwortpond/streamversion"
 )
 
 // restartingTarget serves streams of four events. Its first process ends within the third event of a stream, and another
@@ -171,3 +174,39 @@
 		})
 	}
 }
+
+// unconfirmed are the stream versions of a router that has no news of the targets.
+type unconfirmed struct{ relay.StreamVersions }
+
+func (unconfirmed) Begin(context.Context, fleet.ServiceName, streamversion.Key) (fleet.SoftwareVersion, bool) {
+	return "v1", true
+}
+
+func (unconfirmed) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
+
+func (unconfirmed) TargetsConfirmed() bool { return false }
+
+// TestRouterWithoutNewsBeginsNoStreamAtRestartedTarget guards against the same at a router that is cut off from the store
+// and had no connection to the target when this started again.
+func TestRouterWithoutNewsBeginsNoStreamAtRestartedTarget(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, resumableRoute, nil, func(c *relay.Config) { c.StreamVersions = unconfirmed{} })
+	s.serveByIngress()
+	target := startRestartingTarget(t, false)
+	target.end()
+	s.publishProcess(target, 0, "v1")
+	response, body, err := s.do(s.request(http.MethodPost, "x"))
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %v, body %q, error %v, want a refusal", response, body, err)
+	}
+	s.publishProcess(target, 1, "v1")
+	s.relay.ResetTarget("t")
+	for range 3 {
+		if _, body, err := s.do(s.request(http.MethodPost, "x")); err != nil || strings.Count(body, "by process 1") != 4 {
+			t.Errorf("with its new entry: got body %q, error %v, want four events", body, err)
+		}
+	}
+	if target.reports != 2 {
+		t.Errorf("got %d questions, want one a process and connection", target.reports)
+	}
+}
--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -17,6 +17,8 @@
 	// RecordBegun records at which version a new stream began. It is called before its first
 	// event is forwarded.
 	RecordBegun(service fleet.ServiceName, key streamversion.Key, version fleet.SoftwareVersion)
+	// TargetsConfirmed reports whether the entries of the targets were confirmed a moment ago.
+	TargetsConfirmed() bool
 	// Resume returns the version at which a stream began, or false if that is not known.
 	// named reports whether the client named the request that began it.
 	Resume(ctx context.Context, service fleet.ServiceName, key streamversion.Key, named bool) (fleet.SoftwareVersion, bool)
@@ -33,6 +35,9 @@
 	return "", true
 }
 
+// TargetsConfirmed implements StreamVersions.
+func (soleVersions) TargetsConfirmed() bool { return true }
+
 // RecordBegun implements StreamVersions.
 func (soleVersions) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
 
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -331,11 +331,16 @@
 	}
 }
 
+// TargetsConfirmed reports whether the entries of the targets were confirmed within maxTargetsAge.
+func (s *Service) TargetsConfirmed() bool {
+	age := s.cfg.TargetsAge()
+	return !s.cfg.StoodStill() && age >= 0 && age <= maxTargetsAge
+}
+
 // targetsCurrent reports whether this router has the targets of the moment, or learns of them
 // with most others.
 func (s *Service) targetsCurrent() bool {
-	age := s.cfg.TargetsAge()
-	return !s.cfg.StoodStill() && ((age >= 0 && age <= maxTargetsAge) || s.caughtUp())
+	return s.TargetsConfirmed() || (!s.cfg.StoodStill() && s.caughtUp())
 }
 
 // ambiguousTime returns how long after a change of the split streams in progress may have begun
