streamversion: a router that did not hear the others does not remember the split that a drill lost

What it remembers counts only if it has heard most others for 2 s at that moment. Otherwise splits may be missing, and streams whose version rests on them are refused.

--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -181,7 +181,7 @@
 		return
 	case r.Revision > st.revision:
 		if platform.EraOf(r.Revision) > platform.EraOf(st.revision) {
-			st.lost, st.endedAt = st.remembered(s.cfg.BootTime()), s.now()
+			st.lost, st.endedAt = s.remembered(st), s.now()
 		}
 		if st.revision > 0 {
 			// Under the new split, others would look for them at other versions.
@@ -203,11 +203,13 @@
 }
 
 // remembered returns the newest history of the store's era that has ended, or nil if this router may
-// not know it.
-func (st *serviceState) remembered(now time.Duration) *History {
+// not know it, as after a time in which it did not hear the others. s.mu must be held.
+func (s *Service) remembered(st *serviceState) *History {
+	now := s.cfg.BootTime()
+	heardOthers := s.connected && now-s.connectedSince >= connectedLag
 	age := st.confirmationAge(now)
 	switch {
-	case age == noConfirmation || age >= leaseTime:
+	case !heardOthers, age == noConfirmation || age >= leaseTime:
 		return nil
 	case st.history != nil && st.history.Era < platform.EraOf(st.revision) && st.lost == nil:
 		return nil
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -783,3 +783,31 @@
 		})
 	}
 }
+
+// TestRouterBackAtDrillDoesNotTrustItsMemory guards against streams of two versions at a router that was cut off while the
+// split was replaced, and is back as the store comes back from a copy without the new one.
+func TestRouterBackAtDrillDoesNotTrustItsMemory(t *testing.T) {
+	const streams = 60
+	f := newFakeFleet(4)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.advance(2 * discoveryTime)
+	object, settled := f.store.object, f.store.settled
+	back, ctx := f.routers[1], context.Background()
+	back.setCut(true)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+	f.advance(4 * time.Second)
+	begun := map[Key]fleet.SoftwareVersion{}
+	for i := range streams {
+		if version, ok := f.routers[0].begin(Key(i)); ok {
+			begun[Key(i)] = version
+		}
+	}
+	back.setCut(false)
+	f.store.restore(object, settled)
+	f.lossy = true
+	for key, want := range begun {
+		if got, ok := back.service.Resume(ctx, "s", key, true); ok && got != want {
+			t.Errorf("a stream of %s was resumed at %s", want, got)
+		}
+	}
+}
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -190,7 +190,7 @@
 	lost, endedAt := st.lost, st.endedAt
 	if era > platform.EraOf(st.revision) {
 		// This router has seen nothing of the newest era.
-		lost, endedAt = st.remembered(s.cfg.BootTime()), now
+		lost, endedAt = s.remembered(st), now
 	}
 	split := st.split
 	s.mu.Unlock()
