--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -85,9 +85,22 @@
 	defer t.mu.Unlock()
 	t.crashed = true
 	_ = t.listener.Close()
+	t.closeConns()
+}
+
+// closeConns closes all connections; t.mu must be held.
+func (t *mortalTarget) closeConns() {
 	for c := range t.conns {
 		_ = c.Close()
 	}
+	clear(t.conns)
+}
+
+// restart closes all connections. The next ones are those of another process.
+func (t *mortalTarget) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeConns()
 }
 
 // closeFromNow makes the target close all connections that it accepts from now on.
