targetconn: identifying a process tells how long its connection may be kept

A sentinel error stood for "identified, but the connection closes", and both callers took it apart. `identify` returns the idle time that the response announces, zero if none, as after every other exchange; `Identify` keeps its connection for that time instead of the default. The status of the answer, which no check reads, is no longer passed. One close in `get` for connections that are not used.

--- a/relay/identity.go
+++ b/relay/identity.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	codec := r.cfg.Codec
-	return &targetconn.Identity{URI: codec.ProcessURI(), Check: func(_ int, body []byte) error {
+	return &targetconn.Identity{URI: codec.ProcessURI(), Check: func(body []byte) error {
 		startedAt, ok := codec.DecodeProcess(body)
 		if ok && !startedAt.Equal(t.StartedAt) {
 			return fmt.Errorf("%w: started at %v, want %v", errOtherProcess, startedAt, t.StartedAt)
--- a/targetconn/identify.go
+++ b/targetconn/identify.go
@@ -18,12 +18,8 @@
 // connection is, or may be, not the expected one. It wraps ErrNotSent.
 var ErrNotIdentified = fmt.Errorf("%w: process not identified", ErrNotSent)
 
-var (
-	// errCannotReuse means that a process was identified and closes the connection.
-	errCannotReuse = errors.New("targetconn: connection is closed after the response")
-	// errIdentityTooLong means that a target tells more than maxIdentityBytes.
-	errIdentityTooLong = errors.New("targetconn: response too long")
-)
+// errIdentityTooLong means that a target tells more than maxIdentityBytes.
+var errIdentityTooLong = errors.New("targetconn: response too long")
 
 const (
 	// maxIdentityBytes bounds what a target tells of its process.
@@ -44,7 +40,7 @@
 	// Always is set if every connection is asked, not only those opened after a loss.
 	Always bool
 	// Check returns an error if the body of the answer is of another process than the expected one.
-	Check func(status int, body []byte) error
+	Check func(body []byte) error
 }
 
 // recordLoss records that a connection to a target was lost which had its process until a time.
@@ -91,15 +87,8 @@
 	if err != nil {
 		return err
 	}
-	err = p.identify(ctx, c, identity, addr)
-	if err == nil {
-		p.put(c, defaultIdleTimeout)
-		return nil
-	}
-	_ = c.Close()
-	if errors.Is(err, errCannotReuse) {
-		return nil
-	}
+	idleTimeout, err := p.identify(ctx, c, identity, addr)
+	p.put(c, idleTimeout)
 	return err
 }
 
@@ -109,42 +98,40 @@
 	if !p.mustIdentify(c, r.Identity) {
 		return c, nil
 	}
-	err := p.identify(ctx, c, r.Identity, r.Host)
-	if err == nil {
+	idleTimeout, err := p.identify(ctx, c, r.Identity, r.Host)
+	if err == nil && idleTimeout > 0 {
 		return c, nil
 	}
 	_ = c.Close()
-	if errors.Is(err, errCannotReuse) {
-		return p.dial(ctx, r.Target, r.Addr)
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	return p.dial(ctx, r.Target, r.Addr)
 }
 
-// identify makes sure that the process of a connection is the expected one.
-func (p *Pool) identify(ctx context.Context, c *conn, identity *Identity, host string) error {
+// identify makes sure that the process of a connection is the expected one. It returns how long the
+// connection may be kept idle after that, zero if it must be closed.
+func (p *Pool) identify(ctx context.Context, c *conn, identity *Identity, host string) (idleTimeout time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	a := newResponse(ctx, p, c)
 	defer a.detachContext()
 	if err := a.exchange(&Request{Method: http.MethodGet, URI: identity.URI, Host: host}); err != nil {
-		return fmt.Errorf("%w: %w", ErrNotIdentified, err)
+		return 0, fmt.Errorf("%w: %w", ErrNotIdentified, err)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.body, maxIdentityBytes+1))
 	switch {
 	case err != nil:
-		return fmt.Errorf("%w: %w", ErrNotIdentified, a.wrapBroken(err))
+		return 0, fmt.Errorf("%w: %w", ErrNotIdentified, a.wrapBroken(err))
 	case len(body) > maxIdentityBytes:
-		return fmt.Errorf("%w: %w", ErrNotIdentified, errIdentityTooLong)
+		return 0, fmt.Errorf("%w: %w", ErrNotIdentified, errIdentityTooLong)
 	}
-	if err := identity.Check(a.Status, body); err != nil {
-		return fmt.Errorf("%w: %w", ErrNotIdentified, err)
+	if err := identity.Check(body); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotIdentified, err)
 	}
 	c.identified = true
 	p.forgetLoss(c)
-	if !a.Delimited || a.idleTimeout <= 0 {
-		return errCannotReuse
-	}
-	return nil
+	return a.idleTimeout, nil
 }
 
 // forgetLoss records that the process of a connection is the expected one.
--- a/targetconn/identify_test.go
+++ b/targetconn/identify_test.go
@@ -48,7 +48,7 @@
 
 // ask sends a request that needs the process "p".
 func (s *identityServer) ask(ctx context.Context, p *Pool) error {
-	identity := &Identity{URI: "/process", Check: func(_ int, body []byte) error {
+	identity := &Identity{URI: "/process", Check: func(body []byte) error {
 		if string(body) != "p" {
 			return errOther
 		}
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -151,17 +151,14 @@
 		}
 		now := time.Now()
 		expired := now.After(c.idleUntil) || c.addr != addr || (fresh && now.Sub(c.lastUsed) > maxFreshAge)
-		if expired {
-			_ = c.Close()
-			continue
+		if !expired && netconn.Reusable(c.Conn) {
+			c.reused = true
+			return c, nil
 		}
-		if !netconn.Reusable(c.Conn) {
+		if !expired {
 			p.recordLoss(id, c.lastRead)
-			_ = c.Close()
-			continue
 		}
-		c.reused = true
-		return c, nil
+		_ = c.Close()
 	}
 	return p.dial(ctx, id, addr)
 }
