catalog, relay: a replaced process is one that the catalog takes for a later one

The check of an answer's end compared the starts of two entries by itself. `Process.Replaces` decides now, as in the directory. `TestEndIsConfirmedBesideEntryOfEarlierProcess` failed before. Three loops over the targets of a service, those that leave included, are one, `View.All`.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,7 @@
 package catalog
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -258,6 +259,19 @@
 	TargetsRevision uint64
 }
 
+// All returns the targets of a service, those that leave included.
+func (v *View) All(service fleet.ServiceName) iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for _, targets := range []Targets{v.Targets, v.Leaving} {
+			for _, t := range targets[service] {
+				if !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Ready reports whether the view is sufficient to serve requests.
 func (v *View) Ready() bool {
 	return v.Config != nil && v.TargetsLoaded
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -88,11 +87,12 @@
 	}
 }
 
-// replaced reports whether another process of a target has written its entry.
+// replaced reports whether a later process of a target has written its entry.
 func (r *Relay) replaced(t *catalog.Target) bool {
-	view := r.cfg.View()
-	isOther := func(present *catalog.Target) bool {
-		return present.ID == t.ID && !present.StartedAt.Equal(t.StartedAt)
+	for present := range r.cfg.View().All(t.Service) {
+		if present.ID == t.ID && present.Process().Replaces(t.Process()) {
+			return true
+		}
 	}
-	return slices.ContainsFunc(view.Targets[t.Service], isOther) || slices.ContainsFunc(view.Leaving[t.Service], isOther)
+	return false
 }
--- a/relay/ended_target_test.go
+++ b/relay/ended_target_test.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/platform/standin"
 )
 
 // startDyingTarget starts a target that ends, as a killed process does, behind the bytes of its first answer. It returns
@@ -72,3 +74,28 @@
 		}
 	}
 }
+
+// TestEndIsConfirmedBesideEntryOfEarlierProcess guards against breaking answers off because the store came back from a copy
+// with the entry of an earlier process of their target.
+func TestEndIsConfirmedBesideEntryOfEarlierProcess(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	publish := func(addr string, startedAt time.Time, era uint64) {
+		target := &catalog.Target{ID: "t", Service: "s", Domain: "d", Addr: addr, Slots: 8, StartedAt: startedAt, Era: era}
+		s.view.Store(&catalog.View{Config: s.config, TargetsLoaded: true, Targets: catalog.Targets{"s": {target}}})
+	}
+	target := startMortalTarget(t, func(target *mortalTarget, c net.Conn, r *http.Request) bool {
+		if r.URL.Path == standin.ReportPath {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"born\":2000}")
+			return true
+		}
+		_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 2))
+		publish(target.listener.Addr().String(), time.UnixMilli(1000), 1)
+		return false
+	})
+	publish(target.listener.Addr().String(), time.UnixMilli(2000), 0)
+	if _, body, err := s.do(s.request(http.MethodPost, "x")); err != nil || body != streamText(1, 2) {
+		t.Errorf("got body %q, error %v, want both events", body, err)
+	}
+}
--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -45,13 +45,11 @@
 func (v soleVersions) Resume(_ context.Context, service fleet.ServiceName, _ streamversion.Key, _ bool) (fleet.SoftwareVersion, bool) {
 	view := v.view()
 	sole := fleet.SoftwareVersion("")
-	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
-		for _, t := range targets[service] {
-			if sole != "" && t.Version != sole {
-				return "", false
-			}
-			sole = t.Version
+	for t := range view.All(service) {
+		if sole != "" && t.Version != sole {
+			return "", false
 		}
+		sole = t.Version
 	}
 	return sole, true
 }
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -588,11 +588,9 @@
 // versionOfOrigin returns the version of targets that an origin stands for, or false if no
 // target has it.
 func versionOfOrigin(view *catalog.View, service fleet.ServiceName, origin Origin) (fleet.SoftwareVersion, bool) {
-	for _, targets := range []catalog.Targets{view.Targets, view.Leaving} {
-		for _, t := range targets[service] {
-			if NewOrigin(service, t.Version) == origin {
-				return t.Version, true
-			}
+	for t := range view.All(service) {
+		if NewOrigin(service, t.Version) == origin {
+			return t.Version, true
 		}
 	}
 	return "", false
