relay: results of connections whose process is not identified say nothing of paths, in one place

`send` had a case of its own for them in front of `recordPath`, which tells already which results count. No change of behaviour.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -322,9 +322,6 @@
 		},
 		Identity: s.streamIdentity(t.Target),
 	})
-	if errors.Is(err, targetconn.ErrNotIdentified) {
-		return &attemptResult{reason: reason.TargetDown, err: err}
-	}
 	s.relay.recordPath(t.Target, err, err == nil && response.Reused())
 	if errors.Is(err, targetconn.ErrNotSent) {
 		return &attemptResult{reason: reason.TargetDown, err: err}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -201,8 +201,9 @@
 func (r *Relay) recordPath(t *catalog.Target, err error, reused bool) {
 	now, unsent := time.Now(), errors.Is(err, targetconn.ErrNotSent)
 	switch {
-	case err != nil && !unsent:
-		// The connection broke later, or an old one did, which says nothing of new ones.
+	case err != nil && !unsent, errors.Is(err, targetconn.ErrNotIdentified):
+		// The connection broke later, or an old one did, or it leads to another process, which says
+		// nothing of new ones.
 		return
 	case reused:
 		r.paths.Answered(t.Service, now)
--- a/relay/identity.go
+++ b/relay/identity.go
@@ -14,7 +14,7 @@
 // streamIdentity returns how to identify the process of a resumable stream's target, or nil for other
 // requests. A later process may run another software version than the target's entry tells.
 func (s *requestState) streamIdentity(t *catalog.Target) *targetconn.Identity {
-	if s.route.RunPolicy != catalog.Resumable || !s.route.Stream {
+	if !s.isResumableStream() {
 		return nil
 	}
 	identity := s.relay.identityOf(t)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -63,7 +63,12 @@
 // continuesStream reports whether the next answer has to continue a stream of which the client has a
 // part.
 func (s *requestState) continuesStream() bool {
-	return s.route.RunPolicy == catalog.Resumable && s.route.Stream && s.hasEvent
+	return s.hasEvent && s.isResumableStream()
+}
+
+// isResumableStream reports whether the request is for a stream that another target can continue.
+func (s *requestState) isResumableStream() bool {
+	return s.route.RunPolicy == catalog.Resumable && s.route.Stream
 }
 
 // continuationError returns an error if the head of a response does not announce the rest of a
