relay: a client that leaves while the end of its answer is confirmed is no sign of a crash

The error of an end check that its context ended wrapped `errTargetEnded`, so that `brokenByTarget` took it for the target's, against what it says of itself. The target was asked for its health a second time, and a target that ended in that tenth of a second would have been held against the request. `TestClientThatLeavesAtTheEndIsNoCrash` failed before: two questions, one now.

--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -38,7 +38,7 @@
 	select {
 	case <-check.done:
 	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", errTargetEnded, context.Cause(ctx))
+		return context.Cause(ctx)
 	}
 	if check.err != nil {
 		s.Log(event.TargetEnded).Err(check.err).Int("events", s.events).Send()
--- a/relay/ended_target_test.go
+++ b/relay/ended_target_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,3 +100,34 @@
 		t.Errorf("got body %q, error %v, want both events", body, err)
 	}
 }
+
+// TestClientThatLeavesAtTheEndIsNoCrash guards against asking a target whether it has crashed because a client left while the
+// end of its answer was confirmed.
+func TestClientThatLeavesAtTheEndIsNoCrash(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	service := s.config.Services["s"]
+	service.HealthPath = testHealthPath
+	s.config.Services["s"] = service
+	var checks atomic.Int64
+	target := startMortalTarget(t, func(_ *mortalTarget, c net.Conn, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			checks.Add(1)
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 1))
+		return false
+	})
+	s.useRawTargets(target.listener.Addr().String())
+	response, err := http.DefaultClient.Do(s.request(http.MethodPost, "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	time.Sleep(incidentPause)
+	if got := checks.Load(); got > 1 {
+		t.Errorf("the target was asked for its health %d times, want once, for the end of its answer", got)
+	}
+}
