streamversion: beginning and resuming streams have files of their own

Whether a router had heard most others for long enough stood twice, in `caughtUp` and in what is remembered over a drill.

--- /dev/null
+++ b/streamversion/begin.go
@@ -0,0 +1,64 @@
+package streamversion
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// startReadTimeout bounds the read of the split by a new stream of a router that knows none.
+const startReadTimeout = 200 * time.Millisecond
+
+// Begin returns the version of a new stream, or an empty one if the service has no target. It
+// returns false if the split may have been replaced for too long, so that others would resume
+// the stream at another version. It reads the store if that may tell.
+func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) (fleet.SoftwareVersion, bool) {
+	view := s.cfg.View()
+	targets := s.targetsOf(service, view)
+	if len(targets.split) == 0 {
+		return "", true
+	}
+	leased := s.leased(service)
+	if revision, _, _ := s.known(service); !leased || (revision == 0 && len(targets.split) > 1) {
+		ctx, cancel := context.WithTimeout(ctx, startReadTimeout)
+		defer cancel()
+		if _, err := s.readHistory(ctx, service); err != nil && !isNoHistory(err) {
+			// The targets decide if there was a lease.
+			event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
+		}
+		if !leased && !s.leased(service) {
+			return "", false
+		}
+	}
+	if origin, ok := s.registry.Find(key, s.now()); ok {
+		// A router of an earlier build has passed the stream on, and told what it chose.
+		version, ok := versionOfOrigin(view, service, origin)
+		return version, ok && slices.Contains(targets.serving, version)
+	}
+	_, split, _ := s.known(service)
+	version := split.VersionOf(key)
+	if slices.Contains(targets.serving, version) {
+		return version, true
+	}
+	if !s.targetsCurrent() {
+		// The version that the split gives may well be in service.
+		return "", false
+	}
+	return targets.split.VersionOf(key), true
+}
+
+// RecordBegun records at which version a stream began, here and, unless they can compute it, at
+// other routers. It must be called before the client gets the first event.
+func (s *Service) RecordBegun(service fleet.ServiceName, key Key, version fleet.SoftwareVersion) {
+	now, view := s.now(), s.cfg.View()
+	revision, split, since := s.known(service)
+	origin := NewOrigin(service, version)
+	s.registry.Record(key, origin, now)
+	s.recordOwn(service, key, origin, now)
+	if revision == 0 || split.VersionOf(key) != version || now.Sub(since) < s.ambiguousTime(service, view) || s.absentLately() {
+		s.cfg.Peers().RecordStream(key, origin)
+	}
+}
--- a/streamversion/lease.go
+++ b/streamversion/lease.go
@@ -111,7 +111,13 @@
 	boot, connected := s.cfg.BootTime(), s.cfg.Peers().Connected()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return connected && s.connected && boot-s.connectedSince >= connectedLag
+	return connected && s.heardOthers(boot)
+}
+
+// heardOthers reports whether this router had heard most others for connectedLag when it last looked; s.mu must
+// be held.
+func (s *Service) heardOthers(boot time.Duration) bool {
+	return s.connected && boot-s.connectedSince >= connectedLag
 }
 
 // extendLease extends the lease of a router that knows what most others know, while the store is
--- /dev/null
+++ b/streamversion/resume.go
@@ -0,0 +1,193 @@
+package streamversion
+
+import (
+	"context"
+	"time"
+
+	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
+)
+
+// basis is what the version of a resumed stream rests on.
+type basis string
+
+// Bases of versions.
+const (
+	basisOnlyVersion  basis = "only-version"
+	basisRecord       basis = "record"
+	basisPeerRecord   basis = "record-of-other"
+	basisSplits       basis = "splits"
+	basisSettledSplit basis = "settled-split"
+)
+
+// Resume returns the version at which a stream began, or false if that is not known for
+// certain. named reports whether the client named the request that began it.
+func (s *Service) Resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, bool) {
+	version, from, ok := s.resume(ctx, service, key, named)
+	event.StreamVersionFound.Log(s.cfg.Log).Str("service", string(service)).Str("stream", key.String()).Bool("named", named).
+		Str("version", string(version)).Str("basis", string(from)).Bool("known", ok).Send()
+	return version, ok
+}
+
+// resume is Resume with the basis of the result.
+func (s *Service) resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, basis, bool) {
+	view := s.cfg.View()
+	s.targetsOf(service, view)
+	if version, ok := s.soleVersion(service, view); ok {
+		return version, basisOnlyVersion, true
+	}
+	if origin, from, ok := s.findRecord(ctx, key, named); ok {
+		version, ok := versionOfOrigin(view, service, origin)
+		return version, from, ok
+	}
+	lifetime := lifetimeOf(view, service)
+	history := s.newestHistory(ctx, service, lifetime)
+	if history == nil {
+		return "", basisSplits, false
+	}
+	history = s.withLost(service, history)
+	if !named {
+		version, ok := s.soleInHistory(service, history, lifetime)
+		return version, basisSplits, ok
+	}
+	window := s.window(service, lifetime)
+	if version, ok := s.versionInHistory(service, history, key, window); ok {
+		return version, basisSplits, true
+	}
+	if window.Settled = s.isSettled(ctx, service); !window.Settled {
+		return "", basisSettledSplit, false
+	}
+	version, ok := s.versionInHistory(service, history, key, window)
+	return version, basisSettledSplit, ok
+}
+
+// findRecord looks for a record of a stream, here and at other routers.
+func (s *Service) findRecord(ctx context.Context, key Key, named bool) (Origin, basis, bool) {
+	if !named {
+		return 0, basisRecord, false
+	}
+	if origin, ok := s.registry.Find(key, s.now()); ok {
+		return origin, basisRecord, true
+	}
+	origin, ok := s.cfg.Peers().FindStream(ctx, key)
+	return origin, basisPeerRecord, ok
+}
+
+// withLost returns a history with the splits that the store lost, as far as this router knows them.
+func (s *Service) withLost(service fleet.ServiceName, history *History) *History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	if st.lost == nil {
+		return history
+	}
+	return history.inEra(platform.EraOf(st.revision), st.lost, st.endedAt)
+}
+
+// soleInHistory returns the version of all targets, if all streams in progress began at it
+// by the splits.
+func (s *Service) soleInHistory(service fleet.ServiceName, history *History, lifetime time.Duration) (fleet.SoftwareVersion, bool) {
+	window := s.window(service, lifetime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, now := s.stateOf(service), s.now()
+	version, ok := history.SoleVersion(window, now)
+	return version, ok && version == st.targets.sole
+}
+
+// versionInHistory returns the version at which a stream began, or false if that is ambiguous.
+func (s *Service) versionInHistory(service fleet.ServiceName, history *History, key Key, window Window) (fleet.SoftwareVersion, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, now := s.stateOf(service), s.now()
+	version, ok := history.VersionOf(key, window, now)
+	if !ok || len(st.before) == 0 || now.Sub(st.usedUntil) >= window.Lifetime {
+		return version, ok
+	}
+	// This router may have learned late that the split before was replaced.
+	return version, st.before.VersionOf(key) == version
+}
+
+// window returns the time in which streams in progress began, and what is known of the splits in
+// use then.
+func (s *Service) window(service fleet.ServiceName, lifetime time.Duration) Window {
+	_, _, since := s.known(service)
+	w := Window{Lifetime: lifetime, Unchanged: s.now().Sub(since)}
+	w.AbsentFrom, w.AbsentUntil = s.cfg.Peers().Absence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stateOf(service)
+	w.Era = platform.EraOf(st.revision)
+	return w
+}
+
+// newestHistory returns a service's history from the store. Without the store, which no
+// split changes without, it returns what this router knows, or nil if that is not enough.
+func (s *Service) newestHistory(ctx context.Context, service fleet.ServiceName, lifetime time.Duration) *History {
+	if !s.storeAway(service) {
+		history, err := s.readHistory(ctx, service)
+		if err == nil {
+			return history
+		}
+		event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
+		s.mu.Lock()
+		s.stateOf(service).retryAt = s.now().Add(storeBackoff)
+		s.mu.Unlock()
+	}
+	if !s.caughtUp() || !s.confirmedLately(service) {
+		return nil
+	}
+	s.observeStore(service)
+	absent := s.absentLately()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, now := s.stateOf(service), s.now()
+	switch {
+	case st.revision == 0, now.Sub(st.awaySince) < clockError:
+		// Another router may have written a split that this one has not heard of.
+		return nil
+	case st.history == nil && (st.alone || (now.Sub(st.knownSince) >= lifetime+leaseTime+clockError && !absent)):
+		return &History{Splits: []Entry{{Split: st.split}}, Era: platform.EraOf(st.revision)}
+	default:
+		return st.history
+	}
+}
+
+// soleVersion returns the version of all targets, if this router has known for longer than a
+// stream lasts that there is no other one.
+func (s *Service) soleVersion(service fleet.ServiceName, view *catalog.View) (fleet.SoftwareVersion, bool) {
+	if !s.targetsCurrent() {
+		return "", false
+	}
+	absent := s.absentLately()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, lifetime := s.stateOf(service), lifetimeOf(view, service)
+	now := s.now()
+	sole, certainAfter := st.targets.sole, lifetime+leaseTime+clockError
+	switch {
+	case sole == "":
+		return "", false
+	case st.revision > 0 && st.alone:
+		return sole, len(st.split) == 1 && st.split[0].Version == sole && now.Sub(st.soleSince) >= lifetime
+	case now.Sub(st.soleSince) < certainAfter:
+		return "", false
+	case st.revision > 0 && (len(st.split) != 1 || st.split[0].Version != sole || now.Sub(st.knownSince) < certainAfter || (absent && now.Sub(st.knownSince) < historyLifetime)):
+		return "", false
+	default:
+		return sole, true
+	}
+}
+
+// versionOfOrigin returns the version of targets that an origin stands for, or false if no
+// target has it.
+func versionOfOrigin(view *catalog.View, service fleet.ServiceName, origin Origin) (fleet.SoftwareVersion, bool) {
+	for t := range view.All(service) {
+		if NewOrigin(service, t.Version) == origin {
+			return t.Version, true
+		}
+	}
+	return "", false
+}
