--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -404,19 +404,15 @@
 // larger than maxBufferedBodyBytes is forwarded as it arrives.
 func (s *requestState) forwardBody(ctx context.Context, t chosenTarget, result *attemptResult, timer *attemptloop.GiveUpTimer) {
 	body, err := io.ReadAll(io.LimitReader(result.response, maxBufferedBodyBytes+1))
-	if err != nil {
-		result.reason, result.err = reason.AnswerTruncated, err
-		return
-	}
-	result.body = body
 	long := len(body) > maxBufferedBodyBytes
-	if !long {
+	if err == nil && !long {
 		err = s.confirmEnd(ctx, t.Target, result)
 	}
 	if err != nil {
 		result.reason, result.err = reason.AnswerTruncated, err
 		return
 	}
+	result.body = body
 	if err := result.commit(timer); err != nil && long {
 		result.reason, result.err = reason.AnswerTruncated, err
 		return
@@ -427,11 +423,7 @@
 		return
 	}
 	if long {
-		_, err = io.Copy(s.w, result.response)
-		if err == nil {
-			err = s.confirmEnd(ctx, t.Target, result)
-		}
-		if err != nil {
+		if err := s.forwardRest(ctx, t, result); err != nil {
 			result.reason, result.err = reason.AnswerTruncated, err
 			return
 		}
@@ -439,6 +431,14 @@
 	result.complete = true
 }
 
+// forwardRest forwards the rest of a long body as it arrives.
+func (s *requestState) forwardRest(ctx context.Context, t chosenTarget, result *attemptResult) error {
+	if _, err := io.Copy(s.w, result.response); err != nil {
+		return err
+	}
+	return s.confirmEnd(ctx, t.Target, result)
+}
+
 // recordAttempt updates the target's health state and the record of cache holders.
 // Attempts cancelled for another reason than the target's silence are ignored.
 func (s *requestState) recordAttempt(ctx context.Context, t *catalog.Target, result *attemptResult) {
