--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -37,17 +38,19 @@
 func TestSoak(t *testing.T) {
 	program := buildRouter(t, "")
 	for _, seed := range append([]uint64{1}, failedSeeds...) {
-		r, err := Play(t.Context(), options(program, seed))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("%+v", r)
-		if r.Violations > 0 {
-			t.Errorf("seed %d: got violations %+v, want none", seed, r.Found)
-		}
-		if r.Requests < 500 || r.Served*4 < r.Requests {
-			t.Errorf("seed %d: served %d of %d requests, want at least a quarter of at least 500", seed, r.Served, r.Requests)
-		}
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			r, err := Play(t.Context(), options(program, seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", r)
+			if r.Violations > 0 {
+				t.Errorf("got violations %+v, want none", r.Found)
+			}
+			if r.Requests < 500 || r.Served*4 < r.Requests {
+				t.Errorf("served %d of %d requests, want at least a quarter of at least 500", r.Served, r.Requests)
+			}
+		})
 	}
 }
 
