relay: the log tells on what an answer's end was taken for its completion

`request-served` said whether an answer was delimited, but not what confirmed the end of one that was not: a connection from before, the target's word of its process, its health, or nothing. The field `end` has it, also for failures passed on, and `evidence` of `target-ended` says what was asked for. No change of behaviour.

--- a/event/request.go
+++ b/event/request.go
@@ -6,13 +6,13 @@
 // caller, 3000 to 3099.
 var (
 	RequestPlaced          = define(3000, zerolog.InfoLevel, "request-placed", "A target was chosen for an attempt; the fields give the basis of the choice, the target's estimated load and the revision of the targets.")
-	RequestServed          = define(3001, zerolog.InfoLevel, "request-served", "The complete answer was sent to the client.")
+	RequestServed          = define(3001, zerolog.InfoLevel, "request-served", "The complete answer was sent to the client; the field end says on what its end was taken for its completion.")
 	RequestRetried         = define(3002, zerolog.WarnLevel, "request-tried-again", "An attempt failed and another one follows; the fields say how it ended and why.")
 	RequestRedirected      = define(3010, zerolog.InfoLevel, "request-redirected", "An attempt ended before it used the retry budget, and the next candidate is tried: a home refused or returned a newer state, or the target could not be reached.")
 	RequestShed            = define(3011, zerolog.InfoLevel, "request-shed", "A request to a plain service was not accepted, because its targets reject requests and answer late; the field is the fraction that is accepted.")
 	RequestNotRun          = define(3003, zerolog.WarnLevel, "request-not-run", "A request was refused and has not run; the reason says why.")
 	RequestUnknown         = define(3004, zerolog.WarnLevel, "request-unknown", "A request failed and may have run; the reason says why.")
-	FailureForwarded       = define(3005, zerolog.InfoLevel, "request-failure-passed-on", "A failure response of a target was forwarded to the client.")
+	FailureForwarded       = define(3005, zerolog.InfoLevel, "request-failure-passed-on", "A failure response of a target was forwarded to the client; the field end is that of served answers.")
 	AnswerAborted          = define(3006, zerolog.WarnLevel, "answer-cut", "An answer could not be completed after it had started; its connection was closed.")
 	ClientGone             = define(3007, zerolog.InfoLevel, "client-gone", "The client disconnected before the end of its answer; the attempt was cancelled.")
 	RequestBodyUnread      = define(3008, zerolog.InfoLevel, "request-body-unread", "The body of a request could not be read.")
@@ -33,6 +33,6 @@
 	TargetLeaves           = define(3025, zerolog.InfoLevel, "target-leaves", "A target said in a response that it leaves; this router sends it no more requests.")
 	ForwardedTargetInvalid = define(3026, zerolog.WarnLevel, "forwarded-target-invalid", "Another router passed a response on and named its target in a way that cannot be read; what the target says of itself is not used.")
 	TargetNoticeChecked    = define(3027, zerolog.InfoLevel, "target-notice-checked", "A target that had said that it leaves has a new process, which was asked whether it leaves too; without an answer it gets no requests and is asked again.")
-	TargetEnded            = define(3028, zerolog.WarnLevel, "target-ended", "The end of an answer that has neither a length nor chunks is not taken for its completion, because its target did not serve a check afterwards.")
+	TargetEnded            = define(3028, zerolog.WarnLevel, "target-ended", "The end of an answer that has neither a length nor chunks is not taken for its completion, because its target did not serve a check afterwards; the field evidence says what was asked for.")
 	LogDropped             = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,6 +61,8 @@
 	// body is the part of the response body that was buffered before forwarding.
 	body []byte
 	err  error
+	// end is the evidence of the end of a response without framing; empty until it is confirmed.
+	end endEvidence
 	// committed is set once the client has part of a response that no other attempt can
 	// continue.
 	committed bool
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -18,13 +18,30 @@
 // have ended by then if its process has.
 const endCheckDelay = 40 * time.Millisecond
 
+// endEvidence tells on what the end of a complete response was taken for its completion. It is a value of the log.
+type endEvidence string
+
+const (
+	// endFramed: the response has a length or is chunked.
+	endFramed endEvidence = "framing"
+	// endConnection: a connection from before the end was still open after it.
+	endConnection endEvidence = "connection"
+	// endProcess: the target told of its process.
+	endProcess endEvidence = "process"
+	// endHealth: the target served something else after the end, or a check of its health.
+	endHealth endEvidence = "health"
+	// endUnconfirmed: nothing was asked.
+	endUnconfirmed endEvidence = "none"
+)
+
 // endCheck is a check of a target that the ends of several responses may share.
 type endCheck struct {
 	// endedAt is the end of the last of these responses; Relay.mu guards it.
 	endedAt time.Time
-	// done is closed once err is set.
-	done chan struct{}
-	err  error
+	// done is closed once evidence and err are set.
+	done     chan struct{}
+	evidence endEvidence
+	err      error
 }
 
 // confirmEnd returns nil if the end of the current response is its completion. The kernel ends the
@@ -41,9 +58,10 @@
 		return context.Cause(ctx)
 	}
 	if check.err != nil {
-		s.Log(event.TargetEnded).Err(check.err).Int("events", s.events).Send()
+		s.Log(event.TargetEnded).Err(check.err).Str("evidence", string(check.evidence)).Int("events", s.events).Send()
 		return fmt.Errorf("%w: %w", errTargetEnded, check.err)
 	}
+	result.end = check.evidence
 	return nil
 }
 
@@ -67,23 +85,24 @@
 	endedAt := check.endedAt
 	delete(r.endChecks, t.ID)
 	r.mu.Unlock()
-	check.err = r.checkStillServes(t, endedAt)
+	check.evidence, check.err = r.checkStillServes(t, endedAt)
 	close(check.done)
 }
 
-// checkStillServes returns nil if the process of a target that ended a response at a time still serves.
-func (r *Relay) checkStillServes(t *catalog.Target, endedAt time.Time) error {
+// checkStillServes returns nil if the process of a target that ended a response at a time still serves, and the
+// evidence that was asked for.
+func (r *Relay) checkStillServes(t *catalog.Target, endedAt time.Time) (endEvidence, error) {
 	switch identity := r.identityOf(t); {
 	case r.replaced(t):
-		return errOtherProcess
+		return endProcess, errOtherProcess
 	case r.pool.HasOpenSince(t.ID, endedAt):
-		return nil
+		return endConnection, nil
 	case identity == nil:
-		return r.checkServes(t, endedAt.Add(endCheckDelay/2))
+		return endHealth, r.checkServes(t, endedAt.Add(endCheckDelay/2))
 	default:
 		ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 		defer cancel()
-		return r.pool.Identify(ctx, t.ID, t.Addr, identity)
+		return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
 	}
 }
 
@@ -96,3 +115,15 @@
 	}
 	return false
 }
+
+// endEvidence returns on what the end of the response was taken for its completion.
+func (r *attemptResult) endEvidence() endEvidence {
+	switch {
+	case r.response.Delimited:
+		return endFramed
+	case r.end == "":
+		return endUnconfirmed
+	default:
+		return r.end
+	}
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -141,7 +141,8 @@
 	s.recordResult(resultCompleted)
 	s.recordPace()
 	s.Log(event.RequestServed).Int("status", s.current.response.Status).Dur("first", s.timeToHead).
-		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Bool("delimited", s.current.response.Delimited).Int("attempts", s.attempts).Send()
+		Dur("whole", time.Since(s.arrivedAt)).Int("events", s.events).Bool("delimited", s.current.response.Delimited).
+		Str("end", string(s.current.endEvidence())).Int("attempts", s.attempts).Send()
 }
 
 // recordPace records how long a complete answer took from the arrival of the whole request.
@@ -190,7 +191,7 @@
 	_, _ = s.w.Write(result.body)
 	s.completeResponse()
 	s.recordResult(resultFailed)
-	s.Log(event.FailureForwarded).Int("status", result.response.Status).Int("attempts", s.attempts).Send()
+	s.Log(event.FailureForwarded).Int("status", result.response.Status).Str("end", string(result.endEvidence())).Int("attempts", s.attempts).Send()
 }
 
 // abortResponse aborts a response that has begun and cannot be completed. It panics
