relay: a failure response of a killed target is no complete response

A client got the first part of a target's failure response (a status of 400 or more) as a complete answer, where the response had neither a length nor chunks and the target's process ended within it: `readFailure` took the end of the connection for the end of the body. The end of such a response is confirmed now, too; else the request was answered in part and may have run (502), or goes to another target where the route allows it.

relay.TestFailureOfKilledTargetIsNotComplete: status 500 with the part before, 502 now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -356,7 +356,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(result.response, maxBufferedBodyBytes))
 		result.close()
 	case !reply.Success():
-		s.readFailure(result)
+		s.readFailure(ctx, t, result)
 	case !reply.Signed:
 		result.reason, result.err = reason.AnswerMismatch, errUnsignedResponse
 	case reply.ID != s.call.ID:
@@ -390,10 +390,13 @@
 // does better. A response is not forwarded if it is incomplete, if it exceeds
 // maxBufferedBodyBytes, or if its status would tell the client that the request has
 // not run although the target did not confirm that for this request.
-func (s *requestState) readFailure(result *attemptResult) {
+func (s *requestState) readFailure(ctx context.Context, t chosenTarget, result *attemptResult) {
 	result.reason = reason.TargetFailed
 	body, err := io.ReadAll(io.LimitReader(result.response, maxBufferedBodyBytes+1))
 	result.body = body
+	if err == nil && len(body) <= maxBufferedBodyBytes {
+		err = s.confirmEnd(ctx, t.Target, result)
+	}
 	switch {
 	case err != nil:
 		result.reason, result.err = reason.AnswerTruncated, err
--- a/relay/ended_target_test.go
+++ b/relay/ended_target_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// TestFailureOfKilledTargetIsNotComplete guards against a part of a failure response that looks complete.
+func TestFailureOfKilledTargetIsNotComplete(t *testing.T) {
+	for name, route := range map[string]catalog.Route{"body": onceRoute, "stream": onceStreamRoute} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, route, nil)
+			s.serveByIngress()
+			s.useRawTargets(startMortalTarget(t, func(target *mortalTarget, c net.Conn, r *http.Request) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Failed\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n\r\n{\"err", r.Header.Get("Attempt-Id"))
+				target.crash()
+				return false
+			}).listener.Addr().String())
+			response, body, err := s.do(s.request(http.MethodPost, "x"))
+			if err != nil || response.StatusCode != http.StatusBadGateway {
+				t.Errorf("got %v, body %q, error %v, want status 502", response, body, err)
+			}
+		})
+	}
+}
+
 // TestStreamOfKilledTargetGoesOnElsewhere guards against the same on routes that resume.
 func TestStreamOfKilledTargetGoesOnElsewhere(t *testing.T) {
 	t.Parallel()
