targetconn: a connection is of the time at which it is established

A connection counted as open before the end of a process from the moment at which it was begun. One that was begun before and accepted by the next process at the same address was evidence that the earlier one still ran (end of an answer without framing), and was not asked for its process before a resumable stream went over it. It counts from when it is established now.

targetconn.TestConnOfNextProcessIsNoneFromBefore failed before.

--- a/targetconn/identify_test.go
+++ b/targetconn/identify_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/conntest"
+	"ragwortpond.example/ragwortpond/netconn"
 )
 
 // identityServer loses its first connection and answers questions for its process in a given way.
@@ -116,3 +117,21 @@
 		t.Errorf("got %d questions and %d requests, want 1 and 5", questions, carried)
 	}
 }
+
+// TestConnOfNextProcessIsNoneFromBefore guards against evidence by a connection that was begun while the process of a target
+// ran, and that the next one accepted.
+func TestConnOfNextProcessIsNoneFromBefore(t *testing.T) {
+	addr := conntest.Serve(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	var ended time.Time
+	p := NewPool(func(ctx context.Context, addr string) (net.Conn, error) {
+		ended = time.Now()
+		time.Sleep(time.Millisecond)
+		return netconn.Dial(ctx, addr)
+	}, nil)
+	if err := p.Probe(t.Context(), "t", addr); err != nil {
+		t.Fatal(err)
+	}
+	if p.HasOpenSince("t", ended) {
+		t.Error("a connection that was established after the end of a process counts as one of that process")
+	}
+}
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -171,7 +171,6 @@
 func (p *Pool) dial(ctx context.Context, id fleet.TargetID, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	openedAt := time.Now()
 	raw, err := p.connect(ctx, addr)
 	if err != nil {
 		p.recordDialLoss(id, err)
@@ -179,6 +178,8 @@
 	}
 	p.opened()
 	p.open.Add(1)
+	// Until it is established, a connection may reach a later process.
+	openedAt := time.Now()
 	c := &conn{Conn: raw, pool: p, target: id, addr: addr, headLeft: unlimited, openedAt: openedAt, lastRead: openedAt}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
