--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,6 +61,8 @@
 	// body is the part of the response body that was buffered before forwarding.
 	body []byte
 	err  error
+	// end is the evidence of the end of a response without framing; empty until it is confirmed.
+	end endEvidence
 	// committed is set once the client has part of a response that no other attempt can
 	// continue.
 	committed bool
@@ -354,7 +356,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(result.response, maxBufferedBodyBytes))
 		result.close()
 	case !reply.Success():
-		s.readFailure(result)
+		s.readFailure(ctx, t, result)
 	case !reply.Signed:
 		result.reason, result.err = reason.AnswerMismatch, errUnsignedResponse
 	case reply.ID != s.call.ID:
@@ -388,10 +390,13 @@
 // does better. A response is not forwarded if it is incomplete, if it exceeds
 // maxBufferedBodyBytes, or if its status would tell the client that the request has
 // not run although the target did not confirm that for this request.
-func (s *requestState) readFailure(result *attemptResult) {
+func (s *requestState) readFailure(ctx context.Context, t chosenTarget, result *attemptResult) {
 	result.reason = reason.TargetFailed
 	body, err := io.ReadAll(io.LimitReader(result.response, maxBufferedBodyBytes+1))
 	result.body = body
+	if err == nil && len(body) <= maxBufferedBodyBytes {
+		err = s.confirmEnd(ctx, t.Target, result)
+	}
 	switch {
 	case err != nil:
 		result.reason, result.err = reason.AnswerTruncated, err
