platform: a response of the store has a bounded number of members

Callers saw nothing yet; found by looking for it. A response of 7 MB of short entries or events ("[0,0,0...") made the router program resident at 193 to 433 MB in trials before a store that sends such responses; the smallest VMs have 184 MB and end a process beyond that, with the requests of all its clients.

Cause: the response is limited to 8 MB of text, but each element of two bytes took a slice header and an object of 56 bytes, in slices that grow.

--- a/jsonsplit/jsonsplit.go
+++ b/jsonsplit/jsonsplit.go
@@ -13,11 +13,15 @@
 // match.
 var ErrMalformed = errors.New("jsonsplit: malformed object or array")
 
+// ErrTooMany means that an object or array has more members than the caller takes.
+var ErrTooMany = errors.New("jsonsplit: too many members")
+
 // Object returns the members of an object by name; of several with one name the last one
-// counts. Members are not checked.
-func Object(data []byte) (map[string]json.RawMessage, error) {
+// counts. Members are not checked. It returns ErrTooMany if there are more than limit, since
+// short members take more memory than their text.
+func Object(data []byte, limit int) (map[string]json.RawMessage, error) {
 	members := map[string]json.RawMessage{}
-	err := split(data, '{', '}', func(member []byte) error {
+	err := split(data, '{', '}', limit, func(member []byte) error {
 		end, err := scanString(member)
 		if err != nil {
 			return err
@@ -36,18 +40,19 @@
 	return members, err
 }
 
-// Array returns the elements of an array. They are not checked.
-func Array(data []byte) ([]json.RawMessage, error) {
+// Array returns the elements of an array. They are not checked. It returns ErrTooMany if there
+// are more than limit.
+func Array(data []byte, limit int) ([]json.RawMessage, error) {
 	var elements []json.RawMessage
-	err := split(data, '[', ']', func(element []byte) error {
+	err := split(data, '[', ']', limit, func(element []byte) error {
 		elements = append(elements, element)
 		return nil
 	})
 	return elements, err
 }
 
-// split calls each with every member between the outermost brackets.
-func split(data []byte, open, end byte, each func([]byte) error) error {
+// split calls each with every member between the outermost brackets, at most limit times.
+func split(data []byte, open, end byte, limit int, each func([]byte) error) error {
 	data = bytes.TrimSpace(data)
 	if len(data) < 2 || data[0] != open || data[len(data)-1] != end {
 		return ErrMalformed
@@ -56,7 +61,10 @@
 	if len(bytes.TrimSpace(body)) == 0 {
 		return nil
 	}
-	for {
+	for count := 1; ; count++ {
+		if count > limit {
+			return ErrTooMany
+		}
 		n, err := scanMember(body)
 		if err != nil {
 			return err
