relay: the end of an answer without framing is not confirmed by the next process of its target

A plain target that is killed within an answer without length and chunks, and is back at its address before the check 40 ms later, answered that check: its health probe took the next process for the one that ended the answer, and the client got a part as a complete answer. Health and address name no process, and plain services tell no start.

A connection belongs to one process. While an answer without framing is read, the router keeps another connection to its target open (a watch), shared by all such answers of the target: if it is still open after the end, the process runs; if it ended together with the answer, so did the process. It is replaced each 2 s, before targets close it as idle, and is none where the target closes it at once. Engines are asked for their start at /report where connections tell nothing or that the process ended.

Price: one connection to a target every 2 s while it answers without framing.

--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -61,10 +61,32 @@
 	}
 	reusable := false
 	err = rc.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
+		reusable = isIdle(fd)
 		return true
 	})
 	return err == nil && reusable
 }
+
+// Open reports whether an idle connection is open and has no unread bytes, as Reusable does, also while another
+// goroutine waits to read from it.
+func Open(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	// Unlike Read, Control does not wait for other readers.
+	err = rc.Control(func(fd uintptr) { open = isIdle(fd) })
+	return err == nil && open
+}
+
+// isIdle reports whether a socket is open and has no unread bytes.
+func isIdle(fd uintptr) bool {
+	var buf [1]byte
+	n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
+}
--- a/relay/end_evidence_test.go
+++ b/relay/end_evidence_test.go
@@ -1,9 +1,11 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/conntest"
 	"ragwortpond.example/ragwortpond/explain"
 	"ragwortpond.example/ragwortpond/explain/explaintest"
 	"ragwortpond.example/ragwortpond/platform/standin"
@@ -52,37 +55,46 @@
 
 // TestLogTellsEvidenceOfEnd guards against answers of which the log does not tell why their end was taken for complete.
 func TestLogTellsEvidenceOfEnd(t *testing.T) {
-	unframed := func(c net.Conn, r *http.Request) bool {
+	unframed := func(c net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 2))
-		return false
 	}
 	for name, test := range map[string]struct {
 		slots int
-		serve func(c net.Conn, r *http.Request) bool
+		// keeps is unset if the target closes the connection that follows its answer's.
+		keeps bool
+		serve func(c net.Conn, r *http.Request)
 		want  string
 	}{
-		"framed": {8, func(c net.Conn, r *http.Request) bool {
+		"framed": {8, true, func(c net.Conn, r *http.Request) {
 			writeHead(c, r)
 			writeEvents(c, 1, 2)
 			_, _ = fmt.Fprint(c, "0\r\n\r\n")
-			return true
 		}, "framing"},
-		"engine":        {8, unframed, "process"},
-		"plain service": {0, unframed, "health"},
+		"two events apart": {0, true, func(c net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 1))
+			time.Sleep(eventGap)
+			_, _ = fmt.Fprint(c, streamText(2, 2))
+		}, "connection"},
+		"engine":        {8, false, unframed, "process"},
+		"plain service": {0, false, unframed, "health"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			log := &explaintest.Log{}
 			s := newFixtureWithLog(t, 0, onceStreamRoute, zerolog.New(log).With().Str("router", "a").Timestamp().Logger(), nil)
 			s.serveByIngress()
-			target := startMortalTarget(t, func(_ *mortalTarget, c net.Conn, r *http.Request) bool {
-				if isCheck(r) {
+			var conns atomic.Int64
+			s.publishBorn(conntest.Serve(t, func(c net.Conn) {
+				if conns.Add(1) == 2 && !test.keeps {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil && isCheck(r) {
 					writeText(c, "200 OK", reportOf(bornAt))
-					return true
+				} else if err == nil {
+					test.serve(c, r)
 				}
-				return test.serve(c, r)
-			})
-			s.publishBorn(target.listener.Addr().String(), test.slots)
+			}), test.slots)
 			r := s.request(http.MethodPost, "x")
 			if _, body, err := s.do(r); err != nil || body != streamText(1, 2) {
 				t.Fatalf("got body %q, error %v, want both events", body, err)
@@ -94,3 +106,53 @@
 		})
 	}
 }
+
+// reborn is a target whose process ends within its first stream, behind two events, and that is back at its address at once.
+type reborn struct {
+	*mortalTarget
+	process atomic.Int64
+}
+
+// startReborn starts a target that answers checks as check does, which is told the start of the process that runs.
+func startReborn(t *testing.T, check func(c net.Conn, startedAt time.Time)) *reborn {
+	t.Helper()
+	r := &reborn{}
+	r.mortalTarget = startMortalTarget(t, func(_ *mortalTarget, c net.Conn, request *http.Request) bool {
+		if isCheck(request) {
+			check(c, bornAt.Add(time.Duration(r.process.Load())*time.Second))
+			return true
+		}
+		_, _ = fmt.Fprintf(c, unframedHead+"%s", request.Header.Get("Attempt-Id"), streamText(1, 1))
+		time.Sleep(eventGap)
+		_, _ = fmt.Fprint(c, streamText(2, 2))
+		r.process.Add(1)
+		r.restart()
+		return false
+	})
+	return r
+}
+
+// eventGap is the time between two events of a stream.
+const eventGap = 60 * time.Millisecond
+
+// TestEndIsNotConfirmedByTheNextProcess guards against streams that look complete because another process of their target
+// answers under its ID and address when the end is confirmed.
+func TestEndIsNotConfirmedByTheNextProcess(t *testing.T) {
+	for name, test := range map[string]struct {
+		slots int
+		check func(c net.Conn, startedAt time.Time)
+	}{
+		"engine that tells its start": {8, func(c net.Conn, startedAt time.Time) { writeText(c, "200 OK", reportOf(startedAt)) }},
+		"plain service":               {0, func(c net.Conn, _ time.Time) { writeText(c, "200 OK", "") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, onceStreamRoute, nil)
+			s.serveByIngress()
+			s.publishBorn(startReborn(t, test.check).listener.Addr().String(), test.slots)
+			if response, body, err := s.do(s.request(http.MethodPost, "x")); err == nil {
+				t.Errorf("got %v with %q as a complete answer, want an error", response, body)
+			}
+		})
+	}
+}
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -8,12 +8,16 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // errTargetEnded means that the end of a response that only the end of its connection marks may be that
 // of its target.
 var errTargetEnded = errors.New("relay: target ended with its response")
 
+// errConnectionsEnded means that a target ended another connection together with that of its response.
+var errConnectionsEnded = errors.New("relay: target ended all connections")
+
 // endCheckDelay is the time between the end of a response and the check of its target, whose other connections
 // have ended by then if its process has.
 const endCheckDelay = 40 * time.Millisecond
@@ -92,17 +96,21 @@
 // checkStillServes returns nil if the process of a target that ended a response at a time still serves, and the
 // evidence that was asked for.
 func (r *Relay) checkStillServes(t *catalog.Target, endedAt time.Time) (endEvidence, error) {
-	switch identity := r.identityOf(t); {
-	case r.replaced(t):
+	if r.replaced(t) {
 		return endProcess, errOtherProcess
-	case r.pool.HasOpenSince(t.ID, endedAt):
+	}
+	presence, identity := r.pool.PresenceSince(t.ID, t.Addr, endedAt), r.identityOf(t)
+	switch {
+	case presence == targetconn.Present:
 		return endConnection, nil
-	case identity == nil:
-		return endHealth, r.checkServes(t, endedAt.Add(endCheckDelay/2))
-	default:
+	case identity != nil:
 		ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 		defer cancel()
 		return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
+	case presence == targetconn.Absent:
+		return endConnection, errConnectionsEnded
+	default:
+		return endHealth, r.checkServes(t, endedAt.Add(endCheckDelay/2))
 	}
 }
 
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -73,6 +73,8 @@
 	// losses holds, for targets to which a connection was lost, until when the last one of these
 	// had its process; mu guards it.
 	losses map[fleet.TargetID]time.Time
+	// watches holds the watches that are kept; mu guards it.
+	watches map[watchKey]*watch
 }
 
 // conn is a connection to a target. It carries one exchange at a time.
@@ -138,7 +140,7 @@
 	if opened == nil {
 		opened = func() {}
 	}
-	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened, losses: map[fleet.TargetID]time.Time{}}
+	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened, losses: map[fleet.TargetID]time.Time{}, watches: map[watchKey]*watch{}}
 }
 
 // get returns an idle connection to the target or opens one. If fresh is set,
