relay: each end of an answer is checked after its own connections have closed

Ends at one target shared a check 40 ms after the first of them. One that came 35 ms later was checked after 5 ms, when other connections of a process that had ended could still be open: its part was taken as complete. And a connection was evidence for all of them if it was older than the last end, so that one of the next process could confirm the end of the process before. Each end waits its 40 ms now and is judged by connections from before itself; only questions to the target are shared, with ends at least 20 ms before.

--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -8,6 +8,7 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/sleep"
 	"ragwortpond.example/ragwortpond/targetconn"
 )
 
@@ -38,10 +39,9 @@
 	endUnconfirmed endEvidence = "none"
 )
 
-// endCheck is a check of a target that the ends of several responses may share.
+// endCheck is a question to a target for its process, or for its health, that the ends of several responses may share.
 type endCheck struct {
-	// endedAt is the end of the last of these responses; Relay.mu guards it.
-	endedAt time.Time
+	askedAt time.Time
 	// done is closed once evidence and err are set.
 	done     chan struct{}
 	evidence endEvidence
@@ -55,63 +55,80 @@
 	if result.response.Delimited {
 		return nil
 	}
-	check := s.relay.checkEnd(t, time.Now())
+	endedAt := time.Now()
+	evidence, err := endUnconfirmed, sleep.For(ctx, endCheckDelay)
+	if err == nil {
+		evidence, err = s.relay.checkStillServes(ctx, t, result.response.OpenedAt(), endedAt)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case err != nil:
+		s.Log(event.TargetEnded).Err(err).Str("evidence", string(evidence)).Int("events", s.events).Send()
+		return fmt.Errorf("%w: %w", errTargetEnded, err)
+	}
+	result.end = evidence
+	return nil
+}
+
+// checkStillServes returns nil if the process of a target that ended a response at a time still serves, and the
+// evidence of that. openedAt is when the connection of the response was opened.
+func (r *Relay) checkStillServes(ctx context.Context, t *catalog.Target, openedAt, endedAt time.Time) (endEvidence, error) {
+	if r.replaced(t) {
+		return endProcess, errOtherProcess
+	}
+	presence := r.pool.PresenceSince(t.ID, t.Addr, openedAt, endedAt)
+	switch {
+	case presence == targetconn.Present:
+		return endConnection, nil
+	case presence == targetconn.Absent && r.identityOf(t) == nil:
+		return endConnection, errConnectionsEnded
+	}
+	check := r.checkEnd(t, endedAt.Add(endCheckDelay/2))
 	select {
 	case <-check.done:
+		return check.evidence, check.err
 	case <-ctx.Done():
-		return context.Cause(ctx)
+		return endUnconfirmed, context.Cause(ctx)
 	}
-	if check.err != nil {
-		s.Log(event.TargetEnded).Err(check.err).Str("evidence", string(check.evidence)).Int("events", s.events).Send()
-		return fmt.Errorf("%w: %w", errTargetEnded, check.err)
-	}
-	result.end = check.evidence
-	return nil
 }
 
-// checkEnd returns the check of a target that follows the end of a response at time at.
-func (r *Relay) checkEnd(t *catalog.Target, at time.Time) *endCheck {
+// checkEnd returns a check of a target that was asked for after a time, by which the connections of a process that has
+// ended are closed.
+func (r *Relay) checkEnd(t *catalog.Target, after time.Time) *endCheck {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	check := r.endChecks[t.ID]
-	if check == nil {
-		check = &endCheck{done: make(chan struct{})}
+	if check == nil || check.askedAt.Before(after) {
+		check = &endCheck{askedAt: time.Now(), done: make(chan struct{})}
 		r.endChecks[t.ID] = check
-		time.AfterFunc(endCheckDelay, func() { r.runEndCheck(t, check) })
+		go r.runEndCheck(t, check)
 	}
-	check.endedAt = at
 	return check
 }
 
-// runEndCheck makes a check, which later ends do not share any more.
+// runEndCheck makes a check. Ends that are a little later may share its result.
 func (r *Relay) runEndCheck(t *catalog.Target, check *endCheck) {
-	r.mu.Lock()
-	endedAt := check.endedAt
-	delete(r.endChecks, t.ID)
-	r.mu.Unlock()
-	check.evidence, check.err = r.checkStillServes(t, endedAt)
+	check.evidence, check.err = r.askEnd(t, check.askedAt)
 	close(check.done)
+	time.AfterFunc(endCheckDelay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.endChecks[t.ID] == check {
+			delete(r.endChecks, t.ID)
+		}
+	})
 }
 
-// checkStillServes returns nil if the process of a target that ended a response at a time still serves, and the
-// evidence that was asked for.
-func (r *Relay) checkStillServes(t *catalog.Target, endedAt time.Time) (endEvidence, error) {
-	if r.replaced(t) {
-		return endProcess, errOtherProcess
-	}
-	presence, identity := r.pool.PresenceSince(t.ID, t.Addr, endedAt), r.identityOf(t)
-	switch {
-	case presence == targetconn.Present:
-		return endConnection, nil
-	case identity != nil:
-		ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
-		defer cancel()
-		return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
-	case presence == targetconn.Absent:
-		return endConnection, errConnectionsEnded
-	default:
-		return endHealth, r.checkServes(t, endedAt.Add(endCheckDelay/2))
+// askEnd asks a target for its process or, if it does not tell of that, for its health.
+func (r *Relay) askEnd(t *catalog.Target, askedAt time.Time) (endEvidence, error) {
+	identity := r.identityOf(t)
+	if identity == nil {
+		return endHealth, r.checkServes(t, askedAt.Add(-endCheckDelay/2))
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
 }
 
 // replaced reports whether a later process of a target has written its entry.
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -259,6 +259,11 @@
 	a.idleTimeout = 0
 }
 
+// OpenedAt returns when the connection was opened.
+func (a *Response) OpenedAt() time.Time {
+	return a.conn.openedAt
+}
+
 // Reused reports whether the connection came from the pool.
 func (a *Response) Reused() bool {
 	return a.conn.reused
--- a/targetconn/watch.go
+++ b/targetconn/watch.go
@@ -138,9 +138,9 @@
 	return false
 }
 
-// PresenceSince tells whether the process that a target had at a time still runs, from connections that were open
-// then.
-func (p *Pool) PresenceSince(id fleet.TargetID, addr string, at time.Time) Presence {
+// PresenceSince tells whether the process that a target had from a time to another still runs, from connections that
+// were open at the second one.
+func (p *Pool) PresenceSince(id fleet.TargetID, addr string, from, at time.Time) Presence {
 	if p.HasOpenSince(id, at) {
 		return Present
 	}
@@ -162,7 +162,7 @@
 	case lostAt.IsZero():
 		lostAt = time.Now()
 	}
-	if lostAt.Before(at.Add(-lossSkew)) || lostAt.Sub(c.openedAt) < minWatchAge {
+	if lostAt.Before(from) || lostAt.Before(at.Add(-lossSkew)) || lostAt.Sub(c.openedAt) < minWatchAge {
 		return PresenceUnknown
 	}
 	return Absent
--- a/targetconn/watch_test.go
+++ b/targetconn/watch_test.go
@@ -52,14 +52,17 @@
 func TestWatchTellsEndOfProcess(t *testing.T) {
 	s, p := startSilentServer(t, 0), NewPool(nil, nil)
 	defer p.Watch("t", s.addr)()
-	await.Until(t, "the watch's connection", func() bool { return p.PresenceSince("t", s.addr, time.Now()) == Present })
+	await.Until(t, "the watch's connection", func() bool { return p.PresenceSince("t", s.addr, time.Time{}, time.Now()) == Present })
 	before := time.Now()
 	time.Sleep(2 * minWatchAge)
 	ended := time.Now()
 	s.closeAll()
-	await.Until(t, "the end of the process", func() bool { return p.PresenceSince("t", s.addr, ended) == Absent })
+	await.Until(t, "the end of the process", func() bool { return p.PresenceSince("t", s.addr, time.Time{}, ended) == Absent })
+	if got := p.PresenceSince("t", s.addr, time.Now(), ended); got != PresenceUnknown {
+		t.Errorf("response of a later process: got %d, want %d", got, PresenceUnknown)
+	}
 	for _, at := range []time.Time{before.Add(-time.Second), time.Now().Add(time.Second)} {
-		if got := p.PresenceSince("t", s.addr, at); got != PresenceUnknown {
+		if got := p.PresenceSince("t", s.addr, time.Time{}, at); got != PresenceUnknown {
 			t.Errorf("at %v after the connection was opened: got %d, want %d", at.Sub(before), got, PresenceUnknown)
 		}
 	}
@@ -71,7 +74,7 @@
 	defer p.Watch("t", s.addr)()
 	await.Until(t, "the watch's connection", func() bool { return s.accepted() > 0 })
 	time.Sleep(minWatchAge)
-	if got := p.PresenceSince("t", s.addr, time.Now()); got != PresenceUnknown {
+	if got := p.PresenceSince("t", s.addr, time.Time{}, time.Now()); got != PresenceUnknown {
 		t.Errorf("got %d, want %d", got, PresenceUnknown)
 	}
 }
