relay: an engine that tells no start does not confirm the end of an answer

Where connections tell nothing, the end of an engine's answer without framing is confirmed by its word of its start at /report. Any answer there counted that told no start: an error page, an empty object, a start of another type, as another process or another server at the address gives as well. Only the start of the entry's process confirms an end now. Resumable streams still go to a target that tells none, since nothing speaks against it.

--- a/relay/end_evidence_test.go
+++ b/relay/end_evidence_test.go
@@ -156,3 +156,39 @@
 		})
 	}
 }
+
+// TestEndIsNotConfirmedWithoutStart guards against streams that look complete because something answers at the address of an
+// engine that tells nothing of its process.
+func TestEndIsNotConfirmedWithoutStart(t *testing.T) {
+	for name, body := range map[string]string{
+		"200 OK": "{}", "404 Not Found": "<html>", "503 Service Unavailable": `{"born":"2000"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, onceStreamRoute, nil)
+			s.serveByIngress()
+			s.publishBorn(serveUnwatched(t, func(c net.Conn) { writeText(c, name, body) }), 8)
+			if response, body, err := s.do(s.request(http.MethodPost, "x")); err == nil {
+				t.Errorf("got %v with %q as a complete answer, want an error", response, body)
+			}
+		})
+	}
+}
+
+// serveUnwatched starts a target whose streams end without framing, which closes the watch's connection at once, so that its answer to
+// a check decides. It returns its address.
+func serveUnwatched(t *testing.T, check func(c net.Conn)) string {
+	t.Helper()
+	var conns atomic.Int64
+	return conntest.Serve(t, func(c net.Conn) {
+		if conns.Add(1) == 2 {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil && isCheck(r) {
+			check(c)
+		} else if err == nil {
+			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 2))
+		}
+	})
+}
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -122,7 +122,7 @@
 
 // askEnd asks a target for its process or, if it does not tell of that, for its health.
 func (r *Relay) askEnd(t *catalog.Target, askedAt time.Time) (endEvidence, error) {
-	identity := r.identityOf(t)
+	identity := r.endIdentity(t)
 	if identity == nil {
 		return endHealth, r.checkServes(t, askedAt.Add(-endCheckDelay/2))
 	}
