relay: what plain services answer to others, or garbage, does not confirm the end of an answer

The end of a plain service's answer without framing was confirmed by anything that its address sent (bytes that are no response, a part of a head), and by any answer to another request since, whichever process of the target gave it. The check of crashes has these rules, where a doubt has to speak for the target; at the end of an answer it has to speak against it. Only a whole response head to a check of the target's health confirms an end now, and a start that it tells has to be that of the target's entry. The log tells an accepted connection (`address`) from an answer (`health`).

TestLogTellsEvidenceOfEnd: its plain service told a start, which was not read; both kinds are played now.

--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -104,7 +104,7 @@
 	if path == "" || r.notices.Remaining(t, time.Now()) > 0 {
 		return r.pool.ProbeOpen(ctx, t.ID, t.Addr, crashCheckDelay)
 	}
-	_, err := r.askHealth(ctx, t, path)
+	_, _, err := r.askHealth(ctx, t, path)
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, errOtherTarget), brokenByTarget(err), ctx.Err() != nil:
 		return err
@@ -114,21 +114,21 @@
 	}
 }
 
-// askHealth asks a target at its service's health path, on a new connection. It returns
-// errOtherTarget if another one answers.
-func (r *Relay) askHealth(ctx context.Context, t *catalog.Target, path string) (call.Reply, error) {
+// askHealth asks a target at its service's health path, on a new connection, and returns the first maxBufferedBodyBytes of
+// the body as well. It returns errOtherTarget if another target answers.
+func (r *Relay) askHealth(ctx context.Context, t *catalog.Target, path string) (call.Reply, []byte, error) {
 	response, err := r.pool.Do(ctx, &targetconn.Request{
 		Target: t.ID, Addr: t.Addr, Method: http.MethodGet, URI: path, Host: t.Addr, RequireNewConn: true,
 	})
 	if err != nil {
-		return call.Reply{}, err
+		return call.Reply{}, nil, err
 	}
 	defer response.Close()
 	reply := r.cfg.Codec.DecodeResponse(response.Status, response.Header)
 	if reply.Target != "" && reply.Target != t.ID {
-		return reply, fmt.Errorf("%w: %s", errOtherTarget, reply.Target)
+		return reply, nil, fmt.Errorf("%w: %s", errOtherTarget, reply.Target)
 	}
-	// The connection is kept if the response is complete.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBodyBytes))
-	return reply, nil
+	// The connection is kept if the response is complete. Its head is all that is needed.
+	body, _ := io.ReadAll(io.LimitReader(response, maxBufferedBodyBytes))
+	return reply, body, nil
 }
--- a/relay/end_evidence_test.go
+++ b/relay/end_evidence_test.go
@@ -62,21 +62,24 @@
 		slots int
 		// keeps is unset if the target closes the connection that follows its answer's.
 		keeps bool
+		// told is the target's answer to a check.
+		told  string
 		serve func(c net.Conn, r *http.Request)
 		want  string
 	}{
-		"framed": {8, true, func(c net.Conn, r *http.Request) {
+		"framed": {8, true, "", func(c net.Conn, r *http.Request) {
 			writeHead(c, r)
 			writeEvents(c, 1, 2)
 			_, _ = fmt.Fprint(c, "0\r\n\r\n")
 		}, "framing"},
-		"two events apart": {0, true, func(c net.Conn, r *http.Request) {
+		"two events apart": {0, true, "", func(c net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 1))
 			time.Sleep(eventGap)
 			_, _ = fmt.Fprint(c, streamText(2, 2))
 		}, "connection"},
-		"engine":        {8, false, unframed, "process"},
-		"plain service": {0, false, unframed, "health"},
+		"engine":                             {8, false, reportOf(bornAt), unframed, "process"},
+		"plain service that tells its start": {0, false, reportOf(bornAt), unframed, "process"},
+		"plain service that tells no start":  {0, false, "", unframed, "health"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -90,7 +93,7 @@
 				}
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err == nil && isCheck(r) {
-					writeText(c, "200 OK", reportOf(bornAt))
+					writeText(c, "200 OK", test.told)
 				} else if err == nil {
 					test.serve(c, r)
 				}
@@ -192,3 +195,61 @@
 		}
 	})
 }
+
+// TestEndIsNotConfirmedByAnotherHealth guards against streams of plain services that look complete because something answers at
+// the address of their target.
+func TestEndIsNotConfirmedByAnotherHealth(t *testing.T) {
+	for name, check := range map[string]func(c net.Conn){
+		"no response":          func(c net.Conn) { _, _ = fmt.Fprint(c, "starting\r\n\r\n") },
+		"a part of a response": func(c net.Conn) { _, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le") },
+		"another start":        func(c net.Conn) { writeText(c, "200 OK", reportOf(bornAt.Add(time.Second))) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, onceStreamRoute, nil)
+			s.serveByIngress()
+			s.publishBorn(serveUnwatched(t, check), 0)
+			if response, body, err := s.do(s.request(http.MethodPost, "x")); err == nil {
+				t.Errorf("got %v with %q as a complete answer, want an error", response, body)
+			}
+		})
+	}
+}
+
+// TestAnswerToAnotherRequestIsNoHealth guards against taking what the next process answers for a sign of the one before.
+func TestAnswerToAnotherRequestIsNoHealth(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	ended := make(chan struct{})
+	var conns atomic.Int64
+	s.publishBorn(conntest.Serve(t, func(c net.Conn) {
+		if conns.Add(1) == 2 {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		switch {
+		case err != nil:
+		case isCheck(r):
+			writeText(c, "200 OK", reportOf(bornAt.Add(time.Second)))
+		case r.Method == http.MethodPut:
+			// It ends its answer when the end of the other one is confirmed.
+			<-ended
+			time.Sleep(endPause)
+			answerCompletely(c, r)
+		default:
+			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 2))
+			_ = c.Close()
+			close(ended)
+		}
+	}), 0)
+	broken := s.doInBackground(s.request(http.MethodPost, "x"))
+	<-ended
+	// The watch's connection is the second one.
+	time.Sleep(endPause / 3)
+	next := s.doInBackground(s.request(http.MethodPut, "x"))
+	if <-broken {
+		t.Error("the answer of the process before looked complete")
+	}
+	<-next
+}
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -33,8 +33,10 @@
 	endConnection endEvidence = "connection"
 	// endProcess: the target told of its process.
 	endProcess endEvidence = "process"
-	// endHealth: the target served something else after the end, or a check of its health.
+	// endHealth: the target, or another process at its address, answered a check of its health.
 	endHealth endEvidence = "health"
+	// endAddress: its address accepted a connection, where its health could not be asked for.
+	endAddress endEvidence = "address"
 	// endUnconfirmed: nothing was asked.
 	endUnconfirmed endEvidence = "none"
 )
@@ -109,7 +111,7 @@
 
 // runEndCheck makes a check. Ends that are a little later may share its result.
 func (r *Relay) runEndCheck(t *catalog.Target, check *endCheck) {
-	check.evidence, check.err = r.askEnd(t, check.askedAt)
+	check.evidence, check.err = r.askEnd(t)
 	close(check.done)
 	time.AfterFunc(endCheckDelay, func() {
 		r.mu.Lock()
@@ -121,14 +123,25 @@
 }
 
 // askEnd asks a target for its process or, if it does not tell of that, for its health.
-func (r *Relay) askEnd(t *catalog.Target, askedAt time.Time) (endEvidence, error) {
-	identity := r.endIdentity(t)
-	if identity == nil {
-		return endHealth, r.checkServes(t, askedAt.Add(-endCheckDelay/2))
-	}
+func (r *Relay) askEnd(t *catalog.Target) (endEvidence, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
-	return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
+	if identity := r.endIdentity(t); identity != nil {
+		return endProcess, r.pool.Identify(ctx, t.ID, t.Addr, identity)
+	}
+	path := r.cfg.View().Config.Services[t.Service].HealthPath
+	if path == "" || r.notices.Remaining(t, time.Now()) > 0 {
+		return endAddress, r.pool.ProbeOpen(ctx, t.ID, t.Addr, crashCheckDelay)
+	}
+	_, body, err := r.askHealth(ctx, t, path)
+	if err != nil || t.StartedAt.IsZero() {
+		return endHealth, err
+	}
+	told, err := r.checkStart(t, body)
+	if told {
+		return endProcess, err
+	}
+	return endHealth, nil
 }
 
 // replaced reports whether a later process of a target has written its entry.
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -50,7 +50,7 @@
 func (r *Relay) checkNotice(ctx context.Context, t *catalog.Target, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	reply, err := r.askHealth(ctx, t, path)
+	reply, _, err := r.askHealth(ctx, t, path)
 	if err == nil {
 		r.notices.RecordCheck(t, reply.Leaving)
 	}
