--- a/relay/end_cost_test.go
+++ b/relay/end_cost_test.go
@@ -136,3 +136,72 @@
 		t.Errorf("%d of %d sound answers were complete", complete.Load(), served.Load())
 	}
 }
+
+// TestResetAtConnectionLimitBreaksNoAnswer guards against breaking off sound answers of a target that resets connections beyond its limit
+// some time after the kernel took them.
+func TestResetAtConnectionLimitBreaksNoAnswer(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	const acceptDelay = 30 * time.Millisecond
+	var open atomic.Int64
+	s.publishBorn(conntest.Serve(t, func(c net.Conn) {
+		defer open.Add(-1)
+		if open.Add(1) > 1 {
+			time.Sleep(acceptDelay)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil && isCheck(r) {
+			writeText(c, "200 OK", "")
+		} else if err == nil {
+			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 1))
+			time.Sleep(acceptDelay * 2 / 3)
+			_, _ = fmt.Fprint(c, streamText(2, 2))
+		}
+	}), 0)
+	if _, body, err := s.do(s.request(http.MethodPost, "x")); err != nil || body != streamText(1, 2) {
+		t.Errorf("got body %q, error %v, want both events", body, err)
+	}
+}
+
+// TestEndAtFullTargetIsConfirmedByItsOtherAnswer guards against breaking off sound answers because the check of their target's health
+// waits for a slot, while the target sends another answer on a connection from before.
+func TestEndAtFullTargetIsConfirmedByItsOtherAnswer(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t, 0, onceStreamRoute, nil)
+	s.serveByIngress()
+	const whole = 50
+	begun, full := make(chan struct{}), make(chan struct{})
+	s.publishBorn(conntest.Serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		switch {
+		case err != nil:
+		case isCheck(r):
+			<-full
+			writeText(c, "200 OK", "")
+		case r.Method == http.MethodPut:
+			writeHead(c, r)
+			for i := range whole {
+				writeEvents(c, i+1, i+1)
+				if i == 0 {
+					close(begun)
+				}
+				time.Sleep(eventGap)
+			}
+			_, _ = fmt.Fprint(c, "0\r\n\r\n")
+			close(full)
+		default:
+			_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("Attempt-Id"), streamText(1, 2))
+		}
+	}), 0)
+	other := s.doInBackground(s.request(http.MethodPut, "x"))
+	<-begun
+	if _, body, err := s.do(s.request(http.MethodPost, "x")); err != nil || body != streamText(1, 2) {
+		t.Errorf("got body %q, error %v, want both events", body, err)
+	}
+	if !<-other {
+		t.Error("the other answer was not complete")
+	}
+}
