relay: what another instance at a target's address says of itself is not its target's

Callers got 503 for a sound target: another instance that had its address now answered 421 and that it leaves, and the router took the target for leaving until its process changed. The load in such an answer was recorded, and told to other routers. Limits already left out 421 and answers to other requests; notices and loads follow the same rule now.

--- a/relay/limit.go
+++ b/relay/limit.go
@@ -16,10 +16,16 @@
 // targets without a limit are left.
 const maxPermitTime = 120 * time.Millisecond
 
+// isOwnReply reports whether a response answers this request and comes from the target that it was sent to, and not from
+// another instance at its address.
+func (s *requestState) isOwnReply(reply *call.Reply) bool {
+	return reply.ID == s.call.ID && reply.Status != http.StatusMisdirectedRequest
+}
+
 // recordLimit records what the response to this request says of its target's limit. An
 // unsigned response without a limit says nothing, since another process may have sent it.
 func (s *requestState) recordLimit(id fleet.TargetID, reply *call.Reply) {
-	if reply.ID != s.call.ID || reply.Status == http.StatusMisdirectedRequest {
+	if !s.isOwnReply(reply) {
 		return
 	}
 	s.recordBrittle(id, reply)
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -12,7 +12,7 @@
 // recordNotice records what the response to this request says of the requests that its target
 // wants from this router.
 func (s *requestState) recordNotice(t *catalog.Target, reply *call.Reply) {
-	if reply.ID != s.call.ID {
+	if !s.isOwnReply(reply) {
 		return
 	}
 	now := time.Now()
