relay: a response by way of another router has its request's ID, a signature and an end

A client could get as a complete answer what another server at a router's former address sent: an answer without length or chunks, one to another request, or one without a signature. Routers delimit what they pass back, with the ID and the signature of the target's answer; a response that lacks these is no router's, and the request is answered 502, since it may have run. A stopping router of an earlier build may pass an answer back without framing; its end could not be told from that of its process.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -110,6 +110,9 @@
 // finishForwarded passes the response of another router on to the client.
 func (s *requestState) finishForwarded(ctx context.Context, result *attemptResult, addr string) {
 	err := result.err
+	if err == nil {
+		err = s.checkForwarded(result.response)
+	}
 	if err == nil {
 		err = s.copyResponse(result)
 	}
@@ -135,6 +138,25 @@
 	}
 }
 
+// errNotOfRouter means that a response is not one that a router passes back: another server may have its address.
+var errNotOfRouter = errors.New("relay: not a response of a router to this request")
+
+// checkForwarded returns an error if a response cannot be another router's to this request, or if its end would not be
+// known. A router delimits what it passes back.
+func (s *requestState) checkForwarded(response *targetconn.Response) error {
+	reply := s.relay.cfg.Codec.DecodeResponse(response.Status, response.Header)
+	switch {
+	case reply.ID != "" && reply.ID != s.call.ID:
+		return fmt.Errorf("%w: another request ID", errNotOfRouter)
+	case !response.Delimited:
+		return fmt.Errorf("%w: neither a length nor chunks", errNotOfRouter)
+	case reply.Success() && (reply.ID == "" || !reply.Signed):
+		return fmt.Errorf("%w: a success without a request ID or signature", errNotOfRouter)
+	default:
+		return nil
+	}
+}
+
 // copyResponse writes the response of another router to the client: a short body once it is
 // complete, a stream as it arrives.
 func (s *requestState) copyResponse(result *attemptResult) error {
