relay, targetconn: ends of answers are confirmed by connections in use, not by a silent one

The silent connection that a router kept to a target beside its answers without framing broke sound answers off or blocked them, as the review's tests show: 5 of 5 requests got 504 at a target that serves one connection at a time; 17 to 26 of 317 to 386 answers were broken off where idle connections are closed after 150 ms; a reset at the connection limit, or a loss that was 2 s old, counted as the end of the process. And it confirmed ends that it should not: those read late, and those of a process whose other connections are noticed 200 ms later. It is taken back.

Evidence is now any other connection to the same address, idle or in use, that was opened before the response's head and is still open. The head is from the process that serves; when the end is read depends on the client. Engines are asked for their start as before; checks are those of a process and address. A response to HEAD has no body, and so no end to confirm.

Passing now: TestConnectionWhoseEndIsDelayedDoesNotConfirmEnd, TestIdleTimeoutOfTargetBreaksNoAnswer, TestTargetOfOneConnectionAtATimeGoesOn, TestResetAtConnectionLimitBreaksNoAnswer, TestEndAtFullTargetIsConfirmedByItsOtherAnswer, TestAnswerToHeadIsComplete, TestConnToAnotherAddressIsNoPresence, TestConnOfNextProcessDoesNotConfirmEndThatIsReadLate. Known red: TestEndOfPlainAnswerIsNotConfirmedByTheNextProcess, as before: a plain service that tells no start and is back within 40 ms.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -331,9 +331,6 @@
 	if err != nil {
 		return &attemptResult{reason: reason.AnswerTruncated, err: err}
 	}
-	if !response.Delimited {
-		defer s.relay.pool.Watch(t.ID, t.Addr)()
-	}
 	result := &attemptResult{response: response, reply: codec.DecodeResponse(response.Status, response.Header)}
 	if result.reply.ID == "" || result.reply.Status == http.StatusMisdirectedRequest {
 		// On a reused connection a response without an ID counts as a late one. One that
--- a/relay/endcheck.go
+++ b/relay/endcheck.go
@@ -8,17 +8,14 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/sleep"
-	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // errTargetEnded means that the end of a response that only the end of its connection marks may be that
 // of its target.
 var errTargetEnded = errors.New("relay: target ended with its response")
 
-// errConnectionsEnded means that a target ended another connection together with that of its response.
-var errConnectionsEnded = errors.New("relay: target ended all connections")
-
 // endCheckDelay is the time between the end of a response and the check of its target, whose other connections
 // have ended by then if its process has.
 const endCheckDelay = 40 * time.Millisecond
@@ -41,6 +38,17 @@
 	endUnconfirmed endEvidence = "none"
 )
 
+// endCheckKey names the process of a target, as far as its entry tells.
+type endCheckKey struct {
+	id          fleet.TargetID
+	addr        string
+	startedAtMS int64
+}
+
+func endCheckKeyOf(t *catalog.Target) endCheckKey {
+	return endCheckKey{t.ID, t.Addr, t.StartedAt.UnixMilli()}
+}
+
 // endCheck is a question to a target for its process, or for its health, that the ends of several responses may share.
 type endCheck struct {
 	askedAt time.Time
@@ -60,7 +68,7 @@
 	endedAt := time.Now()
 	evidence, err := endUnconfirmed, sleep.For(ctx, endCheckDelay)
 	if err == nil {
-		evidence, err = s.relay.checkStillServes(ctx, t, result.response.OpenedAt(), endedAt)
+		evidence, err = s.relay.checkStillServes(ctx, t, result.response.HeadAt(), endedAt)
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -74,17 +82,14 @@
 }
 
 // checkStillServes returns nil if the process of a target that ended a response at a time still serves, and the
-// evidence of that. openedAt is when the connection of the response was opened.
-func (r *Relay) checkStillServes(ctx context.Context, t *catalog.Target, openedAt, endedAt time.Time) (endEvidence, error) {
-	if r.replaced(t) {
-		return endProcess, errOtherProcess
-	}
-	presence := r.pool.PresenceSince(t.ID, t.Addr, openedAt, endedAt)
+// evidence of that. headAt is when the head of the response was received: this process ran then, while the end may have
+// been read late.
+func (r *Relay) checkStillServes(ctx context.Context, t *catalog.Target, headAt, endedAt time.Time) (endEvidence, error) {
 	switch {
-	case presence == targetconn.Present:
+	case r.replaced(t):
+		return endProcess, errOtherProcess
+	case r.pool.HasOpenSince(t.ID, t.Addr, headAt):
 		return endConnection, nil
-	case presence == targetconn.Absent && r.identityOf(t) == nil:
-		return endConnection, errConnectionsEnded
 	}
 	check := r.checkEnd(t, endedAt.Add(endCheckDelay/2))
 	select {
@@ -100,10 +105,10 @@
 func (r *Relay) checkEnd(t *catalog.Target, after time.Time) *endCheck {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	check := r.endChecks[t.ID]
+	check := r.endChecks[endCheckKeyOf(t)]
 	if check == nil || check.askedAt.Before(after) {
 		check = &endCheck{askedAt: time.Now(), done: make(chan struct{})}
-		r.endChecks[t.ID] = check
+		r.endChecks[endCheckKeyOf(t)] = check
 		go r.runEndCheck(t, check)
 	}
 	return check
@@ -116,8 +121,8 @@
 	time.AfterFunc(endCheckDelay, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.endChecks[t.ID] == check {
-			delete(r.endChecks, t.ID)
+		if r.endChecks[endCheckKeyOf(t)] == check {
+			delete(r.endChecks, endCheckKeyOf(t))
 		}
 	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,7 +141,7 @@
 	// crashChecks holds the broken attempts at each target whose crash is being checked.
 	crashChecks map[fleet.TargetID][]brokenAttempt
 	// endChecks holds the checks of targets at the end of responses that have not begun.
-	endChecks map[fleet.TargetID]*endCheck
+	endChecks map[endCheckKey]*endCheck
 }
 
 // New returns a relay without any state about targets.
@@ -157,7 +157,7 @@
 		retryBudgets: map[fleet.ServiceName]*retry.Budget{}, shedders: map[fleet.ServiceName]*admission.Shedder{},
 		routers: targetconn.NewPool(nil, nil), paths: cfg.Paths, evidence: quarantine.NewTracker(), limits: cfg.Limits, notices: targetnotice.NewTracker(), returnPacers: map[fleet.ServiceName]*admission.ReturnPacer{},
 		paces:       map[fleet.ServiceName]*admission.Pace{},
-		crashChecks: map[fleet.TargetID][]brokenAttempt{}, endChecks: map[fleet.TargetID]*endCheck{},
+		crashChecks: map[fleet.TargetID][]brokenAttempt{}, endChecks: map[endCheckKey]*endCheck{},
 	}
 	if r.limits == nil {
 		r.limits = targetlimit.NewTracker()
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -61,6 +61,8 @@
 	pool *Pool
 	conn *conn
 	ctx  context.Context
+	// headAt is when the head was received.
+	headAt time.Time
 	// detachContext stops the context from closing the connection. It returns
 	// false if the context has already done so.
 	detachContext func() bool
@@ -193,9 +195,9 @@
 }
 
 func (a *Response) setResponse(response *http.Response) {
-	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
+	a.Status, a.Header, a.Length, a.headAt = response.StatusCode, response.Header, response.ContentLength, time.Now()
 	chunked := len(response.TransferEncoding) > 0
-	a.Delimited = chunked || response.ContentLength >= 0
+	a.Delimited = chunked || response.ContentLength >= 0 || response.Request.Method == http.MethodHead
 	a.body = response.Body
 	if a.Delimited && !response.Close {
 		a.idleTimeout = parseIdleTimeout(response.Header.Get("Keep-Alive"))
@@ -259,9 +261,9 @@
 	a.idleTimeout = 0
 }
 
-// OpenedAt returns when the connection was opened.
-func (a *Response) OpenedAt() time.Time {
-	return a.conn.openedAt
+// HeadAt returns when the head was received.
+func (a *Response) HeadAt() time.Time {
+	return a.headAt
 }
 
 // Reused reports whether the connection came from the pool.
--- a/targetconn/identify.go
+++ b/targetconn/identify.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -70,14 +69,17 @@
 	return identity.Always || (lost && c.openedAt.After(lostAt))
 }
 
-// HasOpenSince reports whether a connection to a target that is kept was opened before a time and is still
-// open, so that its process runs as before.
-func (p *Pool) HasOpenSince(id fleet.TargetID, before time.Time) bool {
+// HasOpenSince reports whether a connection to a target at an address, idle or in use, was opened before a time at which
+// the target's process ran and is still open, so that this process still runs.
+func (p *Pool) HasOpenSince(id fleet.TargetID, addr string, before time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[id], func(c *conn) bool {
-		return c.openedAt.Before(before) && netconn.Reusable(c.Conn)
-	})
+	for c := range p.conns[id] {
+		if c.addr == addr && c.openedAt.Before(before) && netconn.Open(c.Conn) {
+			return true
+		}
+	}
+	return false
 }
 
 // Identify identifies the process of a target over a new connection, which is kept. Errors wrap
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -73,8 +73,8 @@
 	// losses holds, for targets to which a connection was lost, until when the last one of these
 	// had its process; mu guards it.
 	losses map[fleet.TargetID]time.Time
-	// watches holds the watches that are kept; mu guards it.
-	watches map[watchKey]*watch
+	// conns holds the connections to each target that are not closed, idle or in use; mu guards it.
+	conns map[fleet.TargetID]map[*conn]struct{}
 }
 
 // conn is a connection to a target. It carries one exchange at a time.
@@ -124,6 +124,7 @@
 func (c *conn) Close() error {
 	if !c.closed.Swap(true) {
 		c.pool.open.Add(-1)
+		c.pool.remove(c)
 	}
 	return c.Conn.Close()
 }
@@ -140,7 +141,7 @@
 	if opened == nil {
 		opened = func() {}
 	}
-	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened, losses: map[fleet.TargetID]time.Time{}, watches: map[watchKey]*watch{}}
+	return &Pool{idle: map[fleet.TargetID][]*conn{}, connect: connect, opened: opened, losses: map[fleet.TargetID]time.Time{}, conns: map[fleet.TargetID]map[*conn]struct{}{}}
 }
 
 // get returns an idle connection to the target or opens one. If fresh is set,
@@ -184,9 +185,30 @@
 	openedAt := time.Now()
 	c := &conn{Conn: raw, pool: p, target: id, addr: addr, headLeft: unlimited, openedAt: openedAt, lastRead: openedAt}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	p.add(c)
 	return c, nil
 }
 
+// add records a connection that is open.
+func (p *Pool) add(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[c.target] == nil {
+		p.conns[c.target] = map[*conn]struct{}{}
+	}
+	p.conns[c.target][c] = struct{}{}
+}
+
+// remove records that a connection is closed.
+func (p *Pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns[c.target], c)
+	if len(p.conns[c.target]) == 0 {
+		delete(p.conns, c.target)
+	}
+}
+
 // Probe checks whether a target is reachable by opening a connection to it,
 // which is kept for the next request. The error wraps ErrNotSent.
 func (p *Pool) Probe(ctx context.Context, id fleet.TargetID, addr string) error {
