--- a/targetconn/watch.go
+++ b/targetconn/watch.go
@@ -162,7 +162,7 @@
 	case lostAt.IsZero():
 		lostAt = time.Now()
 	}
-	if lostAt.Before(from) || lostAt.Before(at.Add(-lossSkew)) || lostAt.Sub(c.openedAt) < minWatchAge {
+	if lostAt.Before(from.Add(lossSkew)) || lostAt.Before(at.Add(-lossSkew)) || lostAt.Sub(c.openedAt) < minWatchAge {
 		return PresenceUnknown
 	}
 	return Absent
