relay: clients of HTTP/1.1 are told where an answer without framing ends

A client got a part of an answer as complete behind anything on its way to the router that ends connections in order, such as a proxy: an answer that came without length and chunks went on in the same way, so that only a reset told that it had broken off. That covers streams and long bodies that break off, also at a router that is killed. Clients of HTTP/1.0 get a length where the whole body was read; their longer bodies and streams still end by the connection, guarded by a reset.

--- a/relay/response.go
+++ b/relay/response.go
@@ -100,20 +100,16 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
-	delimited := result.response.Delimited
+	// A response to HEAD has no body to take the length from.
+	whole := bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && (result.response.Delimited || s.call.Method != http.MethodHead)
 	switch {
-	case bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && delimited:
+	case whole:
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
 	case result.response.Length >= 0 && (bufferedBytes >= 0 || s.route.RunPolicy != catalog.Resumable):
 		// The rest of a stream that another target continues may have another length.
 		h.Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
-	case !delimited && s.forwardedBy.id == "":
-		// The end of an undelimited response is marked by closing the connection, on
-		// the client's side as on the target's.
-		h.Set("Transfer-Encoding", "identity")
-		s.completeClose = s.relay.cfg.GuardClose(s.request.Context())
 	case !s.request.ProtoAtLeast(1, 1):
-		// Clients of HTTP/1.0 know no chunks.
+		// Clients of HTTP/1.0 know no chunks: the end of the connection marks the end of the response.
 		s.completeClose = s.relay.cfg.GuardClose(s.request.Context())
 	}
 	s.w.WriteHeader(result.response.Status)
