relay: a response of another router that tells no end is not complete

A request that another router answers is complete when that one says so: by a length or the last chunk. A response of it with neither was taken as complete at the end of its connection, which is also that of a killed router, and was not confirmed. No build sends one for a request that was passed on; it is refused as broken off now.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -135,10 +135,17 @@
 	}
 }
 
+// errUnframedForward means that the end of another router's response would be that of its connection, also if the router was
+// killed. Routers frame what they pass on.
+var errUnframedForward = errors.New("relay: response of another router has neither a length nor chunks")
+
 // copyResponse writes the response of another router to the client: a short body once it is
 // complete, a stream as it arrives.
 func (s *requestState) copyResponse(result *attemptResult) error {
 	response := result.response
+	if !response.Delimited && s.call.Method != http.MethodHead {
+		return errUnframedForward
+	}
 	if s.route.Stream && !isJSON(response.Header) && response.Status == http.StatusOK {
 		s.writeHead(result, -1)
 		return s.copyBody(result, http.NewResponseController(s.w).Flush)
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -38,10 +38,11 @@
 	cut.body = strings.TrimSuffix(cut.body, "0\r\n\r\n")
 	short := withLength(`{"a":1}`)
 	short.body = short.body[:3]
+	unframed := answer{body: streamText(1, 3)}
 	for name, test := range map[string]struct {
 		answer   answer
 		complete bool
-	}{"whole stream": {whole, true}, "cut stream": {cut, false}, "cut body": {short, false}} {
+	}{"whole stream": {whole, true}, "cut stream": {cut, false}, "cut body": {short, false}, "stream without framing": {unframed, false}} {
 		helper := serveAnswers(t, test.answer)
 		s := newFixture(t, 1, resumableRoute, withEvents(3, nil), withHelper(helper))
 		s.targets[0].Close()
