objectclient: responses of the object API are bounded in size and time

Callers saw nothing yet; found by looking for it, on our own interface. An object API that announced a body of 8 GB ended the process at once ("out of memory", under a limit of 16 GB); a chunk of 4 GB allocated 12,288 MB, a body without length 1,811 MB, a list without end 1,806 MB, header lines 396 MB within the second that a call may take. A call with a chunk or a list without end took 3.4 to 4.0 s.

Cause: the HTTP library reserves what a length announces, peeks at ever more bytes until a head or trailer is complete, and was given no limit of a body.

The head is bounded at 32 KB and the body at 16 MB, all objects of a kind; the call's timeout bounds the whole response, not each read.

--- a/objectclient/client.go
+++ b/objectclient/client.go
@@ -65,6 +65,7 @@
 		MaxConns:               maxConnections,
 		MaxIdleConnDuration:    idleConnTimeout,
 		WriteTimeout:           config.Timeout,
+		MaxResponseBodySize:    maxBodyBytes,
 	}
 	client := &Client{config: config, dialer: dialer}
 	client.http = http1.NewHostClient(host).(*http1.HostClient)
--- /dev/null
+++ b/objectclient/conn.go
@@ -0,0 +1,98 @@
+package objectclient
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+)
+
+// errResponseTooLarge means that a response exceeds a limit.
+var errResponseTooLarge = errors.New("response too large")
+
+const (
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 32 << 10
+	// maxBodyBytes bounds its body: all objects of one kind.
+	maxBodyBytes = 16 << 20
+	// maxPeekBytes is more than hertz peeks at in a body that is within its limit.
+	maxPeekBytes = maxBodyBytes + 1<<10
+)
+
+// trackedConn is a connection that its dialer can close. It bounds each response in size and
+// time: hertz peeks at ever more bytes until a head or a trailer is complete, and its timeout is
+// that of one read. It is used by one exchange at a time.
+type trackedConn struct {
+	network.Conn
+	dialer *trackingDialer
+	// deadline is the time by which the response must have been read, zero if there is none.
+	deadline time.Time
+	// inHead is set until the head has been read.
+	inHead bool
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.dialer.remove(c)
+	return c.Conn.Close()
+}
+
+// SetReadTimeout implements network.Conn. It is called before the response is read.
+func (c *trackedConn) SetReadTimeout(timeout time.Duration) error {
+	c.deadline, c.inHead = time.Time{}, true
+	if timeout > 0 {
+		c.deadline = time.Now().Add(timeout)
+	}
+	return c.Conn.SetReadTimeout(timeout)
+}
+
+// Peek implements network.Reader.
+func (c *trackedConn) Peek(n int) ([]byte, error) {
+	if n > c.peekLimit() {
+		return nil, errResponseTooLarge
+	}
+	if err := c.limitTime(n); err != nil {
+		return nil, err
+	}
+	return c.Conn.Peek(n)
+}
+
+// Len implements network.Reader. It hides what exceeds the limit, because hertz peeks at all that
+// is buffered.
+func (c *trackedConn) Len() int {
+	return min(c.Conn.Len(), c.peekLimit())
+}
+
+// Skip implements network.Reader. The head is the first that hertz skips.
+func (c *trackedConn) Skip(n int) error {
+	c.inHead = false
+	return c.Conn.Skip(n)
+}
+
+// ReadByte implements network.Reader.
+func (c *trackedConn) ReadByte() (byte, error) {
+	if err := c.limitTime(1); err != nil {
+		return 0, err
+	}
+	return c.Conn.ReadByte()
+}
+
+func (c *trackedConn) peekLimit() int {
+	if c.inHead {
+		return maxHeadBytes
+	}
+	return maxPeekBytes
+}
+
+// limitTime makes a read of n bytes fail at the deadline, if it has to wait for them.
+func (c *trackedConn) limitTime(n int) error {
+	if c.deadline.IsZero() || c.Conn.Len() >= n {
+		return nil
+	}
+	left := time.Until(c.deadline)
+	if left <= 0 {
+		return os.ErrDeadlineExceeded
+	}
+	return c.Conn.SetReadTimeout(left)
+}
--- a/objectclient/dial.go
+++ b/objectclient/dial.go
@@ -68,15 +68,3 @@
 		_ = conn.Conn.Close()
 	}
 }
-
-// trackedConn is a connection that its dialer can close.
-type trackedConn struct {
-	network.Conn
-	dialer *trackingDialer
-}
-
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
-	c.dialer.remove(c)
-	return c.Conn.Close()
-}
