httpconn: the trailer of a streamed response is bounded at 32 KB

Callers saw nothing yet; found by looking for it. An engine that ended a stream with trailer lines without end made a router allocate 1,916 MB in the 10 s until the deadline of the call.

Cause: the HTTP library peeks at ever more bytes until a trailer is complete. The head had a limit, the body's reader did not.

A body is now read through the same limit, in parts of at most 32 KB.

TestFloodsEndResponses, "trailer", limit 64 MB: 1,916 MB and the deadline before, 4 MB and ErrBroken at once after. The other nine kinds passed before.

--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -36,11 +36,12 @@
 	ErrTooLarge = errors.New("httpconn: response too large")
 )
 
-// maxHeadBytes bounds the head of a response.
+// maxHeadBytes bounds the head of a response, and its trailer.
 const maxHeadBytes = 32 << 10
 
-// headReader lets hertz read the head of a response, and fails once the head exceeds
-// maxHeadBytes. hertz peeks at ever more bytes until the head is complete.
+// headReader lets hertz read the head of a response, or a body in parts of at most maxHeadBytes,
+// and fails once the head or the trailer exceeds maxHeadBytes. hertz peeks at ever more bytes
+// until they are complete.
 type headReader struct {
 	network.Conn
 	// exceeded is set once a peek failed because of the limit.
@@ -203,9 +204,9 @@
 			return 0, ErrTruncated
 		}
 		empty := &bytebufferpool.ByteBuffer{}
-		x.body = ext.AcquireBodyStream(empty, x.conn, x.response.Header.Trailer(), chunkedLength)
+		x.body = ext.AcquireBodyStream(empty, &headReader{Conn: x.conn}, x.response.Header.Trailer(), chunkedLength)
 	}
-	n, err := x.body.Read(p)
+	n, err := x.body.Read(p[:min(len(p), maxHeadBytes)])
 	if err != nil && err != io.EOF {
 		err = x.wrapBroken(err)
 	}
