engine: an event of a stream is bounded with all of its lines

Callers saw nothing yet; found by looking for it. An engine that sent an event of lines without end, comments included, made a router allocate 310 to 3,369 MB in the 10 s until the deadline of the call, and the event itself was kept.

Cause: the reader of events bounds a line at 1 MB, not the lines of an event.

TestFloodsEndResponses, limit 64 MB: lines of an event 3,369 MB, short lines 1,293, names 1,078, comments 310, all until the deadline, before; 6 to 15 MB and ErrBroken at once after.

--- a/engine/response.go
+++ b/engine/response.go
@@ -25,6 +25,8 @@
 	// events is nil for a response that is not streamed.
 	events *sse.Reader
 	event  *sse.Event
+	// limit bounds each event; nil like events.
+	limit *eventLimit
 	// nextSeq is the sequence number of the next event to return.
 	nextSeq uint64
 	// bodyRead is set once the body of a response that is not streamed was returned.
@@ -40,13 +42,14 @@
 	// sse.NewReader reads only from a protocol.Response.
 	var wrapper protocol.Response
 	wrapper.Header.SetContentType("text/event-stream")
-	wrapper.SetBodyStream(x, -1)
+	limit := newEventLimit(x, config.MaxEventBytes)
+	wrapper.SetBodyStream(limit, -1)
 	events, err := sse.NewReader(&wrapper)
 	if err != nil {
 		return r
 	}
 	events.SetMaxBufferSize(config.MaxEventBytes)
-	r.events = events
+	r.events, r.limit = events, limit
 	r.event = sse.NewEvent()
 	return r
 }
@@ -119,6 +122,7 @@
 
 // readEvent reads an event into r.event and returns its sequence number.
 func (r *response) readEvent() (uint64, error) {
+	r.limit.nextEvent()
 	err := r.events.Read(r.event)
 	if err == io.EOF {
 		return 0, fmt.Errorf("%w: no end marker", ErrTruncated)
