--- a/cmd/ragwort-router/peer_flood_test.go
+++ b/cmd/ragwort-router/peer_flood_test.go
@@ -26,8 +26,8 @@
 	udp  *net.UDPConn
 	to   *net.UDPAddr
 	sent int
-	// requests counts the requests that it has answered.
-	requests atomic.Int32
+	// connections counts the requests that it has got, requests those that it has answered.
+	connections, requests atomic.Int32
 }
 
 // startFaultyPeer starts a router that answers every request of another one with answer.
@@ -59,6 +59,7 @@
 			go func() {
 				defer c.Close()
 				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					p.connections.Add(1)
 					answer(c, r)
 					p.requests.Add(1)
 				}
