--- a/cmd/ragwort-router/slow_flood_test.go
+++ b/cmd/ragwort-router/slow_flood_test.go
@@ -92,6 +92,7 @@
 		"forwarded body": "POST /sound/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nDeadline-Ms: 1000\r\nRagwort-Forwarded-By: r2\r\nContent-Length: 100000\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			_, addr, target := startStore(t, "")
 			router := startRouter(t, nextIP(), addr)
 			before, descriptors := router.peakMB(), router.descriptors()
