targethealth: targets that answer nothing sound are ejected, and requests that run once do not find out when they are well

Callers lost requests that may run once on targets that fail fast, one after the other. Such a target is idle, so it was picked; two broken answers in a row were forgotten after 0.4 s, and a failure without a signature counted as an answer; the next caller's request found out whether the target was well.

Two unsound of a target's last eight attempts, more than at the others of its service, eject it. Trials by requests that can be repeated, within the retry budget, end the ejection; where only requests arrive that may run once, a health probe goes first. An unsound attempt counts as full load in choices by load. Attempts that end together count once, and streams that have begun not at all, so that a crash, a reset link or a restart ejects nothing.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -50,6 +50,9 @@
 	// Load returns the estimated number of requests at a target, queued or running,
 	// including those of other routers.
 	Load(t *catalog.Target) float64
+	// UnsoundLoad returns the load that unsound answers of the target stand for, as a multiple of
+	// its slots. A target that fails fast is not idle.
+	UnsoundLoad(t *catalog.Target) float64
 	// Health returns the target's health.
 	Health(t *catalog.Target) targethealth.Health
 	// Limited reports whether the target names a limit on its requests. Other targets
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -280,7 +280,8 @@
 
 func (sel *selection) evaluate(i int) loadCandidate {
 	t := sel.candidates.targets[i]
-	c := loadCandidate{sel.state.Health(t), sel.state.Load(t) / float64(max(t.Slots, 1)), rendezvous.Mix(sel.candidates.seeds[i], sel.query.Random) >> 1}
+	load := sel.state.Load(t)/float64(max(t.Slots, 1)) + sel.state.UnsoundLoad(t)
+	c := loadCandidate{sel.state.Health(t), load, rendezvous.Mix(sel.candidates.seeds[i], sel.query.Random) >> 1}
 	if t.Domain != sel.query.Domain {
 		c.tie |= 1 << 63
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -28,6 +28,8 @@
 	limited, withheld map[int]bool
 	// unavailable holds the indexes of targets that want no requests.
 	unavailable map[int]bool
+	// unsoundLoad holds the load that unsound answers of targets stand for, by index.
+	unsoundLoad map[int]float64
 	// leaving holds the indexes of targets that accept no more requests.
 	leaving map[int]bool
 	// total is the sum of all loads.
@@ -35,6 +37,9 @@
 }
 
 func (f *fakeFleet) Load(t *catalog.Target) float64 { return f.load[f.indexes[t.ID]] }
+func (f *fakeFleet) UnsoundLoad(t *catalog.Target) float64 {
+	return f.unsoundLoad[f.indexes[t.ID]]
+}
 func (f *fakeFleet) Limited(t *catalog.Target) bool {
 	return f.limited[f.indexes[t.ID]]
 }
--- a/event/request.go
+++ b/event/request.go
@@ -34,5 +34,7 @@
 	ForwardedTargetInvalid = define(3026, zerolog.WarnLevel, "forwarded-target-invalid", "Another router passed a response on and named its target in a way that cannot be read; what the target says of itself is not used.")
 	TargetNoticeChecked    = define(3027, zerolog.InfoLevel, "target-notice-checked", "A target that had said that it leaves has a new process, which was asked whether it leaves too; without an answer it gets no requests and is asked again.")
 	TargetEnded            = define(3028, zerolog.WarnLevel, "target-ended", "The end of an answer that has neither a length nor chunks is not taken for its completion, because its target did not serve a check afterwards; the field evidence says what was asked for.")
+	TargetEjected          = define(3029, zerolog.WarnLevel, "target-ejected", "Attempts at a target brought nothing sound, more often than at the others of its service, and requests avoid it; or, with ejected false, three in a row were sound again. The error is that of the last attempt. Find out what the target answers.")
+	EjectedTargetProbed    = define(3030, zerolog.InfoLevel, "ejected-target-probed", "An ejected target was asked for its health, since requests that may run once are only sent there after it has answered; the error tells why it has not.")
 	LogDropped             = define(3090, zerolog.WarnLevel, "log-lines-dropped", "Log lines were over the budget or could not be written; the fields count them.")
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,6 +68,8 @@
 	committed bool
 	// clientGone is set if writing the response to the client failed.
 	clientGone bool
+	// sound is set once the attempt was recorded as sound.
+	sound bool
 }
 
 // retryEnd converts the result for the retry life cycle. events is the number of
@@ -190,7 +192,7 @@
 	}
 	now := time.Now()
 	targets, mean := s.relay.targetSet(view, s.service, now)
-	signals := &targetSignals{relay: s.relay, now: now}
+	signals := &targetSignals{relay: s.relay, now: now, purpose: s.purpose(now)}
 	choice := s.choosePermitted(targets, mean, signals)
 	if choice.Target == nil && len(s.abandoned) > 0 {
 		// A target that was abandoned for its silence may answer by now.
@@ -204,6 +206,7 @@
 	}
 	chosen := chosenTarget{Target: choice.Target}
 	s.target = choice.Target
+	s.relay.health.BeginTrial(choice.Target.ID, now)
 	line := s.Log(event.RequestPlaced).Str("version", string(choice.Target.Version))
 	if s.hasEvent {
 		stream, _ := s.streamKey()
@@ -227,6 +230,19 @@
 	return chosen, true
 }
 
+// purpose returns the purpose of the next attempt. It may be a trial of an ejected target if it is
+// the first one, and the request can be repeated at another target.
+func (s *requestState) purpose(now time.Time) targethealth.Purpose {
+	switch {
+	case s.route.RunPolicy == catalog.RunOnce:
+		return targethealth.Once
+	case s.attempts == 0 && s.route.MaxTargets > 1 && s.relay.retryBudget(s.service).Allows(now):
+		return targethealth.Trial
+	default:
+		return targethealth.Repeat
+	}
+}
+
 // readmitAbandoned lets the request go once more to the targets that were abandoned for
 // their silence.
 func (s *requestState) readmitAbandoned() {
@@ -276,7 +292,7 @@
 	if errors.Is(context.Cause(ctx), errSilenceTimeout) {
 		s.abandoned = append(s.abandoned, t.ID)
 	}
-	s.recordAttempt(ctx, t.Target, result)
+	s.recordAttempt(ctx, t.Target, result, sentAt)
 	s.recordEvidence(t.Target, result, sentAt)
 	if !s.isModelService() {
 		s.recordServiceTime(result, time.Since(sentAt))
@@ -446,29 +462,3 @@
 	}
 	return s.confirmEnd(ctx, t.Target, result)
 }
-
-// recordAttempt updates the target's health state and the record of cache holders.
-// Attempts cancelled for another reason than the target's silence are ignored.
-func (s *requestState) recordAttempt(ctx context.Context, t *catalog.Target, result *attemptResult) {
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errSilenceTimeout) {
-		return
-	}
-	signal := targethealth.Succeeded
-	switch {
-	case result.complete || result.clientGone:
-		s.relay.holders.Record(s.call.Prompt, t.ID, time.Now())
-	case result.reason == reason.TargetDown:
-		signal = targethealth.Unreachable
-		s.relay.pool.CloseIdle(t.ID)
-	case result.reason == reason.TargetRefused:
-		signal = targethealth.Rejected
-	case result.reason == reason.TargetFailed:
-		signal = targethealth.Failed
-	default:
-		signal = targethealth.Incomplete
-	}
-	before, after := s.relay.health.Record(t, signal, time.Now())
-	if before != after {
-		s.Log(event.TargetHealthChanged).AnErr("error", result.err).Str("before", before.String()).Str("after", after.String()).Send()
-	}
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -215,6 +215,7 @@
 			r.checkNotices(ctx, now)
 		case now := <-probeTicker.C:
 			r.probeDue(ctx, now)
+			r.probeEjected(ctx, now)
 			r.checkPaths(ctx, now)
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,7 +39,9 @@
 			result.reason, result.err = reason.AnswerTruncated, err
 			return
 		}
-		received++
+		if received++; received == 1 {
+			s.recordBeginning(t.Target, result)
+		}
 		recordEvent(time.Now())
 		if s.hasEvent && ev.HasID && ev.ID <= s.lastEventID {
 			timer.Restart(timeout)
--- a/relay/target_set.go
+++ b/relay/target_set.go
@@ -69,6 +69,8 @@
 type targetSignals struct {
 	relay *Relay
 	now   time.Time
+	// purpose is that of the attempt.
+	purpose targethealth.Purpose
 	// withheld holds the targets for which a permit was denied. onlyUnlimited withholds
 	// all targets that need permits.
 	withheld      []fleet.TargetID
@@ -82,7 +84,12 @@
 
 // Health implements dispatch.TargetState.
 func (s *targetSignals) Health(t *catalog.Target) targethealth.Health {
-	return s.relay.health.State(t.ID, t.Domain, s.now)
+	return s.relay.health.StateFor(t.ID, t.Domain, s.purpose, s.now)
+}
+
+// UnsoundLoad implements dispatch.TargetState.
+func (s *targetSignals) UnsoundLoad(t *catalog.Target) float64 {
+	return s.relay.health.UnsoundLoad(t.ID, s.purpose, s.now)
 }
 
 // Limited implements dispatch.TargetState.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -119,6 +119,14 @@
 	return true
 }
 
+// Allows reports whether Take would take a retry.
+func (a *Budget) Allows(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now)
+	return a.tokens >= 1
+}
+
 // putBack returns a retry that was taken and not used.
 func (a *Budget) putBack() {
 	a.mu.Lock()
--- a/targethealth/targethealth.go
+++ b/targethealth/targethealth.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
@@ -95,6 +96,7 @@
 	avoidUntil             time.Time
 	// answeredAt is the time of the last complete answer.
 	answeredAt time.Time
+	ejection   ejection
 }
 
 // domainRecord is the recorded reachability of a failure domain.
@@ -142,14 +144,19 @@
 	mu       sync.Mutex
 	records  map[fleet.TargetID]*targetRecord
 	services map[fleet.ServiceName]*failureRate
-	streams  map[fleet.TargetID]*streamActivity
-	domains  map[fleet.DomainName]*domainRecord
+	// answers holds the unsound share of each service's attempts.
+	answers map[fleet.ServiceName]*failureRate
+	streams map[fleet.TargetID]*streamActivity
+	domains map[fleet.DomainName]*domainRecord
+	// unsoundTargets is set once an attempt was unsound, so that the data path of sound fleets
+	// needs no lock for it.
+	unsoundTargets atomic.Bool
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: map[fleet.TargetID]*targetRecord{}, services: map[fleet.ServiceName]*failureRate{},
+		records: map[fleet.TargetID]*targetRecord{}, services: map[fleet.ServiceName]*failureRate{}, answers: map[fleet.ServiceName]*failureRate{},
 		streams: map[fleet.TargetID]*streamActivity{}, domains: map[fleet.DomainName]*domainRecord{},
 	}
 }
@@ -159,17 +166,9 @@
 func (b *Tracker) Record(t *catalog.Target, s Observation, now time.Time) (before, after Health) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[t.ID]
-	if r == nil {
-		r = &targetRecord{service: t.Service, failureRate: failureRate{decayedAt: now}}
-		b.records[t.ID] = r
-	}
+	r := b.getOrCreate(t, now)
 	serviceRate := b.services[t.Service]
-	if serviceRate == nil {
-		serviceRate = &failureRate{decayedAt: now}
-		b.services[t.Service] = serviceRate
-	}
-	before = b.recordHealth(r, now)
+	before = b.recordHealth(r, Trial, now)
 	if s != Rejected && s != Connected {
 		failed := s != Succeeded
 		r.add(now, failed)
@@ -180,7 +179,21 @@
 	}
 	r.update(s, now)
 	b.recordReachability(t, s, now)
-	return before, b.recordHealth(r, now)
+	return before, b.recordHealth(r, Trial, now)
+}
+
+// getOrCreate returns the record of a target, whose service then has its rates; b.mu must be held.
+func (b *Tracker) getOrCreate(t *catalog.Target, now time.Time) *targetRecord {
+	r := b.records[t.ID]
+	if r == nil {
+		r = &targetRecord{service: t.Service, failureRate: failureRate{decayedAt: now}}
+		b.records[t.ID] = r
+	}
+	if b.services[t.Service] == nil {
+		b.services[t.Service] = &failureRate{decayedAt: now}
+		b.answers[t.Service] = &failureRate{decayedAt: now}
+	}
+	return r
 }
 
 // HeardSince reports whether a target has ended an answer, or sent an event of one in
@@ -251,14 +264,7 @@
 }
 
 func backoff(failures int) time.Duration {
-	wait := minAvoidance
-	for range failures {
-		if wait >= maxAvoidance {
-			break
-		}
-		wait *= 2
-	}
-	return min(wait, maxAvoidance)
+	return doubled(minAvoidance, failures, maxAvoidance)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -268,8 +274,13 @@
 	return b
 }
 
-// State returns the health of a target of a failure domain.
+// State is StateFor for an attempt that may be a trial.
 func (b *Tracker) State(id fleet.TargetID, domain fleet.DomainName, now time.Time) Health {
+	return b.StateFor(id, domain, Trial, now)
+}
+
+// StateFor returns the health of a target of a failure domain to an attempt with a purpose.
+func (b *Tracker) StateFor(id fleet.TargetID, domain fleet.DomainName, p Purpose, now time.Time) Health {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.silent(id, domain, now) {
@@ -282,11 +293,18 @@
 	if r == nil {
 		return Healthy
 	}
-	return b.recordHealth(r, now)
+	return b.recordHealth(r, p, now)
 }
 
-func (b *Tracker) recordHealth(r *targetRecord, now time.Time) Health {
-	if r.consecutiveUnreachable > 0 || now.Before(r.avoidUntil) {
+// recordHealth returns the health of a recorded target. An ejected one that admits the
+// attempt counts as healthy, so that it is tried.
+func (b *Tracker) recordHealth(r *targetRecord, p Purpose, now time.Time) Health {
+	switch {
+	case r.consecutiveUnreachable > 0 || !r.ejection.admits(p, now):
+		return Avoided
+	case r.ejection.ejected:
+		return Healthy
+	case now.Before(r.avoidUntil):
 		return Avoided
 	}
 	serviceRate := b.services[r.service]
