mesh, targethealth: routers tell each other of targets that answer nothing sound

Each router lost requests that may run once at each faulty target before it avoided it: six routers and three faulty targets cost 18 requests at a time, and again with each trial; requests that may be repeated failed while the retry budget was too small for what all routers had to find out.

Full heartbeats name the targets whose last attempt by the sender brought nothing sound, first-hand. One router's word counts as load, two routers' as a verdict for attempts that are no trials. A router's own fresh success and a restart of the target outweigh it, and at most half of a service is concerned. 16 reports take 159 bytes; earlier builds ignore them.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -34,6 +34,7 @@
 	hb.Confirmations = m.splitConfirmations()
 	hb.Paths = m.pathReports(now)
 	hb.Brittle = m.newestBrittle(now)
+	hb.Unsound = m.unsoundReports(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
 	hb.Peers = m.table.RandomPeers(maxPeers, now, m.random)
 }
@@ -80,13 +81,13 @@
 }
 
 // encodeFitting encodes a heartbeat. What does not fit into a datagram is left out:
-// changes, which receivers that lack them fetch, and loads, then limits, splits and paths, crashes and
-// clears, then other routers, and verdicts last.
+// changes, which receivers that lack them fetch, and loads, then limits and unsound targets, splits and paths,
+// crashes and clears, then other routers, and verdicts last.
 func encodeFitting(hb *Heartbeat) ([]byte, error) {
 	data, err := encode(hb)
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
-		func() { hb.Limits, hb.Brittle = nil, nil },
+		func() { hb.Limits, hb.Brittle, hb.Unsound = nil, nil, nil },
 		func() { hb.Splits, hb.Confirmations, hb.Paths = nil, nil, nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
@@ -133,6 +134,7 @@
 	m.mergeConfirmations(hb.Confirmations)
 	m.mergeStreams(hb.Streams, now)
 	m.mergeBrittle(hb.Brittle, now)
+	m.mergeUnsound(hb.From, hb.Unsound, now)
 	switch {
 	case hb.Joining:
 		m.replyToJoin(hb.Domain, from, now)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -90,6 +90,9 @@
 	// Paths holds this router's paths to targets; nil means that others are not told of
 	// them.
 	Paths Paths
+	// Unsound holds the reports on targets that answer nothing sound; nil means that the
+	// routers exchange none.
+	Unsound UnsoundTargets
 	// CountBytes counts n bytes of control traffic; direction is "sent" or "received". It
 	// may be nil.
 	CountBytes func(direction string, n int)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -72,6 +72,9 @@
 	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
 	// Paths are the sender's paths to the targets of services.
 	Paths []PathReport `cbor:"22,keyasint,omitempty"`
+	// Unsound holds the targets at which the sender's own last attempt brought nothing sound. Earlier
+	// builds send none, so that a target that is left out is not known to be sound.
+	Unsound []UnsoundReport `cbor:"27,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
@@ -120,6 +123,17 @@
 	Sound bool
 }
 
+// UnsoundReport is what a router knows of a target whose answers are unsound.
+type UnsoundReport struct {
+	_ struct{} `cbor:",toarray"`
+	// TargetHash is the hash of the target's ID, see fleet.TargetID.Hash.
+	TargetHash uint32
+	// AgeMS is the time since the last unsound attempt.
+	AgeMS uint32
+	// Ejected means that the sender has ejected the target.
+	Ejected bool
+}
+
 // PermitVerdict is the answer to a request for a permit.
 type PermitVerdict uint8
 
--- a/node/node.go
+++ b/node/node.go
@@ -113,7 +113,7 @@
 	var err error
 	n.mesh, err = mesh.New(mesh.Config{
 		Self: cfg.ID, Domain: cfg.Domain, Addr: cfg.PeerAddr, Strength: cfg.Strength(), Seeds: n.seeds, Directory: n.directory,
-		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, Limits: limits, StreamVersions: n.versions, Paths: paths,
+		OnPeerLoad: n.relay.RecordPeerLoad, Evidence: n.relay, Limits: limits, StreamVersions: n.versions, Paths: paths, Unsound: n.relay,
 		CountBytes: n.countMeshBytes, Log: log,
 	})
 	if err != nil {
--- a/relay/health.go
+++ b/relay/health.go
@@ -10,6 +10,7 @@
 	"ragwortpond.example/ragwortpond/call"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/reason"
 	"ragwortpond.example/ragwortpond/targethealth"
 )
@@ -121,3 +122,24 @@
 	r.health.RecordHealthProbe(t.ID, answer)
 	event.EjectedTargetProbed.Log(r.cfg.Log).Str("target", string(t.ID)).AnErr("error", err).Send()
 }
+
+// UnsoundReports returns what this router reports to others of targets that answer nothing sound.
+func (r *Relay) UnsoundReports(now time.Time) []targethealth.Report {
+	return r.health.Reports(now)
+}
+
+// MergeUnsoundReport adds what another router reports of a target.
+func (r *Relay) MergeUnsoundReport(from fleet.RouterID, report targethealth.Report, now time.Time) {
+	r.health.MergeReport(from, report, now)
+}
+
+// settleHearsay decides which reports of other routers count.
+func (r *Relay) settleHearsay(now time.Time) {
+	for _, v := range r.health.SettleHearsay(r.cfg.View().Targets, now) {
+		reporters := make([]string, len(v.Reporters))
+		for i, from := range v.Reporters {
+			reporters[i] = string(from)
+		}
+		event.TargetReportedUnsound.Log(r.cfg.Log).Str("target", string(v.Target)).Bool("avoided", v.Avoided).Strs("reporters", reporters).Send()
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -216,6 +216,7 @@
 		case now := <-probeTicker.C:
 			r.probeDue(ctx, now)
 			r.probeEjected(ctx, now)
+			r.settleHearsay(now)
 			r.checkPaths(ctx, now)
 		}
 	}
@@ -337,6 +338,7 @@
 // whose process was restarted.
 func (r *Relay) ResetTarget(id fleet.TargetID) {
 	r.health.Reset(id)
+	r.health.DropReports(id, time.Now())
 	r.limits.Reset(id)
 	r.pool.CloseIdle(id)
 	r.holders.RemoveTarget(id)
--- a/targethealth/ejection.go
+++ b/targethealth/ejection.go
@@ -184,22 +184,27 @@
 }
 
 // UnsoundLoad returns the load that a target's unsound attempts stand for, as a multiple of its
-// slots: none for an attempt that is to be a trial.
+// slots: none for an attempt that is to be a trial. To attempts that cannot be trials, other routers'
+// reports stand for one more.
 func (b *Tracker) UnsoundLoad(id fleet.TargetID, p Purpose, now time.Time) float64 {
 	if !b.unsoundTargets.Load() {
 		return 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	load := 0.0
+	if p != Trial && b.hearsayOn(id) > 0 {
+		load++
+	}
 	r := b.records[id]
 	if r == nil {
-		return 0
+		return load
 	}
 	e := &r.ejection
 	if now.Sub(e.lastUnsound) >= unsoundLoadTime || (e.ejected && e.admits(p, now)) {
-		return 0
+		return load
 	}
-	return float64(e.unsoundInRow)
+	return load + float64(e.unsoundInRow)
 }
 
 // BeginTrial records that a request is sent to a target, which is a trial if the target is
@@ -224,7 +229,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var due []fleet.TargetID
-	unsound := false
+	unsound := len(b.heard) > 0
 	defer func() { b.unsoundTargets.Store(unsound) }()
 	for id, r := range b.records {
 		e := &r.ejection
--- a/targethealth/targethealth.go
+++ b/targethealth/targethealth.go
@@ -148,6 +148,10 @@
 	answers map[fleet.ServiceName]*failureRate
 	streams map[fleet.TargetID]*streamActivity
 	domains map[fleet.DomainName]*domainRecord
+	// heard holds what other routers report, resets when targets started again that were
+	// reported before.
+	heard  map[fleet.TargetID]*hearsay
+	resets map[fleet.TargetID]time.Time
 	// unsoundTargets is set once an attempt was unsound, so that the data path of sound fleets
 	// needs no lock for it.
 	unsoundTargets atomic.Bool
@@ -158,6 +162,7 @@
 	return &Tracker{
 		records: map[fleet.TargetID]*targetRecord{}, services: map[fleet.ServiceName]*failureRate{}, answers: map[fleet.ServiceName]*failureRate{},
 		streams: map[fleet.TargetID]*streamActivity{}, domains: map[fleet.DomainName]*domainRecord{},
+		heard: map[fleet.TargetID]*hearsay{}, resets: map[fleet.TargetID]time.Time{},
 	}
 }
 
@@ -289,11 +294,14 @@
 	if b.domainUnreachable(domain, now) {
 		return Avoided
 	}
-	r := b.records[id]
-	if r == nil {
-		return Healthy
+	health := Healthy
+	if r := b.records[id]; r != nil {
+		health = b.recordHealth(r, p, now)
+	}
+	if p != Trial && health == Healthy && b.hearsayOn(id) >= minReporters {
+		return Degraded
 	}
-	return b.recordHealth(r, p, now)
+	return health
 }
 
 // recordHealth returns the health of a recorded target. An ejected one that admits the
@@ -325,6 +333,11 @@
 			delete(b.records, id)
 		}
 	}
+	for id := range b.resets {
+		if !keep(id) {
+			delete(b.resets, id)
+		}
+	}
 }
 
 // Reset drops the record of a target whose process has restarted.
