--- a/explain/explain.go
+++ b/explain/explain.go
@@ -98,7 +98,7 @@
 // configuration or the health state of a target.
 func isStateEvent(number int) bool {
 	switch number {
-	case event.TargetHealthChanged.Number, event.ConfigInForce.Number, event.TargetChanged.Number, event.StoreLost.Number,
+	case event.TargetHealthChanged.Number, event.TargetEjected.Number, event.TargetReportedUnsound.Number, event.ConfigInForce.Number, event.TargetChanged.Number, event.StoreLost.Number,
 		event.StoreRegained.Number, event.StoreWatchChanged.Number, event.NodeStarted.Number, event.NodeReady.Number, event.NodeDraining.Number, event.NodeStopped.Number:
 		return true
 	default:
--- a/node/unsound_target_test.go
+++ b/node/unsound_target_test.go
@@ -75,15 +75,21 @@
 		}
 		return target
 	})
+	return f.sendSteadily(p.perSecond, *unsoundPeriod)
+}
+
+// sendSteadily sends requests to all routers at a steady rate for a time, and returns their number and
+// that of those served.
+func (f *limitFleet) sendSteadily(perSecond int, d time.Duration) (sent, served int) {
 	var all sync.WaitGroup
 	var ok atomic.Int64
-	interval := time.Second / time.Duration(p.perSecond)
-	sent = int(*unsoundPeriod / interval)
+	interval := time.Second / time.Duration(perSecond)
+	sent = int(d / interval)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for i := range sent {
 		all.Go(func() {
-			if f.sendUnique(f.routers[i%unsoundRouters], i) {
+			if f.sendUnique(f.routers[i%len(f.routers)], i) {
 				ok.Add(1)
 			}
 		})
@@ -137,7 +143,7 @@
 		t.Run(play.name, func(t *testing.T) {
 			t.Parallel()
 			sent, served := play.run(t, faults)
-			t.Logf("faults %v: %d of %d requests served", faults, served, sent)
+			t.Logf("%s, faults %v: %d of %d requests served", play.name, faults, served, sent)
 			if served*100 < sent*play.wantPercent {
 				t.Errorf("faults %v: got %d of %d requests served, want at least %d in 100", faults, served, sent, play.wantPercent)
 			}
--- a/targethealth/ejection.go
+++ b/targethealth/ejection.go
@@ -12,9 +12,11 @@
 const (
 	// historyLength is the number of a target's last attempts that are kept, one bit each.
 	historyLength = 8
-	// minUnsound is the number of unsound ones of them that eject a target if their share
-	// exceeds that of its service by excessUnsoundRate, or maxUnsoundRate.
-	minUnsound        = 2
+	// minUnsound is the number of unsound ones of them, and minUnsoundInRow that of the last
+	// ones, either of which ejects a target if the unsound share exceeds that of its service
+	// by excessUnsoundRate, or maxUnsoundRate.
+	minUnsound        = 3
+	minUnsoundInRow   = 2
 	excessUnsoundRate = 0.25
 	maxUnsoundRate    = 0.9
 	// soundToReadmit is the number of sound attempts in a row that end an ejection.
@@ -30,7 +32,9 @@
 	// probeDemand is how long after a request that may run once, and found the target
 	// ejected, the target is probed.
 	probeDemand = time.Second
-	// unsoundLoadTime is how long an unsound attempt counts as load.
+	// lostAnswerTime is how long one unsound attempt counts as load, unsoundLoadTime several in
+	// a row. Sound targets lose an answer now and then.
+	lostAnswerTime  = 2 * time.Second
 	unsoundLoadTime = 8 * time.Second
 )
 
@@ -103,7 +107,7 @@
 	e.soundInRow++
 	e.inTrial, e.trialAt = false, now
 	if e.ejected && e.soundInRow >= soundToReadmit {
-		*e = ejection{lastSound: now, soundInRow: e.soundInRow}
+		*e = ejection{lastSound: now, soundInRow: e.soundInRow, count: e.soundInRow}
 	}
 }
 
@@ -120,7 +124,7 @@
 		if e.probed {
 			e.failedProbes += 2
 		}
-	case bits.OnesCount8(e.unsound) >= minUnsound && e.unsoundShare() > min(serviceShare+excessUnsoundRate, maxUnsoundRate):
+	case e.failsMoreThan(serviceShare):
 		e.ejected = true
 	default:
 		return
@@ -130,6 +134,13 @@
 	e.probeAt = e.trialAt.Add(doubled(minProbeDelay, e.failedProbes, maxProbeDelay))
 }
 
+// failsMoreThan reports whether enough of the last attempts were unsound, by the unsound share of
+// the service, for the target to be ejected.
+func (e *ejection) failsMoreThan(serviceShare float64) bool {
+	enough := bits.OnesCount8(e.unsound) >= minUnsound || e.unsoundInRow >= minUnsoundInRow
+	return enough && e.unsoundShare() > min(serviceShare+excessUnsoundRate, maxUnsoundRate)
+}
+
 // admits reports whether an attempt may be sent to the target as if that were not ejected.
 func (e *ejection) admits(p Purpose, now time.Time) bool {
 	if !e.ejected {
@@ -141,6 +152,12 @@
 	return (p == Trial || (p == Once && e.probed)) && !now.Before(e.trialAt)
 }
 
+// recentlyUnsound reports whether the last attempt was unsound and counts as load.
+func (e *ejection) recentlyUnsound(now time.Time) bool {
+	age := now.Sub(e.lastUnsound)
+	return age < lostAnswerTime && e.unsoundInRow > 0 || age < unsoundLoadTime && e.unsoundInRow > 1
+}
+
 // beginTrial records that a request was sent to an ejected target. Its result is waited for as
 // long as that of a trial that failed would delay the next one.
 func (e *ejection) beginTrial(now time.Time) {
@@ -201,7 +218,7 @@
 		return load
 	}
 	e := &r.ejection
-	if now.Sub(e.lastUnsound) >= unsoundLoadTime || (e.ejected && e.admits(p, now)) {
+	if !e.recentlyUnsound(now) || (e.ejected && e.admits(p, now)) {
 		return load
 	}
 	return load + float64(e.unsoundInRow)
@@ -233,7 +250,7 @@
 	defer func() { b.unsoundTargets.Store(unsound) }()
 	for id, r := range b.records {
 		e := &r.ejection
-		unsound = unsound || e.ejected || now.Sub(e.lastUnsound) < unsoundLoadTime
+		unsound = unsound || e.ejected || e.recentlyUnsound(now)
 		if !e.ejected || e.probed || now.Before(e.probeAt) || now.Sub(e.wantedAt) > probeDemand {
 			continue
 		}
--- a/targethealth/ejection_test.go
+++ b/targethealth/ejection_test.go
@@ -136,7 +136,7 @@
 	if !b.usable(a, Once, start) || b.UnsoundLoad(a.ID, Once, start) != 1 {
 		t.Error("want the target healthy, and its lost answer counted as load")
 	}
-	if b.UnsoundLoad(a.ID, Once, start.Add(unsoundLoadTime)) != 0 {
+	if b.UnsoundLoad(a.ID, Once, start.Add(lostAnswerTime)) != 0 {
 		t.Error("a lost answer counts as load for too long")
 	}
 	b.answer(a, Sound, startPlus(1))
--- a/targethealth/hearsay.go
+++ b/targethealth/hearsay.go
@@ -17,7 +17,7 @@
 	// fewer counts as load.
 	minReporters = 2
 	// ejectedReportTime is how long after the last unsound attempt an ejection is reported, and
-	// believed. An unsound attempt alone is for unsoundLoadTime.
+	// believed. Unsound attempts alone are for lostAnswerTime.
 	ejectedReportTime = 30 * time.Second
 	// freshSuccess is the age up to which a router's own sound attempt outweighs all reports.
 	freshSuccess = 5 * time.Second
@@ -38,7 +38,7 @@
 // valid reports whether a report still counts.
 func (r *Report) valid(now time.Time) bool {
 	age := now.Sub(r.At)
-	return age < unsoundLoadTime || (r.Ejected && age < ejectedReportTime)
+	return age < lostAnswerTime || (r.Ejected && age < ejectedReportTime)
 }
 
 // hearsay is what other routers report of a target.
--- a/targethealth/hearsay_test.go
+++ b/targethealth/hearsay_test.go
@@ -42,7 +42,7 @@
 	if got := b.UnsoundLoad(targets[0].ID, Trial, start); got != 0 {
 		t.Errorf("trials: got load %v, want none", got)
 	}
-	later := start.Add(unsoundLoadTime)
+	later := start.Add(lostAnswerTime)
 	if got := b.SettleHearsay(catalog.Targets{"s": targets}, later); len(got) != 1 || got[0].Avoided || !b.usable(targets[0], Once, later) {
 		t.Errorf("after the reports' time: got verdicts %v, want the end of one", got)
 	}
@@ -130,11 +130,11 @@
 	if ejected, ok := got["a"]; len(got) != 2 || !ejected || !ok || got["c"] {
 		t.Errorf("got reports %v, want the ejected target and the one whose last attempt was unsound", got)
 	}
-	if got := b.Reports(start.Add(unsoundLoadTime + time.Second)); len(got) != 1 || !got[0].Ejected {
+	if got := b.Reports(start.Add(lostAnswerTime + time.Second)); len(got) != 1 || !got[0].Ejected {
 		t.Errorf("got reports %v after a while, want the ejected target only", got)
 	}
 	b.answer(targets[0], Sound, startPlus(40))
-	if got := b.Reports(start.Add(unsoundLoadTime + time.Second)); len(got) != 0 {
+	if got := b.Reports(start.Add(lostAnswerTime + time.Second)); len(got) != 0 {
 		t.Errorf("got reports %v after a sound attempt, want none", got)
 	}
 }
