streamversion: a router that is cut off goes on beginning streams

Callers of a router or failure domain that was cut off from the store and from most others got no new resumable stream after 11 to 15 s, for as long as the cut lasted (stream-versions-unconfirmed), also with one software version in service.

Cause: the others assume that a replaced split is out of use by a time, so that a router needs a confirmation of its split every 15 s.

Now the store lists the processes that may go on under a split, with the newest split that each has told it knows. A replaced split stays possible, in the history and when streams are resumed, until all listed processes have told that they know a newer one, or a later process of the same router has. Nobody has to have heard of the router that is cut off. A router that the store does not list yet, that stands beside earlier builds, or that has started while cut off keeps the lease. The list is written when routers start or end and when all have told a new split; it is read by three routers, and by others only while they do not know that the newest split is told.

The model plays cuts of minutes, releases in them, restarts of the others, routers that are cut off together, two failure domains and fleets of 14.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -32,6 +32,7 @@
 	hb.Limits = m.newestLimits(now)
 	hb.Splits = m.splitReports(now)
 	hb.Confirmations = m.splitConfirmations()
+	hb.Lists = m.listReports()
 	hb.Paths = m.pathReports(now)
 	hb.Brittle = m.newestBrittle(now)
 	hb.FleetSize = uint32(m.table.KnownRouters())
@@ -87,7 +88,7 @@
 	for _, leaveOut := range []func(){
 		func() { hb.Changes, hb.Loads = nil, nil },
 		func() { hb.Limits, hb.Brittle = nil, nil },
-		func() { hb.Splits, hb.Confirmations, hb.Paths = nil, nil, nil },
+		func() { hb.Splits, hb.Confirmations, hb.Lists, hb.Paths = nil, nil, nil, nil },
 		hb.leaveOutCrashes,
 		func() { hb.Peers = nil },
 		func() { hb.Evidence = nil },
@@ -131,6 +132,7 @@
 	m.mergeLimits(hb.Limits, now)
 	m.mergeSplits(hb.Splits, now)
 	m.mergeConfirmations(hb.Confirmations)
+	m.mergeLists(hb)
 	m.mergeStreams(hb.Streams, now)
 	m.mergeBrittle(hb.Brittle, now)
 	switch {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -103,6 +103,9 @@
 	Reports() []streamversion.Report
 	Confirmations() []streamversion.Confirmation
 	MergeConfirmation(c streamversion.Confirmation)
+	ListRevision(service fleet.ServiceName) (listed, heard uint64)
+	MergeListRevision(service fleet.ServiceName, heard uint64)
+	MergeListing(l streamversion.Listing)
 }
 
 // Mesh exchanges heartbeats and data with the other routers; it implements
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -70,6 +70,11 @@
 	// Brittle holds the newest brittle targets known to the sender, or, with Permit, the one
 	// that the permit is for.
 	Brittle []BrittleReport `cbor:"23,keyasint,omitempty"`
+	// Lists tell which lists of routers that may begin streams while cut off the sender knows;
+	// earlier builds have none.
+	Lists []ListReport `cbor:"27,keyasint,omitempty"`
+	// Listing tells the receiver's process that the store lists it.
+	Listing *ListingMessage `cbor:"28,keyasint,omitempty"`
 	// Paths are the sender's paths to the targets of services.
 	Paths []PathReport `cbor:"22,keyasint,omitempty"`
 }
--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -332,7 +332,7 @@
 // PublishSplit implements streamversion.Peers.
 func (m *Mesh) PublishSplit(report streamversion.Report) {
 	hb := m.newHeartbeat()
-	hb.Splits = appendSplit(nil, report, time.Now())
+	hb.Splits, hb.Lists = appendSplit(nil, report, time.Now()), m.listReports()
 	m.send(hb, m.allAddrs())
 }
 
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -65,6 +65,8 @@
 	paths map[uint32]helperRecord
 	// splits holds the revisions of the splits that it knows.
 	splits map[fleet.ServiceName]uint64
+	// lists holds the revisions of the lists of routers in which it knows that it is listed.
+	lists map[fleet.ServiceName]uint64
 }
 
 // Table holds a router's records of the other routers. It does no I/O; the time is
@@ -110,7 +112,7 @@
 		return
 	}
 	if hb.Incarnation > m.incarnation {
-		m.splits = nil
+		m.splits, m.lists = nil, nil
 	}
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
@@ -122,6 +124,7 @@
 	t.recordFleetSize(int(hb.FleetSize), now)
 	t.mergePaths(hb.From, hb.Paths, now)
 	t.mergeSplitReports(hb.From, hb.Splits)
+	t.mergeListReports(hb.From, hb.Lists)
 	for _, peer := range hb.Peers {
 		t.mergePeer(peer, now)
 	}
@@ -137,7 +140,7 @@
 		return
 	}
 	if peer.Incarnation > m.incarnation {
-		m.leaving, m.watching, m.storeLost, m.splits = false, false, false, nil
+		m.leaving, m.watching, m.storeLost, m.splits, m.lists = false, false, false, nil, nil
 	}
 	m.domain, m.addr, m.incarnation, m.strength = peer.Domain, peer.Addr, peer.Incarnation, peer.Strength
 	if reportedAt := timeOf(peer.AgeMS, now); reportedAt.After(m.lastReported) {
--- a/node/drain.go
+++ b/node/drain.go
@@ -34,6 +34,7 @@
 func (n *Node) drain(ctx context.Context) {
 	started := time.Now()
 	n.draining.Store(true)
+	n.versions.Leave()
 	n.mesh.AnnounceLeaving()
 	event.NodeDraining.Log(n.log).Int("in_progress", n.relay.InFlight()).Send()
 	deadline := started.Add(max(n.cfg.StopGrace()-exitMargin, 0))
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -172,13 +172,21 @@
 
 // addTargetAt is like addTarget with the address of the proxy, or "" for a free one.
 func (env *environment) addTargetAt(addr, service, zone string) error {
+	version := fleet.SoftwareVersion("v1")
 	env.mu.Lock()
-	env.targetCount++
-	t := &target{Target: &standin.Target{ID: fmt.Sprintf("t-%d", env.targetCount), Service: service, Zone: zone, Version: "v1"}}
-	if env.versions && env.targetCount%2 == 0 {
-		t.Version = "v2"
+	if env.versions && env.targetCount%2 == 1 {
+		version = "v2"
 	}
 	env.mu.Unlock()
+	return env.addVersionAt(addr, service, zone, version)
+}
+
+// addVersionAt is addTargetAt for a software version.
+func (env *environment) addVersionAt(addr, service, zone string, version fleet.SoftwareVersion) error {
+	env.mu.Lock()
+	env.targetCount++
+	t := &target{Target: &standin.Target{ID: fmt.Sprintf("t-%d", env.targetCount), Service: service, Zone: zone, Version: string(version)}}
+	env.mu.Unlock()
 	if service == plainName {
 		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
 	} else {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,8 @@
 	Versions, KillAll bool
 	// StoreCopies makes the store come back from copies some seconds old.
 	StoreCopies bool
+	// RouterCut cuts a router off from the store and from the others for so long; zero means never.
+	RouterCut time.Duration
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
 	// directory is created, and removed again if there is no violation.
 	Dir string
@@ -49,14 +51,16 @@
 // Report is the result of a soak. Its JSON form is the output of `ragwort soak
 // --json`.
 type Report struct {
-	Seed       uint64         `json:"seed"`
-	Requests   int            `json:"requests"`
-	Served     int            `json:"served"`
-	Runs       int            `json:"runs"`
-	Faults     map[string]int `json:"faults"`
-	Planned    map[string]int `json:"planned"`
-	Violations int            `json:"violations"`
-	Found      []Violation    `json:"found,omitempty"`
+	Seed     uint64         `json:"seed"`
+	Requests int            `json:"requests"`
+	Served   int            `json:"served"`
+	Runs     int            `json:"runs"`
+	Faults   map[string]int `json:"faults"`
+	Planned  map[string]int `json:"planned"`
+	// CutStreams are the streams that the router was asked for which was cut off.
+	CutStreams CutStreams  `json:"cut_streams"`
+	Violations int         `json:"violations"`
+	Found      []Violation `json:"found,omitempty"`
 	// Logs is the directory with the routers' logs; empty without a violation.
 	Logs string `json:"logs,omitempty"`
 }
@@ -174,6 +178,9 @@
 	if o.StoreCopies {
 		all.Go(func() { newInjector(2005).loseStore(faultCtx) })
 	}
+	if o.RouterCut > 0 {
+		all.Go(func() { newInjector(2006).cutRouterOff(clientCtx, o.RouterCut) })
+	}
 	if o.KillAll {
 		all.Go(func() { newInjector(2002).killAll(faultCtx) })
 	}
@@ -238,6 +245,7 @@
 			r.Served++
 		}
 	}
+	r.CutStreams = h.cutStreams()
 	r.Found = Check(h)
 	r.Violations = len(r.Found)
 	return r
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// TestSoakThroughLongCut cuts a router off for longer than a lease lasts, while a software version is released and the
+// others start again.
+func TestSoakThroughLongCut(t *testing.T) {
+	const cut = 40 * time.Second
+	o := options(buildRouter(t, ""), 4)
+	o.CrashingPart, o.CrashingRequest, o.Limits, o.Versions, o.FaultLanes = false, false, false, true, 0
+	o.RouterCut, o.Duration = cut, listedAfter+cut+20*time.Second
+	r, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Violations > 0 {
+		t.Errorf("got violations %+v, want none", r.Found)
+	}
+	if c := r.CutStreams; c.Asked < 20 || c.Begun*10 < c.Asked*9 {
+		t.Errorf("got %d streams begun of %d that the cut-off router was asked for, want nine in ten of at least 20", c.Begun, c.Asked)
+	}
+}
+
 // plantedClients is the number of clients of the play with the planted fault: few of their requests
 // meet a fault after they have run.
 const plantedClients = 64
--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -13,23 +13,25 @@
 const startReadTimeout = 200 * time.Millisecond
 
 // Begin returns the version of a new stream, or an empty one if the service has no target. It
-// returns false if the split may have been replaced for too long, so that others would resume
-// the stream at another version. It reads the store if that may tell.
+// returns false if the split may have been replaced, so that others would resume the stream at
+// another version: it is neither leased, nor do others wait for this router to tell that it knows
+// the next one. It reads the store if that may tell.
 func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) (fleet.SoftwareVersion, bool) {
 	view := s.cfg.View()
 	targets := s.targetsOf(service, view)
 	if len(targets.split) == 0 {
 		return "", true
 	}
-	leased := s.leased(service)
-	if revision, _, _ := s.known(service); !leased || (revision == 0 && len(targets.split) > 1) {
+	leased, listed := s.leased(service), s.listed(service)
+	if revision, _, _ := s.known(service); (!leased && !(listed && s.storeAway(service))) || (revision == 0 && len(targets.split) > 1) {
 		ctx, cancel := context.WithTimeout(ctx, startReadTimeout)
 		defer cancel()
 		if _, err := s.readHistory(ctx, service); err != nil && !isNoHistory(err) {
 			// The targets decide if there was a lease.
 			event.SplitUnread.Log(s.cfg.Log).Str("service", string(service)).Err(err).Send()
 		}
-		if !leased && !s.leased(service) {
+		leased, listed = s.leased(service), s.listed(service)
+		if !leased && !listed {
 			return "", false
 		}
 	}
@@ -43,7 +45,7 @@
 	if slices.Contains(targets.serving, version) {
 		return version, true
 	}
-	if !s.targetsCurrent() {
+	if !leased || !s.targetsCurrent() {
 		// The version that the split gives may well be in service.
 		return "", false
 	}
--- a/streamversion/history.go
+++ b/streamversion/history.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform"
 )
 
 const (
@@ -28,6 +30,8 @@
 	// ReplacedAtMS is the Unix time in milliseconds, by the clock of the router that
 	// replaced the split; zero for the split in force.
 	ReplacedAtMS int64 `json:"replaced_at_ms,omitempty"`
+	// Revision is that of the history in which it came into force; zero if it is not known.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // History holds a service's split in force and those before it, newest first. It is the
@@ -62,6 +66,12 @@
 
 // Replace returns the history with a new split in force from now on.
 func (h *History) Replace(split Split, now time.Time) *History {
+	return h.replace(split, now, math.MaxUint64)
+}
+
+// replace is Replace that keeps the splits which routers may use that have not told to know a newer
+// one: all that were not replaced up to the revision told.
+func (h *History) replace(split Split, now time.Time, told uint64) *History {
 	next := &History{Splits: []Entry{{Split: split}}}
 	if h == nil {
 		return next
@@ -71,7 +81,8 @@
 		if i == 0 {
 			entry.ReplacedAtMS = now.UnixMilli()
 		}
-		if len(next.Splits) < maxSplits && now.Sub(time.UnixMilli(entry.ReplacedAtMS)) < historyLifetime {
+		late := i > 0 && h.Splits[i-1].Revision > told
+		if len(next.Splits) < maxSplits && (late || now.Sub(time.UnixMilli(entry.ReplacedAtMS)) < historyLifetime) {
 			next.Splits = append(next.Splits, entry)
 		}
 	}
@@ -90,8 +101,8 @@
 	}
 	next := &History{Splits: []Entry{{Split: h.Current()}}, Era: era, UnknownUntilMS: max(h.UnknownUntilMS, lost.UnknownUntilMS)}
 	replaced := slices.Concat(lost.Splits[1:], h.Splits[1:])
-	if !slices.Equal(lost.Current(), h.Current()) {
-		replaced = append(replaced, Entry{Split: lost.Current(), ReplacedAtMS: endedAt.UnixMilli()})
+	if last := lost.Splits[0]; last.Revision > 0 || !slices.Equal(last.Split, h.Current()) {
+		replaced = append(replaced, Entry{Split: last.Split, ReplacedAtMS: endedAt.UnixMilli(), Revision: last.Revision})
 	}
 	slices.SortStableFunc(replaced, func(a, b Entry) int { return cmp.Compare(b.ReplacedAtMS, a.ReplacedAtMS) })
 	next.Splits = append(next.Splits, replaced[:min(len(replaced), maxSplits-1)]...)
@@ -100,7 +111,24 @@
 
 // incomplete reports whether streams in progress may have begun under a split that the history lacks.
 func (h *History) incomplete(w Window, now time.Time) bool {
-	return h.Era < w.Era || now.Sub(time.UnixMilli(h.UnknownUntilMS)) < w.Lifetime+clockError+leaseTime
+	if h.Era < w.Era || now.Sub(time.UnixMilli(h.UnknownUntilMS)) < w.Lifetime+clockError+leaseTime {
+		return true
+	}
+	if w.Told >= w.Revision {
+		return false
+	}
+	lost := h.UnknownUntilMS > 0 && platform.EraOf(w.Told) < w.Era
+	return lost || h.inForceAt(w.Told) == len(h.Splits)
+}
+
+// inForceAt returns the index of the split that was in force at a revision, or the number of splits if that is not known.
+func (h *History) inForceAt(revision uint64) int {
+	for i, entry := range h.Splits {
+		if entry.Revision > 0 && entry.Revision <= revision {
+			return i
+		}
+	}
+	return len(h.Splits)
 }
 
 // Window is the time in which streams in progress began.
@@ -111,6 +139,9 @@
 	Unchanged time.Duration
 	// Era is the era of the store that the history was read in.
 	Era uint64
+	// Revision is that of the newest split. Listed routers may have used each split from that at Told
+	// on, as long as that is lower.
+	Revision, Told uint64
 	// Settled is set if all routers know the newest split. Otherwise some may have used an
 	// older one for leaseTime after it was replaced.
 	Settled bool
@@ -139,6 +170,9 @@
 	for n < len(h.Splits) && w.mayHaveBegun(time.UnixMilli(h.Splits[n].ReplacedAtMS), now) {
 		n++
 	}
+	if w.Told < w.Revision {
+		n = max(n, min(h.inForceAt(w.Told)+1, len(h.Splits)))
+	}
 	return h.Splits[:n]
 }
 
--- a/streamversion/read.go
+++ b/streamversion/read.go
@@ -138,6 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
+	history.Splits[0].Revision = object.Revision
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.adopt(Report{service, object.Revision, history.Current(), s.now()}, history)
--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -43,11 +43,13 @@
 		return version, from, ok
 	}
 	lifetime := lifetimeOf(view, service)
+	listRead := s.joinListRead(service)
 	history := s.newestHistory(ctx, service, lifetime)
 	if history == nil {
 		return "", basisSplits, false
 	}
 	history = s.withLost(service, history)
+	s.awaitList(ctx, service, listRead)
 	if !named {
 		version, ok := s.soleInHistory(service, history, lifetime)
 		return version, basisSplits, ok
@@ -119,7 +121,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stateOf(service)
-	w.Era = platform.EraOf(st.revision)
+	w.Era, w.Revision = platform.EraOf(st.revision), st.revision
+	w.Told = st.listing.told.inUse(lifetime+clockError, s.now())
 	return w
 }
 
@@ -149,7 +152,7 @@
 		// Another router may have written a split that this one has not heard of.
 		return nil
 	case st.history == nil && (st.alone || (now.Sub(st.knownSince) >= lifetime+leaseTime+clockError && !absent)):
-		return &History{Splits: []Entry{{Split: st.split}}, Era: platform.EraOf(st.revision)}
+		return &History{Splits: []Entry{{Split: st.split, Revision: st.revision}}, Era: platform.EraOf(st.revision)}
 	default:
 		return st.history
 	}
@@ -168,7 +171,7 @@
 	now := s.now()
 	sole, certainAfter := st.targets.sole, lifetime+leaseTime+clockError
 	switch {
-	case sole == "":
+	case sole == "", st.revision > 0 && !st.allTold(lifetime, now):
 		return "", false
 	case st.revision > 0 && st.alone:
 		return sole, len(st.split) == 1 && st.split[0].Version == sole && now.Sub(st.soleSince) >= lifetime
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -32,6 +32,16 @@
 	// did.
 	RecordStream(key Key, origin Origin)
 	RecordStreams(records map[Key]Origin)
+	// Members returns what is known of the routers, this one included, and which of them read the
+	// list of routers.
+	Members(service fleet.ServiceName) (known []Member, readers Readers)
+	// ListPrecedence is Precedence among the routers that may write the list of routers. It is high
+	// as long as this router knows too few others.
+	ListPrecedence(service fleet.ServiceName) int
+	// TellKnown tells the router that comes first by ListPrecedence what this one knows of a service.
+	TellKnown(service fleet.ServiceName)
+	// TellListed tells a router that the store lists it. It may be this router.
+	TellListed(member Member, listing Listing)
 	// FindStream asks other routers where a stream began. It takes a few ten milliseconds
 	// at most.
 	FindStream(ctx context.Context, key Key) (Origin, bool)
@@ -91,6 +101,8 @@
 	// if connected is set.
 	connected      bool
 	connectedSince time.Duration
+	// leaving is set once this router stops.
+	leaving bool
 }
 
 // serviceState is what a router knows of a service's versions; Service.mu guards it.
@@ -103,6 +115,9 @@
 	// before is the split that this router used until usedUntil.
 	before    Split
 	usedUntil time.Time
+	// newestTold is the newest revision ever known, which others may have heard of.
+	newestTold uint64
+	listing    listingState
 	// history is nil unless the document at revision was read.
 	history *History
 	// lost is the history when the store's last era ended, at endedAt, nil if this router did not
@@ -186,6 +201,7 @@
 			// Under the new split, others would look for them at other versions.
 			st.moved = st.own.Moved(r.Service, r.Split, s.now())
 		}
+		st.newestTold = max(st.newestTold, r.Revision)
 		st.before, st.usedUntil = st.split, s.now()
 		st.revision, st.split, st.knownSince, st.history, st.wantedSince, st.alone, st.missing = r.Revision, r.Split, r.KnownSince, nil, time.Time{}, false, false
 		line := event.SplitChanged.Log(s.cfg.Log).Str("service", string(r.Service)).Uint64("revision", r.Revision)
@@ -214,7 +230,7 @@
 	case st.history != nil:
 		return st.history.inEra(platform.EraOf(st.revision), st.lost, st.endedAt)
 	case st.alone:
-		return &History{Splits: []Entry{{Split: st.split}}, Era: platform.EraOf(st.revision)}
+		return &History{Splits: []Entry{{Split: st.split, Revision: st.revision}}, Era: platform.EraOf(st.revision)}
 	default:
 		return nil
 	}
@@ -235,6 +251,13 @@
 	}
 }
 
+// Leave tells the service that this router stops: it is not listed much longer.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // HandOver records at other routers what this one knows of where streams began. It is for a
 // router that stops.
 func (s *Service) HandOver() {
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -19,14 +19,18 @@
 
 var errStoreDown = errors.New("store is down")
 
-// fakeStore is a store with the objects of service "s": its history, and the settled split.
+// fakeStore is a store with the objects of service "s": its history, the settled split, and the list of
+// routers.
 type fakeStore struct {
 	mu     sync.Mutex
 	object platform.Object
 	// settled is the object of SettledKind.
 	settled platform.Object
+	// members is the object of MembersKind.
+	members platform.Object
 	down    bool
-	reads   int
+	// reads counts the reads of all objects, memberCalls all calls for that of MembersKind.
+	reads, memberCalls int
 	// loseAnswer makes the next write without telling its result.
 	loseAnswer bool
 	// era counts how often the store came back from a copy.
@@ -35,10 +39,15 @@
 
 // objectOf returns where the object of a kind is.
 func (s *fakeStore) objectOf(kind string) *platform.Object {
-	if kind == SettledKind {
+	switch kind {
+	case SettledKind:
 		return &s.settled
+	case MembersKind:
+		s.memberCalls++
+		return &s.members
+	default:
+		return &s.object
 	}
-	return &s.object
 }
 
 func (s *fakeStore) Get(_ context.Context, kind, _ string) (platform.Object, error) {
@@ -103,6 +112,25 @@
 	routers []*fakeRouter
 	// lossy drops messages between routers.
 	lossy bool
+	// together lets the routers that are cut off reach each other, as a failure domain does.
+	// halves has two failure domains, so that a side of a cut is never connected.
+	together, halves bool
+	// earlierBuild is set if routers of an earlier build are known.
+	earlierBuild bool
+	// oldCopy is set once the store came back from a copy that was older than copyAge.
+	oldCopy bool
+	// processes counts the processes started.
+	processes int64
+}
+
+// reach reports whether messages pass between two routers.
+func (f *fakeFleet) reach(a, b *fakeRouter) bool {
+	return a == b || (!a.cut && !b.cut) || (a.cut && b.cut && f.together)
+}
+
+// anyCut reports whether a router is cut off.
+func (f *fakeFleet) anyCut() bool {
+	return slices.ContainsFunc(f.routers, func(r *fakeRouter) bool { return r.cut })
 }
 
 // fakeRouter is one router of a fakeFleet; it implements Peers.
@@ -118,6 +146,8 @@
 	startedAt    time.Time
 	// refreshedAt is when it last read the targets.
 	refreshedAt time.Time
+	// process is that of its process.
+	process int64
 }
 
 const (
@@ -142,7 +172,8 @@
 // can be read.
 func (f *fakeFleet) restart(i int) {
 	r := f.routers[i]
-	r.view, r.startedAt, r.refreshedAt = &catalog.View{}, f.now, time.Time{}
+	f.processes++
+	r.view, r.startedAt, r.refreshedAt, r.process = &catalog.View{}, f.now, time.Time{}, f.processes
 	r.service = newWithClock(Config{
 		Store: func() Store { return cutStore{r} }, Peers: func() Peers { return r }, View: func() *catalog.View { return r.view },
 		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut },
@@ -171,9 +202,11 @@
 		}
 		for _, r := range f.routers {
 			other := f.nextReached(r)
-			if r.cut || other == nil {
+			if other == nil {
 				continue
 			}
+			_, heard := r.service.ListRevision("s")
+			other.service.MergeListRevision("s", heard)
 			for _, report := range r.service.Reports() {
 				other.service.Merge(report)
 			}
@@ -188,7 +221,7 @@
 // that is ready.
 func (f *fakeFleet) nextReached(r *fakeRouter) *fakeRouter {
 	for i := 1; i < len(f.routers); i++ {
-		if other := f.routers[(r.index+i)%len(f.routers)]; !other.cut && other.view.Ready() {
+		if other := f.routers[(r.index+i)%len(f.routers)]; f.reach(r, other) && other.view.Ready() {
 			return other
 		}
 	}
@@ -197,7 +230,41 @@
 
 func (r *fakeRouter) Precedence(fleet.ServiceName) int { return r.index }
 
-func (r *fakeRouter) Connected() bool { return !r.cut }
+func (r *fakeRouter) ListPrecedence(fleet.ServiceName) int { return r.index }
+
+func (r *fakeRouter) Connected() bool { return !r.cut && !(r.fleet.halves && r.fleet.anyCut()) }
+
+// Members implements Peers.
+func (r *fakeRouter) Members(service fleet.ServiceName) ([]Member, Readers) {
+	var list []Member
+	for _, other := range r.fleet.routers {
+		if !r.fleet.reach(r, other) {
+			continue
+		}
+		known, _, _ := other.service.known(service)
+		listed, _ := other.service.ListRevision(service)
+		list = append(list, Member{Router: other.id(), Process: other.process, Revision: known, Listed: listed})
+	}
+	if r.fleet.earlierBuild {
+		return list, SomeDoNot
+	}
+	return list, AllRead
+}
+
+// TellKnown implements Peers. What others know is seen in Members.
+func (r *fakeRouter) TellKnown(fleet.ServiceName) {}
+
+// TellListed implements Peers.
+func (r *fakeRouter) TellListed(m Member, l Listing) {
+	for _, other := range r.fleet.routers {
+		if other.id() == m.Router && other.process == m.Process && r.fleet.reach(r, other) && (!r.fleet.lossy || other == r) {
+			other.service.MergeListing(l)
+		}
+	}
+}
+
+// id returns the ID of the router.
+func (r *fakeRouter) id() fleet.RouterID { return fleet.RouterID(fmt.Sprint("r", r.index)) }
 
 // AllKnowSplit implements Peers.
 func (r *fakeRouter) AllKnowSplit(service fleet.ServiceName, revision uint64) bool {
@@ -279,7 +346,7 @@
 
 func (r *fakeRouter) RecordStream(key Key, origin Origin) {
 	for _, holder := range r.holders(key, 2) {
-		if !r.fleet.lossy && !r.cut && !holder.cut {
+		if !r.fleet.lossy && r.fleet.reach(r, holder) {
 			holder.service.Registry().Record(key, origin, r.fleet.now)
 		}
 	}
@@ -293,7 +360,7 @@
 
 func (r *fakeRouter) FindStream(_ context.Context, key Key) (Origin, bool) {
 	for _, holder := range r.holders(key, 3) {
-		if origin, ok := holder.service.Registry().Find(key, r.fleet.now); ok && !r.fleet.lossy && !r.cut && !holder.cut {
+		if origin, ok := holder.service.Registry().Find(key, r.fleet.now); ok && !r.fleet.lossy && r.fleet.reach(r, holder) {
 			return origin, true
 		}
 	}
@@ -302,7 +369,7 @@
 
 func (r *fakeRouter) PublishSplit(report Report) {
 	for _, other := range r.fleet.routers {
-		if other != r && !r.fleet.lossy && !r.cut && !other.cut {
+		if other != r && !r.fleet.lossy && r.fleet.reach(r, other) {
 			other.service.Merge(report)
 		}
 	}
@@ -336,18 +403,22 @@
 // routers, outages of the store and lost messages.
 func TestStreamsResumeAtTheirVersionOrNotAtAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFakeFleet(4)
+		f := newFakeFleet(rapid.SampledFrom([]int{4, 4, 14}).Draw(t, "routers"))
+		f.together, f.halves = rapid.Bool().Draw(t, "cut routers reach each other"), rapid.Bool().Draw(t, "two failure domains")
 		f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 		f.advance(2 * discoveryTime)
+		if rapid.Bool().Draw(t, "listed") {
+			f.advance(listingDelay + 10*time.Second)
+		}
 		ctx := context.Background()
 		var streams []stream
 		var waiting []waitingStream
 		changedAt, storeChangedAt, begun := f.now, f.now, 0
 		var drilledAt, storeBackAt time.Time
-		copied, copiedSettled := f.store.object, f.store.settled
+		copied := f.store.copy()
+		copied.at = f.now
 		router := func(t *rapid.T) *fakeRouter { return f.routers[rapid.IntRange(0, len(f.routers)-1).Draw(t, "router")] }
-		begin := func(t *rapid.T) {
-			r := router(t)
+		beginAt := func(t *rapid.T, r *fakeRouter) {
 			if !r.view.Ready() {
 				return
 			}
@@ -372,13 +443,14 @@
 				streams = append(streams, s)
 			}
 		}
+		begin := func(t *rapid.T) { beginAt(t, router(t)) }
 		// send lets the waiting streams begin where they are, or at a router to which they are passed on.
 		send := func(t *rapid.T) {
 			for _, w := range waiting {
 				if w.router.service != w.process || f.now.Sub(w.begunAt) > modelTimeout {
 					continue
 				}
-				if other := router(t); rapid.Bool().Draw(t, "pass on") && other.view.Ready() && !other.cut && !w.router.cut {
+				if other := router(t); rapid.Bool().Draw(t, "pass on") && other.view.Ready() && f.reach(w.router, other) {
 					version, ok := other.begin(w.key)
 					if ok && slices.Contains(distinctVersions(f.targets), version) {
 						streams = append(streams, stream{w.key, version, w.begunAt})
@@ -392,8 +464,7 @@
 			}
 			waiting = nil
 		}
-		resume := func(t *rapid.T) {
-			r := router(t)
+		resumeAt := func(t *rapid.T, r *fakeRouter) {
 			if !r.view.Ready() {
 				return
 			}
@@ -417,29 +488,76 @@
 				}
 			}
 		}
+		resume := func(t *rapid.T) { resumeAt(t, router(t)) }
+		release := func(t *rapid.T) {
+			counts := map[fleet.SoftwareVersion]int{}
+			for _, version := range []fleet.SoftwareVersion{"v1", "v2", "v3"} {
+				counts[version] = rapid.IntRange(0, 6).Draw(t, string(version))
+			}
+			if f.store.down || counts["v1"]+counts["v2"]+counts["v3"] == 0 {
+				return
+			}
+			f.targets, changedAt = targetsOf(counts), f.now
+			f.refresh(router(t))
+			begin(t)
+			// Within this time a router writes the split that suits the targets, or finds
+			// that it has, if the answer was lost.
+			f.advance(2*discoveryTime + 2*storeBackoff)
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"begin":  begin,
-			"send":   send,
-			"resume": resume,
-			"release": func(t *rapid.T) {
-				counts := map[fleet.SoftwareVersion]int{}
-				for _, version := range []fleet.SoftwareVersion{"v1", "v2", "v3"} {
-					counts[version] = rapid.IntRange(0, 6).Draw(t, string(version))
+			"release": release,
+			// A side stays cut off for longer than a lease lasts.
+			"long cut": func(t *rapid.T) {
+				for _, r := range f.routers[len(f.routers)-rapid.IntRange(1, len(f.routers)/2).Draw(t, "cut off"):] {
+					r.setCut(true)
 				}
-				if f.store.down || counts["v1"]+counts["v2"]+counts["v3"] == 0 {
-					return
+				f.advance(time.Duration(rapid.SampledFrom([]int{12, 20, 80}).Draw(t, "s")) * time.Second)
+				for range rapid.IntRange(0, 2).Draw(t, "releases") {
+					release(t)
+					f.advance(time.Duration(rapid.SampledFrom([]int{0, 30, 200}).Draw(t, "s after")) * time.Second)
+				}
+			},
+			"begin in cut": func(t *rapid.T) {
+				for _, r := range f.routers {
+					if r.cut {
+						beginAt(t, r)
+					}
+				}
+				f.advance(time.Duration(rapid.SampledFrom([]int{100, 3000, 8000}).Draw(t, "ms")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "cut ends") {
+					for _, r := range f.routers {
+						r.setCut(false)
+					}
+					f.advance(time.Duration(rapid.SampledFrom([]int{100, 400, 3000}).Draw(t, "ms")) * time.Millisecond)
+				}
+				for _, r := range f.routers {
+					resumeAt(t, r)
+				}
+			},
+			"cuts end": func(*rapid.T) {
+				for _, r := range f.routers {
+					r.setCut(false)
 				}
-				f.targets, changedAt = targetsOf(counts), f.now
-				f.refresh(router(t))
-				begin(t)
-				// Within this time a router writes the split that suits the targets, or finds
-				// that it has, if the answer was lost.
-				f.advance(2*discoveryTime + 2*storeBackoff)
 			},
+			"begin":  begin,
+			"send":   send,
+			"resume": resume,
 			"time": func(t *rapid.T) {
 				f.advance(time.Duration(rapid.SampledFrom([]int{100, 400, 2000, 20_000, 40_000}).Draw(t, "ms")) * time.Millisecond)
 			},
-			"restart one": func(t *rapid.T) { f.restart(router(t).index) },
+			"restart one": func(t *rapid.T) {
+				f.restart(router(t).index)
+				f.endLost()
+			},
+			"restart others": func(t *rapid.T) {
+				for i, r := range f.routers {
+					if !r.cut {
+						f.restart(i)
+					}
+				}
+				f.endLost()
+				f.advance(2 * discoveryTime)
+			},
 			"restart all": func(t *rapid.T) {
 				for i := range f.routers {
 					f.restart(i)
@@ -461,13 +579,14 @@
 			},
 			"answer": func(*rapid.T) { f.store.loseAnswer = true },
 			"loss":   func(t *rapid.T) { f.lossy = rapid.Bool().Draw(t, "lossy") },
-			"copy":   func(t *rapid.T) { copied, copiedSettled = f.store.object, f.store.settled },
+			"copy":   func(*rapid.T) { copied, copied.at = f.store.copy(), f.now },
 			"drill": func(t *rapid.T) {
 				if f.store.down {
 					return
 				}
-				f.store.restore(copied, copiedSettled)
-				drilledAt = f.now
+				f.store.restore(copied)
+				drilledAt, f.oldCopy = f.now, f.now.Sub(copied.at) >= copyAge
+				f.endLost()
 			},
 			"cut": func(t *rapid.T) { router(t).setCut(rapid.Bool().Draw(t, "cut")) },
 		})
@@ -701,17 +820,52 @@
 	return a
 }
 
+// storeCopy is a copy of a fakeStore.
+type storeCopy struct {
+	object, settled, members platform.Object
+	at                       time.Time
+}
+
+// copyAge is the age that copies of the store have at most on the platform.
+const copyAge = 20 * time.Second
+
+// endLost ends the routers that rely on a list which the store lost with a copy older than copyAge, if
+// no router in touch remembers it.
+func (f *fakeFleet) endLost() {
+	if list, err := parseMembers(f.store.members.Spec); !f.oldCopy || (err == nil && list.Era == f.store.era) {
+		return
+	}
+	for _, r := range f.routers {
+		r.service.observeEra("s")
+		if !r.cut && r.service.stateOf("s").listing.remembered != nil {
+			return
+		}
+	}
+	for i, r := range f.routers {
+		if r.cut && r.service.listed("s") && !r.service.leased("s") {
+			f.restart(i)
+		}
+	}
+}
+
+// copy returns a copy of the store.
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{object: s.object, settled: s.settled, members: s.members}
+}
+
 // restore brings the store back from a copy: a new era begins, whose revisions are above all before.
-func (s *fakeStore) restore(object, settled platform.Object) {
+func (s *fakeStore) restore(c storeCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	for _, o := range []*platform.Object{&object, &settled} {
+	for _, o := range []*platform.Object{&c.object, &c.settled, &c.members} {
 		if o.Revision > 0 {
 			o.Revision = o.Revision&(1<<40-1) | s.era<<40
 		}
 	}
-	s.object, s.settled = object, settled
+	s.object, s.settled, s.members = c.object, c.settled, c.members
 }
 
 // Era returns the store's era.
@@ -729,7 +883,7 @@
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 	f.advance(time.Minute)
 	for drill, copied := range []platform.Object{{}, f.store.object, {}} {
-		f.store.restore(copied, platform.Object{})
+		f.store.restore(storeCopy{object: copied})
 		f.advance(8 * time.Second)
 		if f.store.object.Revision == 0 {
 			t.Fatalf("drill %d: the store holds no history", drill)
@@ -756,7 +910,7 @@
 			one := targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 			f.targets = one
 			f.advance(time.Minute)
-			object, settled := f.store.object, f.store.settled
+			copied := f.store.copy()
 			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 			f.advance(4 * time.Second)
 			var list []stream
@@ -769,7 +923,7 @@
 			}
 			// The targets of v2 are gone when the store is back, so that its split suits.
 			f.targets = one
-			f.store.restore(object, settled)
+			f.store.restore(copied)
 			f.advance(restartAfter)
 			for i := range f.routers {
 				f.restart(i)
@@ -791,7 +945,7 @@
 	f := newFakeFleet(4)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 	f.advance(2 * discoveryTime)
-	object, settled := f.store.object, f.store.settled
+	copied := f.store.copy()
 	back, ctx := f.routers[1], context.Background()
 	back.setCut(true)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
@@ -803,7 +957,7 @@
 		}
 	}
 	back.setCut(false)
-	f.store.restore(object, settled)
+	f.store.restore(copied)
 	f.lossy = true
 	for key, want := range begun {
 		if got, ok := back.service.Resume(ctx, "s", key, true); ok && got != want {
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -62,6 +62,7 @@
 			s.change(ctx, service, plan, now)
 		}
 		s.extendLease(service, now)
+		s.keepList(ctx, service, now)
 		if s.confirmDue(service, now) {
 			s.confirmSplit(ctx, service, now)
 		}
@@ -192,10 +193,10 @@
 		// This router has seen nothing of the newest era.
 		lost, endedAt = s.remembered(st), now
 	}
-	split := st.split
+	split, revision, told := st.split, st.revision, st.listing.told
 	s.mu.Unlock()
 	if history == nil && len(split) > 0 {
-		history = &History{Splits: []Entry{{Split: split}}}
+		history = &History{Splits: []Entry{{Split: split, Revision: revision}}}
 	}
 	if history == nil {
 		return &History{Splits: []Entry{{Split: plan.Split}}, Era: era}
@@ -205,7 +206,7 @@
 	}
 	history = history.inEra(era, lost, endedAt)
 	if plan.Change {
-		history = history.Replace(plan.Split, now)
+		history = history.replace(plan.Split, now, told.inUse(lifetimeOf(s.cfg.View(), service)+clockError, now))
 	}
 	return history
 }
