streamversion: the list is written from the newest that was read; all are told again of earlier builds

A stream that waits may have the list read between the writer's own read and its write. The writer then wrote the older content at the newer revision, and could drop routers. That routers of an earlier build are known was told once, in one datagram a router.

--- a/streamversion/listing.go
+++ b/streamversion/listing.go
@@ -28,6 +28,8 @@
 	lateTime = time.Minute
 	// listingRepeat is how long a router may take to tell that it knows that it is listed.
 	listingRepeat = 2 * time.Second
+	// wholeRepeatTime is how long all are told again whether routers of an earlier build are known.
+	wholeRepeatTime = 10 * time.Second
 	// tellInterval is the shortest time between two messages to the router that writes the list, tellRepeat
 	// their number after a change of the split. A router that is not listed goes on each unlistedInterval.
 	tellInterval     = time.Second
@@ -74,8 +76,9 @@
 	toldWriterAt time.Time
 	// waitingSince is since when nobody has written the list that the store lost.
 	waitingSince time.Time
-	// wholeSent is the last Whole that was told to the others, sentAt when each was.
+	// wholeSent is the last Whole that was told to the others, since wholeAt, sentAt when each was told last.
 	wholeSent bool
+	wholeAt   time.Time
 	sentAt    map[fleet.RouterID]time.Time
 }
 
@@ -201,7 +204,7 @@
 	if list == nil || !s.mayWriteList(service, list, precedence, now) {
 		return
 	}
-	s.updateList(ctx, service, list, now)
+	s.updateList(ctx, service, now)
 }
 
 // tellDue reports whether the router that writes the list should be told now what this one knows.
@@ -282,14 +285,19 @@
 }
 
 // updateList writes the list if it has to change, and tells the routers that do not know that they are listed.
-func (s *Service) updateList(ctx context.Context, service fleet.ServiceName, list *members, now time.Time) {
+func (s *Service) updateList(ctx context.Context, service fleet.ServiceName, now time.Time) {
 	known, readers := s.cfg.Peers().Members(service)
 	s.mu.Lock()
 	st := s.stateOf(service)
 	l, revision := &st.listing, st.revision
 	lateFor := now.Sub(st.knownSince)
-	remembered, era, writtenAt, at := l.remembered, l.era, l.writtenAt, l.revision
+	// A stream that waits may have had a newer list read.
+	list, at := l.list, l.revision
+	remembered, era, writtenAt := l.remembered, l.era, l.writtenAt
 	s.mu.Unlock()
+	if list == nil {
+		return
+	}
 	next, changed := list.inEra(era, remembered).update(known, revision, lifetimeOf(s.cfg.View(), service)+clockError, now)
 	due := list.Era < era || next.Told.Revision > list.Told.Revision
 	due = due || (changed && now.Sub(writtenAt) >= listingWriteInterval)
@@ -396,10 +404,10 @@
 		s.mu.Unlock()
 		return
 	}
-	again := l.wholeSent != whole
-	if l.wholeSent = whole; l.sentAt == nil || again {
-		l.sentAt = map[fleet.RouterID]time.Time{}
+	if l.sentAt == nil || l.wholeSent != whole {
+		l.sentAt, l.wholeSent, l.wholeAt = map[fleet.RouterID]time.Time{}, whole, now
 	}
+	again := now.Sub(l.wholeAt) < wholeRepeatTime
 	var due []Member
 	for _, k := range known {
 		if list.Processes[k.Router] == k.Process && !k.Ended && (again || k.Listed < revision) && now.Sub(l.sentAt[k.Router]) >= listingRepeat {
