--- a/mesh/lists.go
+++ b/mesh/lists.go
@@ -123,7 +123,9 @@
 // TellListed implements streamversion.Peers.
 func (m *Mesh) TellListed(member streamversion.Member, l streamversion.Listing) {
 	if member.Router == m.cfg.Self {
-		m.cfg.StreamVersions.MergeListing(l)
+		if member.Process == m.incarnation {
+			m.cfg.StreamVersions.MergeListing(l)
+		}
 		return
 	}
 	m.mu.Lock()
--- a/mesh/lists_test.go
+++ b/mesh/lists_test.go
@@ -9,6 +9,7 @@
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/platform/standin"
 	"ragwortpond.example/ragwortpond/streamversion"
 )
 
@@ -63,7 +64,12 @@
 
 // TestRoutersLearnThatTheyAreListed plays the messages about the list over sockets.
 func TestRoutersLearnThatTheyAreListed(t *testing.T) {
-	store := platform.NewStore(startStore(t, 1).Addr(), nil)
+	server := startStore(t, 1)
+	config := standin.Config{Version: 2, Engines: []string{"s"}, Routes: []standin.Route{{
+		Name: "r", Host: "h", Prefix: "/", Service: "s", Repeatable: true, Stream: true, Resumable: true, MaxTargets: 2, Timeout: time.Second, Objective: time.Second, Pause: time.Second,
+	}}}
+	server.Put(platform.KindConfig, platform.ConfigName, config.Spec())
+	store := platform.NewStore(server.Addr(), nil)
 	var routers []*testRouter
 	for i := range 3 {
 		routers = append(routers, startRouterInDomain(t, "a", i, store, []string{freeAddr(t, 0)}))
