--- a/mesh/message.go
+++ b/mesh/message.go
@@ -79,7 +79,7 @@
 	Paths []PathReport `cbor:"22,keyasint,omitempty"`
 	// Unsound holds the targets at which the sender's own last attempt brought nothing sound. Earlier
 	// builds send none, so that a target that is left out is not known to be sound.
-	Unsound []UnsoundReport `cbor:"27,keyasint,omitempty"`
+	Unsound []UnsoundReport `cbor:"29,keyasint,omitempty"`
 }
 
 // PeerInfo is what a router tells others about a third router.
