objectclient: a trailer has the limit of a head

Found with the own interface as a whole process: ragwortd before an object API and one of three engines that send bytes without end was resident at 252 MB, 176 MB of them with the first kind, a trailer (21 MB before).

Cause: the limit of a head ended with the first skipped bytes, so that a trailer was peeked at up to 16 MB, again and again, and the library keeps buffers of the largest size.

Whatever the library peeks at by what is buffered is now bounded at 32 KB; bodies of known length are not read that way. TestFloodsEndCalls, "trailer": 133 MB and 1.2 s before, 0 MB and 4 ms after.

--- a/objectclient/conn.go
+++ b/objectclient/conn.go
@@ -12,7 +12,7 @@
 var errResponseTooLarge = errors.New("response too large")
 
 const (
-	// maxHeadBytes bounds the head of a response.
+	// maxHeadBytes bounds the head of a response, and its trailer.
 	maxHeadBytes = 32 << 10
 	// maxBodyBytes bounds its body: all objects of one kind.
 	maxBodyBytes = 16 << 20
@@ -28,8 +28,8 @@
 	dialer *trackingDialer
 	// deadline is the time by which the response must have been read, zero if there is none.
 	deadline time.Time
-	// inHead is set until the head has been read.
-	inHead bool
+	// growing is set while hertz peeks at all that is buffered, again and again.
+	growing bool
 }
 
 // Close implements net.Conn.
@@ -40,7 +40,7 @@
 
 // SetReadTimeout implements network.Conn. It is called before the response is read.
 func (c *trackedConn) SetReadTimeout(timeout time.Duration) error {
-	c.deadline, c.inHead = time.Time{}, true
+	c.deadline, c.growing = time.Time{}, false
 	if timeout > 0 {
 		c.deadline = time.Now().Add(timeout)
 	}
@@ -49,7 +49,7 @@
 
 // Peek implements network.Reader.
 func (c *trackedConn) Peek(n int) ([]byte, error) {
-	if n > c.peekLimit() {
+	if n > maxPeekBytes || (c.growing && n > maxHeadBytes) {
 		return nil, errResponseTooLarge
 	}
 	if err := c.limitTime(n); err != nil {
@@ -58,33 +58,28 @@
 	return c.Conn.Peek(n)
 }
 
-// Len implements network.Reader. It hides what exceeds the limit, because hertz peeks at all that
-// is buffered.
+// Len implements network.Reader. It hides what exceeds the limit of a head. hertz asks for it
+// before it peeks at all that is buffered, but not before it peeks at a body of known length.
 func (c *trackedConn) Len() int {
-	return min(c.Conn.Len(), c.peekLimit())
+	c.growing = true
+	return min(c.Conn.Len(), maxHeadBytes)
 }
 
-// Skip implements network.Reader. The head is the first that hertz skips.
+// Skip implements network.Reader.
 func (c *trackedConn) Skip(n int) error {
-	c.inHead = false
+	c.growing = false
 	return c.Conn.Skip(n)
 }
 
 // ReadByte implements network.Reader.
 func (c *trackedConn) ReadByte() (byte, error) {
+	c.growing = false
 	if err := c.limitTime(1); err != nil {
 		return 0, err
 	}
 	return c.Conn.ReadByte()
 }
 
-func (c *trackedConn) peekLimit() int {
-	if c.inHead {
-		return maxHeadBytes
-	}
-	return maxPeekBytes
-}
-
 // limitTime makes a read of n bytes fail at the deadline, if it has to wait for them.
 func (c *trackedConn) limitTime(n int) error {
 	if c.deadline.IsZero() || c.Conn.Len() >= n {
