relay: the answer to HEAD has the length that its target told

A client that asked with HEAD got Content-Length: 0, whatever its target told: the length was that of the body that was read, and an answer to HEAD has none. The target's length goes on now, or none.

relay.TestAnswerToHeadHasTheLengthOfItsTarget: 0 where 800 and no length are wanted before, passes now.

--- a/relay/end_identity_test.go
+++ b/relay/end_identity_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// TestAnswerToHeadHasTheLengthOfItsTarget guards against a length that the router makes up, since the answer has no body.
+func TestAnswerToHeadHasTheLengthOfItsTarget(t *testing.T) {
+	for name, test := range map[string]struct {
+		fields string
+		want   int64
+	}{"length": {"Content-Length: 800\r\n", 800}, "no length": {"", -1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, repeatableRoute, nil)
+			s.serveByIngress()
+			s.useRawTargets(startMortalTarget(t, func(_ *mortalTarget, c net.Conn, r *http.Request) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", r.Header.Get("Attempt-Id"), test.fields)
+				return false
+			}).listener.Addr().String())
+			response, _, err := s.do(s.request(http.MethodHead, ""))
+			if err != nil || response.StatusCode != http.StatusOK || response.ContentLength != test.want {
+				t.Errorf("got %v, error %v, want status 200 and length %d", response, err, test.want)
+			}
+		})
+	}
+}
+
 // TestNoticeOfAnotherInstanceIsNotItsTargets guards against taking a target for leaving because the instance that has its address now
 // says of itself, in the answer that misdirects the request, that it leaves.
 func TestNoticeOfAnotherInstanceIsNotItsTargets(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,7 +140,7 @@
 	paces map[fleet.ServiceName]*admission.Pace
 	// crashChecks holds the broken attempts at each target whose crash is being checked.
 	crashChecks map[fleet.TargetID][]brokenAttempt
-	// endChecks holds the checks of targets at the end of responses that have not begun.
+	// endChecks holds the latest checks of targets at the ends of responses, for as long as later ends may share them.
 	endChecks map[endCheckKey]*endCheck
 }
 
--- a/relay/response.go
+++ b/relay/response.go
@@ -101,7 +101,7 @@
 		h["Date"] = nil
 	}
 	// A response to HEAD has no body to take the length from.
-	whole := bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && (result.response.Delimited || s.call.Method != http.MethodHead)
+	whole := bufferedBytes >= 0 && bufferedBytes <= maxBufferedBodyBytes && s.call.Method != http.MethodHead
 	switch {
 	case whole:
 		h.Set("Content-Length", strconv.FormatInt(bufferedBytes, 10))
