--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// longCutClients is the number of clients of the play with the long cut, enough to ask the cut-off router for some
+// 20 streams.
+const longCutClients = 48
+
 // TestSoakThroughLongCut cuts a router off for longer than a lease lasts, while a software version is released and the
 // others start again.
 func TestSoakThroughLongCut(t *testing.T) {
@@ -85,6 +89,7 @@
 	o := options(buildRouter(t, ""), 4)
 	o.CrashingPart, o.CrashingRequest, o.Limits, o.Versions, o.FaultLanes = false, false, false, true, 0
 	o.RouterCut, o.Duration = cut, listedAfter+cut+20*time.Second
+	o.Clients = longCutClients
 	r, err := Play(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
