netconn: Reusable and Open share how they look at a socket

They differed only in whether they wait for other readers of the socket. Behaviour is the same; the tests of targetconn and relay pass, but for the known red ones, which were not run.

--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -51,25 +51,24 @@
 // request. A connection that is not a syscall.Conn is always reported as
 // reusable.
 func Reusable(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = rc.Read(func(fd uintptr) bool {
-		reusable = isIdle(fd)
-		return true
+	return checkIdle(conn, func(rc syscall.RawConn, f func(fd uintptr)) error {
+		return rc.Read(func(fd uintptr) bool {
+			f(fd)
+			return true
+		})
 	})
-	return err == nil && reusable
 }
 
 // Open reports whether an idle connection is open and has no unread bytes, as Reusable does, also while another
 // goroutine waits to read from it.
 func Open(conn net.Conn) bool {
+	// Unlike Read, Control does not wait for other readers.
+	return checkIdle(conn, syscall.RawConn.Control)
+}
+
+// checkIdle calls isIdle on the socket of a connection by way of access, which says how other users of the socket are
+// kept out.
+func checkIdle(conn net.Conn, access func(rc syscall.RawConn, f func(fd uintptr)) error) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -78,10 +77,9 @@
 	if err != nil {
 		return false
 	}
-	open := false
-	// Unlike Read, Control does not wait for other readers.
-	err = rc.Control(func(fd uintptr) { open = isIdle(fd) })
-	return err == nil && open
+	idle := false
+	err = access(rc, func(fd uintptr) { idle = isIdle(fd) })
+	return err == nil && idle
 }
 
 // isIdle reports whether a socket is open and has no unread bytes.
