--- a/cmd/ragwort-router/peer_flood_test.go
+++ b/cmd/ragwort-router/peer_flood_test.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/conntest"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/mesh"
 )
@@ -45,27 +46,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = p.udp.Close() })
-	l, err := net.Listen("tcp4", p.ip+peerPort)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					p.connections.Add(1)
-					answer(c, r)
-					p.requests.Add(1)
-				}
-			}()
+	conntest.ServeAt(t, p.ip+peerPort, func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			p.connections.Add(1)
+			answer(c, r)
+			p.requests.Add(1)
 		}
-	}()
+	})
 	return p
 }
 
--- a/conntest/conntest.go
+++ b/conntest/conntest.go
@@ -7,12 +7,18 @@
 	"testing"
 )
 
-// Serve listens on a loopback address, which it returns as host:port, and calls f in a
-// goroutine of its own for each connection until the test ends. The connection is
-// closed when f returns.
+// Serve is ServeAt on a free loopback address.
 func Serve(t testing.TB, f func(c net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return ServeAt(t, "127.0.0.1:0", f)
+}
+
+// ServeAt listens on an address, which it returns as host:port, and calls f in a goroutine
+// of its own for each connection until the test ends. The connection is closed when f
+// returns.
+func ServeAt(t testing.TB, addr string, f func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
