relay: log the decision on a request that arrives during a planned stop

Cause: not to be told from the log so far, which showed neither what the decision rested on nor when it was made.

Change: event stop-decision with the time that is left, the time that is expected, and the time after which the request ends in any case.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"ragwortpond.example/ragwortpond/catalog"
 )
 
 const (
@@ -95,6 +97,14 @@
 	return max(slowest, firstEventTime)
 }
 
+// AnswerTime returns the time for the answer to a request for a route; see StreamTime and CallTime.
+func (p *Pace) AnswerTime(r *catalog.Route, answerTokens int) time.Duration {
+	if r.Stream {
+		return p.StreamTime(answerTokens)
+	}
+	return p.CallTime()
+}
+
 // CallTime returns the time for a plain call, which few exceed.
 func (p *Pace) CallTime() time.Duration {
 	p.mu.Lock()
--- a/admission/stopping.go
+++ b/admission/stopping.go
@@ -42,12 +42,7 @@
 	if now.Before(s.LeaveAt) && s.EndAt.Sub(now) >= plainCallTime {
 		return true
 	}
-	var required time.Duration
-	if r.Stream {
-		required = pace.StreamTime(answerTokens)
-	} else {
-		required = pace.CallTime()
-	}
+	required := pace.AnswerTime(r, answerTokens)
 	if r.Timeout > 0 {
 		required = min(required, r.Timeout)
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -86,7 +86,14 @@
 // before this router stops, or whether it does not stop.
 func (s *requestState) finishesBeforeStop() bool {
 	stop := s.relay.stop.Load()
-	return stop == nil || stop.Accepts(s.route, s.call.AnswerTokens, s.relay.pace(s.service), time.Now())
+	if stop == nil {
+		return true
+	}
+	pace, now := s.relay.pace(s.service), time.Now()
+	accepted := stop.Accepts(s.route, s.call.AnswerTokens, pace, now)
+	s.Log(event.StopDecision).Bool("accepted", accepted).Dur("left", stop.EndAt.Sub(now)).
+		Dur("expected", pace.AnswerTime(s.route, s.call.AnswerTokens)).Dur("limit", s.deadline.Sub(now)).Int("attempts", s.attempts).Send()
+	return accepted
 }
 
 // requestState is the state of one in-flight request. It is used by the request's
