admission: a stopping router accepts only requests that end in time in any case

Cause: once the platform sends no more clients, streams were accepted by an estimate: the maximum of tokens that the request names times the longest time per *named* token of the last 32 streams. Streams that use a part of what they name make it too low by any factor; so do a slower pace, a service of few answers (6 ms a token) and streams that name nothing (the last whole durations).

Change: an estimate leads to refusals only. Until LeaveAt a request is accepted unless most like it take longer than is left; from then on it is accepted if its deadline, or the timeout of its route, is before the end. Plain calls follow the same rule: one that may run once and is cut at the end is lost work, whatever its client is told.

--- a/admission/pace.go
+++ b/admission/pace.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -8,25 +9,25 @@
 )
 
 const (
-	// unknownTimePerToken is the time for one token of an answer while few answers have
-	// shown it. firstEventTime leaves a margin for longer ones.
-	unknownTimePerToken = 6 * time.Millisecond
-	// minTimePerToken is the lower bound of what a Pace tells.
-	minTimePerToken = 3 * time.Millisecond
+	// plainCallTime covers a plain call with a second attempt, as long as no slower ones are
+	// known.
+	plainCallTime = 1600 * time.Millisecond
 	// paceSamples is the number of answers of a kind that a Pace remembers, minPaceSamples that
 	// of those that it needs.
 	paceSamples    = 32
 	minPaceSamples = 8
-	// paceMargin allows for answers that are slower than the slowest of these.
-	paceMargin = 1.5
+	// callMargin allows for plain calls that are slower than the slowest of these. A call that
+	// is cut is lost whole.
+	callMargin = 1.5
 )
 
 // Pace estimates how long a service takes for an answer, from its last complete ones. It is safe
 // for concurrent use. The zero value is ready to use.
 type Pace struct {
 	mu sync.Mutex
-	// perToken holds the times for one token of streams, streams those of whole streams that
-	// set no bound, calls those of plain calls.
+	// perToken holds the times of streams divided by the maximum numbers of tokens that their
+	// requests named, streams those of whole streams that named none, calls those of plain
+	// calls.
 	perToken, streams, calls paceWindow
 }
 
@@ -41,19 +42,32 @@
 	w.count++
 }
 
-// slowest returns the longest of the durations with a margin, or false if there are few.
-func (w *paceWindow) slowest() (time.Duration, bool) {
+// sorted returns the durations in ascending order, or nil if there are few.
+func (w *paceWindow) sorted() []time.Duration {
 	if w.count < minPaceSamples {
-		return 0, false
+		return nil
 	}
-	slowest := time.Duration(0)
-	for _, sample := range w.samples[:min(w.count, paceSamples)] {
-		slowest = max(slowest, sample)
+	return slices.Sorted(slices.Values(w.samples[:min(w.count, paceSamples)]))
+}
+
+// median returns the median of the durations, or zero if there are few.
+func (w *paceWindow) median() time.Duration {
+	if d := w.sorted(); d != nil {
+		return d[len(d)/2]
+	}
+	return 0
+}
+
+// slowest returns the longest of the durations, or zero if there are few.
+func (w *paceWindow) slowest() time.Duration {
+	if d := w.sorted(); d != nil {
+		return d[len(d)-1]
 	}
-	return time.Duration(paceMargin * float64(slowest)), true
+	return 0
 }
 
-// RecordStream records a complete stream that took d for up to so many tokens, zero for no bound.
+// RecordStream records a complete stream that took d. tokens is the maximum that its request
+// named, zero for none.
 func (p *Pace) RecordStream(tokens int, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,44 +85,18 @@
 	p.calls.add(d)
 }
 
-// TimePerToken returns the time for one token of a stream, which few exceed.
-func (p *Pace) TimePerToken() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	slowest, ok := p.perToken.slowest()
-	if !ok {
-		return unknownTimePerToken
-	}
-	return max(slowest, minTimePerToken)
-}
-
-// StreamTime returns the time for a stream of up to so many tokens, zero for no bound, which few
-// exceed.
-func (p *Pace) StreamTime(tokens int) time.Duration {
-	if tokens > 0 {
-		return firstEventTime + time.Duration(tokens)*p.TimePerToken()
-	}
-	p.mu.Lock()
-	slowest, ok := p.streams.slowest()
-	p.mu.Unlock()
-	if !ok {
-		return firstEventTime + defaultAnswerTokens*p.TimePerToken()
-	}
-	return max(slowest, firstEventTime)
-}
-
-// AnswerTime returns the time for the answer to a request for a route; see StreamTime and CallTime.
+// AnswerTime returns the time that most answers to requests for a route take, or zero if that is
+// not known. answerTokens is the maximum number of tokens that a request for a stream names,
+// zero for none.
 func (p *Pace) AnswerTime(r *catalog.Route, answerTokens int) time.Duration {
-	if r.Stream {
-		return p.StreamTime(answerTokens)
-	}
-	return p.CallTime()
-}
-
-// CallTime returns the time for a plain call, which few exceed.
-func (p *Pace) CallTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slowest, _ := p.calls.slowest()
-	return max(slowest, plainCallTime)
+	switch {
+	case !r.Stream:
+		return max(time.Duration(callMargin*float64(p.calls.slowest())), plainCallTime)
+	case answerTokens > 0:
+		return time.Duration(answerTokens) * p.perToken.median()
+	default:
+		return p.streams.median()
+	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -192,8 +192,8 @@
 	return r.pool.OpenConns()
 }
 
-// StartDraining starts a graceful stop: responses close their client connections, and from
-// s.LeaveAt on requests that are not expected to end by s.EndAt are refused.
+// StartDraining starts a graceful stop: responses close their client connections, and requests
+// that s does not accept are refused.
 func (r *Relay) StartDraining(s admission.StopSchedule) {
 	r.stop.Store(&s)
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -70,7 +70,7 @@
 	s.serve(req.Context())
 }
 
-// acceptWhileStopping refuses a request that would not finish before the end of a planned stop, and
+// acceptWhileStopping refuses a request that this router cannot finish before it stops, and
 // reports whether it goes on.
 func (s *requestState) acceptWhileStopping() bool {
 	s.receivedAt = time.Now()
@@ -82,17 +82,18 @@
 	return false
 }
 
-// finishesBeforeStop reports whether a request that is sent to a target now is expected to finish
-// before this router stops, or whether it does not stop.
+// finishesBeforeStop reports whether a request that is sent to a target now may be accepted
+// although this router stops, or whether it does not stop; see admission.StopSchedule.
 func (s *requestState) finishesBeforeStop() bool {
 	stop := s.relay.stop.Load()
 	if stop == nil {
 		return true
 	}
-	pace, now := s.relay.pace(s.service), time.Now()
-	accepted := stop.Accepts(s.route, s.call.AnswerTokens, pace, now)
-	s.Log(event.StopDecision).Bool("accepted", accepted).Dur("left", stop.EndAt.Sub(now)).
-		Dur("expected", pace.AnswerTime(s.route, s.call.AnswerTokens)).Dur("limit", s.deadline.Sub(now)).Int("attempts", s.attempts).Send()
+	now := time.Now()
+	t := admission.RequestTime{Limit: s.deadline.Sub(now), Expected: s.relay.pace(s.service).AnswerTime(s.route, s.call.AnswerTokens)}
+	accepted := stop.Accepts(t, now)
+	s.Log(event.StopDecision).Bool("accepted", accepted).Dur("left", stop.EndAt.Sub(now)).Dur("expected", t.Expected).Dur("limit", t.Limit).
+		Int("attempts", s.attempts).Send()
 	return accepted
 }
 
