ingress: a stopping router closes idle connections once it has left the rotation

Callers saw: a client with a kept connection learns of a planned stop by its next request only, which is then often refused. That costs an attempt, and where neighbors stop too, the second and last one meets a refusal again.

Cause: a stopping router asks clients to leave in its responses, so that those of idle connections go on to send requests there.

A request whose first byte was read before is served. New connections without a request so far stay open.

Tests: TestStopClosesKeptConnections fails before: the connection is open until the last request has ended.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -38,6 +38,10 @@
 	http      http.Server
 	limits    func() catalog.Limits
 	openConns atomic.Int64
+	// conns holds the open connections, as keys of type *conn.
+	conns sync.Map
+	// closeIdle is set once connections that become idle are to be closed.
+	closeIdle atomic.Bool
 	// closing is closed by Shutdown, which closes the listener.
 	closing   chan struct{}
 	closeOnce sync.Once
@@ -85,6 +89,26 @@
 	}
 }
 
+// idleCloseDelay is the time since the end of its last request after which CloseIdle closes a
+// connection. A client that sends its next request at once gets an answer, which tells it to
+// leave the connection.
+const idleCloseDelay = 300 * time.Millisecond
+
+// CloseIdle closes connections on which a request was served and that are idle, at once and as
+// they become idle, so that their clients send the next request elsewhere. It returns the
+// number of those that are idle. The requests of all others are served.
+func (s *Server) CloseIdle() int {
+	s.closeIdle.Store(true)
+	idle := 0
+	s.conns.Range(func(key, _ any) bool {
+		if c, ok := key.(*conn); ok && c.expireIfIdle() {
+			idle++
+		}
+		return true
+	})
+	return idle
+}
+
 // shutdownPollInterval is the interval at which Shutdown checks whether all connections
 // are closed.
 const shutdownPollInterval = 10 * time.Millisecond
@@ -181,6 +205,13 @@
 	net.Conn
 	limits func() catalog.Limits
 	phase  atomic.Int32
+	// idleMu makes the end of an idle phase and the deadline that goes with it one step.
+	idleMu sync.Mutex
+	// idleSince is when the last request ended, in Unix nanoseconds; 0 before the first.
+	idleSince atomic.Int64
+	// closeIdle is set once the connection is to be closed when it is idle; see
+	// Server.CloseIdle.
+	closeIdle atomic.Bool
 	// headerDeadline is the time by which the current header must be read, in
 	// Unix nanoseconds; 0 if there is none.
 	headerDeadline atomic.Int64
@@ -189,16 +220,45 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.phase.CompareAndSwap(connIdle, connReadingHeader) {
-		if limit := c.limits().HeaderTimeout; limit > 0 {
-			end := time.Now().Add(limit + headerSlack)
-			c.headerDeadline.Store(end.UnixNano())
-			_ = c.Conn.SetReadDeadline(end)
-		}
+	if n > 0 && c.phase.Load() == connIdle {
+		c.beginHeader()
 	}
 	return n, err
 }
 
+// beginHeader ends the idle phase and sets the deadline of the header.
+func (c *conn) beginHeader() {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if !c.phase.CompareAndSwap(connIdle, connReadingHeader) {
+		return
+	}
+	if limit := c.limits().HeaderTimeout; limit > 0 {
+		end := time.Now().Add(limit + headerSlack)
+		c.headerDeadline.Store(end.UnixNano())
+		_ = c.Conn.SetReadDeadline(end)
+	}
+}
+
+// expireIfIdle ends the wait for the next request after idleCloseDelay if the connection is
+// idle after a request, and reports whether it is.
+func (c *conn) expireIfIdle() bool {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if c.phase.Load() != connIdle || c.idleSince.Load() == 0 {
+		return false
+	}
+	c.closeIdle.Store(true)
+	// An error means that the connection is closed already.
+	_ = c.Conn.SetReadDeadline(c.idleEnd())
+	return true
+}
+
+// idleEnd returns when CloseIdle closes the connection.
+func (c *conn) idleEnd() time.Time {
+	return time.Unix(0, c.idleSince.Load()).Add(idleCloseDelay)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() {
@@ -209,6 +269,9 @@
 		if idle := c.limits().IdleTimeout; idle > 0 {
 			t = time.Now().Add(idle)
 		}
+		if end := c.idleEnd(); c.closeIdle.Load() && end.Before(t) {
+			t = end
+		}
 	case connReadingHeader:
 		if end := c.headerDeadline.Load(); end > 0 {
 			t = time.Unix(0, end)
@@ -237,10 +300,19 @@
 	}
 	connlimit.TrackState(tracked.Conn, state)
 	switch state {
+	case http.StateNew:
+		s.conns.Store(tracked, nil)
 	case http.StateActive:
 		tracked.phase.Store(connActive)
 	case http.StateIdle:
 		tracked.headerDeadline.Store(0)
+		tracked.idleSince.Store(time.Now().UnixNano())
 		tracked.phase.Store(connIdle)
+		// CloseIdle has either set this before, or finds the connection idle.
+		if s.closeIdle.Load() {
+			tracked.closeIdle.Store(true)
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Delete(tracked)
 	}
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -10,6 +13,7 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/await"
+	"ragwortpond.example/ragwortpond/platform"
 )
 
 // TestStopAnswersRequestsInProgress guards against a planned stop that closes the connections of
@@ -60,3 +64,48 @@
 	}
 	wg.Wait()
 }
+
+// TestStopClosesKeptConnections guards against clients that go on sending requests over kept connections to a router that
+// stops, and are refused there.
+func TestStopClosesKeptConnections(t *testing.T) {
+	s := startFixture(t, nextAddress())
+	config := configDocument(2)
+	config["Limits"] = map[string]any{"IdleTimeoutMs": 60_000}
+	s.store.Put(platform.KindConfig, platform.ConfigName, config)
+	await.Until(t, "the limits", func() bool { return s.node.directory.View().Config.Version == 2 })
+	s.target.RunTime = 2 * time.Second
+	slow := make(chan error, 1)
+	go func() {
+		_, _, err := s.post(&http.Client{Transport: &http.Transport{}}, "a1")
+		slow <- err
+	}()
+	await.Until(t, "the target to receive the request", func() bool { return len(s.target.Runs()) == 1 })
+	closed := make(chan struct{})
+	idle, err := net.Dial("tcp4", s.cfg.ClientAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	if _, err := io.WriteString(idle, "GET /a HTTP/1.1\r\nHost: other\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(idle)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.Close {
+		t.Fatalf("got response %v, error %v, want one that keeps the connection", response, err)
+	}
+	go func() {
+		defer close(closed)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_, _ = io.Copy(io.Discard, reader)
+	}()
+	s.stop()
+	select {
+	case <-closed:
+	case err := <-slow:
+		t.Fatalf("the request in progress ended, with error %v, and the connection is open", err)
+	}
+	if err := <-slow; err != nil {
+		t.Errorf("the request in progress: got error %v, want an answer", err)
+	}
+}
