relay: a stopping router leaves requests that others pass on to them

Callers saw: while a router has lost its paths to targets and passes requests on, one that a stopping router refuses comes back to its client as 503, although the next router would serve it; one accepted at the start of a stop can be cut at its end, at a client whose own router does not stop.

Cause: on the listener for routers a stopping router refused requests like a client's own, so that the router that asked took the refusal for the answer; and until LeaveAt it accepted what need not end in time, as for clients that the platform still sends.

Change: such a request is accepted if its limit is before the end, from SIGTERM on, and else marked as not taken, so that the next router is asked: one hop between routers in place of an attempt of the client.

Tests: TestStoppingRouterLeavesForwardedRequestsToOthers fails before in both cases: a run by way of the stopping router, and status 503.

--- a/event/request.go
+++ b/event/request.go
@@ -24,7 +24,7 @@
 	TargetLimitChanged     = define(3016, zerolog.InfoLevel, "target-limit", "A target named a limit on the requests that it takes from all routers together, or no longer does; the fields give the limit and whether another router told of it.")
 	PermitDenied           = define(3017, zerolog.InfoLevel, "permit-denied", "A request was not sent to a target because the fleet has used up the target's limit for the moment; the fields say who denied it and for how long.")
 	RequestForwarded       = define(3018, zerolog.InfoLevel, "request-forwarded", "The router reaches no target of the service; another router, which the field names, answered the request.")
-	RequestNotTaken        = define(3019, zerolog.InfoLevel, "request-not-taken", "A router that was asked to serve a request for this one could not be reached, or reaches no target either.")
+	RequestNotTaken        = define(3019, zerolog.InfoLevel, "request-not-taken", "A router that was asked to serve a request for this one could not be reached, reaches no target either, or stops.")
 	PathsLost              = define(3020, zerolog.WarnLevel, "paths-lost", "Connections to targets of a service fail, whichever is tried; until one succeeds, requests are passed on to routers that reach targets.")
 	PathsRegained          = define(3021, zerolog.InfoLevel, "paths-regained", "A connection to a target of a service was established again.")
 	TargetBrittle          = define(3022, zerolog.InfoLevel, "target-brittle", "A target named the number of rejections in a second beyond which it falls over, or no longer does; sends to it need permits meanwhile.")
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -23,7 +23,7 @@
 	// on the listener for routers only.
 	forwardedHeader = "Ragwort-Forwarded-By"
 	// notTakenHeader marks the response to such a request if this router cannot reach the
-	// targets either, so that another one may be asked.
+	// targets either, or stops, so that another one may be asked.
 	notTakenHeader = "Ragwort-Not-Taken"
 )
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -77,19 +77,32 @@
 	if s.finishesBeforeStop() {
 		return true
 	}
+	s.refuseWhileStopping()
+	return false
+}
+
+// refuseWhileStopping refuses a request that has not run and that this router cannot finish before
+// it stops. A router that passed it on asks another one.
+func (s *requestState) refuseWhileStopping() {
 	s.w.Header().Set("Connection", "close")
+	if s.forwardedBy.id != "" {
+		s.w.Header().Set(notTakenHeader, "1")
+	}
 	s.refuse(reason.Draining, otherRouterRetryAfter)
-	return false
 }
 
 // finishesBeforeStop reports whether a request that is sent to a target now may be accepted
 // although this router stops, or whether it does not stop; see admission.StopSchedule.
 func (s *requestState) finishesBeforeStop() bool {
-	stop := s.relay.stop.Load()
-	if stop == nil {
+	schedule := s.relay.stop.Load()
+	if schedule == nil {
 		return true
 	}
-	now := time.Now()
+	now, stop := time.Now(), *schedule
+	if s.forwardedBy.id != "" {
+		// The router that passed the request on can ask another one at once.
+		stop.LeaveAt = time.Time{}
+	}
 	t := admission.RequestTime{Limit: s.deadline.Sub(now), Expected: s.relay.pace(s.service).AnswerTime(s.route, s.call.AnswerTokens)}
 	accepted := stop.Accepts(t, now)
 	s.Log(event.StopDecision).Bool("accepted", accepted).Dur("left", stop.EndAt.Sub(now)).Dur("expected", t.Expected).Dur("limit", t.Limit).
