relay: ask again whether a request can finish before the stop when it is sent

Callers saw: a request that waits in the router after it was accepted (for the split of its service, say) and whose router begins to stop meanwhile is sent to a target with too little time left, and cut. One whose targets could not be reached is passed on to another router without the question, however late.

Cause: the decision is made as the head and the body arrive and before second attempts, not before the first, nor before a request is passed on after its attempts.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -108,8 +108,9 @@
 	if s.attempts > 0 && s.findQuarantined() {
 		return retry.AttemptResult{}, false
 	}
-	// A stream that has begun goes on for as long as it can.
-	if s.attempts > 0 && !s.headSent && !s.finishesBeforeStop() {
+	// The request may have waited since it was accepted. A stream that has begun goes on for as
+	// long as it can.
+	if !s.headSent && !s.finishesBeforeStop() {
 		return retry.AttemptResult{}, false
 	}
 	target, ok := s.chooseTarget()
--- a/relay/stop_path_test.go
+++ b/relay/stop_path_test.go
@@ -1,14 +1,20 @@
 package relay_test
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"ragwortpond.example/ragwortpond/admission"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/relay"
+	"ragwortpond.example/ragwortpond/streamversion"
 )
 
 // helperAddr serves requests that other routers pass on and returns its address.
@@ -43,3 +49,65 @@
 		})
 	}
 }
+
+// slowVersions is a StreamVersions that takes a while for a new stream.
+type slowVersions struct {
+	asked chan struct{}
+	known chan struct{}
+}
+
+func (v slowVersions) Begin(context.Context, fleet.ServiceName, streamversion.Key) (fleet.SoftwareVersion, bool) {
+	close(v.asked)
+	<-v.known
+	return "", true
+}
+
+func (slowVersions) TargetsConfirmed() bool { return true }
+
+func (slowVersions) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
+
+func (slowVersions) Resume(context.Context, fleet.ServiceName, streamversion.Key, bool) (fleet.SoftwareVersion, bool) {
+	return "", false
+}
+
+// TestStopRefusesRequestThatWaitedBeforeItWasSent guards against requests that are accepted, wait in the router, and are sent
+// to a target when too little time is left.
+func TestStopRefusesRequestThatWaitedBeforeItWasSent(t *testing.T) {
+	versions := slowVersions{make(chan struct{}), make(chan struct{})}
+	s := newFixture(t, 1, catalog.Route{RunPolicy: catalog.Resumable, Stream: true, Timeout: 12 * time.Second}, withEvents(3, nil), func(cfg *relay.Config) {
+		cfg.StreamVersions = versions
+	})
+	go func() {
+		<-versions.asked
+		s.stopIn(3 * time.Second)
+		close(versions.known)
+	}()
+	response, _, err := s.do(s.request(http.MethodPost, "x"))
+	wantNotRun(t, response, err)
+	if err == nil && !response.Close {
+		t.Error("got a refusal that keeps the connection, want its end")
+	}
+	if got := len(s.runs()); got != 0 {
+		t.Errorf("got %d runs, want none", got)
+	}
+}
+
+// TestStopPassesOnNothingThatCannotFinish guards against requests whose targets could not be reached, and which are passed on
+// to another router when too little time is left.
+func TestStopPassesOnNothingThatCannotFinish(t *testing.T) {
+	route := catalog.Route{RunPolicy: catalog.RunOnce, Timeout: 4 * time.Second}
+	helper := newFixture(t, 1, route, nil)
+	var s *fixture
+	var stop sync.Once
+	s = newFixture(t, 1, route, nil, withHelper(helper.helperAddr()), withSelf, func(cfg *relay.Config) {
+		cfg.Connect = func(context.Context, string) (net.Conn, error) {
+			stop.Do(func() { s.stopIn(2 * time.Second) })
+			return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: errors.New("cut")}
+		}
+	})
+	response, _, err := s.do(s.request(http.MethodPost, "x"))
+	wantNotRun(t, response, err)
+	if got := len(helper.runs()); got != 0 {
+		t.Errorf("got %d runs by way of another router, want none", got)
+	}
+}
