relay: responses that begin during a stop end their connections

Callers saw: a client whose request was in progress when its router began to stop learns of it from the request after that only, which is refused the more likely the later it comes.

Cause: Connection: close was set as a request arrived, so that responses to earlier requests lacked it.

Change: it is set as the head of a response is written, for targets' answers and the router's own.

Tests: TestResponsesThatBeginDuringStopEndTheirConnections (call, stream, rejected by its target) fails before in all three.

--- a/relay/response.go
+++ b/relay/response.go
@@ -116,9 +116,18 @@
 		// Clients of HTTP/1.0 know no chunks: the end of the connection marks the end of the response.
 		s.completeClose = s.relay.cfg.GuardClose(s.request.Context())
 	}
+	s.endConnectionWhileStopping()
 	s.w.WriteHeader(result.response.Status)
 }
 
+// endConnectionWhileStopping makes the response the last one of its connection if the router
+// stops, so that the client sends its next request elsewhere.
+func (s *requestState) endConnectionWhileStopping() {
+	if s.relay.stop.Load() != nil {
+		s.w.Header().Set("Connection", "close")
+	}
+}
+
 // completeResponse lets the connection of a response whose end is the end of the
 // connection close normally. If the rest of the response cannot be written, it ends the
 // request and panics with http.ErrAbortHandler, which closes the client's connection.
@@ -252,6 +261,7 @@
 	s.relay.cfg.Codec.SetRequestID(h, s.call.ID)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	s.endConnectionWhileStopping()
 	s.w.WriteHeader(status)
 	// Write errors are ignored: the client has disconnected.
 	_, _ = s.w.Write(body)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -44,10 +44,6 @@
 		r.lastEndUnixNano.Store(time.Now().UnixNano())
 		r.inFlight.Add(-1)
 	}()
-	stop := r.stop.Load()
-	if stop != nil {
-		w.Header().Set("Connection", "close")
-	}
 	s := &requestState{relay: r, w: w, request: req, forwardedBy: forwardedBy, arrivedAt: time.Now(), view: r.cfg.View(), current: &attemptResult{}}
 	defer s.releaseBody()
 	c, err := r.cfg.Codec.DecodeRequest(req)
@@ -84,7 +80,6 @@
 // refuseWhileStopping refuses a request that has not run and that this router cannot finish before
 // it stops. A router that passed it on asks another one.
 func (s *requestState) refuseWhileStopping() {
-	s.w.Header().Set("Connection", "close")
 	if s.forwardedBy.id != "" {
 		s.w.Header().Set(notTakenHeader, "1")
 	}
--- a/relay/stop_path_test.go
+++ b/relay/stop_path_test.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"ragwortpond.example/ragwortpond/admission"
+	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform/standin"
 	"ragwortpond.example/ragwortpond/relay"
 	"ragwortpond.example/ragwortpond/streamversion"
 )
@@ -111,3 +113,30 @@
 		t.Errorf("got %d runs by way of another router, want none", got)
 	}
 }
+
+// TestResponsesThatBeginDuringStopEndTheirConnections guards against clients that learn of a stop only from the request after
+// the one in progress.
+func TestResponsesThatBeginDuringStopEndTheirConnections(t *testing.T) {
+	for name, setup := range map[string]func(int, *standin.Target){
+		"call":   func(_ int, target *standin.Target) { target.RunTime = 300 * time.Millisecond },
+		"stream": withEvents(3, func(_ int, target *standin.Target) { target.RunTime = 300 * time.Millisecond }),
+		"rejected by its target": func(_ int, target *standin.Target) {
+			target.Behave = func(*http.Request) standin.Behavior {
+				time.Sleep(300 * time.Millisecond)
+				return standin.Reject
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, 1, catalog.Route{RunPolicy: catalog.RunOnce, Stream: name == "stream", Timeout: 4 * time.Second}, setup)
+			go func() {
+				await.Until(t, "the request to arrive", func() bool { return len(s.targets[0].Arrivals()) == 1 })
+				s.stopIn(time.Hour)
+			}()
+			response, _, err := s.do(s.request(http.MethodPost, "x"))
+			if err != nil || !response.Close {
+				t.Errorf("got response %v, error %v, want one that ends its connection", response, err)
+			}
+		})
+	}
+}
