soak: planned stops while the length of streams changes

Its streams take 0.1 s, far less than the grace time, and it does not check answers that break off around planned stops.

An answer to a request that was sent later than 3 s after SIGTERM and that is cut, with nothing else wrong, violates `planned stops`; the report counts such streams: complete, refused, cut. In these plays a stopping router may refuse (calm is checked as before in all others, and for refusals of routers that do not stop): 503 promises that the request has not run, and a stream whose limit is beyond the stop cannot be promised.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -102,7 +102,11 @@
 	dest := c.environment.routers[c.routerIndex]
 	n := c.lastID.Add(1)
 	r := Request{ID: fmt.Sprintf("q%d", n), Kind: kind, Account: account, Router: dest.name, Sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	timeout := clientTimeout
+	if kind.Stream {
+		timeout += c.environment.streamTimeout - routeTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	method, body := http.MethodPost, strings.Repeat("b", 200)
 	if !kind.Once && !kind.Stream {
@@ -122,7 +126,7 @@
 		r.After, r.Resumes = cut.events, cut.id
 		standin.SetResumes(request, cut.id)
 	}
-	standin.SetRequestHeaders(request, r.ID, c.environment.accounts[r.Account], clientTimeout, r.After)
+	standin.SetRequestHeaders(request, r.ID, c.environment.accounts[r.Account], timeout, r.After)
 	if kind.Stream && c.environment.sendPrompts {
 		var prompt string
 		prompt, r.Crashing = c.environment.prompt(n)
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -130,6 +131,11 @@
 	// in which they were.
 	cold  bool
 	colds []ColdTime
+	// slowStreams is set while some streams are slow; slowCount counts the streams since.
+	// streamTimeout is the timeout of routes with streams, and of clients beyond it.
+	slowStreams   atomic.Bool
+	slowCount     atomic.Int64
+	streamTimeout time.Duration
 	// versions makes engines run two software versions.
 	versions         bool
 	crashingPosition atomic.Int64
@@ -140,14 +146,17 @@
 
 // newEnvironment starts stand-ins and routers. After an error the environment may
 // be non-nil; the caller closes it then.
-func newEnvironment(dir, program string, routers int, versions, cold, evacuations bool) (*environment, error) {
-	env := &environment{dir: dir, program: program, versions: versions, cold: cold, accounts: map[string]string{}, revoked: map[string]bool{}, leaving: map[*target]bool{}, evacuated: map[string]bool{}, crashed: make(chan *target, 1000)}
+func newEnvironment(dir string, o *Options) (*environment, error) {
+	env := &environment{dir: dir, program: cmp.Or(o.OldProgram, o.Program), versions: o.Versions, cold: o.Cold, streamTimeout: routeTimeout, accounts: map[string]string{}, revoked: map[string]bool{}, leaving: map[*target]bool{}, evacuated: map[string]bool{}, crashed: make(chan *target, 1000)}
 	for i := range 4 {
 		env.accounts[fmt.Sprintf("account-%d", i)] = fmt.Sprintf("key-%d", i)
 	}
-	if evacuations {
+	if o.Evacuations {
 		env.evacuationBound = evacuationBound
 	}
+	if o.Stops {
+		env.streamTimeout = slowStreamTimeout
+	}
 	var err error
 	if env.store, err = standin.StartStore(""); err != nil {
 		return nil, err
@@ -162,7 +171,7 @@
 		}
 	}
 	env.putConfig()
-	for i := range routers {
+	for i := range o.Routers {
 		r, err := env.newRouter(i)
 		if err != nil {
 			return env, err
@@ -209,6 +218,7 @@
 		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
 	} else {
 		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, crashesEngine
+		t.SlowInterval, t.Slow = slowEventGap, env.isSlow
 		if env.cold {
 			t.Cold, t.ColdFall = t.coldFor, coldFall
 		}
@@ -280,7 +290,7 @@
 			Resumable: k.Resumable, MaxTargets: k.MaxRuns, Timeout: routeTimeout, Objective: latencyObjective, Pause: pauseObjective,
 		}
 		if k.Stream {
-			route.Service = engineName
+			route.Service, route.Timeout = engineName, env.streamTimeout
 		}
 		c.Routes = append(c.Routes, route)
 	}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -109,6 +109,11 @@
 			}
 			h.Repeats.Extra = 12
 		},
+		"planned stops": func(h *History) {
+			h.Stops = []Stop{{Router: "r", At: at(-4000), Ended: at(60)}}
+			h.Faults = append(h.Faults, FaultInterval{Kind: "down", From: at(49), To: at(1000)})
+			h.Requests[2].Router, h.Requests[2].Err = "r", "unexpected EOF"
+		},
 		"repeats": func(h *History) {
 			h.Arrivals = append(h.Arrivals, arrival("s", "t1", "a", 500), arrival("s", "t1", "c", 600), arrival("s", "t1", "b", 900))
 		},
@@ -133,6 +138,27 @@
 	}
 }
 
+func TestCheckAllowsWhatStoppingRoutersMayDo(t *testing.T) {
+	for name, change := range map[string]func(h *History){
+		"a stream sent early in the stop is cut": func(h *History) { h.Stops[0].At, h.Requests[2].Err = at(-2900), "unexpected EOF" },
+		"a client breaks its stream off":         func(h *History) { h.Requests[2].Err = errCutByClient.Error() },
+		"a request is refused":                   func(h *History) { h.Requests[2].Status = 503 },
+	} {
+		h := validHistory()
+		h.Stops = []Stop{{Router: "r", At: at(-4000), Ended: at(60)}}
+		h.Requests[2].Router = "r"
+		change(h)
+		if found := Check(h); len(found) != 0 {
+			t.Errorf("%s: got violations %+v, want none", name, found)
+		}
+	}
+	h := validHistory()
+	h.Requests[2].Status, h.Requests[2].Router = 503, "r"
+	if found := Check(h); len(found) != 1 || found[0].Guarantee != "calm" {
+		t.Errorf("a request refused by a router that does not stop: got violations %+v, want one of calm", found)
+	}
+}
+
 func TestCheckFindsKeyThatReachesTarget(t *testing.T) {
 	h := validHistory()
 	h.Runs[0].Credential = "Token k"
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,8 @@
 	OutsideLimits bool
 	// Evacuations evacuates failure domains, one after the other.
 	Evacuations bool
+	// Stops stops routers by plan, one or two at a time, while the length of streams changes.
+	Stops bool
 	// RouterCut cuts a router off from the store and from the others for so long; zero means never.
 	RouterCut time.Duration
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
@@ -66,9 +68,11 @@
 	Faults   map[string]int `json:"faults"`
 	Planned  map[string]int `json:"planned"`
 	// CutStreams are the streams that the router was asked for which was cut off.
-	CutStreams CutStreams  `json:"cut_streams"`
-	Violations int         `json:"violations"`
-	Found      []Violation `json:"found,omitempty"`
+	CutStreams CutStreams `json:"cut_streams"`
+	// StoppedStreams are those that were sent to a router late in its planned stop.
+	StoppedStreams StoppedStreams `json:"stopped_streams"`
+	Violations     int            `json:"violations"`
+	Found          []Violation    `json:"found,omitempty"`
 	// Logs is the directory with the routers' logs; empty without a violation.
 	Logs string `json:"logs,omitempty"`
 }
@@ -108,7 +112,7 @@
 			return nil, fmt.Errorf("soak: %w", err)
 		}
 	}
-	env, err := newEnvironment(dir, cmp.Or(o.OldProgram, o.Program), o.Routers, o.Versions, o.Cold, o.Evacuations)
+	env, err := newEnvironment(dir, &o)
 	if env != nil {
 		defer env.close()
 	}
@@ -201,6 +205,9 @@
 	if o.RouterCut > 0 {
 		all.Go(func() { newInjector(2006).cutRouterOff(clientCtx, o.RouterCut) })
 	}
+	if o.Stops {
+		all.Go(func() { h.Stops = newInjector(2010).stopRouters(faultCtx) })
+	}
 	if o.KillAll {
 		all.Go(func() { newInjector(2002).killAll(faultCtx) })
 	}
@@ -267,6 +274,7 @@
 		}
 	}
 	r.CutStreams = h.cutStreams()
+	r.StoppedStreams = h.stoppedStreams()
 	r.Found = Check(h)
 	r.Violations = len(r.Found)
 	return r
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// TestSoakThroughPlannedStops stops routers while streams become longer than those before, and guards against streams that
+// are accepted late in a stop and cut (review case 8).
+func TestSoakThroughPlannedStops(t *testing.T) {
+	o := options(buildRouter(t, ""), 1)
+	o.CrashingPart, o.CrashingRequest, o.Limits, o.FaultLanes = false, false, false, 0
+	o.Stops, o.Duration = true, 24*time.Second
+	r, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Violations > 0 {
+		t.Errorf("got violations %+v, want none", r.Found)
+	}
+	if s := r.StoppedStreams; s.Stops < 2 || s.Complete+s.Refused == 0 {
+		t.Errorf("got %+v, want streams late in two stops or more", s)
+	}
+}
+
 // longCutClients is the number of clients of the play with the long cut, enough to ask the cut-off router for some
 // 20 streams.
 const longCutClients = 48
