--- a/ingress/close_idle_test.go
+++ b/ingress/close_idle_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// TestCloseIdleClosesKeptConnections guards against clients that go on sending requests to a router that the platform has
-// taken out of rotation.
+// TestCloseIdleClosesKeptConnections guards against clients that continue to send requests to a router that the platform
+// has taken out of rotation.
 func TestCloseIdleClosesKeptConnections(t *testing.T) {
 	began, end := make(chan struct{}), make(chan struct{})
 	s, addr := startTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/node/drain.go
+++ b/node/drain.go
@@ -40,7 +40,7 @@
 	deadline := started.Add(max(n.cfg.StopGrace()-exitMargin, 0))
 	deregistered := started.Add(min(deregistrationDelay, n.cfg.StopGrace()/2))
 	n.relay.StartDraining(admission.StopSchedule{LeaveAt: deregistered, EndAt: deadline})
-	// Clients that keep their connections would go on sending requests here.
+	// Clients with idle connections would continue to send requests here.
 	leave := time.AfterFunc(time.Until(deregistered), func() {
 		event.NodeLeft.Log(n.log).Int("idle_closed", n.ingress.CloseIdle()).Int("in_progress", n.relay.InFlight()).Send()
 	})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -108,8 +108,8 @@
 	if s.attempts > 0 && s.findQuarantined() {
 		return retry.AttemptResult{}, false
 	}
-	// The request may have waited since it was accepted. A stream that has begun goes on for as
-	// long as it can.
+	// The request may have waited since it was accepted. A stream that has begun continues
+	// for as long as it can.
 	if !s.headSent && !s.finishesBeforeStop() {
 		return retry.AttemptResult{}, false
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -67,7 +67,7 @@
 }
 
 // acceptWhileStopping refuses a request that this router cannot finish before it stops, and
-// reports whether it goes on.
+// reports whether the request was accepted.
 func (s *requestState) acceptWhileStopping() bool {
 	s.receivedAt = time.Now()
 	if s.finishesBeforeStop() {
