--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,7 +3,7 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3 ] && [ -x target/ragwort-router ] || exit 2
-RECORD=review/11/record.txt target/review-3 case unframed
+RECORD=review/11/record.txt target/review-3 case longchat
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,10 +17,9 @@
 // ask is one client attempt at a stream.
 type ask struct {
 	id, prompt string
-	lastEvent  int
-	// resumes is the attempt that brought the first event; empty for a new stream.
-	resumes string
-	budget  time.Duration
+	budget     time.Duration
+	// key is that of the client; empty means apiKey.
+	key string
 }
 
 // answer is what a client got.
@@ -41,7 +41,6 @@
 // send sends a request on a new connection and reads the answer until its end, the end of ctx,
 // or the client's time budget.
 func send(ctx context.Context, addr string, a ask) (got answer) {
-	got.last = a.lastEvent
 	ctx, cancel := context.WithTimeout(ctx, a.budget)
 	defer cancel()
 	d := net.Dialer{Timeout: time.Second}
@@ -55,10 +54,7 @@
 	defer stop()
 	body := "the prompt"
 	head := fmt.Sprintf("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n",
-		host, a.id, a.prompt, a.budget.Milliseconds(), apiKey, len(body))
-	if a.resumes != "" {
-		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", a.lastEvent, a.resumes)
-	}
+		host, a.id, a.prompt, a.budget.Milliseconds(), cmp.Or(a.key, apiKey), len(body))
 	if _, err := io.WriteString(c, head+"\r\n"+body); err != nil {
 		got.err = err
 		return got
@@ -103,3 +99,8 @@
 		}
 	}
 }
+
+// randomPrompt returns the prompt of a new chat.
+func randomPrompt() string {
+	return fmt.Sprintf("%s:512,%08x:580,%08x:130", systemPart, rand.Uint32(), rand.Uint32())
+}
--- a/review/harness-3/document.go
+++ b/review/harness-3/document.go
@@ -34,15 +34,16 @@
 	return float64(t.begun) / float64(max(t.sent, 1))
 }
 
-// startCrashable starts workers that crash on crashPart and come back.
-func (e *env) startCrashable(n int) error {
+// startCrashable starts workers that come back when they have crashed; crash tells whether they crash on
+// crashPart.
+func (e *env) startCrashable(n int, crash bool) error {
 	spec := workerSpec{Service: service, Version: "r1", Events: 8, GapMS: 40}
-	if e.trouble {
+	if crash {
 		spec.CrashPart = crashPart
 	}
 	for i := range n {
 		spec.Zone = zones[i%len(zones)]
-		w, err := e.startWorker(spec, "", nil)
+		w, err := e.startWorker(spec, "")
 		if err != nil {
 			return err
 		}
@@ -51,8 +52,8 @@
 	return nil
 }
 
-// ask sends a stream in the background to a router in turn.
-func (e *env) ask(wait *sync.WaitGroup, turn int, prompt, kind string, done func(answer)) {
+// ask sends a stream in the background to a router in turn, and returns its Attempt-Id.
+func (e *env) ask(wait *sync.WaitGroup, turn int, prompt, kind string, done func(answer)) string {
 	a := ask{id: newID(), prompt: prompt, budget: 12 * time.Second}
 	addr := e.routers[turn%len(e.routers)].clientAddr()
 	e.note("%s request %s sent to %s", kind, a.id, addr)
@@ -61,6 +62,7 @@
 		e.note("%s request %s, parts %s: status %d, events %d, whole %t %s", kind, a.id, prompt, got.status, got.last, got.whole, got.body)
 		done(got)
 	})
+	return a.id
 }
 
 // lastCrash returns the number of crashes, and the time of the fifth, or of the last one if there
@@ -83,7 +85,7 @@
 // before.
 func runDocument(e *env) (bool, error) {
 	e.writeConfig(false, 1)
-	if err := e.startCrashable(8); err != nil {
+	if err := e.startCrashable(8, e.trouble); err != nil {
 		return false, err
 	}
 	if err := e.startRouters("recife-a", "recife-a", "recife-b", "recife-b", "recife-c", "recife-c"); err != nil {
--- a/review/harness-3/env.go
+++ b/review/harness-3/env.go
@@ -30,6 +30,9 @@
 	store   *standin.Store
 	net     string
 	ports   []int
+	// resume and attempts are of the route.
+	resume   bool
+	attempts int
 
 	mu      sync.Mutex
 	out     *os.File
@@ -285,18 +288,14 @@
 	CrashPart string
 	// Limit is the Server-Limit that its answers name; empty for none.
 	Limit string
-	// Unframed makes every second answer end with its connection.
-	Unframed bool
 }
 
 // worker is one worker process.
 type worker struct {
-	env  *env
-	spec workerSpec
-	id   string
-	addr string
-	// shown is the address in the worker's entry.
-	shown   string
+	env     *env
+	spec    workerSpec
+	id      string
+	addr    string
 	born    int64
 	command *exec.Cmd
 	exited  chan struct{}
@@ -304,7 +303,7 @@
 }
 
 // startWorker starts a worker at addr, or at a free port, and writes its entry.
-func (e *env) startWorker(spec workerSpec, addr string, shown func(addr string) (string, error)) (*worker, error) {
+func (e *env) startWorker(spec workerSpec, addr string) (*worker, error) {
 	if addr == "" {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -313,15 +312,9 @@
 		addr = l.Addr().String()
 		_ = l.Close()
 	}
-	w := &worker{env: e, spec: spec, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: addr, shown: addr, born: time.Now().UnixMilli(), exited: make(chan struct{})}
-	if shown != nil {
-		var err error
-		if w.shown, err = shown(addr); err != nil {
-			return nil, err
-		}
-	}
+	w := &worker{env: e, spec: spec, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: addr, born: time.Now().UnixMilli(), exited: make(chan struct{})}
 	w.command = exec.Command(os.Args[0], "worker", "-id", w.id, "-addr", addr, "-version", spec.Version, "-born", strconv.FormatInt(w.born, 10),
-		"-events", strconv.Itoa(spec.Events), "-gap", strconv.Itoa(spec.GapMS), "-crash", spec.CrashPart, "-limit", spec.Limit, "-unframed="+strconv.FormatBool(spec.Unframed))
+		"-events", strconv.Itoa(spec.Events), "-gap", strconv.Itoa(spec.GapMS), "-crash", spec.CrashPart, "-limit", spec.Limit)
 	w.command.Stderr = os.Stderr
 	lines, err := w.command.StdoutPipe()
 	if err != nil {
@@ -339,7 +332,7 @@
 		return nil, fmt.Errorf("worker %s did not start", w.id)
 	}
 	go w.follow(scanner)
-	w.register("ready")
+	w.register()
 	return w, nil
 }
 
@@ -360,10 +353,10 @@
 }
 
 // register writes the worker's entry.
-func (w *worker) register(state string) {
+func (w *worker) register() {
 	w.env.store.Put("servers", w.id, map[string]any{
-		"Service": w.spec.Service, "Address": w.shown, "Zone": w.spec.Zone, "Version": w.spec.Version, "Slots": 64,
-		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": w.born,
+		"Service": w.spec.Service, "Address": w.addr, "Zone": w.spec.Zone, "Version": w.spec.Version, "Slots": 64,
+		"State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": w.born,
 	})
 }
 
@@ -391,7 +384,7 @@
 			id := w.id
 			time.AfterFunc(lapse, func() { e.store.Delete("servers", id) })
 			time.Sleep(away)
-			next, err := e.startWorker(w.spec, w.addr, nil)
+			next, err := e.startWorker(w.spec, w.addr)
 			if err != nil {
 				e.record("worker does not start again: %v", err)
 				return
@@ -417,6 +410,9 @@
 	return append([]arrival(nil), e.runs...)
 }
 
+// errNotServed means that a case could not begin.
+var errNotServed = errors.New("requests are not served before the disruption")
+
 // Names in the configuration.
 const (
 	host    = "ficu95.example"
@@ -426,14 +422,36 @@
 
 // writeConfig writes the operator's configuration with one route of streams.
 func (e *env) writeConfig(resume bool, attempts int) {
+	e.resume, e.attempts = resume, attempts
+	e.writeTenants(3, []any{map[string]any{"Name": "hule930", "ApiKeys": []string{apiKey}}})
+}
+
+// writeTenants writes a version of the configuration with a list of tenants.
+func (e *env) writeTenants(version int, tenants []any) {
 	e.store.Put("config", "main", map[string]any{
-		"Version": 3,
+		"Version": version,
 		"Routes": []any{map[string]any{
 			"Name": "clerk", "Host": host, "PathPrefix": "/lohu930/", "Service": service, "RouteType": "streaming", "TimeoutMs": 15000,
-			"TargetLatencyMs": 800, "GapAimMs": 400, "Priority": 1, "MaxAttempts": attempts, "SessionAffinity": true, "StreamResume": resume,
+			"TargetLatencyMs": 800, "GapAimMs": 400, "Priority": 1, "MaxAttempts": e.attempts, "SessionAffinity": true, "StreamResume": e.resume,
 		}},
 		"Services": []any{map[string]any{"Name": service, "HealthPath": "/health", "Engine": map[string]any{"Slots": 64, "KvCapacity": 536244}}},
-		"Tenants":  []any{map[string]any{"Name": "hule930", "ApiKeys": []string{apiKey}}},
+		"Tenants":  tenants,
 		"Limits":   map[string]any{"MaxHeaderBytes": 16 << 10, "MaxBodyBytes": 4 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 10000},
 	})
 }
+
+// zones are those of the site.
+var zones = []string{"recife-a", "recife-b", "recife-c"}
+
+// sinceStart returns the time since the last router process started.
+func sinceStart(e *env) time.Duration {
+	last := e.began
+	for _, r := range e.routers {
+		r.mu.Lock()
+		if r.startedAt.After(last) {
+			last = r.startedAt
+		}
+		r.mu.Unlock()
+	}
+	return time.Since(last)
+}
--- a/review/harness-3/longchat.go
+++ b/review/harness-3/longchat.go
@@ -25,7 +25,7 @@
 // requests with it reach workers later than the stability window after the fifth crash.
 func runLongChat(e *env) (bool, error) {
 	e.writeConfig(false, 1)
-	if err := e.startCrashable(10); err != nil {
+	if err := e.startCrashable(10, e.trouble); err != nil {
 		return false, err
 	}
 	if err := e.startRouters("recife-a", "recife-a", "recife-b", "recife-b", "recife-c", "recife-c"); err != nil {
--- a/review/harness-3/lull.go
+++ b/review/harness-3/lull.go
@@ -21,7 +21,7 @@
 	spec := workerSpec{Service: service, Version: "r1", Events: 4, GapMS: 400, Limit: "1"}
 	for i := range 3 {
 		spec.Zone = zones[i]
-		if _, err := e.startWorker(spec, "", nil); err != nil {
+		if _, err := e.startWorker(spec, ""); err != nil {
 			return false, err
 		}
 	}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -25,11 +25,11 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(*env) (held bool, err error){
-	"versions": runVersions,
-	"document": runDocument,
-	"longchat": runLongChat,
-	"unframed": runUnframed,
-	"lull":     runLull,
+	"document":  runDocument,
+	"longchat":  runLongChat,
+	"lull":      runLull,
+	"forgotten": runForgotten,
+	"keyless":   runKeyless,
 }
 
 func main() {
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -24,7 +23,6 @@
 	born          int64
 	events        int
 	gap           time.Duration
-	unframed      bool
 	running, runs atomic.Int64
 }
 
@@ -38,7 +36,6 @@
 	flags.StringVar(&w.limit, "limit", "", "")
 	flags.Int64Var(&w.born, "born", 0, "")
 	flags.IntVar(&w.events, "events", 0, "")
-	flags.BoolVar(&w.unframed, "unframed", false, "")
 	addr := flags.String("addr", "", "")
 	gap := flags.Int("gap", 0, "")
 	if err := flags.Parse(args); err != nil {
@@ -127,14 +124,6 @@
 	}
 	seal := fmt.Sprintf("%s.%d", w.id, n)
 	write := w.framed(rw, seal)
-	if w.unframed && n%2 == 0 {
-		var end func()
-		var err error
-		if write, end, err = w.endless(rw, id, seal); err != nil {
-			return
-		}
-		defer end()
-	}
 	for event := first; event <= w.events; event++ {
 		select {
 		case <-time.After(w.gap):
@@ -163,23 +152,3 @@
 		return http.NewResponseController(rw).Flush()
 	}
 }
-
-// endless returns functions that write an answer with neither a length nor chunks, and end it
-// with its connection.
-func (w *workerProcess) endless(rw http.ResponseWriter, id, seal string) (write func(string) error, end func(), err error) {
-	hijacker, ok := rw.(http.Hijacker)
-	if !ok {
-		return nil, nil, errors.New("no hijacker")
-	}
-	c, _, err := hijacker.Hijack()
-	if err != nil {
-		return nil, nil, err
-	}
-	write = func(text string) error {
-		_, err := c.Write([]byte(text))
-		return err
-	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: %s\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nServer-Load: %d,0,64\r\nConnection: close\r\n\r\n",
-		id, seal, w.running.Load())
-	return write, func() { _ = c.Close() }, write(head)
-}
