review: workers of a case listen at addresses of their own

Cause: a worker's port was found free and taken later, so that one of 20 scripts that ran at once ended with "could not run": another process had the port.

--- a/review/harness-3/env.go
+++ b/review/harness-3/env.go
@@ -302,15 +302,16 @@
 	ended   bool
 }
 
-// startWorker starts a worker at addr, or at a free port, and writes its entry.
+// firstWorkerHost is the last byte of the address of the first worker.
+const firstWorkerHost = 100
+
+// startWorker starts a worker at addr, or at an address of its own, and writes its entry.
 func (e *env) startWorker(spec workerSpec, addr string) (*worker, error) {
 	if addr == "" {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		addr = l.Addr().String()
-		_ = l.Close()
+		// An address of its own, so that no other process takes the port, also while the worker is away.
+		e.mu.Lock()
+		addr = fmt.Sprintf("%s.%d:%d", e.net, firstWorkerHost+len(e.workers), e.ports[portClient])
+		e.mu.Unlock()
 	}
 	w := &worker{env: e, spec: spec, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: addr, born: time.Now().UnixMilli(), exited: make(chan struct{})}
 	w.command = exec.Command(os.Args[0], "worker", "-id", w.id, "-addr", addr, "-version", spec.Version, "-born", strconv.FormatInt(w.born, 10),
