review: a case ends when a worker does not start

Cause: the end of the case waited for a worker that had never started, so that it did not end in time.

--- a/review/harness-3/env.go
+++ b/review/harness-3/env.go
@@ -330,6 +330,8 @@
 	scanner := bufio.NewScanner(lines)
 	scanner.Buffer(nil, 1<<20)
 	if !scanner.Scan() {
+		_ = w.command.Wait()
+		close(w.exited)
 		return nil, fmt.Errorf("worker %s did not start", w.id)
 	}
 	go w.follow(scanner)
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -13,8 +13,11 @@
 	"time"
 )
 
-// maxCase bounds a case.
-const maxCase = 118 * time.Second
+// maxCase bounds a case, and maxClose the end of its processes.
+const (
+	maxCase  = 117 * time.Second
+	maxClose = 2 * time.Second
+)
 
 // Exit codes of a case.
 const (
@@ -78,6 +81,7 @@
 	case <-stop:
 	case <-time.After(maxCase):
 	}
+	time.AfterFunc(maxClose, func() { os.Exit(exitNotRun) })
 	e.record("could not run: ended early")
 	e.close()
 	os.Exit(exitNotRun)
