quarantine, relay: the log tells how many parts a verdict could have been on, and how many were left out

Cause: part-quarantined named one part and not how many others were at the same crashes, so that a verdict on the only candidate and one by the place in the prompt looked alike; target-crashed did not tell that a prompt had more shared parts than are considered.

Result: no logic changes.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -107,7 +108,7 @@
 	// one.
 	lapsed := map[uint64]bool{}
 	for {
-		suspect := t.strongestSuspect(lapsed, now)
+		suspect, alike := t.strongestSuspect(lapsed, now)
 		if suspect == nil {
 			return
 		}
@@ -117,23 +118,36 @@
 			continue
 		}
 		changes.Quarantined = append(changes.Quarantined, Decision{
-			Part: suspect.part, Request: suspect.request, Incidents: suspect.incidents, Crashes: suspect.crashes, Since: suspect.first,
+			Part: suspect.part, Request: suspect.request, Incidents: suspect.incidents, Crashes: suspect.crashes, Since: suspect.first, Alike: alike,
 		})
 		changes.News.Verdicts = append(changes.News.Verdicts, newVerdict(suspect.part, &v, now))
 	}
 }
 
 // strongestSuspect returns the tally of the most suspect part or request, or nil if none
-// has enough incidents.
-func (t *Tracker) strongestSuspect(lapsed map[uint64]bool, now time.Time) *tally {
-	var strongest *tally
+// has enough incidents, and the number of others that were at its incidents.
+func (t *Tracker) strongestSuspect(lapsed map[uint64]bool, now time.Time) (strongest *tally, alike int) {
 	list := t.tallies(lapsed)
 	for _, candidate := range list {
 		if candidate.sufficient() && (strongest == nil || candidate.compare(strongest) > 0) && !candidate.ambiguous(list, now) {
 			strongest = candidate
 		}
 	}
-	return strongest
+	if strongest != nil {
+		alike = strongest.countAlike(list)
+	}
+	return strongest, alike
+}
+
+// countAlike returns the number of other tallies with crashes of the same targets.
+func (t *tally) countAlike(list map[uint64]*tally) int {
+	n := 0
+	for _, other := range list {
+		if other != t && maps.Equal(other.targets, t.targets) {
+			n++
+		}
+	}
+	return n
 }
 
 // ambiguous reports whether another request may as well be the cause of the crashes. With
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -102,6 +102,12 @@
 	StartedAt time.Time
 }
 
+// LeftOut returns the number of shared parts of the prompt beyond maxParts, which are not
+// considered.
+func (r *Request) LeftOut() int {
+	return max(len(call.SharedParts(r.Prompt))-maxParts, 0)
+}
+
 // subjects returns what a crash under the request may be held against: the last maxParts
 // shared parts of its prompt in order, and then its digest if that is known.
 func (r *Request) subjects() []uint64 {
@@ -165,6 +171,9 @@
 	Since              time.Time
 	// FromPeer means that another router gave the verdict.
 	FromPeer bool
+	// Alike is the number of other parts and requests that were at the same incidents without
+	// a success since, so that the evidence does not tell them apart.
+	Alike int
 }
 
 // Cause is why a verdict ended.
--- a/relay/crashcheck.go
+++ b/relay/crashcheck.go
@@ -84,7 +84,7 @@
 	var changes quarantine.Changes
 	for _, a := range attempts {
 		event.TargetCrashed.Log(r.cfg.Log).Str("target", string(t.ID)).Str("request", string(a.request)).Str("digest", partName(a.asked.Digest)).
-			Strs("parts", sharedPartNames(a.asked.Prompt)).Dur("age", now.Sub(a.at)).Err(err).Send()
+			Strs("parts", sharedPartNames(a.asked.Prompt)).Int("left_out", a.asked.LeftOut()).Dur("age", now.Sub(a.at)).Err(err).Send()
 		changes.Add(r.evidence.RecordCrash(a.asked, t.ID, a.at, now))
 	}
 	r.reportChanges(changes)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -111,7 +111,7 @@
 	}
 	for _, d := range changes.Quarantined {
 		event.PartQuarantined.Log(r.cfg.Log).Str("part", partName(d.Part)).Bool("request_itself", d.Request).Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).
-			Int("crashes", d.Crashes).Dur("age", time.Since(d.Since)).Send()
+			Int("crashes", d.Crashes).Int("alike", d.Alike).Dur("age", time.Since(d.Since)).Send()
 	}
 }
 
