quarantine: a verdict is on the set of parts that the crashes do not tell apart

Cause: A and D were at the same crashes and neither had a known success, so that the evidence did not tell them apart. The code decided by the place in the prompt, and then refused all requests that would have shown that D is sound. Two requests at the same five crashes were told apart by the order of their digests.

Change: a verdict has members, of which one is at fault.

Tests that wanted a verdict on the deepest of equal parts (quarantine.TestVerdicts, TestCulpritOfOneStormIsQuarantined, TestLateClearLiftsVerdict, TestRequestVerdicts, mesh.TestEvidenceReachesAllRouters, relay.TestLogExplainsQuarantine) wanted the fault; they want the whole set now, and the culprit alone after a success or a crash that tells it apart. The model's tests ask for bounds on late crashes and on sound requests that wait, which they did not.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -2,36 +2,51 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
 
+// sighting is a crash of a target at which a part or request was.
+type sighting struct {
+	target uint32
+	at     time.Time
+}
+
+// same reports whether two sightings are of the same crash.
+func (s sighting) same(other sighting) bool {
+	return s.target == other.target && s.at.Sub(other.at).Abs() <= targetWindow
+}
+
 // tally counts the crashes of one part or request since its last success.
 type tally struct {
-	part uint64
+	subject uint64
 	// request means that it is a request.
 	request bool
-	// proven means that a success with the part is known.
-	proven bool
-	// incidents and crashes are counts; depth is the largest index of the part in the
-	// prompts of the crashes.
-	incidents, crashes, depth int
-	first, last               time.Time
+	// proven means that a success with it is known.
+	proven             bool
+	incidents, crashes int
+	first, last        time.Time
 	// incidentAt is the time of the first crash of the last incident.
 	incidentAt time.Time
-	// targets holds the time of the last crash of each target.
-	targets map[uint32]time.Time
+	// sightings are the crashes of targets, in the order of their time.
+	sightings []sighting
+	// targets are those that crashed.
+	targets map[uint32]struct{}
 	// requests holds the requests with a part. Those whose digest is not known count as
 	// different ones.
 	requests map[uint64]struct{}
 	unknown  int
 }
 
+func newTally(subject uint64, request, proven bool) *tally {
+	return &tally{subject: subject, request: request, proven: proven, targets: map[uint32]struct{}{}, requests: map[uint64]struct{}{}}
+}
+
 // add counts a crash, which must not be earlier than those counted before.
-func (t *tally) add(c crash, depth int) {
-	lastAtTarget, sameTarget := t.targets[c.target]
-	sameTarget = sameTarget && c.at.Sub(lastAtTarget) <= targetWindow
+func (t *tally) add(c crash) {
+	s := sighting{c.target, c.at}
+	known := t.lastAt(c.target)
+	sameTarget := known >= 0 && t.sightings[known].same(s)
 	if t.crashes == 0 || (!sameTarget && (c.at.Sub(t.incidentAt) > incidentWindow || t.startedSince(c))) {
 		t.incidents++
 		t.incidentAt = c.at
@@ -40,8 +55,13 @@
 		t.first = c.at
 	}
 	t.crashes++
-	t.last, t.depth = c.at, max(t.depth, depth)
-	t.targets[c.target] = c.at
+	t.last = c.at
+	if sameTarget {
+		t.sightings[known].at = c.at
+	} else {
+		t.sightings = append(t.sightings, s)
+	}
+	t.targets[c.target] = struct{}{}
 	if c.request == 0 {
 		t.unknown++
 	} else {
@@ -49,45 +69,59 @@
 	}
 }
 
+// lastAt returns the index of the last sighting of a target, or -1.
+func (t *tally) lastAt(target uint32) int {
+	for i, s := range slices.Backward(t.sightings) {
+		if s.target == target {
+			return i
+		}
+	}
+	return -1
+}
+
 // startedSince reports whether the request was sent to its target since the first crash of
 // the last incident.
 func (t *tally) startedSince(c crash) bool {
 	return t.request && !c.started.IsZero() && c.started.Add(startTolerance).After(t.incidentAt)
 }
 
+// suspicious reports whether the crashes are enough for a verdict if no success is known, and
+// a number of further ones was missed.
+func (t *tally) suspicious(missed int) bool {
+	if t.request {
+		return t.crashes+missed >= minRequestCrashes && t.incidents+missed >= minRequestIncidents
+	}
+	return (t.incidents+missed >= minIncidents || len(t.targets)+missed >= minTargets) && t.severalRequests()
+}
+
+// severalRequests reports whether the part was in different requests, so that none of them
+// is the likelier cause.
+func (t *tally) severalRequests() bool {
+	return len(t.requests)+t.unknown >= minRequests
+}
+
 // sufficient reports whether the crashes are enough for a verdict.
 func (t *tally) sufficient() bool {
-	switch {
-	case t.proven:
-		return t.incidents >= minProvenIncidents && (t.request || len(t.requests)+t.unknown >= minRequests)
-	case t.request:
-		return t.crashes >= minRequestCrashes && t.incidents >= minRequestIncidents
-	default:
-		return (t.incidents >= minIncidents || len(t.targets) >= minTargets) && len(t.requests)+t.unknown >= minRequests
+	if t.proven {
+		return t.incidents >= minProvenIncidents && (t.request || t.severalRequests())
 	}
+	return t.suspicious(0)
 }
 
-// accompaniedBy reports whether another request was at each crash of this one, so that it
-// may as well be the cause. Crashes since settled do not tell: that of the other request may
-// not have been reported yet.
-func (t *tally) accompaniedBy(other *tally, settled time.Time) bool {
-	if !t.request || !other.request || t.part == other.part {
-		return false
-	}
-	for target, at := range t.targets {
-		if at.After(settled) {
-			continue
-		}
-		if otherAt, ok := other.targets[target]; !ok || at.Sub(otherAt).Abs() > targetWindow {
-			return false
+// absences returns the number of crashes of t at which another part or request was not. Those
+// for which open returns true do not tell: its report may not have arrived.
+func (t *tally) absences(other *tally, open func(sighting) bool) int {
+	n := 0
+	for _, s := range t.sightings {
+		if !slices.ContainsFunc(other.sightings, s.same) && !open(s) {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // compare orders tallies by suspicion: those without a known success first, then by
-// incidents and targets, and of equal ones the one later in its prompts, which fewer
-// requests share.
+// incidents and targets.
 func (t *tally) compare(other *tally) int {
 	if t.proven != other.proven {
 		if t.proven {
@@ -95,135 +129,140 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(t.incidents, other.incidents), cmp.Compare(len(t.targets), len(other.targets)), cmp.Compare(t.depth, other.depth), cmp.Compare(t.part, other.part))
+	return cmp.Or(cmp.Compare(t.incidents, other.incidents), cmp.Compare(len(t.targets), len(other.targets)), cmp.Compare(t.subject, other.subject))
 }
 
-// decide drops expired verdicts and quarantines the most suspect part or request, as long
-// as there is one with enough incidents. Crashes under a quarantined part do not count against others, nor do those
-// of requests that were at a target when it crashed under a quarantined one. t.mu must
-// be held.
+// decide drops expired verdicts, narrows those on several members, and gives new ones as
+// long as there is a part or request with enough incidents that no verdict explains. t.mu
+// must be held.
 func (t *Tracker) decide(changes *Changes, now time.Time) {
 	t.dropExpiredVerdicts(changes, now)
-	// A part whose verdict would have expired explains its crashes like a quarantined
-	// one.
-	lapsed := map[uint64]bool{}
+	t.updateByCrashes(changes, now)
+	// A verdict that would have expired, or has no room, explains its crashes like a
+	// standing one.
+	condemned := t.byID()
 	for {
-		suspect, alike := t.strongestSuspect(lapsed, now)
+		list := t.tallies(condemned)
+		suspect := t.strongestSuspect(list, now)
 		if suspect == nil {
 			return
 		}
-		v := verdict{since: suspect.first, seenAt: suspect.last, incidents: suspect.incidents}
-		if !now.Before(v.expiresAt()) || !t.addVerdict(changes, suspect.part, v) {
-			lapsed[suspect.part] = true
+		v := newVerdictOn(membersLike(suspect, list), suspect.first, suspect.last, suspect.incidents, suspect.last)
+		condemned = append(condemned, v)
+		if !now.Before(v.expiresAt()) || !t.addVerdict(changes, v, now) {
 			continue
 		}
 		changes.Quarantined = append(changes.Quarantined, Decision{
-			Part: suspect.part, Request: suspect.request, Incidents: suspect.incidents, Crashes: suspect.crashes, Since: suspect.first, Alike: alike,
+			Verdict: v.id(), Members: v.members, Request: suspect.request && !v.undecided(),
+			Incidents: suspect.incidents, Crashes: suspect.crashes, Since: suspect.first,
 		})
-		changes.News.Verdicts = append(changes.News.Verdicts, newVerdict(suspect.part, &v, now))
+		changes.News.addVerdict(v, now)
 	}
 }
 
-// strongestSuspect returns the tally of the most suspect part or request, or nil if none
-// has enough incidents, and the number of others that were at its incidents.
-func (t *Tracker) strongestSuspect(lapsed map[uint64]bool, now time.Time) (strongest *tally, alike int) {
-	list := t.tallies(lapsed)
+// strongestSuspect returns the most suspect tally, or nil if none has enough incidents.
+func (t *Tracker) strongestSuspect(list map[uint64]*tally, now time.Time) *tally {
+	var strongest *tally
 	for _, candidate := range list {
 		if candidate.sufficient() && (strongest == nil || candidate.compare(strongest) > 0) && !candidate.ambiguous(list, now) {
 			strongest = candidate
 		}
 	}
-	if strongest != nil {
-		alike = strongest.countAlike(list)
-	}
-	return strongest, alike
+	return strongest
 }
 
-// countAlike returns the number of other tallies with crashes of the same targets.
-func (t *tally) countAlike(list map[uint64]*tally) int {
-	n := 0
-	for _, other := range list {
-		if other != t && maps.Equal(other.targets, t.targets) {
-			n++
-		}
-	}
-	return n
-}
-
-// ambiguous reports whether another request may as well be the cause of the crashes. With
-// minAmbiguousCrashes it no longer matters: further crashes tell.
+// ambiguous reports whether another request was at each settled crash of a request, so that
+// reports which have not arrived yet may show it at all of them.
 func (t *tally) ambiguous(list map[uint64]*tally, now time.Time) bool {
-	if !t.request || t.crashes >= minAmbiguousCrashes {
+	if !t.request {
 		return false
 	}
+	unsettled := func(s sighting) bool { return s.at.After(now.Add(-SettleTime)) }
 	for _, other := range list {
-		if t.accompaniedBy(other, now.Add(-SettleTime)) {
+		if other.request && other != t && t.absences(other, unsettled) == 0 && t.absences(other, isSettled) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// tallies counts the crashes that no quarantined or lapsed part explains.
-func (t *Tracker) tallies(lapsed map[uint64]bool) map[uint64]*tally {
-	list := map[uint64]*tally{}
-	convicted := t.convictedCrashes(lapsed)
-	for _, c := range t.crashes {
-		if t.explained(c, lapsed) {
-			continue
+// membersLike returns the suspect and all that are as suspect, as far as the crashes tell.
+func membersLike(suspect *tally, list map[uint64]*tally) []uint64 {
+	members := []uint64{suspect.subject}
+	for subject, other := range list {
+		allowed := maxAbsences
+		if other.request {
+			allowed = 0
 		}
-		for depth, part := range c.parts {
-			if !c.at.After(t.successes[part]) || t.condemned(part, lapsed) || besideCulprit(c, part, convicted) {
-				continue
-			}
-			if list[part] == nil {
-				list[part] = &tally{
-					part: part, request: part == c.request, proven: !t.successes[part].IsZero(),
-					targets: map[uint32]time.Time{}, requests: map[uint64]struct{}{},
-				}
-			}
-			list[part].add(c, depth)
+		if other != suspect && other.suspicious(allowed) && suspect.absences(other, isSettled) <= allowed {
+			members = append(members, subject)
 		}
 	}
-	return list
+	return members
 }
 
-// condemned reports whether a part or request is quarantined or lapsed.
-func (t *Tracker) condemned(part uint64, lapsed map[uint64]bool) bool {
-	return t.verdicts[part] != nil || lapsed[part]
-}
+// isSettled means that all reports on a crash have arrived.
+func isSettled(sighting) bool { return false }
 
-// explained reports whether a crash has a quarantined or lapsed part. A quarantined request
-// does not explain its own crashes, since one of its parts may be the cause.
-func (t *Tracker) explained(c crash, lapsed map[uint64]bool) bool {
-	for _, part := range c.parts {
-		if part != c.request && t.condemned(part, lapsed) {
-			return true
+// updateByCrashes takes those members out of verdicts that were not at a crash of others since
+// the verdict was given.
+func (t *Tracker) updateByCrashes(changes *Changes, now time.Time) {
+	for _, v := range t.byID() {
+		if len(v.origin) > 1 {
+			t.updateMembers(changes, v, CauseCrash, now)
 		}
 	}
-	return false
 }
 
-// convictedCrashes returns the crashes under a quarantined or lapsed part or request, by
-// target.
-func (t *Tracker) convictedCrashes(lapsed map[uint64]bool) map[uint32][]crash {
-	list := map[uint32][]crash{}
-	if len(t.verdicts)+len(lapsed) == 0 {
-		return list
-	}
-	for _, c := range t.crashes {
-		if slices.ContainsFunc(c.parts, func(part uint64) bool { return t.condemned(part, lapsed) }) {
-			list[c.target] = append(list[c.target], c)
+// membersAtLaterCrashes returns those of the origin of a verdict that were at each crash of a
+// trial since it was given, and counts these crashes. Other crashes do not tell: the report on a
+// request with the absent ones may have been lost.
+func (t *Tracker) membersAtLaterCrashes(v *verdict, now time.Time) []uint64 {
+	rest := v.origin
+	v.later = 0
+	isOrigin := func(part uint64) bool { return slices.Contains(v.origin, part) }
+	disjoint := slices.DeleteFunc(t.byID(), func(other *verdict) bool { return slices.ContainsFunc(other.members, isOrigin) })
+	explained := t.newExplanation(disjoint)
+	for _, together := range crashesByTarget(t.crashes) {
+		at := t.crashes[together[0]].at
+		if !at.After(v.rested) || !slices.ContainsFunc(together, func(i int) bool { return t.crashes[i].onTrial && slices.ContainsFunc(t.crashes[i].parts, isOrigin) }) {
+			continue
+		}
+		present := slices.DeleteFunc(slices.Clone(rest), func(m uint64) bool {
+			return !slices.ContainsFunc(together, func(i int) bool {
+				c := &t.crashes[i]
+				return !explained.wholly[i] && c.at.After(t.successes[m]) && slices.Contains(c.parts, m)
+			})
+		})
+		if len(present) == 0 {
+			continue
+		}
+		v.later++
+		if now.Sub(at) < reportTime {
+			continue
 		}
+		rest = present
 	}
-	return list
+	return rest
 }
 
-// besideCulprit reports whether a convicted crash of the same target at about the same time
-// explains the crash as far as a part or request is concerned, because it does not have
-// that.
-func besideCulprit(c crash, part uint64, convicted map[uint32][]crash) bool {
-	return slices.ContainsFunc(convicted[c.target], func(other crash) bool {
-		return other.at.Sub(c.at).Abs() <= targetWindow && !slices.Contains(other.parts, part)
-	})
+// tallies counts the crashes that no condemned verdict explains.
+func (t *Tracker) tallies(condemned []*verdict) map[uint64]*tally {
+	list := map[uint64]*tally{}
+	explained := t.newExplanation(condemned)
+	for i, c := range t.crashes {
+		if explained.wholly[i] {
+			continue
+		}
+		for _, part := range c.parts {
+			if !c.at.After(t.successes[part]) || explained.members[part] || explained.besideCulprit(i, part) {
+				continue
+			}
+			if list[part] == nil {
+				list[part] = newTally(part, part == c.request, !t.successes[part].IsZero())
+			}
+			list[part].add(c)
+		}
+	}
+	return list
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,10 @@
 	// Attempts holds the attempt of each crash, in the order of Crashes. Routers that know
 	// only prompts send none.
 	Attempts []Attempt `cbor:"5,keyasint,omitempty"`
+	// Sets are verdicts on several parts or requests. Earlier builds ignore them.
+	Sets []SetVerdict `cbor:"6,keyasint,omitempty"`
+	// Trials holds the indices of those Crashes whose attempt was a trial, in order.
+	Trials []uint16 `cbor:"7,keyasint,omitempty"`
 }
 
 // Crash is an attempt that ended because its target crashed.
@@ -44,6 +49,15 @@
 	AgeMS uint32
 }
 
+// SetVerdict tells that one of several parts or requests is at fault. The other fields are as
+// in Verdict.
+type SetVerdict struct {
+	_                     struct{} `cbor:",toarray"`
+	Members               []uint64
+	SinceAgeMS, SeenAgeMS uint32
+	Incidents             uint8
+}
+
 // Verdict tells that a part or request is quarantined.
 type Verdict struct {
 	_    struct{} `cbor:",toarray"`
@@ -55,24 +69,34 @@
 	Incidents uint8
 }
 
+// maxSetMembers bounds the members of a verdict that is told to other routers. They find
+// larger ones themselves, from the crashes.
+const maxSetMembers = 64
+
 // Upper bounds of the CBOR encoding in bytes: a part or digest takes up to 9 bytes, a
-// target, an age or a duration up to 5, the head of a list 1 to 3. A crash includes its
-// attempt.
+// target, an age or a duration up to 5, an index up to 3, the head of a list 1 to 3. A crash
+// includes its attempt.
 const (
-	evidenceBytes  = 17
-	crashBytes     = 28
+	evidenceBytes  = 25
+	crashBytes     = 31
 	crashPartBytes = 9
 	clearBytes     = 15
 	verdictBytes   = 22
+	setBytes       = 16
+	memberBytes    = 9
 )
 
+func (v *SetVerdict) size() int {
+	return setBytes + memberBytes*len(v.Members)
+}
+
 func (c *Crash) size() int {
 	return crashBytes + crashPartBytes*len(c.Parts)
 }
 
 // Empty reports whether there is nothing to tell.
 func (e *Evidence) Empty() bool {
-	return len(e.Crashes) == 0 && len(e.Clears) == 0 && len(e.Verdicts) == 0
+	return len(e.Crashes) == 0 && len(e.Clears) == 0 && len(e.Verdicts) == 0 && len(e.Sets) == 0
 }
 
 // Size returns an upper bound of the encoded size in bytes.
@@ -81,19 +105,55 @@
 	for i := range e.Crashes {
 		size += e.Crashes[i].size()
 	}
+	for i := range e.Sets {
+		size += e.Sets[i].size()
+	}
 	return size
 }
 
 func (e *Evidence) add(other Evidence) {
 	for i, c := range other.Crashes {
-		e.addCrash(c, other.attempt(i))
+		e.addCrash(c, other.attempt(i), other.wasTrial(i))
 	}
 	e.Clears = append(e.Clears, other.Clears...)
 	e.Verdicts = append(e.Verdicts, other.Verdicts...)
+	e.Sets = append(e.Sets, other.Sets...)
+}
+
+// addVerdict adds a verdict, unless it has more than maxSetMembers.
+func (e *Evidence) addVerdict(v *verdict, now time.Time) {
+	since, seen, incidents := ageMS(v.since, now), ageMS(v.seenAt, now), uint8(min(v.incidents, math.MaxUint8))
+	switch n := len(v.members); {
+	case n == 1:
+		e.Verdicts = append(e.Verdicts, Verdict{Part: v.members[0], SinceAgeMS: since, SeenAgeMS: seen, Incidents: incidents})
+	case n <= maxSetMembers:
+		e.Sets = append(e.Sets, SetVerdict{Members: v.members, SinceAgeMS: since, SeenAgeMS: seen, Incidents: incidents})
+	}
+}
+
+// verdicts returns up to n verdicts on one member or several, as this router's clock has them.
+func (e *Evidence) verdicts(n int, now time.Time) []*verdict {
+	var list []*verdict
+	add := func(members []uint64, sinceAge, seenAge uint32, incidents uint8) {
+		since := timeOf(sinceAge, now)
+		list = append(list, newVerdictOn(members, since, latest(since, timeOf(seenAge, now)), int(incidents), now))
+	}
+	for _, v := range e.Verdicts[:min(len(e.Verdicts), n)] {
+		add([]uint64{v.Part}, v.SinceAgeMS, v.SeenAgeMS, v.Incidents)
+	}
+	for _, v := range e.Sets[:min(len(e.Sets), n)] {
+		if len(v.Members) > 0 && len(v.Members) <= maxSetMembers {
+			add(v.Members, v.SinceAgeMS, v.SeenAgeMS, v.Incidents)
+		}
+	}
+	return list
 }
 
 // addCrash adds a crash and its attempt.
-func (e *Evidence) addCrash(c Crash, a Attempt) {
+func (e *Evidence) addCrash(c Crash, a Attempt, onTrial bool) {
+	if onTrial {
+		e.Trials = append(e.Trials, uint16(len(e.Crashes)))
+	}
 	e.Crashes = append(e.Crashes, c)
 	e.Attempts = append(e.Attempts, a)
 }
@@ -106,6 +166,11 @@
 	return e.Attempts[i]
 }
 
+// wasTrial reports whether the attempt of crash i was a trial.
+func (e *Evidence) wasTrial(i int) bool {
+	return i <= math.MaxUint16 && slices.Contains(e.Trials, uint16(i))
+}
+
 // Split divides the evidence so that no piece is encoded in more than maxBytes, unless it
 // holds a single crash. Verdicts come first.
 func (e Evidence) Split(maxBytes int) []Evidence {
@@ -121,9 +186,13 @@
 		makeRoom(verdictBytes)
 		current.Verdicts = append(current.Verdicts, v)
 	}
+	for _, v := range e.Sets {
+		makeRoom(v.size())
+		current.Sets = append(current.Sets, v)
+	}
 	for i, c := range e.Crashes {
 		makeRoom(c.size())
-		current.addCrash(c, e.attempt(i))
+		current.addCrash(c, e.attempt(i), e.wasTrial(i))
 	}
 	for _, c := range e.Clears {
 		makeRoom(clearBytes)
@@ -147,7 +216,3 @@
 func newClear(part uint64, at, now time.Time) Clear {
 	return Clear{Part: part, AgeMS: ageMS(at, now)}
 }
-
-func newVerdict(part uint64, v *verdict, now time.Time) Verdict {
-	return Verdict{Part: part, SinceAgeMS: ageMS(v.since, now), SeenAgeMS: ageMS(v.seenAt, now), Incidents: uint8(min(v.incidents, math.MaxUint8))}
-}
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -39,28 +39,37 @@
 }
 
 func (t *Tracker) exportVerdicts(e *Evidence, left *int, now time.Time) {
-	var list []Verdict
-	for part, v := range t.verdicts {
+	var list []*verdict
+	for _, v := range t.byID() {
 		if now.Add(expiryMargin).Before(v.expiresAt()) {
-			list = append(list, newVerdict(part, v, now))
+			list = append(list, v)
 		}
 	}
-	slices.SortFunc(list, func(a, b Verdict) int {
-		return cmp.Or(cmp.Compare(a.SeenAgeMS, b.SeenAgeMS), cmp.Compare(a.Part, b.Part))
-	})
-	fitting := max(*left, 0) / verdictBytes
-	if len(list) > fitting {
-		list = rotate(list, t.exports)[:fitting]
+	slices.SortStableFunc(list, func(a, b *verdict) int { return b.seenAt.Compare(a.seenAt) })
+	var all Evidence
+	for _, v := range list {
+		all.addVerdict(v, now)
+	}
+	if all.Size() > *left {
+		list = rotate(list, t.exports)
+	}
+	for i, v := range list {
+		var one Evidence
+		one.addVerdict(v, now)
+		// The first one is exported even if it has too many members.
+		if size := one.Size() - evidenceBytes; size <= *left || i == 0 {
+			e.add(one)
+			*left -= size
+		}
 	}
-	e.Verdicts = list
-	*left -= verdictBytes * len(list)
 }
 
 func (t *Tracker) exportCrashes(e *Evidence, left *int, now time.Time) {
 	var list []crash
 	total := 0
-	for _, c := range slices.Backward(t.crashes) {
-		if now.Sub(c.at) < crashLifetime-expiryMargin && !t.explained(c, nil) && t.counts(c) {
+	explained := t.newExplanation(t.decidedVerdicts())
+	for i, c := range slices.Backward(t.crashes) {
+		if now.Sub(c.at) < crashLifetime-expiryMargin && !explained.wholly[i] && t.counts(c) {
 			list = append(list, c)
 			total += t.exportSize(c)
 		}
@@ -70,13 +79,18 @@
 	}
 	for i, c := range list {
 		// The first one is exported even if its prompt is too long.
-		if size := t.exportSize(c); size <= *left || (i == 0 && len(e.Verdicts) == 0) {
+		if size := t.exportSize(c); size <= *left || (i == 0 && len(e.Verdicts)+len(e.Sets) == 0) {
 			*left -= size
 			t.reportCrash(e, c, now)
 		}
 	}
 }
 
+// decidedVerdicts returns the verdicts whose crashes tell other routers nothing more.
+func (t *Tracker) decidedVerdicts() []*verdict {
+	return slices.DeleteFunc(t.byID(), (*verdict).undecided)
+}
+
 // counts reports whether a crash counts against one of its parts.
 func (t *Tracker) counts(c crash) bool {
 	return slices.ContainsFunc(c.parts, func(part uint64) bool { return c.at.After(t.successes[part]) })
@@ -84,7 +98,7 @@
 
 // reportCrash adds a crash and the last successes with its parts.
 func (t *Tracker) reportCrash(e *Evidence, c crash, now time.Time) {
-	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.attempt())
+	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.attempt(), c.onTrial)
 	for _, part := range c.parts {
 		if success, ok := t.successes[part]; ok {
 			e.addClear(newClear(part, success, now))
@@ -110,8 +124,8 @@
 }
 
 // newCrash returns the crash that another router reported.
-func newCrash(c Crash, a Attempt, now time.Time) crash {
-	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: a.Digest}
+func newCrash(c Crash, a Attempt, onTrial bool, now time.Time) crash {
+	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: a.Digest, onTrial: onTrial}
 	if a.Digest != 0 {
 		merged.parts = slices.Concat(c.Parts, []uint64{a.Digest})
 	}
@@ -177,7 +191,7 @@
 	var changes Changes
 	var added []crash
 	for i, c := range e.Crashes[:min(len(e.Crashes), maxMergedCrashes)] {
-		merged := newCrash(c, e.attempt(i), now)
+		merged := newCrash(c, e.attempt(i), e.wasTrial(i), now)
 		if len(c.Parts) <= maxParts && now.Sub(merged.at) < crashLifetime-expiryMargin && t.addCrash(merged, now) {
 			added = append(added, merged)
 		}
@@ -188,10 +202,10 @@
 	for _, c := range added {
 		t.reportCrash(&changes.News, c, now)
 	}
-	for _, v := range e.Verdicts[:min(len(e.Verdicts), maxMergedVerdicts)] {
+	for _, v := range e.verdicts(maxMergedVerdicts, now) {
 		t.mergeVerdict(&changes, v, now)
 	}
-	if len(added) > 0 || len(changes.Lifted) > 0 {
+	if len(added) > 0 || len(changes.Lifted)+len(changes.Narrowed) > 0 {
 		t.decide(&changes, now)
 	}
 	t.updateCounts()
@@ -205,35 +219,82 @@
 	if now.Sub(at) >= crashLifetime {
 		return
 	}
-	v := t.verdicts[c.Part]
-	lifts := v != nil && v.contradictedBy(at)
-	if !lifts && at.Sub(before) <= timeTolerance && !t.crashedBetween(c.Part, before, at) {
+	if !t.clears(c.Part, at) && at.Sub(before) <= timeTolerance && !t.crashedBetween(c.Part, before, at) {
 		return
 	}
 	t.addSuccess(changes, c.Part, at, now)
 }
 
-// mergeVerdict adopts or prolongs another router's verdict, or answers it with a later
-// success.
-func (t *Tracker) mergeVerdict(changes *Changes, wire Verdict, now time.Time) {
-	since, seenAt := timeOf(wire.SinceAgeMS, now), timeOf(wire.SeenAgeMS, now)
-	seenAt = latest(seenAt, since)
-	v := verdict{since: since, seenAt: seenAt, incidents: int(wire.Incidents)}
+// clears reports whether a success would change a verdict that the last one known did not.
+func (t *Tracker) clears(member uint64, at time.Time) bool {
+	return slices.ContainsFunc(t.byID(), func(v *verdict) bool {
+		return v.isMember(member) && (v.clearedBy(at) || t.successes[member].IsZero())
+	})
+}
+
+// mergeVerdict adopts or prolongs another router's verdict, as far as the successes that this
+// one knows allow, and answers with those that contradict it.
+func (t *Tracker) mergeVerdict(changes *Changes, v *verdict, now time.Time) {
 	if !now.Add(expiryMargin).Before(v.expiresAt()) {
 		return
 	}
-	if success := t.lastSuccess(wire.Part, now); !success.IsZero() && v.contradictedBy(success) {
-		changes.Answer.Clears = append(changes.Answer.Clears, newClear(wire.Part, success, now))
+	if v = t.uncontradicted(changes, v, now); v == nil {
 		return
 	}
-	if known := t.verdicts[wire.Part]; known != nil {
-		if seenAt.Sub(known.seenAt) > expiryMargin {
-			known.seenAt = seenAt
+	if known := t.verdicts[v.id()]; known != nil {
+		if v.seenAt.Sub(known.seenAt) > expiryMargin {
+			known.seenAt = v.seenAt
 		}
 		return
 	}
-	if t.addVerdict(changes, wire.Part, v) {
-		changes.Quarantined = append(changes.Quarantined, Decision{Part: wire.Part, Since: since, FromPeer: true})
-		changes.News.Verdicts = append(changes.News.Verdicts, newVerdict(wire.Part, &v, now))
+	for _, known := range t.byID() {
+		switch {
+		case v.includes(known), known.undecided() && known.isMember(v.members...) && t.hasCrashesOf(known):
+			// This router knows more, or reports on the crashes that the verdict rests on
+			// show what it makes of its own.
+			return
+		case known.includes(v):
+			delete(t.verdicts, known.id())
+			changes.Narrowed = append(changes.Narrowed, Narrowing{known.id(), v.id(), v.members, CausePeer})
+		}
+	}
+	if t.addVerdict(changes, v, now) {
+		changes.Quarantined = append(changes.Quarantined, Decision{Verdict: v.id(), Members: v.members, Since: v.since, FromPeer: true})
+		changes.News.addVerdict(v, now)
+	}
+}
+
+// hasCrashesOf reports whether this router knows crashes that a verdict rests on.
+func (t *Tracker) hasCrashesOf(v *verdict) bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return !c.at.Before(v.since) && v.isMember(c.parts...) })
+}
+
+// uncontradicted returns another router's verdict without the members that a known success
+// clears, or nil if nothing of it stands.
+func (t *Tracker) uncontradicted(changes *Changes, v *verdict, now time.Time) *verdict {
+	lookup := func(m uint64) time.Time { return t.lastSuccess(m, now) }
+	rest := newVerdictOn(slices.DeleteFunc(slices.Clone(v.members), func(m uint64) bool {
+		success := lookup(m)
+		return !success.IsZero() && v.clearedBy(success)
+	}), v.since, v.seenAt, v.incidents, now)
+	stands := len(rest.members) > 0 && rest.stands(lookup)
+	for _, m := range v.members {
+		success := lookup(m)
+		if success.IsZero() {
+			continue
+		}
+		if v.clearedBy(success) || !stands {
+			changes.Answer.Clears = append(changes.Answer.Clears, newClear(m, success, now))
+		}
+	}
+	if !stands {
+		return nil
+	}
+	for _, m := range rest.members {
+		if success := lookup(m); !success.IsZero() {
+			t.successes[m] = success
+		}
 	}
+	t.limitForeignSuccesses()
+	return rest
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,10 @@
 // Package quarantine finds the requests and the parts of prompts that crash targets. It
 // counts the crashes of targets under each of them since its last success, on this
-// router and on the others with which it exchanges evidence, and gives a verdict on one
-// under which targets crash again and again.
+// router and on the others with which it exchanges evidence. A verdict is on the set of
+// those that were at the same crashes: one of its members is at fault, and the evidence does
+// not tell which. A request with all members is refused. One with some of them is a trial,
+// of which the fleet makes few at a time: its success clears the members that it has, and
+// its crash leaves only those.
 //
 // The package does no I/O; the current time is a parameter. A Tracker is safe for
 // concurrent use. The last part of a prompt belongs to one request alone and is never
@@ -42,11 +45,16 @@
 	// must have crashed, since otherwise the request itself may be the cause.
 	minRequests = 2
 	// minRequestCrashes and minRequestIncidents are the crashes under a request without
-	// a known success, and the incidents among them, from which it is quarantined. With
-	// minAmbiguousCrashes this is so even if another request was at all of its crashes.
+	// a known success, and the incidents among them, from which it is quarantined.
 	minRequestCrashes   = 3
 	minRequestIncidents = 2
-	minAmbiguousCrashes = 5
+	// maxAbsences is the number of crashes of the most suspect part or request at which
+	// another part may have been absent and still be as suspect: one crash in a series may
+	// have had another cause.
+	maxAbsences = 1
+	// reportTime is the time from a crash until the reports of all routers on it have
+	// arrived, even if some were lost and told again.
+	reportTime = time.Second
 	// Crashes within incidentWindow are one incident, because a common cause, such as
 	// the loss of a rack, ends several targets at once. If a request was sent to a target
 	// after the first of them, its crash has another cause; startTolerance allows for times
@@ -100,6 +108,8 @@
 	// StartedAt is when the attempt was sent to its target; zero if that is not known.
 	// Only crashes need it.
 	StartedAt time.Time
+	// OnTrial means that the attempt was admitted as a trial, see Admit. Only crashes need it.
+	OnTrial bool
 }
 
 // LeftOut returns the number of shared parts of the prompt beyond maxParts, which are not
@@ -123,6 +133,15 @@
 	return list
 }
 
+// subjectSet returns the subjects as a set.
+func (r *Request) subjectSet() map[uint64]bool {
+	set := map[uint64]bool{}
+	for _, s := range r.subjects() {
+		set[s] = true
+	}
+	return set
+}
+
 // crash is an attempt that ended because its target crashed.
 type crash struct {
 	// target is the hash of the target's ID.
@@ -134,36 +153,18 @@
 	request uint64
 	// started is when the attempt was sent to the target; zero if that is not known.
 	started time.Time
+	// onTrial means that the attempt was a trial.
+	onTrial bool
 }
 
-// verdict is the verdict on a quarantined part.
-type verdict struct {
-	// since is the first of the crashes that it rests on; a later success lifts it.
-	// seenAt is the last crash or refused request.
-	since, seenAt time.Time
-	// incidents is the number of incidents that it rests on.
-	incidents int
-}
-
-// expiresAt returns when the lifetime of a verdict passes.
-func (v *verdict) expiresAt() time.Time {
-	end, last := v.seenAt.Add(verdictLifetime), v.since.Add(maxVerdictAge)
-	if last.Before(end) {
-		return last
-	}
-	return end
-}
-
-// contradictedBy reports whether a verdict cannot stand beside a success at a time: one
-// since its crashes began, or any one if it rests on few incidents.
-func (v *verdict) contradictedBy(success time.Time) bool {
-	return !success.Before(v.since) || v.incidents < minProvenIncidents
-}
-
-// Decision tells that a part or a request was quarantined and by what.
+// Decision tells that a verdict was given and on what it rests.
 type Decision struct {
-	Part uint64
-	// Request means that it is a request, as far as this router knows.
+	// Verdict is its ID: that of its member, or a hash of several.
+	Verdict uint64
+	// Members are the parts and requests of which one is at fault.
+	Members []uint64
+	// Request means that there is one member, and that it is a request, as far as this
+	// router knows.
 	Request bool
 	// Incidents and Crashes count what the verdict rests on; zero if another router gave
 	// it. Since is the time of the first of these crashes.
@@ -171,9 +172,6 @@
 	Since              time.Time
 	// FromPeer means that another router gave the verdict.
 	FromPeer bool
-	// Alike is the number of other parts and requests that were at the same incidents without
-	// a success since, so that the evidence does not tell them apart.
-	Alike int
 }
 
 // Cause is why a verdict ended.
@@ -185,14 +183,26 @@
 	CauseSuccess Cause = "success"
 	// CauseExpired means that the lifetime of the verdict passed.
 	CauseExpired Cause = "expired"
+	// CauseCrash means that targets crashed under other members only.
+	CauseCrash Cause = "crash"
+	// CausePeer means that another router knows more.
+	CausePeer Cause = "peer"
 	// CauseReplaced means that the number of verdicts reached its limit.
 	CauseReplaced Cause = "replaced"
 )
 
-// Lift tells that the verdict on a part or a request ended.
+// Lift tells that a verdict ended.
 type Lift struct {
-	Part  uint64
-	Cause Cause
+	Verdict uint64
+	Cause   Cause
+}
+
+// Narrowing tells that a verdict was replaced by one on some of its members, because of a
+// success with the others or crashes without them.
+type Narrowing struct {
+	From, To uint64
+	Members  []uint64
+	Cause    Cause
 }
 
 // Changes is the result of a call that records something.
@@ -202,6 +212,7 @@
 	// Answer contradicts a verdict of the router whose evidence was merged.
 	Answer      Evidence
 	Quarantined []Decision
+	Narrowed    []Narrowing
 	Lifted      []Lift
 }
 
@@ -210,6 +221,7 @@
 	c.News.add(later.News)
 	c.Answer.add(later.Answer)
 	c.Quarantined = append(c.Quarantined, later.Quarantined...)
+	c.Narrowed = append(c.Narrowed, later.Narrowed...)
 	c.Lifted = append(c.Lifted, later.Lifted...)
 }
 
@@ -227,7 +239,8 @@
 	// successes holds the last known success with a part; parts of no known crash are
 	// there only if another router told of them.
 	successes map[uint64]time.Time
-	verdicts  map[uint64]*verdict
+	// verdicts holds the verdicts by their ID.
+	verdicts map[uint64]*verdict
 	// seenParts and seenRequests hold the last successes of this router.
 	seenParts, seenRequests recentSuccesses
 	// exports counts the calls of Export, which takes up the list of evidence that
@@ -240,33 +253,16 @@
 	return &Tracker{suspects: map[uint64]time.Time{}, successes: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}}
 }
 
-// Blocked returns the first quarantined part of a request's prompt, or its digest if the
-// request itself is quarantined, and the time for which the verdict lasts, or false if
-// there is none.
-func (t *Tracker) Blocked(r Request, now time.Time) (part uint64, remaining time.Duration, ok bool) {
-	if t.blocked.Load() == 0 {
-		return 0, 0, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, subject := range r.subjects() {
-		if v := t.verdicts[subject]; v != nil && now.Before(v.expiresAt()) {
-			return subject, v.expiresAt().Sub(now), true
-		}
-	}
-	return 0, 0, false
-}
-
-// QuarantinedParts returns the number of quarantined parts and requests.
+// QuarantinedParts returns the number of verdicts on parts and requests.
 func (t *Tracker) QuarantinedParts() int {
 	return int(t.blocked.Load())
 }
 
-// RecordRefusal records that a request was refused for a quarantined part or digest.
-func (t *Tracker) RecordRefusal(part uint64, now time.Time) {
+// RecordRefusal records that a request was refused for a verdict.
+func (t *Tracker) RecordRefusal(id uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if v := t.verdicts[part]; v != nil {
+	if v := t.verdicts[id]; v != nil {
 		v.seenAt = latest(v.seenAt, now)
 	}
 }
@@ -274,7 +270,7 @@
 // RecordCrash records an attempt that ended at time at because its target crashed before
 // it had written ClearingEvents events.
 func (t *Tracker) RecordCrash(r Request, target fleet.TargetID, at, now time.Time) Changes {
-	c := crash{target: target.Hash(), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt}
+	c := crash{target: target.Hash(), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt, onTrial: r.OnTrial}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
@@ -292,17 +288,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
+	members := t.members()
 	for _, subject := range r.subjects() {
 		if subject == r.Digest {
 			t.seenRequests.record(subject, now)
 		} else {
 			t.seenParts.record(subject, now)
 		}
-		if _, suspect := t.suspects[subject]; suspect || t.verdicts[subject] != nil {
+		if _, suspect := t.suspects[subject]; suspect || members[subject] {
 			t.addSuccess(&changes, subject, now, now)
 		}
 	}
-	if len(changes.Lifted) > 0 {
+	if len(changes.Lifted)+len(changes.Narrowed) > 0 {
 		t.decide(&changes, now)
 	}
 	t.updateCounts()
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -30,7 +30,9 @@
 		if success := t.lastSuccess(part, now); !success.IsZero() {
 			t.successes[part] = success
 		}
-		if v := t.verdicts[part]; v != nil {
+	}
+	for _, v := range t.verdicts {
+		if v.isMember(c.parts...) {
 			v.seenAt = latest(v.seenAt, c.at)
 		}
 	}
@@ -124,8 +126,8 @@
 }
 
 // addSuccess records a success with a part, which voids the crashes of the part that are
-// not later, and lifts a verdict that it contradicts. It is news if it does one of these
-// or is the first one with a suspect. t.mu must be held.
+// not later, and takes it out of the verdicts that it contradicts. It is news if it does one
+// of these or is the first one with a suspect. t.mu must be held.
 func (t *Tracker) addSuccess(changes *Changes, part uint64, at, now time.Time) {
 	before := t.successes[part]
 	if !at.After(before) {
@@ -133,12 +135,10 @@
 	}
 	_, suspect := t.suspects[part]
 	news := t.crashedBetween(part, before, at) || (suspect && before.IsZero())
-	if v := t.verdicts[part]; v != nil && v.contradictedBy(at) {
-		delete(t.verdicts, part)
-		changes.Lifted = append(changes.Lifted, Lift{part, CauseSuccess})
+	t.successes[part] = at
+	if t.clearMember(changes, part, now) {
 		news = true
 	}
-	t.successes[part] = at
 	if !suspect {
 		t.limitForeignSuccesses()
 	}
@@ -157,35 +157,3 @@
 		return c.at.After(from) && !c.at.After(to) && slices.Contains(c.parts, part)
 	})
 }
-
-// dropExpiredVerdicts drops the verdicts whose lifetime has passed; t.mu must be held.
-func (t *Tracker) dropExpiredVerdicts(changes *Changes, now time.Time) {
-	for part, v := range t.verdicts {
-		if !now.Before(v.expiresAt()) {
-			delete(t.verdicts, part)
-			changes.Lifted = append(changes.Lifted, Lift{part, CauseExpired})
-		}
-	}
-}
-
-// addVerdict adds a verdict and reports whether there is room for it: of more than
-// maxVerdicts the one that was not seen for the longest time is dropped. t.mu must be
-// held.
-func (t *Tracker) addVerdict(changes *Changes, part uint64, v verdict) bool {
-	t.verdicts[part] = &v
-	if len(t.verdicts) <= maxVerdicts {
-		return true
-	}
-	oldest := part
-	for other, w := range t.verdicts {
-		if c := w.seenAt.Compare(t.verdicts[oldest].seenAt); c < 0 || (c == 0 && other < oldest) {
-			oldest = other
-		}
-	}
-	delete(t.verdicts, oldest)
-	if oldest == part {
-		return false
-	}
-	changes.Lifted = append(changes.Lifted, Lift{oldest, CauseReplaced})
-	return true
-}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -44,6 +44,7 @@
 	HomeUnreachable    Code = "home-unreachable"
 	RetryBudget        Code = "retry-budget"
 	PromptQuarantined  Code = "prompt-quarantined"
+	PromptSuspected    Code = "prompt-suspected"
 	RequestQuarantined Code = "request-quarantined"
 	TargetLimit        Code = "target-limit"
 	TargetsWantQuiet   Code = "targets-want-quiet"
@@ -126,6 +127,7 @@
 	StreamVersionsUnconfirmed: {503, true, "This router cannot tell which software versions are in service. Another router may begin the stream."},
 	StreamVersionGone:         {503, false, "No target runs the software version that began the stream. Start the stream anew."},
 	PromptQuarantined:         {503, true, "Targets crashed again and again under a part of the prompt."},
+	PromptSuspected:           {503, true, "Targets crashed again and again under prompts that share parts with this one; such requests are tried a few at a time."},
 	StreamBroken:              {502, true, "The answer broke off and could not be resumed."},
 	AnswerTruncated:           {502, true, "The target's answer was not whole."},
 	AnswerMismatch:            {502, true, "The target answered for another attempt."},
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -8,6 +9,7 @@
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/outcome"
 	"ragwortpond.example/ragwortpond/quarantine"
 	"ragwortpond.example/ragwortpond/reason"
 )
@@ -16,12 +18,15 @@
 // whose verdict may be lifted earlier than it expires.
 const maxQuarantineRetryAfter = 30 * time.Second
 
-// quarantinedPart is a quarantined part of a request's prompt, or the digest of a
-// quarantined request.
-type quarantinedPart struct {
-	id        uint64
+// maxSuspectRetryAfter bounds the mean Retry-After of requests that wait for the trial of another
+// one.
+const maxSuspectRetryAfter = time.Second
+
+// quarantinedAs is the verdict for which a request is refused.
+type quarantinedAs struct {
+	quarantine.Admission
+	// isRequest means that it is on the request itself.
 	isRequest bool
-	remaining time.Duration
 }
 
 // asked returns what the request asks of its target. It needs the body.
@@ -36,26 +41,40 @@
 	return quarantine.Request{Prompt: s.call.Prompt, Digest: s.digest}
 }
 
-// findQuarantined reports whether the request or a part of its prompt is quarantined, and
-// records that this kept the request from a target.
+// findQuarantined reports whether a verdict keeps the request from a target, and records that.
 func (s *requestState) findQuarantined() bool {
-	now := time.Now()
 	if s.relay.evidence.QuarantinedParts() == 0 {
 		return false
 	}
-	asked := s.asked()
-	id, remaining, ok := s.relay.evidence.Blocked(asked, now)
-	if !ok {
-		return false
+	now, asked := time.Now(), s.asked()
+	admission := s.admission(asked, now)
+	switch {
+	case admission.Standing == quarantine.OnTrial:
+		s.onTrial = true
+		s.Log(event.SuspectTried).Str("verdict", partName(admission.Verdict)).Int("attempts", s.attempts).Send()
+	case !admission.Admitted():
+		s.quarantined = &quarantinedAs{admission, admission.Verdict == asked.Digest}
+		s.relay.evidence.RecordRefusal(admission.Verdict, now)
+		s.Log(event.PromptRefused).Str("part", partName(admission.Verdict)).Bool("request_itself", s.quarantined.isRequest).
+			Bool("undecided", admission.Standing == quarantine.Waiting).Dur("left", admission.Remaining).Int("attempts", s.attempts).Send()
+	}
+	return !admission.Admitted()
+}
+
+// admission returns whether the verdicts allow the next attempt. A request on trial that has
+// reached no target yet needs no second trial.
+func (s *requestState) admission(asked quarantine.Request, now time.Time) quarantine.Admission {
+	if s.onTrial && s.current.retryEnd(s.events).Outcome == outcome.NotDispatched {
+		if id, remaining, ok := s.relay.evidence.Blocked(asked, now); ok {
+			return quarantine.Admission{Standing: quarantine.Quarantined, Verdict: id, Remaining: remaining}
+		}
+		return quarantine.Admission{}
 	}
-	s.quarantined = &quarantinedPart{id, id == asked.Digest, remaining}
-	s.relay.evidence.RecordRefusal(id, now)
-	s.Log(event.PromptRefused).Str("part", partName(id)).Bool("request_itself", s.quarantined.isRequest).Dur("left", remaining).Int("attempts", s.attempts).Send()
-	return true
+	return s.relay.evidence.Admit(asked, quarantine.Fleet{Routers: s.relay.routerCount(), Draw: rand.Float64()}, now)
 }
 
-// admitUnlessQuarantined refuses the request if it or a part of its prompt is quarantined,
-// and reports whether it was admitted.
+// admitUnlessQuarantined refuses the request if a verdict keeps it from all targets for now, and
+// reports whether it was admitted.
 func (s *requestState) admitUnlessQuarantined() bool {
 	if !s.findQuarantined() {
 		return true
@@ -64,14 +83,17 @@
 	return false
 }
 
-// refuseQuarantined refuses a request that has not run because it or a part of its prompt
-// is quarantined.
+// refuseQuarantined refuses a request that has not run because of a verdict.
 func (s *requestState) refuseQuarantined() {
-	code := reason.PromptQuarantined
-	if s.quarantined.isRequest {
-		code = reason.RequestQuarantined
+	switch {
+	case s.quarantined.Standing == quarantine.Waiting:
+		// Trials of other routers may end the wait earlier.
+		s.refuse(reason.PromptSuspected, min(s.quarantined.Remaining, maxSuspectRetryAfter))
+	case s.quarantined.isRequest:
+		s.refuse(reason.RequestQuarantined, min(s.quarantined.Remaining, maxQuarantineRetryAfter))
+	default:
+		s.refuse(reason.PromptQuarantined, min(s.quarantined.Remaining, maxQuarantineRetryAfter))
 	}
-	s.refuse(code, min(s.quarantined.remaining, maxQuarantineRetryAfter))
 }
 
 // recordProgress records a success of the request once the current attempt has forwarded
@@ -92,7 +114,7 @@
 		s.relay.reportChanges(s.relay.evidence.RecordSuccess(s.asked(), time.Now()))
 	case !started && brokenByTarget(result.err):
 		asked := s.asked()
-		asked.StartedAt = sentAt
+		asked.StartedAt, asked.OnTrial = sentAt, s.onTrial
 		s.relay.checkCrash(t, brokenAttempt{s.call.ID, asked, time.Now()})
 	}
 }
@@ -107,11 +129,15 @@
 
 func (r *Relay) logChanges(changes quarantine.Changes) {
 	for _, lift := range changes.Lifted {
-		event.QuarantineLifted.Log(r.cfg.Log).Str("part", partName(lift.Part)).Str("cause", string(lift.Cause)).Send()
+		event.QuarantineLifted.Log(r.cfg.Log).Str("verdict", partName(lift.Verdict)).Str("cause", string(lift.Cause)).Send()
 	}
 	for _, d := range changes.Quarantined {
-		event.PartQuarantined.Log(r.cfg.Log).Str("part", partName(d.Part)).Bool("request_itself", d.Request).Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).
-			Int("crashes", d.Crashes).Int("alike", d.Alike).Dur("age", time.Since(d.Since)).Send()
+		event.PartQuarantined.Log(r.cfg.Log).Str("verdict", partName(d.Verdict)).Strs("parts", partNames(d.Members)).Bool("request_itself", d.Request).
+			Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).Int("crashes", d.Crashes).Dur("age", time.Since(d.Since)).Send()
+	}
+	for _, n := range changes.Narrowed {
+		event.QuarantineNarrowed.Log(r.cfg.Log).Str("before", partName(n.From)).Str("verdict", partName(n.To)).Strs("parts", partNames(n.Members)).
+			Str("cause", string(n.Cause)).Send()
 	}
 }
 
@@ -120,6 +146,14 @@
 	return strconv.FormatUint(part, 36)
 }
 
+func partNames(parts []uint64) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, partName(part))
+	}
+	return names
+}
+
 func sharedPartNames(prompt []call.Part) []string {
 	var names []string
 	for _, part := range call.SharedParts(prompt) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -156,9 +156,10 @@
 	sent bool
 	// digest stands for what the request asks; zero until asked has computed it.
 	digest uint64
-	// quarantined is set once the request, or a part of its prompt, was found to be
-	// quarantined.
-	quarantined *quarantinedPart
+	// quarantined is set once a verdict kept the request from a target, onTrial once it was
+	// admitted although a verdict concerns it.
+	quarantined *quarantinedAs
+	onTrial     bool
 	// limited is set once no target was left because of the limits that targets name.
 	limited bool
 	// quietFor is the time until the first target takes requests again, once none was left
