quarantine, mesh: a crash is held against all parts of a prompt, told in pieces

Cause: a crash was held against the last 32 shared parts of a prompt, so that one before them was never found; a report of some 150 parts was longer than a datagram and was left out of it.

Change: all parts count, up to 1,024, and of more those with the lowest IDs, which are hashes. Reports travel in pieces with the number of parts of the whole; nothing is concluded from the absence of a part from a prompt that is not known whole. Over the bound on all parts those of a single crash go first. What is pushed to other routers is bounded by bytes. Reaching a bound is logged (evidence-trimmed, evidence-not-pushed).

quarantine.TestSplitKeepsAll wanted a long crash in one piece of any length; TestLongCrashTravelsInPieces wants pieces of at most the given length, and all parts.

--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/quarantine"
 )
 
@@ -18,6 +19,10 @@
 	// have it after four steps; the next full heartbeats reach the others.
 	smallFleet     = 16
 	evidenceFanout = 6
+	// pushedBytesPerSecond and maxPushedBytes bound the evidence that a router sends for its
+	// sake. What is over them travels in full heartbeats.
+	pushedBytesPerSecond = 4 << 10
+	maxPushedBytes       = 1 << 20
 )
 
 // EvidenceStore holds a router's evidence on parts of prompts that crash targets. It must
@@ -79,6 +84,10 @@
 // sendEvidence sends evidence to each address, in as many heartbeats as it needs.
 func (m *Mesh) sendEvidence(e quarantine.Evidence, addrs []netip.AddrPort) {
 	for _, piece := range e.Split(maxPushedEvidenceBytes) {
+		if !m.pushes.AllowN(time.Now(), piece.Size()*len(addrs)) {
+			event.EvidenceNotPushed.Log(m.cfg.Log).Int("crashes", len(piece.Crashes)).Int("verdicts", len(piece.Verdicts)+len(piece.Sets)).Send()
+			continue
+		}
 		hb := m.newHeartbeat()
 		hb.Evidence = &piece
 		m.send(hb, addrs)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/directory"
@@ -126,6 +127,8 @@
 	http        *http.Client
 	fleetSize   atomic.Int64
 	leaving     atomic.Bool
+	// pushes bounds the bytes of evidence that are sent at once.
+	pushes *rate.Limiter
 
 	mu            sync.Mutex
 	table         *Table
@@ -187,7 +190,7 @@
 	m := &Mesh{
 		cfg: cfg, incarnation: time.Now().UnixNano(), startedAt: time.Now(), conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		table: NewTable(cfg.Self, cfg.Domain, cfg.Strength), loads: map[fleet.TargetID]loadSample{}, targetsByHash: map[uint32]fleet.TargetID{}, coldTargets: map[fleet.TargetID]coldTarget{},
-		permits: permitRequests{silentUntil: map[fleet.RouterID]time.Time{}},
+		permits: permitRequests{silentUntil: map[fleet.RouterID]time.Time{}}, pushes: rate.NewLimiter(pushedBytesPerSecond, maxPushedBytes),
 	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return netconn.Dial(ctx, addr) },
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -147,7 +147,7 @@
 		if suspect == nil {
 			return
 		}
-		v := newVerdictOn(membersLike(suspect, list), suspect.first, suspect.last, suspect.incidents, suspect.last)
+		v := newVerdictOn(t.membersLike(suspect, list), suspect.first, suspect.last, suspect.incidents, suspect.last)
 		condemned = append(condemned, v)
 		if !now.Before(v.expiresAt()) || !t.addVerdict(changes, v, now) {
 			continue
@@ -178,32 +178,38 @@
 		return false
 	}
 	unsettled := func(s sighting) bool { return s.at.After(now.Add(-SettleTime)) }
+	never := func(sighting) bool { return false }
 	for _, other := range list {
-		if other.request && other != t && t.absences(other, unsettled) == 0 && t.absences(other, isSettled) > 0 {
+		if other.request && other != t && t.absences(other, unsettled) == 0 && t.absences(other, never) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// membersLike returns the suspect and all that are as suspect, as far as the crashes tell.
-func membersLike(suspect *tally, list map[uint64]*tally) []uint64 {
+// membersLike returns the suspect and all that are as suspect, as far as the crashes tell. Nothing
+// is known to be absent from a prompt of which parts are missing.
+func (t *Tracker) membersLike(suspect *tally, list map[uint64]*tally) []uint64 {
 	members := []uint64{suspect.subject}
+	var incomplete []sighting
+	for _, c := range t.crashes {
+		if c.incomplete() {
+			incomplete = append(incomplete, sighting{c.target, c.at})
+		}
+	}
+	isOpen := func(s sighting) bool { return slices.ContainsFunc(incomplete, s.same) }
 	for subject, other := range list {
 		allowed := maxAbsences
 		if other.request {
 			allowed = 0
 		}
-		if other != suspect && other.suspicious(allowed) && suspect.absences(other, isSettled) <= allowed {
+		if other != suspect && other.suspicious(allowed) && suspect.absences(other, isOpen) <= allowed {
 			members = append(members, subject)
 		}
 	}
 	return members
 }
 
-// isSettled means that all reports on a crash have arrived.
-func isSettled(sighting) bool { return false }
-
 // updateByCrashes takes those members out of verdicts that were not at a crash of others since
 // the verdict was given.
 func (t *Tracker) updateByCrashes(changes *Changes, now time.Time) {
@@ -231,7 +237,7 @@
 		present := slices.DeleteFunc(slices.Clone(rest), func(m uint64) bool {
 			return !slices.ContainsFunc(together, func(i int) bool {
 				c := &t.crashes[i]
-				return !explained.wholly[i] && c.at.After(t.successes[m]) && slices.Contains(c.parts, m)
+				return !explained.wholly[i] && c.at.After(t.successes[m]) && (slices.Contains(c.parts, m) || c.incomplete())
 			})
 		})
 		if len(present) == 0 {
@@ -255,7 +261,8 @@
 			continue
 		}
 		for _, part := range c.parts {
-			if !c.at.After(t.successes[part]) || explained.members[part] || explained.besideCulprit(i, part) {
+			// What was at one crash only is not as suspect as others.
+			if t.suspects[part].crashes < 2 || !c.at.After(t.successes[part]) || explained.members[part] || explained.besideCulprit(i, part) {
 				continue
 			}
 			if list[part] == nil {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -19,6 +19,9 @@
 	Sets []SetVerdict `cbor:"6,keyasint,omitempty"`
 	// Trials holds the indices of those Crashes whose attempt was a trial, in order.
 	Trials []uint16 `cbor:"7,keyasint,omitempty"`
+	// Totals holds the number of shared parts of the prompt of each crash, in the order of
+	// Crashes, if one of them tells fewer; others tell the rest. It is empty otherwise.
+	Totals []uint16 `cbor:"8,keyasint,omitempty"`
 }
 
 // Crash is an attempt that ended because its target crashed.
@@ -74,11 +77,11 @@
 const maxSetMembers = 64
 
 // Upper bounds of the CBOR encoding in bytes: a part or digest takes up to 9 bytes, a
-// target, an age or a duration up to 5, an index up to 3, the head of a list 1 to 3. A crash
+// target, an age or a duration up to 5, an index or a number of parts up to 3, the head of a list 1 to 3. A crash
 // includes its attempt.
 const (
-	evidenceBytes  = 25
-	crashBytes     = 31
+	evidenceBytes  = 29
+	crashBytes     = 34
 	crashPartBytes = 9
 	clearBytes     = 15
 	verdictBytes   = 22
@@ -112,8 +115,8 @@
 }
 
 func (e *Evidence) add(other Evidence) {
-	for i, c := range other.Crashes {
-		e.addCrash(c, other.attempt(i), other.wasTrial(i))
+	for i := range other.Crashes {
+		e.addReport(other.report(i))
 	}
 	e.Clears = append(e.Clears, other.Clears...)
 	e.Verdicts = append(e.Verdicts, other.Verdicts...)
@@ -149,30 +152,66 @@
 	return list
 }
 
-// addCrash adds a crash and its attempt.
-func (e *Evidence) addCrash(c Crash, a Attempt, onTrial bool) {
-	if onTrial {
-		e.Trials = append(e.Trials, uint16(len(e.Crashes)))
+// report is a crash with all that is told of it.
+type report struct {
+	Crash
+	attempt Attempt
+	onTrial bool
+	total   int
+}
+
+// earlierMaxParts is the number of parts to which earlier builds cut prompts without telling.
+const earlierMaxParts = 32
+
+// report returns what is told of crash i.
+func (e *Evidence) report(i int) report {
+	r := report{Crash: e.Crashes[i], onTrial: i <= math.MaxUint16 && slices.Contains(e.Trials, uint16(i)), total: len(e.Crashes[i].Parts)}
+	if i < len(e.Attempts) {
+		r.attempt = e.Attempts[i]
 	}
-	e.Crashes = append(e.Crashes, c)
-	e.Attempts = append(e.Attempts, a)
+	switch {
+	case i < len(e.Totals):
+		r.total = max(r.total, int(e.Totals[i]))
+	case r.total == earlierMaxParts:
+		r.total++
+	}
+	return r
 }
 
-// attempt returns the attempt of crash i, or the zero Attempt if nothing is known of it.
-func (e *Evidence) attempt(i int) Attempt {
-	if i >= len(e.Attempts) {
-		return Attempt{}
+// addReport adds what is told of a crash.
+func (e *Evidence) addReport(r report) {
+	n := len(e.Crashes)
+	if r.onTrial {
+		e.Trials = append(e.Trials, uint16(n))
+	}
+	if len(e.Totals) == 0 && (r.total != len(r.Parts) || r.total == earlierMaxParts) {
+		for _, c := range e.Crashes {
+			e.Totals = append(e.Totals, uint16(len(c.Parts)))
+		}
 	}
-	return e.Attempts[i]
+	if len(e.Totals) > 0 || r.total != len(r.Parts) || r.total == earlierMaxParts {
+		e.Totals = append(e.Totals, uint16(min(r.total, math.MaxUint16)))
+	}
+	e.Crashes = append(e.Crashes, r.Crash)
+	e.Attempts = append(e.Attempts, r.attempt)
 }
 
-// wasTrial reports whether the attempt of crash i was a trial.
-func (e *Evidence) wasTrial(i int) bool {
-	return i <= math.MaxUint16 && slices.Contains(e.Trials, uint16(i))
+// split divides what is told of a crash into reports with up to n parts.
+func (r report) split(n int) []report {
+	var pieces []report
+	for parts := range slices.Chunk(r.Parts, max(n, 1)) {
+		piece := r
+		piece.Parts = parts
+		pieces = append(pieces, piece)
+	}
+	if len(pieces) == 0 {
+		pieces = []report{r}
+	}
+	return pieces
 }
 
 // Split divides the evidence so that no piece is encoded in more than maxBytes, unless it
-// holds a single crash. Verdicts come first.
+// holds a single verdict. The parts of one crash may be in several pieces. Verdicts come first.
 func (e Evidence) Split(maxBytes int) []Evidence {
 	var pieces []Evidence
 	current := Evidence{}
@@ -190,9 +229,11 @@
 		makeRoom(v.size())
 		current.Sets = append(current.Sets, v)
 	}
-	for i, c := range e.Crashes {
-		makeRoom(c.size())
-		current.addCrash(c, e.attempt(i), e.wasTrial(i))
+	for i := range e.Crashes {
+		for _, r := range e.report(i).split((maxBytes - evidenceBytes - crashBytes) / crashPartBytes) {
+			makeRoom(r.size())
+			current.addReport(r)
+		}
 	}
 	for _, c := range e.Clears {
 		makeRoom(clearBytes)
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -64,21 +64,27 @@
 	}
 }
 
+// exportedParts is the number of parts of a crash that are exported together.
+const exportedParts = 8
+
 func (t *Tracker) exportCrashes(e *Evidence, left *int, now time.Time) {
 	var list []crash
 	total := 0
 	explained := t.newExplanation(t.decidedVerdicts())
 	for i, c := range slices.Backward(t.crashes) {
-		if now.Sub(c.at) < crashLifetime-expiryMargin && !explained.wholly[i] && t.counts(c) {
-			list = append(list, c)
-			total += t.exportSize(c)
+		if now.Sub(c.at) >= crashLifetime-expiryMargin || explained.wholly[i] || !t.counts(c) {
+			continue
+		}
+		for _, piece := range t.exportedPieces(c) {
+			list = append(list, piece)
+			total += t.exportSize(piece)
 		}
 	}
 	if total > *left {
 		list = rotate(list, t.exports)
 	}
 	for i, c := range list {
-		// The first one is exported even if its prompt is too long.
+		// The first one is exported even if it is too long.
 		if size := t.exportSize(c); size <= *left || (i == 0 && len(e.Verdicts)+len(e.Sets) == 0) {
 			*left -= size
 			t.reportCrash(e, c, now)
@@ -86,6 +92,27 @@
 	}
 }
 
+// exportedPieces divides a crash into such with up to exportedParts parts, first those that
+// other crashes have too.
+func (t *Tracker) exportedPieces(c crash) []crash {
+	shared := c.sharedParts()
+	if len(shared) <= exportedParts {
+		return []crash{c}
+	}
+	sorted := slices.SortedStableFunc(slices.Values(shared), func(a, b uint64) int {
+		return cmp.Compare(min(t.suspects[b].crashes, 2), min(t.suspects[a].crashes, 2))
+	})
+	var pieces []crash
+	for parts := range slices.Chunk(sorted, exportedParts) {
+		piece := c
+		if piece.parts = slices.Clone(parts); c.request != 0 {
+			piece.parts = append(piece.parts, c.request)
+		}
+		pieces = append(pieces, piece)
+	}
+	return pieces
+}
+
 // decidedVerdicts returns the verdicts whose crashes tell other routers nothing more.
 func (t *Tracker) decidedVerdicts() []*verdict {
 	return slices.DeleteFunc(t.byID(), (*verdict).undecided)
@@ -98,7 +125,7 @@
 
 // reportCrash adds a crash and the last successes with its parts.
 func (t *Tracker) reportCrash(e *Evidence, c crash, now time.Time) {
-	e.addCrash(Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.attempt(), c.onTrial)
+	e.addReport(report{Crash{TargetHash: c.target, AgeMS: ageMS(c.at, now), Parts: c.sharedParts()}, c.attempt(), c.onTrial, c.total})
 	for _, part := range c.parts {
 		if success, ok := t.successes[part]; ok {
 			e.addClear(newClear(part, success, now))
@@ -124,13 +151,13 @@
 }
 
 // newCrash returns the crash that another router reported.
-func newCrash(c Crash, a Attempt, onTrial bool, now time.Time) crash {
-	merged := crash{target: c.TargetHash, at: timeOf(c.AgeMS, now), parts: c.Parts, request: a.Digest, onTrial: onTrial}
-	if a.Digest != 0 {
-		merged.parts = slices.Concat(c.Parts, []uint64{a.Digest})
+func newCrash(r report, now time.Time) crash {
+	merged := crash{target: r.TargetHash, at: timeOf(r.AgeMS, now), parts: r.Parts, total: r.total, request: r.attempt.Digest, onTrial: r.onTrial}
+	if r.attempt.Digest != 0 {
+		merged.parts = slices.Concat(r.Parts, []uint64{r.attempt.Digest})
 	}
-	if a.RunMS > 0 {
-		merged.started = timeOf(a.RunMS-1, merged.at)
+	if r.attempt.RunMS > 0 {
+		merged.started = timeOf(r.attempt.RunMS-1, merged.at)
 	}
 	return merged
 }
@@ -156,7 +183,7 @@
 func (t *Tracker) exportClears(e *Evidence, left *int, now time.Time) {
 	var list []Clear
 	for part, at := range t.successes {
-		if last, suspect := t.suspects[part]; suspect && !last.After(at) && now.Sub(at) < clearExportTime {
+		if known, suspect := t.suspects[part]; suspect && !known.last.After(at) && now.Sub(at) < clearExportTime {
 			list = append(list, newClear(part, at, now))
 		}
 	}
@@ -191,9 +218,12 @@
 	var changes Changes
 	var added []crash
 	for i, c := range e.Crashes[:min(len(e.Crashes), maxMergedCrashes)] {
-		merged := newCrash(c, e.attempt(i), e.wasTrial(i), now)
-		if len(c.Parts) <= maxParts && now.Sub(merged.at) < crashLifetime-expiryMargin && t.addCrash(merged, now) {
-			added = append(added, merged)
+		merged := newCrash(e.report(i), now)
+		if len(c.Parts) > maxParts || now.Sub(merged.at) >= crashLifetime-expiryMargin {
+			continue
+		}
+		if gained, ok := t.addCrash(&changes, merged, now); ok {
+			added = append(added, gained)
 		}
 	}
 	for _, c := range e.Clears[:min(len(e.Clears), maxMergedClears)] {
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -34,8 +34,9 @@
 	crashesBeforeBound = 5
 	maxLateCrashes     = 3
 	// minJudged is the number of sound requests from which their share is judged.
-	minJudged     = 20
-	modelMaxBytes = 200
+	minJudged           = 20
+	modelMaxBytes       = 200
+	modelMaxPushedBytes = 1000
 )
 
 // modelFleet is a fleet of routers that exchange evidence over links that lose some of it.
@@ -74,9 +75,11 @@
 	if e.Empty() {
 		return
 	}
-	for to := range f.trackers {
-		if to != from && !f.lost() {
-			f.deliver(from, to, e)
+	for _, piece := range e.Split(modelMaxPushedBytes) {
+		for to := range f.trackers {
+			if to != from && !f.lost() {
+				f.deliver(from, to, piece)
+			}
 		}
 	}
 }
@@ -312,8 +315,15 @@
 		alwaysAll := rapid.Bool().Draw(r, "all crashing requests alike")
 		soundPerSecond := rapid.IntRange(1, 10).Draw(r, "sound requests a second")
 		router := func() int { return f.links.IntN(len(f.trackers)) }
-		// withFirst returns a prompt of the first part of all and the given ones in random order.
+		own := rapid.SampledFrom([]int{0, 0, 1, 40}).Draw(r, "parts of one prompt only")
+		next := uint64(1 << 40)
+		// withFirst returns a prompt of the first part of all, the given ones and own ones in random
+		// order.
 		withFirst := func(parts ...uint64) []call.Part {
+			for range own {
+				next++
+				parts = append(parts, next)
+			}
 			f.links.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 			return prompt(append([]uint64{first}, parts...)...)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,13 +85,15 @@
 
 // Limits of the state.
 const (
-	// maxParts is the number of shared parts of a prompt that are considered, counted
-	// from the last one.
-	maxParts = 32
-	// maxCrashes and maxCrashParts bound the known crashes and the sum of their parts;
-	// the oldest crashes are dropped first.
+	// maxParts is the number of shared parts of a prompt that a crash is held against. Of more
+	// the lowest IDs are taken, which are hashes: those at all routers, at any place.
+	maxParts = 1024
+	// maxCrashes and maxCrashParts bound the known crashes and the sum of their parts. Parts
+	// of a single crash are dropped first, the oldest first, then the oldest crashes.
 	maxCrashes    = 512
-	maxCrashParts = 2048
+	maxCrashParts = 16384
+	// trimmedCrashParts is the sum down to which parts of single crashes are dropped then.
+	trimmedCrashParts = 12288
 	// maxForeignSuccesses bounds the successes received from others with parts of no
 	// known crash, whose crash may be in transit.
 	maxForeignSuccesses = 256
@@ -112,21 +115,28 @@
 	OnTrial bool
 }
 
-// LeftOut returns the number of shared parts of the prompt beyond maxParts, which are not
-// considered.
+// sharedParts returns the shared parts of the prompt, each once.
+func (r *Request) sharedParts() []uint64 {
+	shared := call.SharedParts(r.Prompt)
+	list, known := make([]uint64, 0, len(shared)+1), make(map[uint64]bool, len(shared))
+	for _, p := range shared {
+		if !known[p.ID] {
+			known[p.ID] = true
+			list = append(list, p.ID)
+		}
+	}
+	return list
+}
+
+// LeftOut returns the number of shared parts of the prompt that a crash is not held against.
 func (r *Request) LeftOut() int {
-	return max(len(call.SharedParts(r.Prompt))-maxParts, 0)
+	return max(len(r.sharedParts())-maxParts, 0)
 }
 
-// subjects returns what a crash under the request may be held against: the last maxParts
-// shared parts of its prompt in order, and then its digest if that is known.
+// subjects returns what a success with the request clears: the shared parts of its prompt, and then
+// its digest if that is known.
 func (r *Request) subjects() []uint64 {
-	shared := call.SharedParts(r.Prompt)
-	shared = shared[max(len(shared)-maxParts, 0):]
-	list := make([]uint64, 0, len(shared)+1)
-	for _, p := range shared {
-		list = append(list, p.ID)
-	}
+	list := r.sharedParts()
 	if r.Digest != 0 {
 		list = append(list, r.Digest)
 	}
@@ -142,14 +152,29 @@
 	return set
 }
 
+// crashAt returns the crash of a target under the request.
+func (r *Request) crashAt(target uint32, at time.Time) crash {
+	shared := r.sharedParts()
+	c := crash{target: target, at: at, parts: shared, total: len(shared), request: r.Digest, started: r.StartedAt, onTrial: r.OnTrial}
+	if len(shared) > maxParts {
+		slices.Sort(shared)
+		c.parts = shared[:maxParts:maxParts]
+	}
+	if r.Digest != 0 {
+		c.parts = append(c.parts, r.Digest)
+	}
+	return c
+}
+
 // crash is an attempt that ended because its target crashed.
 type crash struct {
 	// target is the hash of the target's ID.
 	target uint32
 	at     time.Time
-	// parts are the subjects of the request, and request is the last of them if that is
-	// its digest, or zero.
+	// parts are the known shared parts of the request and then its digest, which is request,
+	// or zero if it is not known. total is the number of shared parts.
 	parts   []uint64
+	total   int
 	request uint64
 	// started is when the attempt was sent to the target; zero if that is not known.
 	started time.Time
@@ -214,6 +239,9 @@
 	Quarantined []Decision
 	Narrowed    []Narrowing
 	Lifted      []Lift
+	// Trimmed is the number of crashes of which parts were dropped, or all, because of the
+	// limits of the state.
+	Trimmed int
 }
 
 // Add appends the changes of a later call.
@@ -223,6 +251,13 @@
 	c.Quarantined = append(c.Quarantined, later.Quarantined...)
 	c.Narrowed = append(c.Narrowed, later.Narrowed...)
 	c.Lifted = append(c.Lifted, later.Lifted...)
+	c.Trimmed += later.Trimmed
+}
+
+// suspect is what is known of the crashes of a part or request.
+type suspect struct {
+	last    time.Time
+	crashes int
 }
 
 // Tracker holds the evidence and the verdicts of one router.
@@ -234,8 +269,8 @@
 	mu sync.Mutex
 	// crashes are in the order of their time.
 	crashes []crash
-	// suspects holds the time of the last known crash of each part of one.
-	suspects map[uint64]time.Time
+	// suspects holds what is known of the crashes of each part of one.
+	suspects map[uint64]suspect
 	// successes holds the last known success with a part; parts of no known crash are
 	// there only if another router told of them.
 	successes map[uint64]time.Time
@@ -250,7 +285,7 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: map[uint64]time.Time{}, successes: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}}
+	return &Tracker{suspects: map[uint64]suspect{}, successes: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}}
 }
 
 // QuarantinedParts returns the number of verdicts on parts and requests.
@@ -270,11 +305,11 @@
 // RecordCrash records an attempt that ended at time at because its target crashed before
 // it had written ClearingEvents events.
 func (t *Tracker) RecordCrash(r Request, target fleet.TargetID, at, now time.Time) Changes {
-	c := crash{target: target.Hash(), at: at, parts: r.subjects(), request: r.Digest, started: r.StartedAt, onTrial: r.OnTrial}
+	c := r.crashAt(target.Hash(), at)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes Changes
-	if t.addCrash(c, now) {
+	if c, ok := t.addCrash(&changes, c, now); ok {
 		t.reportCrash(&changes.News, c, now)
 		t.decide(&changes, now)
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -506,9 +506,33 @@
 	if len(all.Crashes) != 40 || len(all.Clears) != 2 || len(all.Verdicts) != 1 {
 		t.Errorf("got %d crashes, %d clears and %d verdicts, want 40, 2 and 1", len(all.Crashes), len(all.Clears), len(all.Verdicts))
 	}
-	long := Evidence{Crashes: []Crash{{Parts: make([]uint64, maxParts)}}}
-	if pieces := long.Split(100); len(pieces) != 1 || len(pieces[0].Crashes) != 1 {
-		t.Errorf("got %d pieces of a single long crash, want 1", len(pieces))
+}
+
+// TestLongCrashTravelsInPieces sends a crash under a prompt of maxParts parts in datagrams, some of
+// which come twice or in another order.
+func TestLongCrashTravelsInPieces(t *testing.T) {
+	parts := make([]uint64, maxParts)
+	for i := range parts {
+		parts[i] = uint64(1000 + i)
+	}
+	sender, receiver := NewTracker(), NewTracker()
+	news := sender.RecordCrash(asked(77, parts...), "t", at(0), at(0)).News
+	pieces := news.Split(1000)
+	slices.Reverse(pieces)
+	forwarded := 0
+	for _, piece := range append(pieces, pieces[0]) {
+		if data, err := cbor.Marshal(piece); err != nil || len(data) > piece.Size() || piece.Size() > 1000 {
+			t.Fatalf("got %d bytes by an estimate of %d, error %v, want at most 1000", len(data), piece.Size(), err)
+		}
+		for _, c := range receiver.Merge(piece, at(10)).News.Crashes {
+			forwarded += len(c.Parts)
+		}
+	}
+	if len(receiver.crashes) != 1 || len(receiver.crashes[0].sharedParts()) != maxParts || receiver.crashes[0].incomplete() {
+		t.Errorf("got %d crashes, want one with all parts", len(receiver.crashes))
+	}
+	if forwarded != maxParts {
+		t.Errorf("got %d parts forwarded, want each once", forwarded)
 	}
 }
 
@@ -517,7 +541,7 @@
 	tracker := NewTracker()
 	next := uint64(1)
 	for i := range maxCrashes + maxForeignSuccesses {
-		parts := make([]uint64, 1+i%maxParts)
+		parts := make([]uint64, 1+(37*i)%(2*maxParts))
 		for j := range parts {
 			next++
 			parts[j] = next
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -135,6 +135,9 @@
 		event.PartQuarantined.Log(r.cfg.Log).Str("verdict", partName(d.Verdict)).Strs("parts", partNames(d.Members)).Bool("request_itself", d.Request).
 			Bool("from_peer", d.FromPeer).Int("incidents", d.Incidents).Int("crashes", d.Crashes).Dur("age", time.Since(d.Since)).Send()
 	}
+	if changes.Trimmed > 0 {
+		event.EvidenceTrimmed.Log(r.cfg.Log).Int("crashes", changes.Trimmed).Send()
+	}
 	for _, n := range changes.Narrowed {
 		event.QuarantineNarrowed.Log(r.cfg.Log).Str("before", partName(n.From)).Str("verdict", partName(n.To)).Strs("parts", partNames(n.Members)).
 			Str("cause", string(n.Cause)).Send()
