crashrecord: verdicts and crashes outlast all routers, in the store

Evidence: after each start part-quarantined has three incidents and the age of crashes since then; no line has it from a peer.

Change: the verdicts, and the crashes that are not under one yet, are one object in the store. The first two routers by precedence write it 0.1 s after a change, conditionally; each router reads it before it counts as ready, unless the first read fails. Ages go on with the wall clock, so that no verdict outlasts its bound.

--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/connlimit"
+	"ragwortpond.example/ragwortpond/crashrecord"
 	"ragwortpond.example/ragwortpond/directory"
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
@@ -60,6 +61,7 @@
 	directory *directory.Directory
 	relay     *relay.Relay
 	versions  *streamversion.Service
+	crashes   *crashrecord.Recorder
 	stall     *stall.Detector
 	mesh      *mesh.Mesh
 	ingress   *ingress.Server
@@ -110,8 +112,8 @@
 		RetryBudget:  retry.BudgetConfig{Ratio: cfg.RetryBudget.Ratio, Extra: cfg.RetryBudget.Extra, Window: cfg.RetryBudget.Window()},
 		RouterCount:  n.routerCount,
 		OnLoadReport: func(id fleet.TargetID, work int, pace float64, now time.Time) { n.mesh.ReportLoad(id, work, pace, now) },
-		OnEvidence:   func(e quarantine.Evidence) { n.mesh.PublishEvidence(e) },
-		Limits:       limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
+		OnEvidence:   func(e quarantine.Evidence) { n.mesh.PublishEvidence(e) }, OnEvidenceChange: func() { n.crashes.Changed() },
+		Limits: limits, RequestPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetlimit.Answer {
 			return n.mesh.RequestPermit(id, precedence)
 		},
 		Cold: cold, RequestColdPermit: func(id fleet.TargetID, precedence targetlimit.Precedence) targetcold.Answer {
@@ -121,6 +123,9 @@
 		Helpers:         func(service fleet.ServiceName) []string { return n.mesh.Helpers(service) }, Paths: paths,
 		BodyBytes: int64(cfg.MemoryMB * bodyMemoryRatio * (1 << 20)), StreamVersions: n.versions, Connect: o.connectTarget, Metrics: n.metrics, Latency: latency, Log: log,
 	})
+	n.crashes = crashrecord.New(crashrecord.Config{
+		Store: func() crashrecord.Store { return n.store.Load() }, Evidence: n.relay, Precedence: func() int { return n.mesh.Precedence(crashrecord.Kind) }, Log: log,
+	})
 	n.clientDrops = connlimit.NewRecorder(n.metrics.DroppedConns, log)
 	n.ingress = ingress.New(n.relay, n.limits, log)
 	var err error
@@ -275,6 +280,7 @@
 	start("relay", func() error { return n.relay.Run(background) })
 	start("stall detector", func() error { return n.stall.Run(background) })
 	start("stream versions", func() error { return n.versions.Run(background) })
+	start("crash record", func() error { return n.crashes.Run(background) })
 	event.NodeStarted.Log(n.log).Str("node", string(n.cfg.ID)).Str("failure_domain", string(n.cfg.Domain)).
 		Str("clients", n.cfg.ClientAddr).Str("store", n.cfg.StoreAddr).Float64("memory_mb", n.cfg.MemoryMB).Send()
 	select {
@@ -387,7 +393,7 @@
 
 // handleReady tells the platform whether the router accepts new connections.
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
-	ready := !n.draining.Load() && n.directory.View().Ready()
+	ready := !n.draining.Load() && n.directory.View().Ready() && n.crashes.WasTried()
 	if n.lastReady.Swap(ready) != ready {
 		event.NodeReady.Log(n.log).Bool("ready", ready).Bool("draining", n.draining.Load()).
 			Uint64("targets_revision", n.directory.View().TargetsRevision).Send()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -152,6 +152,27 @@
 	return list
 }
 
+// Aged returns a copy of the evidence in which all ages are higher by d, if that is positive.
+func (e Evidence) Aged(d time.Duration) Evidence {
+	grow := func(age uint32) uint32 {
+		return uint32(min(int64(age)+max(d.Milliseconds(), 0), math.MaxUint32))
+	}
+	e.Crashes, e.Clears, e.Verdicts, e.Sets = slices.Clone(e.Crashes), slices.Clone(e.Clears), slices.Clone(e.Verdicts), slices.Clone(e.Sets)
+	for i := range e.Crashes {
+		e.Crashes[i].AgeMS = grow(e.Crashes[i].AgeMS)
+	}
+	for i := range e.Clears {
+		e.Clears[i].AgeMS = grow(e.Clears[i].AgeMS)
+	}
+	for i := range e.Verdicts {
+		e.Verdicts[i].SinceAgeMS, e.Verdicts[i].SeenAgeMS = grow(e.Verdicts[i].SinceAgeMS), grow(e.Verdicts[i].SeenAgeMS)
+	}
+	for i := range e.Sets {
+		e.Sets[i].SinceAgeMS, e.Sets[i].SeenAgeMS = grow(e.Sets[i].SinceAgeMS), grow(e.Sets[i].SeenAgeMS)
+	}
+	return e
+}
+
 // report is a crash with all that is told of it.
 type report struct {
 	Crash
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -244,6 +244,11 @@
 	Trimmed int
 }
 
+// Empty reports whether nothing has changed.
+func (c *Changes) Empty() bool {
+	return c.News.Empty() && len(c.Quarantined)+len(c.Narrowed)+len(c.Lifted)+c.Trimmed == 0
+}
+
 // Add appends the changes of a later call.
 func (c *Changes) Add(later Changes) {
 	c.News.add(later.News)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -127,7 +127,11 @@
 	}
 }
 
+// logChanges logs changes of verdicts and reports that something has changed.
 func (r *Relay) logChanges(changes quarantine.Changes) {
+	if r.cfg.OnEvidenceChange != nil && !changes.Empty() {
+		r.cfg.OnEvidenceChange()
+	}
 	for _, lift := range changes.Lifted {
 		event.QuarantineLifted.Log(r.cfg.Log).Str("verdict", partName(lift.Verdict)).Str("cause", string(lift.Cause)).Send()
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,6 +74,9 @@
 	// OnEvidence receives evidence on parts of prompts that is new to this router, to be
 	// sent to other routers at once; it may be nil.
 	OnEvidence func(e quarantine.Evidence)
+	// OnEvidenceChange is called when the evidence or the verdicts of this router have changed,
+	// by its own requests or by other routers; it may be nil.
+	OnEvidenceChange func()
 	// Limits holds the limits that targets name; nil means that no other router knows
 	// them.
 	Limits *targetlimit.Tracker
