--- a/node/beside_culprit_test.go
+++ b/node/beside_culprit_test.go
@@ -29,6 +29,8 @@
 	companions []string
 	// firstKnown is set if a success with the first part of all is known before.
 	firstKnown bool
+	// runsOnce is set if the route allows one attempt.
+	runsOnce bool
 }
 
 func newBesideMix(seed uint64) *besideMix {
@@ -37,6 +39,7 @@
 		m.companions = append(m.companions, fmt.Sprintf("document-%d-%d", seed, i))
 	}
 	m.firstKnown = m.random.IntN(2) == 0
+	m.runsOnce = seed%2 == 1
 	return m
 }
 
@@ -64,7 +67,7 @@
 }
 
 func playBesideCulprit(t *testing.T, mix *besideMix) {
-	f := startCrashFleet(t, 0)
+	f := startCrashFleetWith(t, 0, crashConfig(!mix.runsOnce))
 	if mix.firstKnown && !f.send(0, "known", "key-x", []string{"first", "another"}) {
 		t.Fatal("a sound request before the first crash was not served")
 	}
@@ -103,8 +106,8 @@
 	}
 	traffic.Wait()
 	crashes, late := crashTimes(f.targets), f.crashingArrivals(bound)
-	t.Logf("companions %s, first part known %v: %d crashing requests, %d crashes, %d late; %d of %d sound requests served from two windows after",
-		strings.Join(mix.companions, " "), mix.firstKnown, sent, len(crashes), len(late), served.Load(), asked.Load())
+	t.Logf("companions %s, first part known %v, runs once %v: %d crashing requests, %d crashes, %d late; %d of %d sound requests served from two windows after",
+		strings.Join(mix.companions, " "), mix.firstKnown, mix.runsOnce, sent, len(crashes), len(late), served.Load(), asked.Load())
 	if len(crashes) >= crashesBeforeWindow && len(late) > maxArrivalsAfter {
 		t.Errorf("later than %v after crash %d: got %d requests with the culprit at targets, want at most %d", stabilityWindow, crashesBeforeWindow, len(late), maxArrivalsAfter)
 	}
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -55,11 +55,17 @@
 	started atomic.Int64
 }
 
-func crashConfig() map[string]any {
+// crashConfig returns a configuration with a route of streams, which may be repeated and resumed or
+// run once.
+func crashConfig(resumable bool) map[string]any {
+	attempts := 1
+	if resumable {
+		attempts = 3
+	}
 	return map[string]any{
 		"Version": 1,
 		"Routes": []any{map[string]any{
-			"Name": "r", "Host": "h", "PathPrefix": "/p/", "RouteType": "streaming", "StreamResume": true, "SessionAffinity": true, "MaxAttempts": 3,
+			"Name": "r", "Host": "h", "PathPrefix": "/p/", "RouteType": "streaming", "StreamResume": resumable, "SessionAffinity": true, "MaxAttempts": attempts,
 			"Service": "s", "TimeoutMs": 5000, "TargetLatencyMs": 500, "GapAimMs": 200,
 		}},
 		"Services": []any{map[string]any{"Name": "s", "Engine": map[string]any{"Slots": 8}}},
@@ -69,10 +75,15 @@
 }
 
 func startCrashFleet(t *testing.T, position int) *crashFleet {
+	t.Helper()
+	return startCrashFleetWith(t, position, crashConfig(true))
+}
+
+func startCrashFleetWith(t *testing.T, position int, config map[string]any) *crashFleet {
 	t.Helper()
 	f := &crashFleet{position: position, client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
-	f.targets, f.routers = startReplicas(t, crashRouters, crashTargets, crashRestartAfter, standin.AwayRefuses, crashConfig(), func(id string) *standin.Target {
+	f.targets, f.routers = startReplicas(t, crashRouters, crashTargets, crashRestartAfter, standin.AwayRefuses, config, func(id string) *standin.Target {
 		return &standin.Target{
 			ID: id, Service: "s", Zone: "d", Events: 3, EventInterval: 5 * time.Millisecond,
 			CrashOn: func(r *http.Request) bool { return standin.HasSharedPart(r, crashPart) },
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -48,7 +48,9 @@
 	trackers []*Tracker
 	now      time.Time
 	lossPct  int
-	targets  int
+	// cut is set while the routers with even numbers exchange nothing with the others.
+	cut     bool
+	targets int
 	// culprit is the part that crashes targets, in prompts of four shared parts.
 	culprit uint64
 	crashes []time.Time
@@ -65,6 +67,10 @@
 	return f.links.IntN(100) < f.lossPct
 }
 
+func (f *modelFleet) connected(a, b int) bool {
+	return !f.cut || a%2 == b%2
+}
+
 // transit returns the time that a message takes.
 func (f *modelFleet) transit() time.Duration {
 	return time.Duration(f.links.IntN(20)) * time.Millisecond
@@ -77,7 +83,7 @@
 	}
 	for _, piece := range e.Split(modelMaxPushedBytes) {
 		for to := range f.trackers {
-			if to != from && !f.lost() {
+			if to != from && !f.lost() && f.connected(from, to) {
 				f.deliver(from, to, piece)
 			}
 		}
@@ -99,7 +105,7 @@
 		e := f.trackers[from].Export(f.clock(from), modelMaxBytes)
 		sent := 0
 		for _, to := range f.links.Perm(len(f.trackers)) {
-			if to == from || e.Empty() || sent == modelFanout {
+			if to == from || e.Empty() || sent == modelFanout || !f.connected(from, to) {
 				continue
 			}
 			sent++
@@ -336,10 +342,12 @@
 			}
 			return list
 		}
+		cutFor := rapid.SampledFrom([]int{0, 0, 5, 12}).Draw(r, "seconds of a cut")
 		if rapid.Bool().Draw(r, "first part known") {
 			f.request(router(), withFirst(900))
 		}
 		for second := range 40 {
+			f.cut = second < cutFor
 			with := companions
 			if second >= 3 && !alwaysAll {
 				with = some()
@@ -354,6 +362,10 @@
 			}
 		}
 		f.checkCulpritFound()
-		f.checkBounds()
+		if cutFor == 0 {
+			f.checkBounds()
+		} else if len(f.crashes) > 2*(crashesBeforeBound+maxLateCrashes) {
+			r.Fatalf("%d crashes, more than both sides of a cut may have together", len(f.crashes))
+		}
 	})
 }
