--- a/node/beside_culprit_test.go
+++ b/node/beside_culprit_test.go
@@ -1,14 +1,19 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/targetconn"
 )
 
 // Rates and times of the requests that have parts of prompts beside one that crashes targets.
@@ -31,6 +36,8 @@
 	firstKnown bool
 	// runsOnce is set if the route allows one attempt.
 	runsOnce bool
+	// helped is set if the last router reaches no target, so that others serve its requests.
+	helped bool
 }
 
 func newBesideMix(seed uint64) *besideMix {
@@ -39,7 +46,7 @@
 		m.companions = append(m.companions, fmt.Sprintf("document-%d-%d", seed, i))
 	}
 	m.firstKnown = m.random.IntN(2) == 0
-	m.runsOnce = seed%2 == 1
+	m.runsOnce, m.helped = seed%2 == 1, seed%3 == 2
 	return m
 }
 
@@ -67,7 +74,12 @@
 }
 
 func playBesideCulprit(t *testing.T, mix *besideMix) {
-	f := startCrashFleetWith(t, 0, crashConfig(!mix.runsOnce))
+	f := startCrashFleetWith(t, 0, crashConfig(!mix.runsOnce), func(i int) targetconn.ConnectFunc {
+		if !mix.helped || i < besideRouters-1 {
+			return nil
+		}
+		return func(context.Context, string) (net.Conn, error) { return nil, syscall.EHOSTUNREACH }
+	})
 	if mix.firstKnown && !f.send(0, "known", "key-x", []string{"first", "another"}) {
 		t.Fatal("a sound request before the first crash was not served")
 	}
@@ -106,8 +118,8 @@
 	}
 	traffic.Wait()
 	crashes, late := crashTimes(f.targets), f.crashingArrivals(bound)
-	t.Logf("companions %s, first part known %v, runs once %v: %d crashing requests, %d crashes, %d late; %d of %d sound requests served from two windows after",
-		strings.Join(mix.companions, " "), mix.firstKnown, mix.runsOnce, sent, len(crashes), len(late), served.Load(), asked.Load())
+	t.Logf("companions %s, first part known %v, runs once %v, a router without targets %v: %d crashing requests, %d crashes, %d late; %d of %d sound requests served from two windows after",
+		strings.Join(mix.companions, " "), mix.firstKnown, mix.runsOnce, mix.helped, sent, len(crashes), len(late), served.Load(), asked.Load())
 	if len(crashes) >= crashesBeforeWindow && len(late) > maxArrivalsAfter {
 		t.Errorf("later than %v after crash %d: got %d requests with the culprit at targets, want at most %d", stabilityWindow, crashesBeforeWindow, len(late), maxArrivalsAfter)
 	}
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -76,25 +76,31 @@
 
 func startCrashFleet(t *testing.T, position int) *crashFleet {
 	t.Helper()
-	return startCrashFleetWith(t, position, crashConfig(true))
+	return startCrashFleetWith(t, position, crashConfig(true), func(int) targetconn.ConnectFunc { return nil })
 }
 
-func startCrashFleetWith(t *testing.T, position int, config map[string]any) *crashFleet {
+func startCrashFleetWith(t *testing.T, position int, config map[string]any, connect func(i int) targetconn.ConnectFunc) *crashFleet {
 	t.Helper()
 	f := &crashFleet{position: position, client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(f.client.CloseIdleConnections)
-	f.targets, f.routers = startReplicas(t, crashRouters, crashTargets, crashRestartAfter, standin.AwayRefuses, config, func(id string) *standin.Target {
+	f.targets, f.routers = startReplicasWith(t, crashRouters, crashTargets, crashRestartAfter, standin.AwayRefuses, config, func(id string) *standin.Target {
 		return &standin.Target{
 			ID: id, Service: "s", Zone: "d", Events: 3, EventInterval: 5 * time.Millisecond,
 			CrashOn: func(r *http.Request) bool { return standin.HasSharedPart(r, crashPart) },
 		}
-	})
+	}, connect)
 	return f
 }
 
 // startReplicas starts routers that know each other before targets that start again some time
 // after a crash. newTarget returns the target with an ID.
 func startReplicas(t *testing.T, routers, targets int, restartAfter time.Duration, away standin.Away, config map[string]any, newTarget func(id string) *standin.Target) ([]*standin.Replica, []*fixture) {
+	t.Helper()
+	return startReplicasWith(t, routers, targets, restartAfter, away, config, newTarget, func(int) targetconn.ConnectFunc { return nil })
+}
+
+// startReplicasWith is startReplicas with a function to open connections to targets for each router.
+func startReplicasWith(t *testing.T, routers, targets int, restartAfter time.Duration, away standin.Away, config map[string]any, newTarget func(id string) *standin.Target, connect func(i int) targetconn.ConnectFunc) ([]*standin.Replica, []*fixture) {
 	t.Helper()
 	store, err := standin.StartStore("")
 	if err != nil {
@@ -117,7 +123,7 @@
 		t.Cleanup(replica.Close)
 		replicas = append(replicas, replica)
 	}
-	return replicas, startRouters(t, store, routers, targets)
+	return replicas, startRoutersWith(t, store, routers, targets, connect)
 }
 
 // startRouters starts routers and waits until they know each other and all targets.
