--- a/crashrecord/crashrecord.go
+++ b/crashrecord/crashrecord.go
@@ -35,9 +35,9 @@
 	writers = 2
 	// minWriteInterval is the shortest time between two writes of one router.
 	minWriteInterval = time.Second
-	// checkInterval is the interval at which the first router looks for verdicts that have
-	// lapsed and changes that were not written, and refreshInterval that at which it writes
-	// when standing verdicts were last needed.
+	// checkInterval is the interval at which the writers look for changes that were not written.
+	// refreshInterval is that at which the first one writes what has not changed, since the
+	// lifetime of a verdict counts from the last request that it refused.
 	checkInterval   = 5 * time.Second
 	refreshInterval = time.Minute
 	// minRetryDelay and maxRetryDelay bound the pause after a failed call.
@@ -174,7 +174,8 @@
 	return nil
 }
 
-// merge merges evidence of the store. It may hold more crashes than a message of a router.
+// merge merges evidence of the store, in pieces that are as long as messages of routers, of which only
+// so much is read.
 func (r *Recorder) merge(e quarantine.Evidence, now time.Time) {
 	const pieceBytes = 1000
 	news := quarantine.Evidence{}
@@ -187,7 +188,7 @@
 	}
 }
 
-// check writes changes that no other router has written, and at times what stands.
+// check writes changes that no other router has written, and refreshes what stands.
 func (r *Recorder) check(ctx context.Context) {
 	rank := r.cfg.Precedence()
 	if rank >= writers {
--- a/quarantine/explain.go
+++ b/quarantine/explain.go
@@ -55,6 +55,7 @@
 
 // add adds what a verdict explains of the crashes of a target at about the same time.
 func (e *explanation) add(v *verdict, together []int) {
+	// present are the members at these crashes; tried is set if a trial with some was there.
 	present, tried := map[uint64]bool{}, false
 	var culprits []int
 	for _, i := range together {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,8 +26,8 @@
 // under them.
 const ClearingEvents = 4
 
-// SettleTime is the time from a crash until the reports of all routers on it have arrived.
-// Sweep should be called then.
+// SettleTime is the time from a crash until the reports of all routers on it have arrived, unless
+// some were lost. Sweep should be called then.
 const SettleTime = 250 * time.Millisecond
 
 // Rules of the verdicts.
@@ -53,8 +53,8 @@
 	// another part may have been absent and still be as suspect: one crash in a series may
 	// have had another cause.
 	maxAbsences = 1
-	// reportTime is the time from a crash until the reports of all routers on it have
-	// arrived, even if some were lost and told again.
+	// reportTime is the time from a crash until reports that were lost at first have arrived
+	// with heartbeats. Only then does the crash of a trial take members out of a verdict.
 	reportTime = time.Second
 	// Crashes within incidentWindow are one incident, because a common cause, such as
 	// the loss of a rack, ends several targets at once. If a request was sent to a target
@@ -199,7 +199,7 @@
 	FromPeer bool
 }
 
-// Cause is why a verdict ended.
+// Cause is why a verdict ended or has fewer members.
 type Cause string
 
 // Causes, as used in logs.
@@ -223,8 +223,9 @@
 }
 
 // Narrowing tells that a verdict was replaced by one on some of its members, because of a
-// success with the others or crashes without them.
+// success with the others or crashes without them. Late reports may bring some of them back.
 type Narrowing struct {
+	// From and To are the IDs of the verdicts, Members those of the new one.
 	From, To uint64
 	Members  []uint64
 	Cause    Cause
