crashrecord, quarantine, relay: one piece of code where the change had two

Cause: a wait with a context stood beside sleep.For; a failed write was tried again by a timer and by the check; what a crash adds to its parts was counted in two places; each success made a map of its prompt's parts, which only crashes need; a function that logs also told of changes.

Change: behavior stays as it is. The retry of a failed write has a test, which the code before passes by its timer too.

--- a/crashrecord/crashrecord.go
+++ b/crashrecord/crashrecord.go
@@ -16,6 +16,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/quarantine"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // Kind and Name are those of the object in the store.
@@ -110,7 +111,7 @@
 func (r *Recorder) Run(ctx context.Context) error {
 	delay := minRetryDelay
 	for !r.load(ctx) {
-		if !wait(ctx, delay) {
+		if sleep.For(ctx, delay) != nil {
 			return nil
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -124,22 +125,13 @@
 		case <-ticker.C:
 			r.check(ctx)
 		case <-r.changed:
-			if rank := r.cfg.Precedence(); rank < writers && wait(ctx, writeDelay+time.Duration(rank)*precedenceDelay) {
+			if rank := r.cfg.Precedence(); rank < writers && sleep.For(ctx, writeDelay+time.Duration(rank)*precedenceDelay) == nil {
 				r.write(ctx, rank > 0)
 			}
 		}
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // load reads the object for the first time and reports whether it could be read.
 func (r *Recorder) load(ctx context.Context) bool {
 	err := r.read(ctx)
@@ -203,10 +195,10 @@
 // write brings the object in line with the evidence of this router. With readFirst another router may
 // have done so.
 func (r *Recorder) write(ctx context.Context, readFirst bool) {
-	if pause := minWriteInterval - time.Since(r.writtenAt); pause > 0 && !wait(ctx, pause) {
+	if sleep.For(ctx, minWriteInterval-time.Since(r.writtenAt)) != nil {
 		return
 	}
-	err := error(nil)
+	var err error
 	for conflicts := 0; conflicts < maxConflicts; conflicts++ {
 		if readFirst {
 			if err = r.read(ctx); err != nil {
@@ -221,8 +213,8 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		event.CrashRecordUnwritten.Log(r.cfg.Log).Err(err).Send()
+		// The next check tries again.
 		r.dirty.Store(true)
-		time.AfterFunc(maxRetryDelay, r.Changed)
 	}
 }
 
--- a/crashrecord/crashrecord_test.go
+++ b/crashrecord/crashrecord_test.go
@@ -19,16 +19,15 @@
 
 // fakeStore holds one object.
 type fakeStore struct {
-	mu           sync.Mutex
-	object       platform.Object
-	away         bool
-	reads, wrote int
+	mu            sync.Mutex
+	object        platform.Object
+	away          bool
+	wrote, failed int
 }
 
 func (s *fakeStore) Get(context.Context, string, string) (platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reads++
 	switch {
 	case s.away:
 		return platform.Object{}, platform.ErrUnavailable
@@ -43,6 +42,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.away:
+		s.failed++
 		return platform.Object{}, platform.ErrUnavailable
 	case o.Revision != s.object.Revision:
 		return platform.Object{}, platform.ErrConflict
@@ -159,6 +159,22 @@
 	await.Until(t, "the verdict in the store once it is back", func() bool { return store.writes() == 1 })
 }
 
+// TestFailedWriteIsTriedAgain lets the store be away when the evidence changes, and no later change.
+func TestFailedWriteIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{}
+	r := startRouter(t, store, 0)
+	store.set(func(s *fakeStore) { s.away = true })
+	r.crash(0, 3)
+	await.Until(t, "a write", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.failed > 0
+	})
+	store.set(func(s *fakeStore) { s.away = false })
+	await.Until(t, "the verdict in the store", func() bool { return store.writes() == 1 })
+}
+
 // TestStoreBackFromCopy loses the object, and brings an older one back: what is missing is written with
 // the next change.
 func TestStoreBackFromCopy(t *testing.T) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -205,12 +205,13 @@
 	if r.onTrial {
 		e.Trials = append(e.Trials, uint16(n))
 	}
-	if len(e.Totals) == 0 && (r.total != len(r.Parts) || r.total == earlierMaxParts) {
+	tellsTotal := r.total != len(r.Parts) || r.total == earlierMaxParts
+	if tellsTotal && len(e.Totals) == 0 {
 		for _, c := range e.Crashes {
 			e.Totals = append(e.Totals, uint16(len(c.Parts)))
 		}
 	}
-	if len(e.Totals) > 0 || r.total != len(r.Parts) || r.total == earlierMaxParts {
+	if tellsTotal || len(e.Totals) > 0 {
 		e.Totals = append(e.Totals, uint16(min(r.total, math.MaxUint16)))
 	}
 	e.Crashes = append(e.Crashes, r.Crash)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -115,8 +115,8 @@
 	OnTrial bool
 }
 
-// sharedParts returns the shared parts of the prompt, each once.
-func (r *Request) sharedParts() []uint64 {
+// distinctParts returns the shared parts of the prompt, each once.
+func (r *Request) distinctParts() []uint64 {
 	shared := call.SharedParts(r.Prompt)
 	list, known := make([]uint64, 0, len(shared)+1), make(map[uint64]bool, len(shared))
 	for _, p := range shared {
@@ -130,13 +130,17 @@
 
 // LeftOut returns the number of shared parts of the prompt that a crash is not held against.
 func (r *Request) LeftOut() int {
-	return max(len(r.sharedParts())-maxParts, 0)
+	return max(len(r.distinctParts())-maxParts, 0)
 }
 
 // subjects returns what a success with the request clears: the shared parts of its prompt, and then
 // its digest if that is known.
 func (r *Request) subjects() []uint64 {
-	list := r.sharedParts()
+	shared := call.SharedParts(r.Prompt)
+	list := make([]uint64, 0, len(shared)+1)
+	for _, p := range shared {
+		list = append(list, p.ID)
+	}
 	if r.Digest != 0 {
 		list = append(list, r.Digest)
 	}
@@ -154,7 +158,7 @@
 
 // crashAt returns the crash of a target under the request.
 func (r *Request) crashAt(target uint32, at time.Time) crash {
-	shared := r.sharedParts()
+	shared := r.distinctParts()
 	c := crash{target: target, at: at, parts: shared, total: len(shared), request: r.Digest, started: r.StartedAt, onTrial: r.OnTrial}
 	if len(shared) > maxParts {
 		slices.Sort(shared)
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -62,11 +62,11 @@
 	return len(c.sharedParts()) < c.total
 }
 
-// recordSuspects counts a crash, or what was new of it, against its parts.
+// recordSuspects counts a crash, or what was new of it, against its parts, and keeps their last
+// successes.
 func (t *Tracker) recordSuspects(c crash, now time.Time) {
+	t.countSuspects(c)
 	for _, part := range c.parts {
-		known := t.suspects[part]
-		t.suspects[part] = suspect{latest(known.last, c.at), known.crashes + 1}
 		if success := t.lastSuccess(part, now); !success.IsZero() {
 			t.successes[part] = success
 		}
@@ -137,14 +137,18 @@
 	t.crashes = slices.Delete(t.crashes, 0, n)
 	clear(t.suspects)
 	for _, c := range t.crashes {
-		for _, part := range c.parts {
-			known := t.suspects[part]
-			t.suspects[part] = suspect{latest(known.last, c.at), known.crashes + 1}
-		}
+		t.countSuspects(c)
 	}
 	t.limitForeignSuccesses()
 }
 
+func (t *Tracker) countSuspects(c crash) {
+	for _, part := range c.parts {
+		known := t.suspects[part]
+		t.suspects[part] = suspect{latest(known.last, c.at), known.crashes + 1}
+	}
+}
+
 func (t *Tracker) dropExpiredCrashes(now time.Time) {
 	n := 0
 	for n < len(t.crashes) && now.Sub(t.crashes[n].at) >= crashLifetime {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -121,17 +121,21 @@
 
 // reportChanges logs changes of the quarantined parts and requests and publishes new evidence.
 func (r *Relay) reportChanges(changes quarantine.Changes) {
-	r.logChanges(changes)
+	r.noteChanges(changes)
 	if !changes.News.Empty() && r.cfg.OnEvidence != nil {
 		r.cfg.OnEvidence(changes.News)
 	}
 }
 
-// logChanges logs changes of verdicts and reports that something has changed.
-func (r *Relay) logChanges(changes quarantine.Changes) {
+// noteChanges logs changes of verdicts, and tells that the evidence has changed.
+func (r *Relay) noteChanges(changes quarantine.Changes) {
 	if r.cfg.OnEvidenceChange != nil && !changes.Empty() {
 		r.cfg.OnEvidenceChange()
 	}
+	r.logChanges(changes)
+}
+
+func (r *Relay) logChanges(changes quarantine.Changes) {
 	for _, lift := range changes.Lifted {
 		event.QuarantineLifted.Log(r.cfg.Log).Str("verdict", partName(lift.Verdict)).Str("cause", string(lift.Cause)).Send()
 	}
@@ -179,7 +183,7 @@
 // forwarded, and what contradicts it, for the router that sent it.
 func (r *Relay) MergeEvidence(e quarantine.Evidence, now time.Time) (forward, answer quarantine.Evidence) {
 	changes := r.evidence.Merge(e, now)
-	r.logChanges(changes)
+	r.noteChanges(changes)
 	return changes.News, changes.Answer
 }
 
