--- a/node/crash_record_test.go
+++ b/node/crash_record_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -20,22 +18,10 @@
 // restartAll stops all routers, so that none knows what they knew, and starts them again.
 func (f *crashFleet) restartAll(t *testing.T) {
 	t.Helper()
-	for _, s := range f.routers {
-		s.stop()
-	}
-	for _, s := range f.routers {
-		if err := <-s.done; err != nil {
-			t.Fatal(err)
-		}
-	}
-	http.DefaultClient.CloseIdleConnections()
+	stopAll(t, f.routers)
 	f.client.CloseIdleConnections()
 	for _, s := range f.routers {
-		await.Until(t, "the router's addresses to be free", func() bool {
-			conn, err := net.ListenPacket("udp4", s.cfg.PeerAddr)
-			return err == nil && conn.Close() == nil
-		})
-		s.start(t)
+		s.startAgain(t)
 	}
 	for _, s := range f.routers {
 		await.Until(t, "the routers to be ready", func() bool { return s.node.crashes.WasTried() && s.node.directory.View().Ready() })
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -273,16 +273,29 @@
 // restart stops a router and starts it again at the same address.
 func (s *fixture) restart(t *testing.T) {
 	t.Helper()
-	s.stop()
-	if err := <-s.done; err != nil {
-		t.Fatal(err)
+	stopAll(t, []*fixture{s})
+	s.startAgain(t)
+}
+
+// stopAll stops routers together and waits until all have ended.
+func stopAll(t *testing.T, routers []*fixture) {
+	t.Helper()
+	for _, s := range routers {
+		s.stop()
 	}
+	for _, s := range routers {
+		if err := <-s.done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// startAgain starts a router that has stopped at the same address.
+func (s *fixture) startAgain(t *testing.T) {
+	t.Helper()
 	await.Until(t, "the router's addresses to be free", func() bool {
 		conn, err := net.ListenPacket("udp4", s.cfg.PeerAddr)
-		if err != nil {
-			return false
-		}
-		return conn.Close() == nil
+		return err == nil && conn.Close() == nil
 	})
 	// The stopped router goes on to answer on connections to its readiness address.
 	http.DefaultClient.CloseIdleConnections()
--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -111,14 +111,7 @@
 // them.
 func (f *versionFleet) restartRouters(t *testing.T) {
 	t.Helper()
-	for _, r := range f.routers {
-		r.stop()
-	}
-	for _, r := range f.routers {
-		if err := <-r.done; err != nil {
-			t.Fatal(err)
-		}
-	}
+	stopAll(t, f.routers)
 	ready := 0
 	for _, target := range f.targets {
 		if f.store.Has(platform.KindTargets, target.ID) {
