tests: a router that follows two targets uses both, not by luck

TestOddEntryDoesNotStopRouterFromFollowingTargets sent ten requests, one after another, and wanted some at each of two idle targets. Idle targets are chosen at random, so that one of 512 subtests fails by chance, and one of 30 runs of all 17.

The test sends at least ten as before, and up to 64 until both have served: it fails by chance once in 2^63.

--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -53,7 +53,12 @@
 
 // TestOddEntryDoesNotStopRouterFromFollowingTargets guards against one entry of another writer that hides all others.
 func TestOddEntryDoesNotStopRouterFromFollowingTargets(t *testing.T) {
-	const depth = 20_000
+	const (
+		depth = 20_000
+		// Idle targets are chosen at random: of minRequests, all are served by the same one once
+		// in 512 times, of maxRequests once in 2^63.
+		minRequests, maxRequests = 10, 64
+	)
 	nested := strings.Repeat("[", depth) + strings.Repeat("]", depth)
 	entry := func(field, value string) string {
 		fields := map[string]string{"Service": `"s"`, "Address": `"127.0.0.1:1"`, "Zone": `"d"`, "Version": `"v1"`, "Slots": "8", "State": `"ready"`, "born": "1", "Sequence": "1"}
@@ -112,12 +117,13 @@
 			}
 			within(t, followTime, "readiness", s.ready)
 			within(t, followTime, "further watch", func() bool { return store.watched.Load() > 0 })
-			for i := range 10 {
+			served := func() bool { return len(targets[0].Runs()) > 0 && len(targets[1].Runs()) > 0 }
+			for i := 0; i < minRequests || i < maxRequests && !served(); i++ {
 				if response, _, err := s.post(http.DefaultClient, fmt.Sprint("a", i)); err != nil || response.StatusCode != http.StatusOK {
 					t.Fatalf("got response %v, error %v, want status 200", response, err)
 				}
 			}
-			if len(targets[0].Runs()) == 0 || len(targets[1].Runs()) == 0 {
+			if !served() {
 				t.Errorf("got %d and %d runs at the two targets, want some at each", len(targets[0].Runs()), len(targets[1].Runs()))
 			}
 		})
