catalog, platform: an empty list of client accounts admits nobody

Whoever took the last account away opened every route to everybody.

Change: the decoder tells a list that is there (null included) from none, and a key is asked for if it is there. configcheck says which of the two a file means, and shows it among the differences; config-in-force logs needs_key, and config-admits-nobody warns.

--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -40,12 +40,21 @@
 // chats with the engine service e, both with testKey.
 func listenWithService(t *testing.T, h RequestHandler) *HTTPServer {
 	t.Helper()
-	snapshot, findings := settings.Build([]objectapi.Object{
+	return listenWithAccounts(t, h, map[string]string{"a": `{"key_hashes":["` + keys.Hash(testKey) + `"]}`})
+}
+
+// listenWithAccounts is listenWithService with client accounts by their names.
+func listenWithAccounts(t *testing.T, h RequestHandler, accounts map[string]string) *HTTPServer {
+	t.Helper()
+	objects := []objectapi.Object{
 		{Kind: settings.KindFleet, Name: settings.FleetName, Version: 1, Data: []byte(`{}`)},
 		{Kind: settings.KindServices, Name: "s", Version: 1, Data: []byte(`{"kind":"plain"}`)},
 		{Kind: settings.KindServices, Name: "e", Version: 1, Data: []byte(`{"kind":"engine"}`)},
-		{Kind: settings.KindAccounts, Name: "a", Version: 1, Data: []byte(`{"key_hashes":["` + keys.Hash(testKey) + `"]}`)},
-	})
+	}
+	for name, data := range accounts {
+		objects = append(objects, objectapi.Object{Kind: settings.KindAccounts, Name: name, Version: 1, Data: []byte(data)})
+	}
+	snapshot, findings := settings.Build(objects)
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -149,7 +149,8 @@
 	Limits   Limits
 	Routes   []*Route
 	Services []Service
-	// Accounts is empty if requests need no key.
+	// Accounts is nil if the configuration has no list of client accounts, so that requests need
+	// no key. A list that is there and empty admits nobody to routes that are not public.
 	Accounts []NamedAccount
 	// Remarks tell what could not be taken as it is written.
 	Remarks []Remark
@@ -160,9 +161,14 @@
 	Route, Text string
 }
 
-// AccountsByKey returns the client accounts by their keys, or nil if there are none.
+// RequiresKey reports whether requests need the key of a client account.
+func (s *ConfigSource) RequiresKey() bool {
+	return s.Accounts != nil
+}
+
+// AccountsByKey returns the client accounts by their keys, or nil if requests need no key.
 func (s *ConfigSource) AccountsByKey() map[string]*Account {
-	if len(s.Accounts) == 0 {
+	if !s.RequiresKey() {
 		return nil
 	}
 	accounts := map[string]*Account{}
@@ -190,7 +196,7 @@
 }
 
 // NewConfig builds and indexes a configuration. accounts maps keys to client
-// accounts; nil means that there are no client accounts and requests need no key.
+// accounts; nil means that requests need no key, and an empty map that no key is admitted.
 func NewConfig(version, revision uint64, limits Limits, routes []*Route, services []Service, accounts map[string]*Account) *Config {
 	c := &Config{
 		Version: version, Revision: revision, Limits: limits, accounts: accounts,
@@ -259,6 +265,11 @@
 	return c.accounts != nil
 }
 
+// AdmitsNobody reports whether requests need a key and no client account has one.
+func (c *Config) AdmitsNobody() bool {
+	return c.RequiresKey() && len(c.accounts) == 0
+}
+
 // Account returns the client account of a key, and false if the key is unknown.
 func (c *Config) Account(key string) (*Account, bool) {
 	a, ok := c.accounts[key]
--- a/cmd/ragwort/config.go
+++ b/cmd/ragwort/config.go
@@ -19,7 +19,7 @@
 		Name: "config", Usage: "check the configuration of a fleet on the users' platform",
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "check a configuration before it is sent", ArgsUsage: "FILE",
-			Description: "Prints errors, entries that can never match, limits that contradict each other, and what differs from the version in force.\n" +
+			Description: "Prints errors, entries that can never match, limits that contradict each other, what differs from the version in force, and whether requests need a key.\n" +
 				"Exits with code 2 if there are errors, or, with --strict, warnings; differences alone do not count.",
 			Flags: []cli.Flag{
 				outputFlag(),
@@ -35,6 +35,8 @@
 // configReport is the result of a check.
 type configReport struct {
 	Findings []configcheck.Finding `json:"findings"`
+	// Admission tells which requests need a key.
+	Admission string `json:"admission"`
 	// Changes is null if the configuration was not compared with another one.
 	Changes []configcheck.Change `json:"changes"`
 }
@@ -52,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	report := configReport{Findings: configcheck.Check(next)}
+	report := configReport{Findings: configcheck.Check(next), Admission: configcheck.Admission(next)}
 	if inForce != nil {
 		report.Findings = append(configcheck.CheckVersion(inForce, next), report.Findings...)
 		report.Changes = append([]configcheck.Change{}, configcheck.Compare(inForce, next)...)
@@ -73,6 +75,7 @@
 	for _, c := range r.Changes {
 		fmt.Fprintln(w, c)
 	}
+	fmt.Fprintln(w, r.Admission)
 	switch {
 	case len(r.Findings) == 0 && r.Changes != nil:
 		fmt.Fprintf(w, "ok, %d differences from the version in force\n", len(r.Changes))
--- a/cmd/ragwort/config_test.go
+++ b/cmd/ragwort/config_test.go
@@ -15,6 +15,11 @@
 	warnedAbout = `"TargetLatencyMs":5000`
 )
 
+// withAccounts returns soundConfig with a list of client accounts.
+func withAccounts(list string) string {
+	return strings.Replace(soundConfig, `"Version":4`, `"Version":4,"Tenants":`+list, 1)
+}
+
 func writeConfig(t *testing.T, spec string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "main.json")
@@ -53,6 +58,12 @@
 		"two to compare":   {[]string{late, "--in-force", older, "--store", addr}, exitBadInput, ""},
 		"store not there":  {[]string{late, "--store", "127.0.0.1:1"}, exitUnreachable, ""},
 		"as JSON":          {[]string{late, "--in-force", older, "--output", "json"}, 0, `"before": "100ms"`},
+		"no account list":  {[]string{writeConfig(t, soundConfig)}, 0, "no request needs a key: there is no list of client accounts"},
+		"empty accounts":   {[]string{writeConfig(t, withAccounts(`[]`))}, exitBadInput, "error: client accounts: no request is allowed"},
+		"accounts null":    {[]string{writeConfig(t, withAccounts(`null`))}, exitBadInput, "of 0 client accounts none has a key"},
+		"accounts":         {[]string{writeConfig(t, withAccounts(`[{"Name":"a","ApiKeys":["k"]}]`))}, 0, "requests need a key but those of public routes: 1 client accounts have 1 keys"},
+		"accounts emptied": {[]string{writeConfig(t, withAccounts(`[]`)), "--in-force", older}, exitBadInput, "changed: client accounts, requests need a key: true, was false"},
+		"odd accounts":     {[]string{writeConfig(t, withAccounts(`{}`))}, exitBadInput, "list of client accounts: json: cannot unmarshal object"},
 		"no configuration": {nil, exitBadInput, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/configcheck/compare.go
+++ b/configcheck/compare.go
@@ -107,6 +107,7 @@
 		l.add(serviceEntry(s.Name), property{"slots", fmt.Sprint(s.Slots)}, property{"health path", strconv.Quote(s.HealthPath)},
 			property{"requests a second at a cold target", fmt.Sprint(s.ColdPerSecond)}, property{"cold after a start", s.ColdStart.String()})
 	}
+	l.add(accountsEntry, property{"requests need a key", strconv.FormatBool(c.RequiresKey())})
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
 		priority := "that of the route"
--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -84,7 +84,10 @@
 	return fmt.Sprintf("client account %q", name)
 }
 
-const limitsEntry = "limits"
+const (
+	accountsEntry = "client accounts"
+	limitsEntry   = "limits"
+)
 
 func (c *checker) checkServices() {
 	used := map[fleet.ServiceName]bool{}
@@ -234,7 +237,7 @@
 	if r.Priority < 0 {
 		c.errorf(entry, "the priority is negative: %d", r.Priority)
 	}
-	if r.Public && len(c.config.Accounts) == 0 {
+	if r.Public && !c.config.RequiresKey() {
 		c.warnf(entry, "it is public, but no request needs a key")
 	}
 }
@@ -270,8 +273,30 @@
 			holders[key] = a.Name
 		}
 	}
-	if len(c.config.Accounts) > 0 && len(holders) == 0 && !slices.ContainsFunc(c.config.Routes, func(r *catalog.Route) bool { return r.Public }) {
-		c.errorf("configuration", "no request is allowed: no client account has a key, and no route is public")
+	if !c.config.RequiresKey() || len(holders) > 0 {
+		return
+	}
+	if slices.ContainsFunc(c.config.Routes, func(r *catalog.Route) bool { return r.Public }) {
+		c.warnf(accountsEntry, "only requests of public routes are allowed: no client account has a key")
+	} else {
+		c.errorf(accountsEntry, "no request is allowed: no client account has a key, and no route is public")
+	}
+}
+
+// Admission tells which requests need a key: all but those of public routes if there is a list of
+// client accounts, even an empty one, and none otherwise.
+func Admission(config *catalog.ConfigSource) string {
+	keys := 0
+	for i := range config.Accounts {
+		keys += len(config.Accounts[i].Keys)
+	}
+	switch {
+	case !config.RequiresKey():
+		return "no request needs a key: there is no list of client accounts"
+	case keys == 0:
+		return fmt.Sprintf("no request is allowed but those of public routes: of %d client accounts none has a key", len(config.Accounts))
+	default:
+		return fmt.Sprintf("requests need a key but those of public routes: %d client accounts have %d keys", len(config.Accounts), keys)
 	}
 }
 
--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -74,6 +74,8 @@
 		"public without accounts": {func(c *catalog.ConfigSource) { c.Accounts, c.Routes[0].Public = nil, true }, Warning, "no request needs a key"},
 		"account without key":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = nil }, Warning, "it has no key"},
 		"no key at all":           {func(c *catalog.ConfigSource) { c.Accounts[0].Keys, c.Accounts[1].Keys = nil, nil }, Error, "no request is allowed"},
+		"no account":              {func(c *catalog.ConfigSource) { c.Accounts = []catalog.NamedAccount{} }, Error, "no request is allowed"},
+		"no account, public":      {func(c *catalog.ConfigSource) { c.Accounts, c.Routes[0].Public = []catalog.NamedAccount{}, true }, Warning, "only requests of public routes"},
 		"key of two accounts":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = []string{"k1"} }, Error, `also that of client account "one"`},
 		"key twice":               {func(c *catalog.ConfigSource) { c.Accounts[0].Keys = []string{"k1", "k1"} }, Warning, "listed twice"},
 		"empty key":               {func(c *catalog.ConfigSource) { c.Accounts[0].Keys[0] = "" }, Error, "can never match"},
@@ -137,6 +139,13 @@
 	if found := CheckVersion(next, sound()); !HasErrors(found) {
 		t.Error("got no error for a lower version")
 	}
+	locked := sound()
+	locked.Accounts = []catalog.NamedAccount{}
+	open := sound()
+	open.Accounts = nil
+	if changes := Compare(locked, open); len(changes) != 1 || changes[0].String() != "changed: client accounts, requests need a key: false, was true" {
+		t.Errorf("got %v for an empty list that is left out, want that no request needs a key", changes)
+	}
 	if changes := Compare(sound(), sound()); len(changes) > 0 {
 		t.Errorf("got %v for the same configuration, want none", changes)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -253,7 +253,10 @@
 	}
 	d.config, d.document = config, o
 	d.publishLocked()
-	event.ConfigInForce.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", string(source)).Send()
+	event.ConfigInForce.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Str("from", string(source)).Bool("needs_key", config.RequiresKey()).Send()
+	if config.AdmitsNobody() {
+		event.ConfigAdmitsNobody.Log(d.log).Uint64("config", config.Version).Uint64("revision", config.Revision).Send()
+	}
 	return true
 }
 
--- a/event/directory.go
+++ b/event/directory.go
@@ -14,5 +14,6 @@
 	EvacuationEnded      = define(3108, zerolog.InfoLevel, "evacuation-ended", "The evacuation of a failure domain was taken back; this router uses its targets again.")
 	EvacuationOfNoTarget = define(3109, zerolog.WarnLevel, "evacuation-of-no-target", "The evacuated failure domain has no target; check its name.")
 	EvacuationsUnknown   = define(3110, zerolog.WarnLevel, "evacuations-unknown", "Neither the store nor another router could tell which failure domains are evacuated in time; this router serves without knowing.")
+	ConfigAdmitsNobody   = define(3111, zerolog.WarnLevel, "config-admits-nobody", "The configuration in force has a list of client accounts in which none has a key; only public routes are served. Without the list, requests need no key.")
 	StoreEntryInvalid    = define(3104, zerolog.WarnLevel, "entry-unusable", "An entry of the store is invalid and is ignored.")
 )
