--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -166,7 +166,8 @@
 	return s.Accounts != nil
 }
 
-// AccountsByKey returns the client accounts by their keys, or nil if requests need no key.
+// AccountsByKey returns the client accounts by their keys, or nil if requests need no key. An empty
+// key is left out: it is that of requests without one.
 func (s *ConfigSource) AccountsByKey() map[string]*Account {
 	if !s.RequiresKey() {
 		return nil
@@ -174,7 +175,9 @@
 	accounts := map[string]*Account{}
 	for i := range s.Accounts {
 		for _, key := range s.Accounts[i].Keys {
-			accounts[key] = &s.Accounts[i].Account
+			if key != "" {
+				accounts[key] = &s.Accounts[i].Account
+			}
 		}
 	}
 	return accounts
--- a/cmd/ragwort/config_test.go
+++ b/cmd/ragwort/config_test.go
@@ -62,6 +62,7 @@
 		"empty accounts":   {[]string{writeConfig(t, withAccounts(`[]`))}, exitBadInput, "error: client accounts: no request is allowed"},
 		"accounts null":    {[]string{writeConfig(t, withAccounts(`null`))}, exitBadInput, "of 0 client accounts none has a key"},
 		"accounts":         {[]string{writeConfig(t, withAccounts(`[{"Name":"a","ApiKeys":["k"]}]`))}, 0, "requests need a key but those of public routes: 1 client accounts have 1 keys"},
+		"empty key":        {[]string{writeConfig(t, withAccounts(`[{"Name":"a","ApiKeys":[""]}]`))}, exitBadInput, "of 1 client accounts none has a key"},
 		"accounts emptied": {[]string{writeConfig(t, withAccounts(`[]`)), "--in-force", older}, exitBadInput, "changed: client accounts, requests need a key: true, was false"},
 		"odd accounts":     {[]string{writeConfig(t, withAccounts(`{}`))}, exitBadInput, "list of client accounts: json: cannot unmarshal object"},
 		"no configuration": {nil, exitBadInput, ""},
--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -273,7 +273,7 @@
 			holders[key] = a.Name
 		}
 	}
-	if !c.config.RequiresKey() || len(holders) > 0 {
+	if !c.config.RequiresKey() || len(c.config.AccountsByKey()) > 0 {
 		return
 	}
 	if slices.ContainsFunc(c.config.Routes, func(r *catalog.Route) bool { return r.Public }) {
@@ -286,10 +286,7 @@
 // Admission tells which requests need a key: all but those of public routes if there is a list of
 // client accounts, even an empty one, and none otherwise.
 func Admission(config *catalog.ConfigSource) string {
-	keys := 0
-	for i := range config.Accounts {
-		keys += len(config.Accounts[i].Keys)
-	}
+	keys := len(config.AccountsByKey())
 	switch {
 	case !config.RequiresKey():
 		return "no request needs a key: there is no list of client accounts"
--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -75,6 +75,7 @@
 		"account without key":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = nil }, Warning, "it has no key"},
 		"no key at all":           {func(c *catalog.ConfigSource) { c.Accounts[0].Keys, c.Accounts[1].Keys = nil, nil }, Error, "no request is allowed"},
 		"no account":              {func(c *catalog.ConfigSource) { c.Accounts = []catalog.NamedAccount{} }, Error, "no request is allowed"},
+		"only an empty key":       {func(c *catalog.ConfigSource) { c.Accounts = []catalog.NamedAccount{{Account: catalog.Account{Name: "one"}, Keys: []string{""}}} }, Error, "no request is allowed"},
 		"no account, public":      {func(c *catalog.ConfigSource) { c.Accounts, c.Routes[0].Public = []catalog.NamedAccount{}, true }, Warning, "only requests of public routes"},
 		"key of two accounts":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = []string{"k1"} }, Error, `also that of client account "one"`},
 		"key twice":               {func(c *catalog.ConfigSource) { c.Accounts[0].Keys = []string{"k1", "k1"} }, Warning, "listed twice"},
--- a/node/account_list_test.go
+++ b/node/account_list_test.go
@@ -46,6 +46,8 @@
 		{name: "keys null", text: `[{"Name":"a","ApiKeys":null}]`},
 		{name: "no field of keys", text: `[{"Name":"a"}]`},
 		{name: "account null", text: `[null]`},
+		{name: "empty key", text: `[{"Name":"a","ApiKeys":[""]}]`},
+		{name: "empty key beside others", text: fmt.Sprintf(`[{"Name":"a","ApiKeys":["",%q]}]`, held[0]), keys: held[:1]},
 		{name: "object", text: `{}`, unreadable: true},
 		{name: "text", text: `"none"`, unreadable: true},
 		{name: "account that is text", text: `["a"]`, unreadable: true},
