--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -75,16 +75,18 @@
 		"account without key":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = nil }, Warning, "it has no key"},
 		"no key at all":           {func(c *catalog.ConfigSource) { c.Accounts[0].Keys, c.Accounts[1].Keys = nil, nil }, Error, "no request is allowed"},
 		"no account":              {func(c *catalog.ConfigSource) { c.Accounts = []catalog.NamedAccount{} }, Error, "no request is allowed"},
-		"only an empty key":       {func(c *catalog.ConfigSource) { c.Accounts = []catalog.NamedAccount{{Account: catalog.Account{Name: "one"}, Keys: []string{""}}} }, Error, "no request is allowed"},
-		"no account, public":      {func(c *catalog.ConfigSource) { c.Accounts, c.Routes[0].Public = []catalog.NamedAccount{}, true }, Warning, "only requests of public routes"},
-		"key of two accounts":     {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = []string{"k1"} }, Error, `also that of client account "one"`},
-		"key twice":               {func(c *catalog.ConfigSource) { c.Accounts[0].Keys = []string{"k1", "k1"} }, Warning, "listed twice"},
-		"empty key":               {func(c *catalog.ConfigSource) { c.Accounts[0].Keys[0] = "" }, Error, "can never match"},
-		"negative priority":       {func(c *catalog.ConfigSource) { c.Accounts[0].Priority = &negative }, Error, "priority is negative"},
-		"head without room":       {func(c *catalog.ConfigSource) { c.Limits.HeaderBytes = 10 }, Error, "no request fits"},
-		"body smaller than head":  {func(c *catalog.ConfigSource) { c.Limits.BodyBytes = 1000 }, Warning, "less than a head"},
-		"head slower than idle":   {func(c *catalog.ConfigSource) { c.Limits.IdleTimeout = time.Second }, Warning, "than it may rest"},
-		"remark of the decoder":   {func(c *catalog.ConfigSource) { c.Remarks = []catalog.Remark{{Route: "chat", Text: "odd"}} }, Error, `route "chat": odd`},
+		"only an empty key": {func(c *catalog.ConfigSource) {
+			c.Accounts = []catalog.NamedAccount{{Account: catalog.Account{Name: "one"}, Keys: []string{""}}}
+		}, Error, "no request is allowed"},
+		"no account, public":     {func(c *catalog.ConfigSource) { c.Accounts, c.Routes[0].Public = []catalog.NamedAccount{}, true }, Warning, "only requests of public routes"},
+		"key of two accounts":    {func(c *catalog.ConfigSource) { c.Accounts[1].Keys = []string{"k1"} }, Error, `also that of client account "one"`},
+		"key twice":              {func(c *catalog.ConfigSource) { c.Accounts[0].Keys = []string{"k1", "k1"} }, Warning, "listed twice"},
+		"empty key":              {func(c *catalog.ConfigSource) { c.Accounts[0].Keys[0] = "" }, Error, "can never match"},
+		"negative priority":      {func(c *catalog.ConfigSource) { c.Accounts[0].Priority = &negative }, Error, "priority is negative"},
+		"head without room":      {func(c *catalog.ConfigSource) { c.Limits.HeaderBytes = 10 }, Error, "no request fits"},
+		"body smaller than head": {func(c *catalog.ConfigSource) { c.Limits.BodyBytes = 1000 }, Warning, "less than a head"},
+		"head slower than idle":  {func(c *catalog.ConfigSource) { c.Limits.IdleTimeout = time.Second }, Warning, "than it may rest"},
+		"remark of the decoder":  {func(c *catalog.ConfigSource) { c.Remarks = []catalog.Remark{{Route: "chat", Text: "odd"}} }, Error, `route "chat": odd`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := sound()
