directory, mesh: the end of a router's own cut is not the return of the store

Change: heartbeats tell for how long the store has answered all calls of their sender. The two seconds count from the earliest time from which it was there for a router of the target's failure domain; if one had answers before and after, the target is gone. Both kinds of calls begin one period.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -76,10 +76,10 @@
 		t.Error("a leaving target was kept")
 	}
 	m.Put(newTarget("b", 9))
-	if expired := m.Expire(start.Add(1900 * time.Millisecond)); len(expired) > 0 {
+	if expired := m.Expire(start.Add(1900*time.Millisecond), nil); len(expired) > 0 {
 		t.Errorf("within the grace period: got %v expired, want none", expired)
 	}
-	expired := m.Expire(start.Add(2 * time.Second))
+	expired := m.Expire(start.Add(2*time.Second), nil)
 	if len(expired) != 1 || expired[0].ID != "a" {
 		t.Errorf("got %v expired, want a only, since b was listed again", expired)
 	}
--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -25,6 +25,9 @@
 	lapsed map[fleet.TargetID]time.Time
 	// graceUntil is the end of the period in which a deletion is not final.
 	graceUntil time.Time
+	// outageBegan is when this router met the outage after which that period began; zero if
+	// it began for another reason.
+	outageBegan time.Time
 }
 
 // NewTargetSet returns an empty set.
@@ -42,9 +45,29 @@
 	return s.loaded
 }
 
-// StartGracePeriod records that the store is available again after an outage.
+// StartGracePeriod records that entries of live targets may be missing from now on for a while.
 func (s *TargetSet) StartGracePeriod(now time.Time) {
-	s.graceUntil = now.Add(storeReturnGrace)
+	s.graceUntil, s.outageBegan = now.Add(storeReturnGrace), time.Time{}
+}
+
+// StartGraceAfterOutage is StartGracePeriod for an outage that this router met at began and that
+// was over at returned.
+func (s *TargetSet) StartGraceAfterOutage(began, returned time.Time) {
+	s.graceUntil, s.outageBegan = returned.Add(storeReturnGrace), began
+}
+
+// LapsedAfterOutage returns the failure domains of the targets that are kept after an outage, and
+// when this router met it.
+func (s *TargetSet) LapsedAfterOutage() (domains []fleet.DomainName, began time.Time) {
+	if s.outageBegan.IsZero() {
+		return nil, time.Time{}
+	}
+	for id := range s.lapsed {
+		if t, ok := s.targets[id]; ok && !slices.Contains(domains, t.Domain) {
+			domains = append(domains, t.Domain)
+		}
+	}
+	return domains, s.outageBegan
 }
 
 // outageShare is the share of the targets that must be missing from a complete list for
@@ -122,14 +145,21 @@
 	return slices.Collect(maps.Keys(s.targets))
 }
 
-// Expire removes the targets whose grace period has ended and returns them.
-func (s *TargetSet) Expire(now time.Time) []*Target {
+// Expire removes the targets whose grace period has ended and returns them. returned holds the
+// failure domains for which the store is known to have been there from an earlier time on.
+func (s *TargetSet) Expire(now time.Time, returned map[fleet.DomainName]time.Time) []*Target {
 	var expired []*Target
 	for id, until := range s.lapsed {
+		t, ok := s.targets[id]
+		if ok {
+			if at, known := returned[t.Domain]; known && at.Add(storeReturnGrace).Before(until) {
+				until = at.Add(storeReturnGrace)
+			}
+		}
 		if now.Before(until) {
 			continue
 		}
-		if t, ok := s.targets[id]; ok {
+		if ok {
 			expired = append(expired, t)
 		}
 		delete(s.lapsed, id)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,6 +30,9 @@
 	// bounds how long a silent store goes unnoticed: a call without a response fails
 	// after this time and the store client's own timeout of a call.
 	watchTimeout = 3 * time.Second
+	// MaxCallTime is the longest time that a watch call takes, by watchTimeout and the store client's
+	// timeout of a call.
+	MaxCallTime = watchTimeout + platform.CallTimeout
 	// minBackoff and maxBackoff bound the wait after a failed call; it doubles with
 	// each failure.
 	minBackoff = 100 * time.Millisecond
@@ -57,6 +60,8 @@
 	onChange func([]platform.Change)
 	// onWatchLost is called when a live watch of the store is lost.
 	onWatchLost func()
+	// storeReturn tells since when the store was there for a failure domain, see OnStoreReturn.
+	storeReturn func(domain fleet.DomainName, outageBegan time.Time) (time.Time, bool)
 	pace        Pace
 	// ready is closed once the view is sufficient to serve requests.
 	ready chan struct{}
@@ -73,6 +78,11 @@
 	// the store or by a router that watches the store and holds the same data.
 	unavailable map[string]bool
 	confirmedAt map[string]time.Time
+	// callBegan is when the last store call began, by kind of object. answeredSince is when the
+	// store answered the first call after the last outage, zero while calls fail; outageBegan is
+	// when the first call failed in that outage, zero if there was none.
+	callBegan                  map[string]time.Time
+	answeredSince, outageBegan time.Time
 	// heardBefore is the value of confirmedAt before the last store call that succeeded.
 	heardBefore map[string]time.Time
 	// role tells whether this router watches the store; modeChanged is closed and
@@ -102,6 +112,7 @@
 	d := &Directory{
 		store: store, log: log, now: time.Now, onRestart: onRestart, onChange: func([]platform.Change) {}, onWatchLost: func() {},
 		pace: pace, ready: make(chan struct{}), members: catalog.NewTargetSet(), entries: newEntries(), gone: goneTargets{}, unavailable: map[string]bool{}, confirmedAt: map[string]time.Time{}, heardBefore: map[string]time.Time{},
+		callBegan: map[string]time.Time{}, storeReturn: func(fleet.DomainName, time.Time) (time.Time, bool) { return time.Time{}, false },
 		role: role, modeChanged: make(chan struct{}), primaryChanged: make(chan struct{}),
 	}
 	d.view.Store(&catalog.View{})
@@ -121,6 +132,13 @@
 	d.onWatchLost = f
 }
 
+// OnStoreReturn sets the function that returns since when the store was there for routers of a
+// failure domain, after an outage that this router met at outageBegan; false if that is not known.
+// It must be called before Run.
+func (d *Directory) OnStoreReturn(f func(domain fleet.DomainName, outageBegan time.Time) (time.Time, bool)) {
+	d.storeReturn = f
+}
+
 // View returns the current view. It never returns nil.
 func (d *Directory) View() *catalog.View {
 	return d.view.Load()
@@ -148,7 +166,15 @@
 	return nil
 }
 
-// markUnavailable records that a store call for a kind of object failed.
+// markCall records that a store call for a kind of object begins.
+func (d *Directory) markCall(kind string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.callBegan[kind] = d.now()
+}
+
+// markUnavailable records that a store call for a kind of object failed. One that began before the
+// store answered another call shows nothing of the time since.
 func (d *Directory) markUnavailable(kind string, err error) {
 	d.mu.Lock()
 	wasLive := d.hasLiveWatchLocked()
@@ -156,6 +182,10 @@
 		event.StoreLost.Log(d.log).Str("kind", kind).Err(err).Send()
 	}
 	d.unavailable[kind] = true
+	ends := !d.answeredSince.IsZero() && !d.callBegan[kind].Before(d.answeredSince)
+	if ends || d.outageBegan.IsZero() {
+		d.answeredSince, d.outageBegan = time.Time{}, d.now()
+	}
 	d.mu.Unlock()
 	if wasLive {
 		d.onWatchLost()
@@ -164,17 +194,29 @@
 
 // markAvailable records that a store call for a kind of object succeeded. The end of
 // an outage starts the grace period whichever kind met it, since only calls for the
-// configuration may have been in flight while targets' entries lapsed.
+// configuration may have been in flight while targets' entries lapsed. The outage is over
+// with the first answer: what the other kind finds out later begins no other period.
 func (d *Directory) markAvailable(kind string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heardBefore[kind], d.confirmedAt[kind] = d.confirmedAt[kind], d.now()
-	if !d.unavailable[kind] {
-		return
+	if d.answeredSince.IsZero() {
+		d.answeredSince = d.now()
+		if d.storeFailsLocked() {
+			d.members.StartGraceAfterOutage(d.outageBegan, d.answeredSince)
+		}
 	}
-	d.unavailable[kind] = false
-	d.members.StartGracePeriod(d.now())
-	event.StoreRegained.Log(d.log).Str("kind", kind).Send()
+	if d.unavailable[kind] {
+		d.unavailable[kind] = false
+		event.StoreRegained.Log(d.log).Str("kind", kind).Send()
+	}
+}
+
+// AnsweredSince returns since when the store has answered all calls of this router; zero if it does not.
+func (d *Directory) AnsweredSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answeredSince
 }
 
 // lastHeard returns when the store call before the last one succeeded for a kind of object, zero if none did.
@@ -351,8 +393,8 @@
 // must be held.
 func (d *Directory) applyLocked(changes []platform.Change, source dataSource) []platform.Change {
 	now := d.now()
-	if source == sourceStore && d.unavailable[platform.KindConfig] {
-		// The store is back, but no call for the configuration has shown it yet.
+	if source == sourceStore && d.unavailable[platform.KindConfig] && d.answeredSince.IsZero() {
+		// The store is back, but no call of the watch has shown it yet.
 		d.members.StartGracePeriod(now)
 	}
 	var applied []platform.Change
@@ -436,14 +478,16 @@
 
 // expire removes the targets whose grace period has ended.
 func (d *Directory) expire() {
+	returned := d.storeReturns()
 	var changes []platform.Change
 	d.mu.Lock()
-	for _, t := range d.members.Expire(d.now()) {
+	for _, t := range d.members.Expire(d.now(), returned) {
 		id := t.ID
+		_, witnessed := returned[t.Domain]
 		d.entries.remove(string(id), 0)
 		d.gone.record(t, d.members.Revision())
 		changes = append(changes, platform.Change{Object: platform.Object{Name: string(id)}, Deleted: true})
-		event.TargetChanged.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Send()
+		event.TargetChanged.Log(d.log).Str("change", "lapsed").Str("target", string(id)).Bool("witnessed", witnessed).Send()
 	}
 	if len(changes) > 0 {
 		d.publishLocked()
@@ -454,6 +498,21 @@
 	}
 }
 
+// storeReturns returns since when the store was there, by the failure domains of the targets that
+// are kept after an outage, as far as other routers tell.
+func (d *Directory) storeReturns() map[fleet.DomainName]time.Time {
+	d.mu.Lock()
+	domains, began := d.members.LapsedAfterOutage()
+	d.mu.Unlock()
+	returned := map[fleet.DomainName]time.Time{}
+	for _, domain := range domains {
+		if at, ok := d.storeReturn(domain, began); ok {
+			returned[domain] = at
+		}
+	}
+	return returned
+}
+
 // publishLocked publishes a new view; d.mu must be held.
 func (d *Directory) publishLocked() {
 	plans, now := d.evacuationPlans(), d.now()
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -66,6 +66,7 @@
 
 // listOnce lists the objects of a kind and returns the revision of the list.
 func (d *Directory) listOnce(ctx context.Context, kind string, onList func([]platform.Object, uint64)) (uint64, error) {
+	d.markCall(kind)
 	objects, revision, err := d.store().List(ctx, kind, false)
 	if err != nil {
 		return 0, err
@@ -89,6 +90,7 @@
 		case <-done:
 		}
 	}()
+	d.markCall(f.kind)
 	changes, revision, err := d.store().Watch(watchCtx, f.kind, from, f.wait)
 	if err != nil {
 		if errors.Is(context.Cause(watchCtx), errModeChanged) {
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -16,11 +16,15 @@
 // newHeartbeat returns a plain heartbeat, which has no loads and no peers.
 func (m *Mesh) newHeartbeat() *Heartbeat {
 	versions, live := m.cfg.Directory.Versions(), m.cfg.Directory.HasLiveWatch()
-	return &Heartbeat{
+	hb := &Heartbeat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
 		Leaving: m.leaving.Load(), ConfigRevision: versions.Config.Revision, ConfigVersion: versions.Config.Version, TargetsDigest: versions.TargetsDigest,
 		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
 	}
+	if since := m.cfg.Directory.AnsweredSince(); live && !since.IsZero() {
+		hb.StoreAnsweredMS = max(ageMS(since, time.Now()), 1)
+	}
+	return hb
 }
 
 // addLoadsAndPeers adds the newest loads and some other routers to a heartbeat,
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -90,6 +90,7 @@
 	}
 	r.directory.OnChange(r.mesh.PublishChanges)
 	r.directory.OnWatchLost(r.mesh.AnnounceWatch)
+	r.directory.OnStoreReturn(r.mesh.StoreReturn)
 	prepare(r)
 	l, err := net.Listen("tcp4", freeAddr(t, i))
 	if err != nil {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -88,6 +88,9 @@
 	// Evacuations tells of the evacuated failure domains; nil if the sender knows nothing of them, as
 	// earlier builds do.
 	Evacuations *EvacuationReport `cbor:"30,keyasint,omitempty"`
+	// StoreAnsweredMS is for how long the store has answered all calls of the sender, if that has a
+	// live watch; zero if it is not known, as from earlier builds.
+	StoreAnsweredMS uint32 `cbor:"33,keyasint,omitempty"`
 }
 
 // EvacuationReport is what a router knows of evacuated failure domains.
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -60,7 +60,10 @@
 	// watching is set if it has a live watch of the store, storeLost if it watches and
 	// its calls to the store fail.
 	watching, storeLost bool
-	leaving             bool
+	// storeAnsweredSince is since when the store has answered all its calls; zero if that is not
+	// known.
+	storeAnsweredSince time.Time
+	leaving            bool
 	// configRevision and targetsDigest are the versions that its last heartbeat told.
 	configRevision, targetsDigest uint64
 	strength                      uint8
@@ -125,6 +128,10 @@
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
 	m.watching, m.storeLost, m.leaving, m.strength = hb.Watching, hb.StoreLost, hb.Leaving, hb.Strength
+	m.storeAnsweredSince = time.Time{}
+	if hb.StoreAnsweredMS > 0 {
+		m.storeAnsweredSince = timeOf(hb.StoreAnsweredMS, now)
+	}
 	if hb.Watching && !hb.Leaving && hb.Domain == t.domain {
 		t.servedAt = now
 	}
--- a/mesh/watchrole.go
+++ b/mesh/watchrole.go
@@ -92,6 +92,43 @@
 	return watchRank{m.strength, m.hash, m.id}
 }
 
+// silentStoreTime is the longest time for which a router with a live watch may not have noticed that
+// the store is away: that of a call without an answer.
+const silentStoreTime = directory.MaxCallTime
+
+// StoreReturn returns since when the store has been there for routers of a failure domain, after an
+// outage that this router met at began: it was not away for a router whose calls it answered before
+// and after, and is back since its first answer for others. It returns false if no router of the
+// domain tells.
+func (t *Table) StoreReturn(domain fleet.DomainName, began, now time.Time) (time.Time, bool) {
+	var earliest time.Time
+	timeout := t.watcherTimeout()
+	for _, m := range t.members {
+		at := m.storeAnsweredSince
+		if m.domain != domain || at.IsZero() || !m.hasLiveWatch(now, timeout) {
+			continue
+		}
+		if !at.After(began) {
+			if m.lastReceived.Sub(began) < silentStoreTime {
+				continue
+			}
+			at = began
+		}
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
+// StoreReturn returns since when the store has been there for routers of a failure domain, see
+// Table.StoreReturn.
+func (m *Mesh) StoreReturn(domain fleet.DomainName, outageBegan time.Time) (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.StoreReturn(domain, outageBegan, time.Now())
+}
+
 // HasDomainWatcher reports whether this router received a heartbeat, within the watcher
 // timeout, from a router of the same failure domain with a live watch of the store.
 func (t *Table) HasDomainWatcher(now time.Time) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -139,6 +139,7 @@
 	}
 	n.directory.OnChange(n.mesh.PublishChanges)
 	n.directory.OnWatchLost(n.mesh.AnnounceWatch)
+	n.directory.OnStoreReturn(n.mesh.StoreReturn)
 	if bound := cfg.EvacuationBound(); bound > 0 {
 		n.directory.FollowEvacuations(bound, n.mesh.PublishEvacuations)
 	}
