directory: a target is gone if it is missing from what was read after its time

Cause: the two seconds in which entries that lapsed may come back ended by the clock, while a standby that gathers changes had not read for up to 0.67 s.

Change: the time ends for a target when the router has read the store after it, or waits in a watch that would have told; a router that keeps such targets gathers changes no longer than a primary does.

Two tests of the directory called expire without a call to the store since the period began; they read the list at its end now, and want the same removal.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -56,6 +56,11 @@
 	s.graceUntil, s.outageBegan = returned.Add(storeReturnGrace), began
 }
 
+// KeepsLapsed reports whether targets are kept although the store does not list them.
+func (s *TargetSet) KeepsLapsed() bool {
+	return len(s.lapsed) > 0
+}
+
 // LapsedAfterOutage returns the failure domains of the targets that are kept after an outage, and
 // when this router met it.
 func (s *TargetSet) LapsedAfterOutage() (domains []fleet.DomainName, began time.Time) {
@@ -145,7 +150,8 @@
 	return slices.Collect(maps.Keys(s.targets))
 }
 
-// Expire removes the targets whose grace period has ended and returns them. returned holds the
+// Expire removes the targets whose grace period has ended by now, which is the time as of which the
+// entries are known, and returns them. returned holds the
 // failure domains for which the store is known to have been there from an earlier time on.
 func (s *TargetSet) Expire(now time.Time, returned map[fleet.DomainName]time.Time) []*Target {
 	var expired []*Target
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -81,8 +81,11 @@
 	// callBegan is when the last store call began, by kind of object. answeredSince is when the
 	// store answered the first call after the last outage, zero while calls fail; outageBegan is
 	// when the first call failed in that outage, zero if there was none.
-	callBegan                  map[string]time.Time
-	answeredSince, outageBegan time.Time
+	callBegan map[string]time.Time
+	// targetsAnsweredAt is when the store last answered a call for targets, targetsWaitingSince
+	// since when a watch of them has waited for changes; zero if none does.
+	targetsAnsweredAt, targetsWaitingSince time.Time
+	answeredSince, outageBegan             time.Time
 	// heardBefore is the value of confirmedAt before the last store call that succeeded.
 	heardBefore map[string]time.Time
 	// role tells whether this router watches the store; modeChanged is closed and
@@ -200,6 +203,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heardBefore[kind], d.confirmedAt[kind] = d.confirmedAt[kind], d.now()
+	if kind == platform.KindTargets {
+		d.targetsAnsweredAt = d.now()
+	}
 	if d.answeredSince.IsZero() {
 		d.answeredSince = d.now()
 		if d.storeFailsLocked() {
@@ -481,7 +487,8 @@
 	returned := d.storeReturns()
 	var changes []platform.Change
 	d.mu.Lock()
-	for _, t := range d.members.Expire(d.now(), returned) {
+	// What this router has not read yet is not missing.
+	for _, t := range d.members.Expire(d.targetsReadAsOf(), returned) {
 		id := t.ID
 		_, witnessed := returned[t.Domain]
 		d.entries.remove(string(id), 0)
@@ -498,6 +505,36 @@
 	}
 }
 
+// answerTime is the time within which the store answers a watch for which it has changes.
+const answerTime = 100 * time.Millisecond
+
+// targetsReadAsOf returns the time as of which the targets are known as the store lists them. A router
+// that does not watch knows them from others; d.mu must be held.
+func (d *Directory) targetsReadAsOf() time.Time {
+	now := d.now()
+	if d.role == NoWatch || (!d.targetsWaitingSince.IsZero() && now.Sub(d.targetsWaitingSince) >= answerTime) {
+		return now
+	}
+	return d.targetsAnsweredAt
+}
+
+// setTargetsWaiting records that a watch of targets begins to wait for changes, or ends.
+func (d *Directory) setTargetsWaiting(waiting bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targetsWaitingSince = time.Time{}
+	if waiting {
+		d.targetsWaitingSince = d.now()
+	}
+}
+
+// keepsLapsed reports whether targets are kept although the store does not list them.
+func (d *Directory) keepsLapsed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members.KeepsLapsed()
+}
+
 // storeReturns returns since when the store was there, by the failure domains of the targets that
 // are kept after an outage, as far as other routers tell.
 func (d *Directory) storeReturns() map[fleet.DomainName]time.Time {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -185,6 +185,7 @@
 					t.Errorf("within the grace period: got %d targets, want 1", servingCount(d))
 				}
 				clock = clock.Add(200 * time.Millisecond)
+				list(platform.KindTargets)
 				d.expire()
 				if servingCount(d) != 0 {
 					t.Errorf("after the grace period: got %d targets, want none", servingCount(d))
@@ -221,6 +222,9 @@
 			t.Errorf("%d of 8 targets listed: got %d serving, want %d", test.listed, got, test.want)
 		}
 		clock = clock.Add(2100 * time.Millisecond)
+		if _, err := d.listOnce(t.Context(), platform.KindTargets, d.handleTargetList); err != nil {
+			t.Fatal(err)
+		}
 		d.expire()
 		if got := servingCount(d); got != test.listed {
 			t.Errorf("%d of 8 targets listed: got %d serving after the grace period, want %d", test.listed, got, test.listed)
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -91,7 +91,13 @@
 		}
 	}()
 	d.markCall(f.kind)
+	if f.kind == platform.KindTargets {
+		d.setTargetsWaiting(true)
+	}
 	changes, revision, err := d.store().Watch(watchCtx, f.kind, from, f.wait)
+	if f.kind == platform.KindTargets {
+		d.setTargetsWaiting(false)
+	}
 	if err != nil {
 		if errors.Is(context.Cause(watchCtx), errModeChanged) {
 			err = errModeChanged
--- a/directory/watchrole.go
+++ b/directory/watchrole.go
@@ -106,9 +106,10 @@
 	return d.role == PrimaryWatch, d.primaryChanged
 }
 
-// settleDelay returns the wait after a change.
+// settleDelay returns the wait after a change. A router that keeps targets which the store does not
+// list does not wait as long as a standby, since their entries may be back.
 func (d *Directory) settleDelay() time.Duration {
-	if d.WatchRole() == PrimaryWatch {
+	if d.WatchRole() == PrimaryWatch || d.keepsLapsed() {
 		return d.pace.Primary
 	}
 	return d.pace.Standby
--- a/mesh/store_return_test.go
+++ b/mesh/store_return_test.go
@@ -7,7 +7,9 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -89,7 +91,40 @@
 	return time.Since(from)
 }
 
-// Times of the test below.
+// watchMissing records each moment at which a router does not use one of the targets, until stop is
+// closed, and returns what it saw.
+func (f *returnFleet) watchMissing(ids []string) (stop func() []string) {
+	done, seen := make(chan struct{}), map[string]bool{}
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for {
+			for i := range f.routers {
+				for _, id := range ids {
+					if !f.has(i, id) {
+						seen[fmt.Sprintf("%s at router %d", id, i)] = true
+					}
+				}
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+	return func() []string {
+		close(done)
+		wait.Wait()
+		var list []string
+		for s := range seen {
+			list = append(list, s)
+		}
+		slices.Sort(list)
+		return list
+	}
+}
+
+// Times of the tests below.
 const (
 	// returnTime is how long the entry of a live target may be missing after the store's return.
 	returnTime = 2 * time.Second
@@ -142,3 +177,48 @@
 		})
 	}
 }
+
+// TestTargetsThatLapseWhileStoreIsAwayAreKept is the other side: the store is away for all, which the
+// routers notice at different times, and entries that lapsed come back up to 1.8 s after its return.
+// No router may cease to use their targets.
+func TestTargetsThatLapseWhileStoreIsAwayAreKept(t *testing.T) {
+	for _, seed := range []uint64{7, 8} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 16))
+			f := startReturnFleet(t)
+			ids := []string{"d1", "d22", "d333", "d4444", "e1", "e22", "e333", "e4444"}
+			for _, id := range ids {
+				f.put(id)
+			}
+			for i, r := range f.routers {
+				await.Until(t, "all targets", func() bool { return targetCount(r) == len(ids) && r.directory.HasLiveWatch() && f.has(i, "e4444") })
+			}
+			time.Sleep(2 * heartbeatInterval)
+			stop := f.watchMissing(ids)
+			order := rng.Perm(3)
+			for _, i := range order {
+				f.gates[i].close()
+				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+			}
+			for _, id := range ids {
+				f.store.Delete(platform.KindTargets, id)
+			}
+			f.store.Compact()
+			time.Sleep(time.Duration(rng.IntN(2*int(silentStoreTime.Milliseconds()))) * time.Millisecond)
+			for _, g := range f.gates {
+				g.closed.Store(false)
+			}
+			returned := time.Now()
+			rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+			for n, id := range ids {
+				// The last one is back after 1.8 s.
+				time.Sleep(time.Until(returned.Add(time.Duration(n+1) * 225 * time.Millisecond)))
+				f.put(id)
+			}
+			time.Sleep(time.Second)
+			if missing := stop(); len(missing) > 0 {
+				t.Errorf("not used for a time: %v", missing)
+			}
+		})
+	}
+}
