directory: an outage that only other calls met begins the time as well

Cause: since the time counts from the first answer, it began only if calls for the configuration or the targets had failed, not if those for evacuations had. Change: it begins with the first answer after any failed call. Two tests: calls for evacuations alone, and a router that starts while the store is away. Result: both hold.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -150,10 +150,10 @@
 	return slices.Collect(maps.Keys(s.targets))
 }
 
-// Expire removes the targets whose grace period has ended by now, which is the time as of which the
-// entries are known, and returns them. returned holds the
-// failure domains for which the store is known to have been there from an earlier time on.
-func (s *TargetSet) Expire(now time.Time, returned map[fleet.DomainName]time.Time) []*Target {
+// Expire removes the targets whose grace period ended by readAsOf, the time as of which the entries
+// were read, and returns them. returned holds the failure domains for which the store is known to
+// have been there from an earlier time on.
+func (s *TargetSet) Expire(readAsOf time.Time, returned map[fleet.DomainName]time.Time) []*Target {
 	var expired []*Target
 	for id, until := range s.lapsed {
 		t, ok := s.targets[id]
@@ -162,7 +162,7 @@
 				until = at.Add(storeReturnGrace)
 			}
 		}
-		if now.Before(until) {
+		if readAsOf.Before(until) {
 			continue
 		}
 		if ok {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -78,14 +78,14 @@
 	// the store or by a router that watches the store and holds the same data.
 	unavailable map[string]bool
 	confirmedAt map[string]time.Time
-	// callBegan is when the last store call began, by kind of object. answeredSince is when the
-	// store answered the first call after the last outage, zero while calls fail; outageBegan is
-	// when the first call failed in that outage, zero if there was none.
+	// callBegan is when the last store call began, by kind of object.
 	callBegan map[string]time.Time
+	// outageBegan is when the first call failed in the last outage, zero if there was none;
+	// answeredSince is when the store answered the first call after it, zero while calls fail.
+	outageBegan, answeredSince time.Time
 	// targetsAnsweredAt is when the store last answered a call for targets, targetsWaitingSince
 	// since when a watch of them has waited for changes; zero if none does.
 	targetsAnsweredAt, targetsWaitingSince time.Time
-	answeredSince, outageBegan             time.Time
 	// heardBefore is the value of confirmedAt before the last store call that succeeded.
 	heardBefore map[string]time.Time
 	// role tells whether this router watches the store; modeChanged is closed and
@@ -208,7 +208,7 @@
 	}
 	if d.answeredSince.IsZero() {
 		d.answeredSince = d.now()
-		if d.storeFailsLocked() {
+		if !d.outageBegan.IsZero() {
 			d.members.StartGraceAfterOutage(d.outageBegan, d.answeredSince)
 		}
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -146,7 +146,7 @@
 // read first afterwards, and removed at its end.
 func TestOutageSeenByOneKindProtectsTargets(t *testing.T) {
 	kinds := []string{platform.KindConfig, platform.KindTargets}
-	for _, failing := range kinds {
+	for _, failing := range append(kinds, platform.KindEvacuations) {
 		for _, first := range kinds {
 			t.Run(failing+" fails, "+first+" returns first", func(t *testing.T) {
 				clock := time.Unix(1000, 0)
@@ -195,6 +195,39 @@
 	}
 }
 
+// TestStoreAwayAtStartProtectsTargets lets a router start while the store is away, with targets that
+// another router told it of. They are kept for the grace period after its first answer.
+func TestStoreAwayAtStartProtectsTargets(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	store := &scriptedStore{err: platform.ErrUnavailable}
+	d := New(func() Store { return store }, PrimaryWatch, testPace, zerolog.Nop(), nil)
+	d.now = func() time.Time { return clock }
+	list := func() {
+		if _, err := d.listOnce(t.Context(), platform.KindTargets, d.handleTargetList); err != nil {
+			d.markUnavailable(platform.KindTargets, err)
+		}
+	}
+	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list()
+	d.ApplySnapshot(Snapshot{Targets: []platform.Object{{Name: "a", Revision: 5, Spec: spec}}, TargetsRevision: 7})
+	clock = clock.Add(time.Second)
+	store.revision, store.err = 9, nil
+	for _, test := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 1}, {1900 * time.Millisecond, 1}, {200 * time.Millisecond, 0}} {
+		clock = clock.Add(test.after)
+		list()
+		d.expire()
+		if got := servingCount(d); got != test.want {
+			t.Errorf("got %d targets at %v, want %d", got, clock.Sub(time.Unix(1001, 0)), test.want)
+		}
+	}
+}
+
 // TestTakeoverRemovesTargetsThatLeft lets a router take over the watch of the store. Its
 // first list lacks one target of eight, which left, so that the target must go at once;
 // then it lacks half of them, which lapsed while the store was away, and they are kept
