directory: a takeover counts from the store's return as others report it, too

Change: the time of its own outage stays in force, and one that it did not meet counts from when its targets were last confirmed. Result: TestTakeoverDuringCutCountsFromStoresReturn failed in nine of nine cases, and holds.

--- a/catalog/targetset.go
+++ b/catalog/targetset.go
@@ -50,12 +50,17 @@
 	s.graceUntil, s.outageBegan = now.Add(storeReturnGrace), time.Time{}
 }
 
-// StartGraceAfterOutage is StartGracePeriod for an outage that this router met at began and that
-// was over at returned.
+// StartGraceAfterOutage is StartGracePeriod for an outage that this router met at began, zero if
+// that is not known, and that was over at returned.
 func (s *TargetSet) StartGraceAfterOutage(began, returned time.Time) {
 	s.graceUntil, s.outageBegan = returned.Add(storeReturnGrace), began
 }
 
+// InGraceAfterOutage reports whether the period after an outage that this router met has not ended.
+func (s *TargetSet) InGraceAfterOutage(now time.Time) bool {
+	return !s.outageBegan.IsZero() && now.Before(s.graceUntil)
+}
+
 // KeepsLapsed reports whether targets are kept although the store does not list them.
 func (s *TargetSet) KeepsLapsed() bool {
 	return len(s.lapsed) > 0
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -374,11 +374,12 @@
 }
 
 // endTakeover handles the first list of a router that took over the watch: it starts a
-// grace period if the list shows an outage that this router did not see. d.mu must be
-// held.
+// grace period if the list shows an outage that this router did not see, which may have begun
+// after the targets were last confirmed to be current. d.mu must be held.
 func (d *Directory) endTakeover(listed map[string]bool) {
-	if d.takingOver && d.members.LapsedInOutage(func(id fleet.TargetID) bool { return listed[string(id)] }) {
-		d.members.StartGracePeriod(d.now())
+	isListed := func(id fleet.TargetID) bool { return listed[string(id)] }
+	if d.takingOver && !d.members.InGraceAfterOutage(d.now()) && d.members.LapsedInOutage(isListed) {
+		d.members.StartGraceAfterOutage(d.heardBefore[platform.KindTargets], d.now())
 	}
 	d.takingOver = false
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -15,6 +15,7 @@
 
 	"ragwortpond.example/ragwortpond/await"
 	"ragwortpond.example/ragwortpond/catalog"
+	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
 	"ragwortpond.example/ragwortpond/platform/standin"
 )
@@ -195,6 +196,62 @@
 	}
 }
 
+// TestTakeoverDuringCutCountsFromStoresReturn lets a router take over the watch while it is cut off,
+// with or without a call that fails. Its first list lacks half of the targets. As other routers of
+// their failure domain tell that the store was there all the time, or since when, they must not be
+// kept for the whole grace period.
+func TestTakeoverDuringCutCountsFromStoresReturn(t *testing.T) {
+	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects := make([]platform.Object, 8)
+	for i := range objects {
+		objects[i] = platform.Object{Name: fmt.Sprint(i), Revision: uint64(i + 1), Spec: spec}
+	}
+	for _, calls := range []int{0, 1, 3} {
+		for _, returned := range []time.Duration{-time.Hour, -1500 * time.Millisecond, -500 * time.Millisecond} {
+			clock := time.Unix(1000, 0)
+			store := &scriptedStore{objects: objects[:4], revision: 20, err: platform.ErrUnavailable}
+			d := New(func() Store { return store }, NoWatch, testPace, zerolog.Nop(), nil)
+			d.now = func() time.Time { return clock }
+			d.ApplySnapshot(Snapshot{Targets: objects, TargetsRevision: 10})
+			d.ConfirmCurrent()
+			clock = clock.Add(time.Second)
+			d.SetWatchRole(PrimaryWatch)
+			for range calls {
+				if _, err := d.listOnce(t.Context(), platform.KindTargets, d.handleTargetList); err != nil {
+					d.markUnavailable(platform.KindTargets, err)
+				}
+				clock = clock.Add(time.Second)
+			}
+			clock = clock.Add(5 * time.Second)
+			store.err = nil
+			d.OnStoreReturn(func(_ fleet.DomainName, began time.Time) (time.Time, bool) {
+				if at := time.Unix(1006, 0).Add(time.Duration(calls)*time.Second + returned); at.After(began) {
+					return at, true
+				}
+				return began, true
+			})
+			for passed := time.Duration(0); passed <= 2*time.Second; passed += 100 * time.Millisecond {
+				if _, err := d.listOnce(t.Context(), platform.KindTargets, d.handleTargetList); err != nil {
+					t.Fatal(err)
+				}
+				d.expire()
+				want := 8
+				if passed-returned >= 2*time.Second {
+					want = 4
+				}
+				if got := servingCount(d); got != want {
+					t.Errorf("%d failed calls, store there for %v: got %d serving after %v, want %d", calls, -returned, got, passed, want)
+					break
+				}
+				clock = clock.Add(100 * time.Millisecond)
+			}
+		}
+	}
+}
+
 // TestStoreAwayAtStartProtectsTargets lets a router start while the store is away, with targets that
 // another router told it of. They are kept for the grace period after its first answer.
 func TestStoreAwayAtStartProtectsTargets(t *testing.T) {
