--- a/directory/directory.go
+++ b/directory/directory.go
@@ -60,7 +60,7 @@
 	onChange func([]platform.Change)
 	// onWatchLost is called when a live watch of the store is lost.
 	onWatchLost func()
-	// storeReturn tells since when the store was there for a failure domain, see OnStoreReturn.
+	// storeReturn returns since when the store was there for a failure domain, see OnStoreReturn.
 	storeReturn func(domain fleet.DomainName, outageBegan time.Time) (time.Time, bool)
 	pace        Pace
 	// ready is closed once the view is sufficient to serve requests.
@@ -510,7 +510,7 @@
 const answerTime = 100 * time.Millisecond
 
 // targetsReadAsOf returns the time as of which the targets are known as the store lists them. A router
-// that does not watch knows them from others; d.mu must be held.
+// that does not watch receives them from others; d.mu must be held.
 func (d *Directory) targetsReadAsOf() time.Time {
 	now := d.now()
 	if d.role == NoWatch || (!d.targetsWaitingSince.IsZero() && now.Sub(d.targetsWaitingSince) >= answerTime) {
@@ -537,7 +537,7 @@
 }
 
 // storeReturns returns since when the store was there, by the failure domains of the targets that
-// are kept after an outage, as far as other routers tell.
+// are kept after an outage, as far as other routers report it.
 func (d *Directory) storeReturns() map[fleet.DomainName]time.Time {
 	d.mu.Lock()
 	domains, began := d.members.LapsedAfterOutage()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -198,7 +198,7 @@
 
 // TestTakeoverDuringCutCountsFromStoresReturn lets a router take over the watch while it is cut off,
 // with or without a call that fails. Its first list lacks half of the targets. As other routers of
-// their failure domain tell that the store was there all the time, or since when, they must not be
+// their failure domain report that the store was there all the time, or since when, they must not be
 // kept for the whole grace period.
 func TestTakeoverDuringCutCountsFromStoresReturn(t *testing.T) {
 	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
@@ -253,7 +253,7 @@
 }
 
 // TestStoreAwayAtStartProtectsTargets lets a router start while the store is away, with targets that
-// another router told it of. They are kept for the grace period after its first answer.
+// another router sent it. They are kept for the grace period after its first answer.
 func TestStoreAwayAtStartProtectsTargets(t *testing.T) {
 	clock := time.Unix(1000, 0)
 	store := &scriptedStore{err: platform.ErrUnavailable}
--- a/mesh/watchrole.go
+++ b/mesh/watchrole.go
@@ -99,7 +99,7 @@
 // StoreReturn returns since when the store has been there for routers of a failure domain, after an
 // outage that this router met at began: it was not away for a router whose calls it answered before
 // and after, and is back since its first answer for others. It returns false if no router of the
-// domain tells.
+// domain reports it.
 func (t *Table) StoreReturn(domain fleet.DomainName, began, now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	timeout := t.watcherTimeout()
