--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -60,6 +60,20 @@
 	return map[string]any{"Service": "s", "Address": addr, "Zone": "z", "Version": "v1", "Slots": 8, "State": state, "born": 1}
 }
 
+// readyTargets returns n entries of targets, of the revisions from 1 on.
+func readyTargets(t *testing.T, n int) []platform.Object {
+	t.Helper()
+	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects := make([]platform.Object, n)
+	for i := range objects {
+		objects[i] = platform.Object{Name: fmt.Sprint(i), Revision: uint64(i + 1), Spec: spec}
+	}
+	return objects
+}
+
 func configSpec(version int) map[string]any {
 	return map[string]any{"Version": version, "Routes": []any{}, "Services": []any{}, "Limits": map[string]any{}}
 }
@@ -201,14 +215,7 @@
 // their failure domain report that the store was there all the time, or since when, they must not be
 // kept for the whole grace period.
 func TestTakeoverDuringCutCountsFromStoresReturn(t *testing.T) {
-	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	objects := make([]platform.Object, 8)
-	for i := range objects {
-		objects[i] = platform.Object{Name: fmt.Sprint(i), Revision: uint64(i + 1), Spec: spec}
-	}
+	objects := readyTargets(t, 8)
 	for _, calls := range []int{0, 1, 3} {
 		for _, returned := range []time.Duration{-time.Hour, -1500 * time.Millisecond, -500 * time.Millisecond} {
 			clock := time.Unix(1000, 0)
@@ -264,12 +271,8 @@
 			d.markUnavailable(platform.KindTargets, err)
 		}
 	}
-	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	list()
-	d.ApplySnapshot(Snapshot{Targets: []platform.Object{{Name: "a", Revision: 5, Spec: spec}}, TargetsRevision: 7})
+	d.ApplySnapshot(Snapshot{Targets: readyTargets(t, 1), TargetsRevision: 7})
 	clock = clock.Add(time.Second)
 	store.revision, store.err = 9, nil
 	for _, test := range []struct {
@@ -290,14 +293,7 @@
 // then it lacks half of them, which lapsed while the store was away, and they are kept
 // for the grace period.
 func TestTakeoverRemovesTargetsThatLeft(t *testing.T) {
-	spec, err := json.Marshal(targetSpec("10.0.0.1:1", "ready"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	objects := make([]platform.Object, 8)
-	for i := range objects {
-		objects[i] = platform.Object{Name: fmt.Sprint(i), Revision: uint64(i + 1), Spec: spec}
-	}
+	objects := readyTargets(t, 8)
 	for _, test := range []struct{ listed, want int }{{7, 7}, {4, 8}} {
 		clock := time.Unix(1000, 0)
 		store := &scriptedStore{objects: objects[:test.listed], revision: 20}
--- a/mesh/store_return_test.go
+++ b/mesh/store_return_test.go
@@ -49,14 +49,16 @@
 }
 
 // returnFleet is three routers, one in failure domain d and two in e, with gates to one store, and
-// targets in both domains.
+// four targets in each domain.
 type returnFleet struct {
 	store   *standin.Store
 	routers []*testRouter
 	gates   []*storeGate
 }
 
-func startReturnFleet(t *testing.T) *returnFleet {
+// startReturnFleet starts a fleet, waits until all routers know all targets and of each other, and
+// returns the targets' IDs, those of domain d first.
+func startReturnFleet(t *testing.T) (*returnFleet, []string) {
 	t.Helper()
 	f := &returnFleet{store: startStore(t, 1)}
 	seeds := []string{freeAddr(t, 0), freeAddr(t, 1)}
@@ -64,7 +66,15 @@
 		f.gates = append(f.gates, newStoreGate(t, f.store))
 		f.routers = append(f.routers, startRouterInDomain(t, domain, i, platform.NewStore(strings.TrimPrefix(f.gates[i].server.URL, "http://"), nil), seeds))
 	}
-	return f
+	ids := []string{"d1", "d22", "d333", "d4444", "e1", "e22", "e333", "e4444"}
+	for _, id := range ids {
+		f.put(id)
+	}
+	for i, r := range f.routers {
+		await.Until(t, "all targets", func() bool { return targetCount(r) == len(ids) && r.directory.HasLiveWatch() && f.has(i, "e4444") })
+	}
+	time.Sleep(2 * heartbeatInterval)
+	return f, ids
 }
 
 func (f *returnFleet) put(id string) {
@@ -142,15 +152,7 @@
 	for _, seed := range []uint64{0, 6, 7} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 15))
-			f := startReturnFleet(t)
-			ids := []string{"d1", "d22", "d333", "d4444", "e1", "e22", "e333", "e4444"}
-			for _, id := range ids {
-				f.put(id)
-			}
-			for i, r := range f.routers {
-				await.Until(t, "all targets", func() bool { return targetCount(r) == len(ids) && r.directory.HasLiveWatch() && f.has(i, "e4444") })
-			}
-			time.Sleep(2 * heartbeatInterval)
+			f, ids := startReturnFleet(t)
 			early := 1 + rng.IntN(2)
 			late := 3 - early
 			f.gates[1].close()
@@ -185,15 +187,7 @@
 	for _, seed := range []uint64{7, 8} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 16))
-			f := startReturnFleet(t)
-			ids := []string{"d1", "d22", "d333", "d4444", "e1", "e22", "e333", "e4444"}
-			for _, id := range ids {
-				f.put(id)
-			}
-			for i, r := range f.routers {
-				await.Until(t, "all targets", func() bool { return targetCount(r) == len(ids) && r.directory.HasLiveWatch() && f.has(i, "e4444") })
-			}
-			time.Sleep(2 * heartbeatInterval)
+			f, ids := startReturnFleet(t)
 			stop := f.watchMissing(ids)
 			order := rng.Perm(3)
 			for _, i := range order {
