soak: routers out of step while targets of new versions join

Callers on the users' machines got streams of two software versions: a router that was cut off or stood still resumed at the old version what others had begun at the new one.

One service after the other gets targets of a second, and sometimes a third, version at drawn moments around a fault of a router or failure domain.

--- a/cmd/ragwort/soak.go
+++ b/cmd/ragwort/soak.go
@@ -40,6 +40,7 @@
 			&cli.BoolFlag{Name: "store-copies", Usage: "let the store come back from copies some seconds old"},
 			&cli.BoolFlag{Name: "evacuations", Usage: "evacuate failure domains, one after the other"},
 			&cli.DurationFlag{Name: "router-cut", Usage: "after 45 s, cut a router off from the store and the others for so long"},
+			&cli.IntFlag{Name: "skews", Usage: "after 40 s, let targets of so many services get new software versions, one service after the other, while routers are cut off, delayed or stopped"},
 			&cli.BoolFlag{Name: "stops", Usage: "stop routers by plan, one or two at a time, while the length of streams changes"},
 			&cli.BoolFlag{Name: "outside-limits", Usage: "add clients that send heads, trailers and requests without end, or nothing"},
 			&cli.BoolFlag{Name: "kill-all", Usage: "end all routers at once"},
@@ -71,7 +72,7 @@
 			Routers: cmd.Int("routers"), Clients: cmd.Int("clients"), FaultLanes: cmd.Int("lanes"), Dir: cmd.String("logs"),
 			CrashingPart: cmd.Bool("crashing-part"), CrashingRequest: cmd.Bool("crashing-request"), Limits: cmd.Bool("limits"), Cold: cmd.Bool("cold"), Quiet: cmd.Bool("quiet"),
 			CrashingKind: cmd.String("crashing-kind"), CrashStyle: soak.CrashStyle(cmd.String("crash-style")), Versions: cmd.Bool("versions"), KillAll: cmd.Bool("kill-all"),
-			StoreCopies: cmd.Bool("store-copies"), RouterCut: cmd.Duration("router-cut"), OutsideLimits: cmd.Bool("outside-limits"), Evacuations: cmd.Bool("evacuations"), Stops: cmd.Bool("stops"),
+			StoreCopies: cmd.Bool("store-copies"), RouterCut: cmd.Duration("router-cut"), OutsideLimits: cmd.Bool("outside-limits"), Evacuations: cmd.Bool("evacuations"), Stops: cmd.Bool("stops"), Skews: cmd.Int("skews"),
 		})
 		if err != nil {
 			return err
@@ -100,6 +101,9 @@
 		_, err = fmt.Fprintf(out, "  late in %d stops: %d streams complete, %d refused, %d cut\n", r.StoppedStreams.Stops, r.StoppedStreams.Complete,
 			r.StoppedStreams.Refused, r.StoppedStreams.Cut)
 	}
+	if err == nil && r.SkewedStreams.Skews > 0 {
+		_, err = fmt.Fprintf(out, "  skewed streams: %+v\n", r.SkewedStreams)
+	}
 	for _, v := range r.Found {
 		if err == nil {
 			_, err = fmt.Fprintf(out, "  %s: %s %s\n", v.Guarantee, v.Request, v.Text)
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -99,6 +99,10 @@
 	network *network
 	store   *standin.Store
 	routers []*router
+	// peers connects the routers; nil if they reach each other directly.
+	peers *peerNetwork
+	// skewed is the number of services whose targets get new software versions while routers are out of step.
+	skewed int
 	// active are the targets in the store, replaced those that were replaced.
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -147,7 +151,7 @@
 // newEnvironment starts stand-ins and routers. After an error the environment may
 // be non-nil; the caller closes it then.
 func newEnvironment(dir string, o *Options) (*environment, error) {
-	env := &environment{dir: dir, program: cmp.Or(o.OldProgram, o.Program), versions: o.Versions, cold: o.Cold, streamTimeout: routeTimeout, accounts: map[string]string{}, revoked: map[string]bool{}, leaving: map[*target]bool{}, evacuated: map[string]bool{}, crashed: make(chan *target, 1000)}
+	env := &environment{dir: dir, program: cmp.Or(o.OldProgram, o.Program), versions: o.Versions, cold: o.Cold, skewed: o.Skews, streamTimeout: routeTimeout, accounts: map[string]string{}, revoked: map[string]bool{}, leaving: map[*target]bool{}, evacuated: map[string]bool{}, crashed: make(chan *target, 1000)}
 	for i := range 4 {
 		env.accounts[fmt.Sprintf("account-%d", i)] = fmt.Sprintf("key-%d", i)
 	}
@@ -165,6 +169,16 @@
 		env.store.Close()
 		return nil, err
 	}
+	if env.skewed > 0 {
+		if env.peers, err = startPeerNetwork(env.network, o.Routers); err != nil {
+			return env, err
+		}
+	}
+	for n := range env.skewed {
+		if err := env.addSkewedTargets(n, "v1"); err != nil {
+			return env, err
+		}
+	}
 	for i := range engineCount + plainCount {
 		if err := env.addTarget(i >= engineCount, i%domainCount); err != nil {
 			return env, err
@@ -218,6 +232,9 @@
 		t.RunTime, t.CrashOn = plainDelay, isCrashingRequest
 	} else {
 		t.Events, t.EventInterval, t.CrashOn = eventsPerStream, eventGap, crashesEngine
+		if service != engineName {
+			t.EventInterval = skewedEventGap
+		}
 		t.SlowInterval, t.Slow = slowEventGap, env.isSlow
 		if env.cold {
 			t.Cold, t.ColdFall = t.coldFor, coldFall
@@ -299,6 +316,13 @@
 			Name: fmt.Sprintf("spare-%d", i), Host: routeHost, Prefix: fmt.Sprintf("/spare-%d/", i), Service: plainName, Repeatable: true, MaxTargets: 1,
 		})
 	}
+	for n := range env.skewed {
+		c.Engines = append(c.Engines, skewedService(n))
+		c.Routes = append(c.Routes, standin.Route{
+			Name: skewedService(n), Host: routeHost, Prefix: skewedKind(n).Path, Service: skewedService(n), Stream: true, Resumable: true,
+			MaxTargets: skewedKind(n).MaxRuns, Timeout: routeTimeout, Objective: latencyObjective, Pause: pauseObjective,
+		})
+	}
 	env.config = c.Spec()
 	env.store.Put(platform.KindConfig, platform.ConfigName, env.config)
 }
@@ -328,8 +352,8 @@
 		return nil, fmt.Errorf("soak: %w", err)
 	}
 	node := settings.NodeFile{
-		ID: fleet.RouterID(r.name), Domain: fleet.DomainName(domainName(i)), ClientAddr: r.clientAddr(), ReadyAddr: r.address + ":18802", PeerAddr: r.address + ":18803",
-		MetricsAddr: r.address + ":18804", StoreAddr: r.store.Addr(), Seeds: []string{env.network.address(0) + ":18803", env.network.address(1) + ":18803"},
+		ID: fleet.RouterID(r.name), Domain: fleet.DomainName(domainName(i)), ClientAddr: r.clientAddr(), ReadyAddr: r.address + ":18802", PeerAddr: fmt.Sprintf("%s:%d", r.address, peerPort),
+		MetricsAddr: r.address + ":18804", StoreAddr: r.store.Addr(), Seeds: []string{env.seedAddress(0), env.seedAddress(1)},
 		MemoryMB: 284, Cores: 0.4, LinkMbps: 1000, GraceSeconds: 8,
 		RetryBudget: repeatLimits, EvacuationMillis: float64(env.evacuationBound.Milliseconds()),
 	}
@@ -344,6 +368,14 @@
 	return r, os.WriteFile(r.settingsFile, data, 0o600)
 }
 
+// seedAddress returns the address of a router at which the others look for the fleet.
+func (env *environment) seedAddress(router int) string {
+	if env.peers != nil {
+		return env.network.peerAddress(router)
+	}
+	return fmt.Sprintf("%s:%d", env.network.address(router), peerPort)
+}
+
 // startRouter starts the first process of a router.
 func (env *environment) startRouter(r *router) error {
 	return env.restartRouter(r, nil)
@@ -406,6 +438,9 @@
 		t.proxy.Close()
 		t.Close()
 	}
+	if env.peers != nil {
+		env.peers.close()
+	}
 	env.store.Close()
 	env.network.release()
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -135,6 +135,8 @@
 	Evacuations         []Evacuation
 	// Stops are the planned stops of stopRouters.
 	Stops []Stop
+	// Skewed counts the streams of services whose versions changed while routers were out of step.
+	Skewed SkewedStreams
 	// Colds are the times in which targets were cold.
 	Colds []ColdTime
 	// SeveralVersions is set if targets of several software versions serve side by side, so
--- a/soak/network.go
+++ b/soak/network.go
@@ -38,6 +38,12 @@
 	return fmt.Sprintf("127.0.%d.%d", n.number, router+1)
 }
 
+// peerAddress returns the address, with its port, by which other routers know the router with an index from
+// zero if a peerNetwork connects them.
+func (n *network) peerAddress(router int) string {
+	return fmt.Sprintf("127.0.%d.%d:%d", n.number, router+101, peerPort)
+}
+
 // release gives the network up.
 func (n *network) release() {
 	_ = n.claim.Close()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -22,6 +22,8 @@
 	// StallReplies forwards data from the dialling side and nothing in the other
 	// direction.
 	StallReplies
+	// StallRequests forwards data to the dialling side and nothing in the other direction.
+	StallRequests
 	// Refuse resets open and new connections.
 	Refuse
 	// CloseNew accepts new connections and closes them at once.
@@ -166,7 +168,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		for mode := p.currentMode(); mode == Stall || (mode == StallReplies && replies); mode = p.currentMode() {
+		for mode := p.currentMode(); mode == Stall || (mode == StallReplies && replies) || (mode == StallRequests && !replies); mode = p.currentMode() {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if p.currentMode() == Delay {
--- /dev/null
+++ b/soak/skew.go
@@ -0,0 +1,488 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+	"ragwortpond.example/ragwortpond/platform/standin"
+)
+
+const (
+	// skewedTargets is the number of targets of each version of a skewed service, skewedEventGap the pause
+	// before each event of its streams.
+	skewedTargets  = 4
+	skewedEventGap = 60 * time.Millisecond
+	// skewStart is how long the routers run before the first skew: by then they have known the only version
+	// for longer than a stream lasts.
+	skewStart = 40 * time.Second
+	// skewedBeat is how often targets of skewed services write their entries.
+	skewedBeat = 1200 * time.Millisecond
+	// skewedStreamPace is the time between the beginnings of two streams, skewedTries the number of requests
+	// after which a client gives a stream up.
+	skewedStreamPace = 12 * time.Millisecond
+	skewedTries      = 6
+	// maxStep is the longest time between the first target of a new version and the beginning of a fault.
+	maxStep = 600 * time.Millisecond
+)
+
+// SkewedStreams counts the streams that clients began while targets of a new software version joined and routers
+// were out of step.
+type SkewedStreams struct {
+	// Skews is the number of services whose versions changed.
+	Skews int `json:"skews"`
+	// Asked counts the streams that clients asked for, Begun those with an event, Complete those with all.
+	Asked    int `json:"asked"`
+	Begun    int `json:"begun"`
+	Complete int `json:"complete"`
+	// TakenUp counts the requests that take a stream up at a router which was out of step in the skew, Refused
+	// those of them that it refused, Stranded the streams whose every later request was refused.
+	TakenUp  int `json:"taken_up"`
+	Refused  int `json:"refused"`
+	Stranded int `json:"stranded"`
+	// NotBegun counts the requests for new streams that were refused.
+	NotBegun int `json:"not_begun"`
+	// Plans are the moments drawn for each skew.
+	Plans []string `json:"plans,omitempty"`
+}
+
+// skewedService returns the name of the service of a skew.
+func skewedService(n int) string {
+	return fmt.Sprintf("skewed-%d", n)
+}
+
+// skewedKind returns the kind of the requests of a skew.
+func skewedKind(n int) Kind {
+	return Kind{Name: skewedService(n), Path: fmt.Sprintf("/skewed-%d/", n), Stream: true, Resumable: true, MaxRuns: 2}
+}
+
+// addSkewedTargets starts the targets of a version of a skewed service.
+func (env *environment) addSkewedTargets(n int, version fleet.SoftwareVersion) error {
+	for i := range skewedTargets {
+		if err := env.addVersionAt("", skewedService(n), domainName(i), version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// skewedOf returns the targets of a skewed service.
+func (env *environment) skewedOf(n int) []*target {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	var list []*target
+	for _, t := range env.active {
+		if t.Service == skewedService(n) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// beatSkewed keeps the entries of skewed targets moving until ctx ends.
+func (env *environment) beatSkewed(ctx context.Context) {
+	ticker := time.NewTicker(skewedBeat)
+	defer ticker.Stop()
+	for sleepUntilTick(ctx, ticker) {
+		for n := range env.skewed {
+			for _, t := range env.skewedOf(n) {
+				if !t.leaves.Load() {
+					env.putTarget(t, "ready")
+				}
+				if !sleep(ctx, skewedBeat/time.Duration(4*env.skewed*skewedTargets)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// sleepUntilTick waits for a tick. It returns false if ctx ends before.
+func sleepUntilTick(ctx context.Context, ticker *time.Ticker) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ticker.C:
+		return true
+	}
+}
+
+// step is a time in which routers are out of step.
+type step struct {
+	kind string
+	// routers are the indexes of the routers, from and length the time since the beginning of the skew.
+	routers      []int
+	from, length time.Duration
+	delay        time.Duration
+}
+
+// stepKinds are the ways of being out of step.
+var stepKinds = []string{"cut", "cut-refused", "deaf", "mute", "store-silent", "peers", "delayed", "delayed-cut", "stopped", "domain-cut", "domain-store"}
+
+// skew is one change of the versions of a service, by drawn moments since its beginning.
+type skew struct {
+	n       int
+	steps   []step
+	join    time.Duration
+	spread  time.Duration
+	third   time.Duration
+	oldest  time.Duration
+	length  time.Duration
+	routers int
+}
+
+// drawSkew draws the moments of a skew.
+func drawSkew(random *rand.Rand, n, routers int) skew {
+	within := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	s := skew{n: n, join: maxStep + 100*time.Millisecond, routers: routers, spread: 30 * time.Millisecond}
+	if random.IntN(3) == 0 {
+		s.spread = 400 * time.Millisecond
+	}
+	for range 1 + random.IntN(2) {
+		st := step{kind: stepKinds[random.IntN(len(stepKinds))], routers: []int{random.IntN(routers)}}
+		if strings.HasPrefix(st.kind, "delayed") {
+			st.delay = 200*time.Millisecond + within(3*time.Second)
+		}
+		st.from = s.join - maxStep + within(2*maxStep)
+		st.length = 200*time.Millisecond + within(1300*time.Millisecond)
+		if random.IntN(2) == 0 {
+			st.length = 1500*time.Millisecond + within(6*time.Second)
+		}
+		if strings.HasPrefix(st.kind, "domain") {
+			st.routers = sameDomain(st.routers[0], routers)
+		}
+		s.steps = append(s.steps, st)
+		if random.IntN(4) == 0 {
+			// Back for a moment only.
+			again := st
+			again.kind, again.routers = "stopped", st.routers[:1]
+			again.from, again.length = st.from+st.length+within(300*time.Millisecond), 200*time.Millisecond+within(2*time.Second)
+			s.steps = append(s.steps, again)
+		}
+	}
+	if random.IntN(3) == 0 {
+		s.third = s.join + 300*time.Millisecond + within(3*time.Second)
+	}
+	if random.IntN(3) == 0 {
+		s.oldest = s.join + 500*time.Millisecond + within(3*time.Second)
+	}
+	for _, st := range s.steps {
+		s.length = max(s.length, st.from+st.length+1200*time.Millisecond)
+	}
+	return s
+}
+
+// String returns the moments of the skew.
+func (s *skew) String() string {
+	text := fmt.Sprintf("%s: v2 at %v within %v", skewedService(s.n), s.join.Round(time.Millisecond), s.spread)
+	if s.third > 0 {
+		text += fmt.Sprintf(", v3 at %v", s.third.Round(time.Millisecond))
+	}
+	if s.oldest > 0 {
+		text += fmt.Sprintf(", v1 leaves at %v", s.oldest.Round(time.Millisecond))
+	}
+	for _, st := range s.steps {
+		text += fmt.Sprintf("; %s of %v at %v for %v, delay %v", st.kind, st.routers, st.from.Round(time.Millisecond), st.length.Round(time.Millisecond), st.delay.Round(time.Millisecond))
+	}
+	return text
+}
+
+// sameDomain returns the routers of the failure domain of one.
+func sameDomain(router, routers int) []int {
+	var list []int
+	for i := range routers {
+		if domainName(i) == domainName(router) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// outOfStep returns the routers that are out of step at some time of the skew.
+func (s *skew) outOfStep() []int {
+	var list []int
+	for _, st := range s.steps {
+		list = append(list, st.routers...)
+	}
+	return list
+}
+
+// skewVersions changes the versions of one service after the other while routers are out of step.
+func (i *injector) skewVersions(ctx context.Context, record func(Request)) SkewedStreams {
+	env := i.environment
+	counts := &skewCounts{}
+	go env.beatSkewed(ctx)
+	if !sleep(ctx, skewStart) {
+		return counts.result
+	}
+	for n := range env.skewed {
+		if ctx.Err() != nil {
+			break
+		}
+		s := drawSkew(i.random, n, len(env.routers))
+		i.play(ctx, &s, counts, record)
+		counts.add(func(result *SkewedStreams) {
+			result.Skews++
+			result.Plans = append(result.Plans, s.String())
+		})
+		sleep(ctx, time.Second)
+	}
+	return counts.result
+}
+
+// play plays one skew.
+func (i *injector) play(ctx context.Context, s *skew, counts *skewCounts, record func(Request)) {
+	env := i.environment
+	began := time.Now()
+	at := func(d time.Duration, f func()) func() {
+		return func() {
+			if sleep(ctx, d-time.Since(began)) {
+				f()
+			}
+		}
+	}
+	var all sync.WaitGroup
+	all.Go(at(s.join, func() { i.join(ctx, s, "v2") }))
+	if s.third > 0 {
+		all.Go(at(s.third, func() { i.join(ctx, s, "v3") }))
+	}
+	if s.oldest > 0 {
+		all.Go(at(s.oldest, func() { i.leaveOldest(s) }))
+	}
+	for _, st := range s.steps {
+		all.Go(at(st.from, func() { i.takeOutOfStep(ctx, st) }))
+	}
+	random := rand.New(rand.NewPCG(i.random.Uint64(), uint64(s.n)))
+	for stream := 0; time.Since(began) < s.length && ctx.Err() == nil; stream++ {
+		c := &skewedClient{environment: env, random: rand.New(rand.NewPCG(random.Uint64(), uint64(stream))), skew: s, counts: counts, record: record, id: fmt.Sprintf("s%d-%d", s.n, stream)}
+		all.Go(func() { c.run(ctx) })
+		sleep(ctx, skewedStreamPace)
+	}
+	all.Wait()
+}
+
+// join starts the targets of a version.
+func (i *injector) join(ctx context.Context, s *skew, version fleet.SoftwareVersion) {
+	i.countPlanned("version")
+	for n := range skewedTargets {
+		// If a target cannot start, the soak continues without it.
+		_ = i.environment.addVersionAt("", skewedService(s.n), domainName(n), version)
+		sleep(ctx, s.spread/skewedTargets)
+	}
+}
+
+// leaveOldest lets the targets of the first version leave.
+func (i *injector) leaveOldest(s *skew) {
+	i.countPlanned("version-leaves")
+	for _, t := range i.environment.skewedOf(s.n) {
+		if t.Version == "v1" {
+			t.leaves.Store(true)
+			i.environment.putTarget(t, "draining")
+		}
+	}
+}
+
+// takeOutOfStep takes routers out of step, and back after a time.
+func (i *injector) takeOutOfStep(ctx context.Context, st step) {
+	env := i.environment
+	set := func(link peerLink, store ProxyMode) {
+		for _, r := range st.routers {
+			env.peers.setLink(r, link)
+			env.routers[r].store.SetMode(store)
+		}
+	}
+	from := time.Now()
+	switch st.kind {
+	case "cut":
+		set(peerLink{side: st.routers[0] + 1}, Stall)
+	case "cut-refused":
+		set(peerLink{side: st.routers[0] + 1}, Refuse)
+	case "deaf":
+		set(peerLink{deaf: true}, StallReplies)
+	case "mute":
+		set(peerLink{mute: true}, StallRequests)
+	case "store-silent", "domain-store":
+		set(peerLink{}, Stall)
+	case "peers":
+		set(peerLink{side: st.routers[0] + 1}, Forward)
+	case "delayed":
+		set(peerLink{delay: st.delay}, Delay)
+	case "delayed-cut":
+		set(peerLink{delay: st.delay}, Delay)
+		sleep(ctx, st.length/2)
+		set(peerLink{side: st.routers[0] + 1}, Stall)
+		sleep(ctx, st.length/2)
+	case "domain-cut":
+		set(peerLink{side: st.routers[0] + 1}, Stall)
+	case "stopped":
+		env.routers[st.routers[0]].signal(syscall.SIGSTOP)
+	}
+	if st.kind != "delayed-cut" {
+		sleep(ctx, st.length)
+	}
+	if st.kind == "stopped" {
+		env.routers[st.routers[0]].signal(syscall.SIGCONT)
+	} else {
+		set(peerLink{}, Forward)
+	}
+	for _, r := range st.routers {
+		i.recordFault(FaultInterval{Kind: st.kind, From: from, To: time.Now(), Router: env.routers[r].name})
+	}
+}
+
+// skewCounts counts the streams of skews.
+type skewCounts struct {
+	mu     sync.Mutex
+	result SkewedStreams
+}
+
+func (c *skewCounts) add(f func(*SkewedStreams)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(&c.result)
+}
+
+// skewedClient reads one stream, which it breaks off and takes up at routers that are out of step and at others.
+type skewedClient struct {
+	environment *environment
+	random      *rand.Rand
+	skew        *skew
+	counts      *skewCounts
+	record      func(Request)
+	id          string
+	tries       atomic.Int64
+}
+
+// skewedTransport keeps connections to the routers open.
+var skewedTransport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}
+
+func (c *skewedClient) run(ctx context.Context) {
+	first, events := "", 0
+	refusedSince := false
+	c.counts.add(func(s *SkewedStreams) { s.Asked++ })
+	for try := range skewedTries {
+		router, out := c.pickRouter(try)
+		cutAfter := 0
+		if try < 2 {
+			cutAfter = 1 + c.random.IntN(4)
+		}
+		r := c.request(router, first, events, cutAfter)
+		c.record(r)
+		got := strings.Count(r.Body, "\n\n")
+		if first == "" && got > 0 {
+			first = r.ID
+			c.counts.add(func(s *SkewedStreams) { s.Begun++ })
+		}
+		events += got
+		refused := r.Status == http.StatusServiceUnavailable
+		refusedSince = refused
+		c.counts.add(func(s *SkewedStreams) {
+			switch {
+			case r.Resumes == "" && refused:
+				s.NotBegun++
+			case r.Resumes != "" && out:
+				s.TakenUp++
+				if refused {
+					s.Refused++
+				}
+			}
+		})
+		if events >= eventsPerStream {
+			c.counts.add(func(s *SkewedStreams) { s.Complete++ })
+			return
+		}
+		pause := time.Duration(c.random.Int64N(int64(60 * time.Millisecond)))
+		if refused {
+			pause = max(pause, min(r.RetryAfter, 300*time.Millisecond))
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+	if first != "" && refusedSince {
+		c.counts.add(func(s *SkewedStreams) { s.Stranded++ })
+	}
+}
+
+// pickRouter returns the router of a try, and whether it is out of step at some time of the skew.
+func (c *skewedClient) pickRouter(try int) (int, bool) {
+	out := c.skew.outOfStep()
+	isOut := func(router int) bool {
+		for _, o := range out {
+			if o == router {
+				return true
+			}
+		}
+		return false
+	}
+	toOut := (try == 0 && c.random.IntN(10) == 0) || (try == 1 && c.random.IntN(4) > 0) || (try >= 2 && c.random.IntN(4) == 0)
+	if toOut {
+		return out[c.random.IntN(len(out))], true
+	}
+	router := c.random.IntN(c.skew.routers)
+	for range 8 {
+		if !isOut(router) {
+			break
+		}
+		router = c.random.IntN(c.skew.routers)
+	}
+	return router, isOut(router)
+}
+
+// request sends one request of the stream that began with the request first.
+func (c *skewedClient) request(router int, first string, events, cutAfter int) Request {
+	env, kind := c.environment, skewedKind(c.skew.n)
+	dest := env.routers[router]
+	r := Request{ID: fmt.Sprintf("%s-%d", c.id, c.tries.Add(1)), Kind: kind, Account: "account-0", Router: dest.name, Sent: time.Now(), Resumes: first, After: events}
+	timeout := 1500*time.Millisecond + time.Duration(c.random.Int64N(int64(1500*time.Millisecond)))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dest.clientAddr()+kind.Path+"x", strings.NewReader("prompt"))
+	if err != nil {
+		r.Err = err.Error()
+		return r
+	}
+	request.Host = routeHost
+	if first != "" {
+		standin.SetResumes(request, first)
+	}
+	standin.SetRequestHeaders(request, r.ID, env.accounts[r.Account], timeout, events)
+	c.receive(request, &r, cutAfter)
+	r.Ended = time.Now()
+	return r
+}
+
+// receive reads the answer, and breaks it off after cutAfter events if that is not zero.
+func (c *skewedClient) receive(request *http.Request, r *Request, cutAfter int) {
+	response, err := skewedTransport.RoundTrip(request)
+	if err != nil {
+		r.Err = err.Error()
+		return
+	}
+	defer response.Body.Close()
+	var body []byte
+	if cutAfter > 0 && response.StatusCode == http.StatusOK {
+		body, err = readEvents(response.Body, cutAfter)
+		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+			err = nil
+		}
+	} else {
+		body, err = io.ReadAll(response.Body)
+	}
+	r.Status, r.Seal, r.RetryAfter = response.StatusCode, standin.Signature(response), retryAfter(response.Header)
+	if response.StatusCode == http.StatusOK {
+		r.Body = string(body)
+	}
+	if err != nil {
+		r.Err = err.Error()
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,10 @@
 	Stops bool
 	// RouterCut cuts a router off from the store and from the others for so long; zero means never.
 	RouterCut time.Duration
+	// Skews is the number of services whose targets get new software versions, one service after the other,
+	// while routers are out of step: cut off, delayed or stopped. Routers reach each other through a network of
+	// the soak then.
+	Skews int
 	// Dir is the directory for the routers' logs. If it is empty, a temporary
 	// directory is created, and removed again if there is no violation.
 	Dir string
@@ -71,8 +75,10 @@
 	CutStreams CutStreams `json:"cut_streams"`
 	// StoppedStreams are those that were sent to a router late in its planned stop.
 	StoppedStreams StoppedStreams `json:"stopped_streams"`
-	Violations     int            `json:"violations"`
-	Found          []Violation    `json:"found,omitempty"`
+	// SkewedStreams are those of services whose versions changed while routers were out of step.
+	SkewedStreams SkewedStreams `json:"skewed_streams"`
+	Violations    int           `json:"violations"`
+	Found         []Violation   `json:"found,omitempty"`
 	// Logs is the directory with the routers' logs; empty without a violation.
 	Logs string `json:"logs,omitempty"`
 }
@@ -137,7 +143,7 @@
 	h := &History{
 		Events: eventsPerStream, Event: standin.EventText,
 		PlainBody: func(id string) string { return (&standin.Target{ID: id}).ResponseBody() },
-		Repeats:   repeatLimits, SeveralVersions: o.Versions, CrashesToQuarantine: crashesToQuarantine(o),
+		Repeats:   repeatLimits, SeveralVersions: o.Versions || o.Skews > 0, CrashesToQuarantine: crashesToQuarantine(o),
 	}
 	planned := map[string]int{}
 	// No guarantee holds while the routers start.
@@ -205,6 +211,15 @@
 	if o.RouterCut > 0 {
 		all.Go(func() { newInjector(2006).cutRouterOff(clientCtx, o.RouterCut) })
 	}
+	if o.Skews > 0 {
+		all.Go(func() {
+			h.Skewed = newInjector(2011).skewVersions(faultCtx, func(r Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				h.Requests = append(h.Requests, r)
+			})
+		})
+	}
 	if o.Stops {
 		all.Go(func() { h.Stops = newInjector(2010).stopRouters(faultCtx) })
 	}
@@ -275,6 +290,7 @@
 	}
 	r.CutStreams = h.cutStreams()
 	r.StoppedStreams = h.stoppedStreams()
+	r.SkewedStreams = h.Skewed
 	r.Found = Check(h)
 	r.Violations = len(r.Found)
 	return r
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -142,6 +142,30 @@
 	}
 }
 
+// TestSoakThroughSkews takes routers out of step while targets of new software versions join, and guards against streams that
+// such a router takes up at another version.
+func TestSoakThroughSkews(t *testing.T) {
+	program := buildRouter(t, "")
+	for _, seed := range []uint64{2} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			o := options(program, seed)
+			o.CrashingPart, o.CrashingRequest, o.Limits, o.FaultLanes = false, false, false, 0
+			o.Clients, o.Routers, o.Skews, o.Duration = 4, 12, 5, skewStart+60*time.Second
+			r, err := Play(t.Context(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", r)
+			if r.Violations > 0 {
+				t.Errorf("got violations %+v, want none", r.Found)
+			}
+			if s := r.SkewedStreams; s.Skews < 4 || s.TakenUp < 500 || s.Complete*10 < s.Begun*9 {
+				t.Errorf("got %+v, want at least 500 streams taken up in four skews, and nine in ten complete", s)
+			}
+		})
+	}
+}
+
 // plantedClients is the number of clients of the play with the planted fault: few of their requests
 // meet a fault after they have run.
 const plantedClients = 64
