--- a/directory/directory.go
+++ b/directory/directory.go
@@ -78,6 +78,8 @@
 	// the store or by a router that watches the store and holds the same data.
 	unavailable map[string]bool
 	confirmedAt map[string]time.Time
+	// targetsFrom is what confirmed the targets last.
+	targetsFrom dataSource
 	// callBegan is when the last store call began, by kind of object.
 	callBegan map[string]time.Time
 	// outageBegan is when the first call failed in the last outage, zero if there was none;
@@ -204,7 +206,7 @@
 	defer d.mu.Unlock()
 	d.heardBefore[kind], d.confirmedAt[kind] = d.confirmedAt[kind], d.now()
 	if kind == platform.KindTargets {
-		d.targetsAnsweredAt = d.now()
+		d.targetsAnsweredAt, d.targetsFrom = d.now(), sourceStore
 	}
 	if d.answeredSince.IsZero() {
 		d.answeredSince = d.now()
@@ -239,6 +241,14 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	d.confirmedAt[platform.KindConfig], d.confirmedAt[platform.KindTargets] = now, now
+	d.targetsFrom = sourceRouter
+}
+
+// TargetsFrom returns what confirmed the targets last: the store or a router.
+func (d *Directory) TargetsFrom() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return string(d.targetsFrom)
 }
 
 // ConfirmedAges returns the time since the configuration and the targets were last confirmed
--- a/event/mesh.go
+++ b/event/mesh.go
@@ -13,5 +13,5 @@
 	SplitChanged       = define(3305, zerolog.InfoLevel, "version-split", "This router learned of a new split of a service's new streams among the software versions of its targets; the fields give its revision and the weight of each version.")
 	SplitUnread        = define(3306, zerolog.WarnLevel, "version-split-unread", "The splits under which a stream may have begun could not be read from the store; the stream goes on only if this router knows its version otherwise.")
 	SplitUnchanged     = define(3307, zerolog.WarnLevel, "version-split-unchanged", "A service's split among software versions should change but could not be written to the store; another attempt follows.")
-	StreamVersionFound = define(3308, zerolog.InfoLevel, "stream-version", "A stream is taken up again; the fields give its version, empty if that is not known, and the basis: the only version, a record of this router or of another one, or the splits.")
+	StreamVersionFound = define(3308, zerolog.InfoLevel, "stream-version", "A stream is taken up again; the fields give its version, empty if that is not known, the basis (the only version, a record of this router or of another one, or the splits), the revision of the split that the router knew, how long before its targets were confirmed and by what (the store or a router), and whether it was connected to most others.")
 )
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
 	n.versions = streamversion.New(streamversion.Config{
 		Store: func() streamversion.Store { return n.store.Load() }, Peers: func() streamversion.Peers { return n.mesh }, View: n.directory.View,
-		TargetsAge: n.targetsAge, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, BootTime: stall.BootTime, Log: log,
+		TargetsAge: n.targetsAge, TargetsFrom: n.directory.TargetsFrom, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, BootTime: stall.BootTime, Log: log,
 	})
 	limits, paths := targetlimit.NewTracker(), targetpath.NewTracker()
 	cold := targetcold.NewTracker(targetcold.Bounds{Over: cfg.ColdOver, Slack: cfg.ColdSlack}, n.started, rand.Uint64())
--- a/relay/stop_path_test.go
+++ b/relay/stop_path_test.go
@@ -68,7 +68,7 @@
 
 func (slowVersions) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
 
-func (slowVersions) Resume(context.Context, fleet.ServiceName, streamversion.Key, bool) (fleet.SoftwareVersion, bool) {
+func (slowVersions) Resume(context.Context, streamversion.Stream) (fleet.SoftwareVersion, bool) {
 	return "", false
 }
 
--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -20,8 +20,7 @@
 	// TargetsConfirmed reports whether the entries of the targets were confirmed a moment ago.
 	TargetsConfirmed() bool
 	// Resume returns the version at which a stream began, or false if that is not known.
-	// named reports whether the client named the request that began it.
-	Resume(ctx context.Context, service fleet.ServiceName, key streamversion.Key, named bool) (fleet.SoftwareVersion, bool)
+	Resume(ctx context.Context, stream streamversion.Stream) (fleet.SoftwareVersion, bool)
 }
 
 // soleVersions implements StreamVersions for a router that knows only its view: streams are
@@ -42,10 +41,10 @@
 func (soleVersions) RecordBegun(fleet.ServiceName, streamversion.Key, fleet.SoftwareVersion) {}
 
 // Resume implements StreamVersions.
-func (v soleVersions) Resume(_ context.Context, service fleet.ServiceName, _ streamversion.Key, _ bool) (fleet.SoftwareVersion, bool) {
+func (v soleVersions) Resume(_ context.Context, stream streamversion.Stream) (fleet.SoftwareVersion, bool) {
 	view := v.view()
 	sole := fleet.SoftwareVersion("")
-	for t := range view.All(service) {
+	for t := range view.All(stream.Service) {
 		if sole != "" && t.Version != sole {
 			return "", false
 		}
@@ -85,7 +84,7 @@
 		s.version = version
 		return true
 	}
-	version, ok := versions.Resume(ctx, s.service, key, named)
+	version, ok := versions.Resume(ctx, streamversion.Stream{Service: s.service, Key: key, Named: named, Request: s.call.ID})
 	if !ok {
 		s.refuse(reason.StreamVersionUnknown, 0)
 		return false
--- a/streamversion/listing_test.go
+++ b/streamversion/listing_test.go
@@ -1,7 +1,6 @@
 package streamversion
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -50,7 +49,7 @@
 			f := newFakeFleet(test.routers)
 			f.targets = targetsOf(one)
 			f.advance(time.Minute)
-			cut, ctx := f.routers[1], context.Background()
+			cut := f.routers[1]
 			cut.setCut(true)
 			copied := f.store.copy()
 			for _, release := range test.releases {
@@ -74,14 +73,14 @@
 			newest := ByTargets(f.targets)
 			for i, s := range list {
 				r := f.routers[[]int{0, 2, 3}[i%3]]
-				version, ok := r.service.Resume(ctx, "s", s.key, true)
+				version, ok := r.resume(s.key, true)
 				if ok && version != s.version {
 					t.Errorf("a stream of %s was resumed at %s", s.version, version)
 				}
 				if agree := newest.VersionOf(s.key) == s.version; agree && !ok && len(test.releases) == 1 && test.then == nil {
 					t.Error("a stream on whose version the splits agree was refused")
 				}
-				if version, ok := r.service.Resume(ctx, "s", NewKey("", ""), false); ok && version != s.version {
+				if version, ok := r.resume(NewKey("", ""), false); ok && version != s.version {
 					t.Errorf("a stream of %s that names no request was resumed at %s", s.version, version)
 				}
 			}
@@ -157,7 +156,7 @@
 	first := f.store.memberCalls
 	f.advance(5 * time.Minute)
 	for i := range 100 {
-		f.routers[i%14].service.Resume(context.Background(), "s", Key(i), true)
+		f.routers[i%14].resume(Key(i), true)
 	}
 	if got := f.store.memberCalls; got != first || first > 6 {
 		t.Errorf("got %d calls in the first minute and %d in the next five, want at most 6 and none", first, got-first)
--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -22,12 +22,25 @@
 	basisSettledSplit basis = "settled-split"
 )
 
+// Stream is a stream that a client takes up again.
+type Stream struct {
+	Service fleet.ServiceName
+	Key     Key
+	// Named reports whether the client named the request that began the stream.
+	Named bool
+	// Request is the one that takes the stream up, for the log.
+	Request fleet.RequestID
+}
+
 // Resume returns the version at which a stream began, or false if that is not known for
-// certain. named reports whether the client named the request that began it.
-func (s *Service) Resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, bool) {
-	version, from, ok := s.resume(ctx, service, key, named)
-	event.StreamVersionFound.Log(s.cfg.Log).Str("service", string(service)).Str("stream", key.String()).Bool("named", named).
-		Str("version", string(version)).Str("basis", string(from)).Bool("known", ok).Send()
+// certain.
+func (s *Service) Resume(ctx context.Context, stream Stream) (fleet.SoftwareVersion, bool) {
+	revision, _, _ := s.known(stream.Service)
+	line := event.StreamVersionFound.Log(s.cfg.Log).Str("request", string(stream.Request)).Str("service", string(stream.Service)).
+		Str("stream", stream.Key.String()).Bool("named", stream.Named).Uint64("split", revision).
+		Dur("targets_age", s.cfg.TargetsAge()).Str("targets_from", s.cfg.TargetsFrom()).Bool("connected", s.caughtUp())
+	version, from, ok := s.resume(ctx, stream.Service, stream.Key, stream.Named)
+	line.Str("version", string(version)).Str("basis", string(from)).Bool("known", ok).Send()
 	return version, ok
 }
 
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -77,6 +77,8 @@
 	// TargetsAge returns the time since the targets were last confirmed to be current,
 	// negative if they never were.
 	TargetsAge func() time.Duration
+	// TargetsFrom returns what confirmed them, for the log; nil means that it is not known.
+	TargetsFrom func() string
 	// StoreLost reports whether calls to the store fail.
 	StoreLost func() bool
 	// StoodStill reports whether the process stood still until a moment ago, so that what it
@@ -164,6 +166,9 @@
 	if cfg.StoodStill == nil {
 		cfg.StoodStill = func() bool { return false }
 	}
+	if cfg.TargetsFrom == nil {
+		cfg.TargetsFrom = func() string { return "" }
+	}
 	started := now()
 	if cfg.BootTime == nil {
 		cfg.BootTime = func() time.Duration { return now().Sub(started) }
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -384,6 +384,11 @@
 	return version, ok
 }
 
+// resume returns the version at which the router resumes a stream.
+func (r *fakeRouter) resume(key Key, named bool) (fleet.SoftwareVersion, bool) {
+	return r.service.Resume(context.Background(), Stream{Service: "s", Key: key, Named: named})
+}
+
 // stream is a stream in progress.
 type stream struct {
 	key     Key
@@ -472,7 +477,7 @@
 				if f.now.Sub(s.begunAt) > modelTimeout {
 					continue
 				}
-				version, ok := r.service.Resume(ctx, "s", s.key, true)
+				version, ok := r.resume(s.key, true)
 				ok = ok && slices.Contains(distinctVersions(f.targets), version)
 				if ok && version != s.version {
 					t.Fatalf("a stream of %s was resumed at %s", s.version, version)
@@ -482,7 +487,7 @@
 				if !ok && settled && slices.Contains(distinctVersions(r.view.Targets["s"]), s.version) {
 					t.Fatalf("a stream of %s was not resumed, although the targets have not changed for long", s.version)
 				}
-				version, ok = r.service.Resume(ctx, "s", NewKey("", ""), false)
+				version, ok = r.resume(NewKey("", ""), false)
 				if ok && slices.Contains(distinctVersions(f.targets), version) && version != s.version {
 					t.Fatalf("a stream of %s that names no request was resumed at %s", s.version, version)
 				}
@@ -602,7 +607,7 @@
 		t.Errorf("got revision %d after %d reads, want one write, at most a read a router, and one a confirmation", revision, reads)
 	}
 	for i := range 100 {
-		if _, ok := f.routers[i%4].service.Resume(context.Background(), "s", Key(i), true); !ok {
+		if _, ok := f.routers[i%4].resume(Key(i), true); !ok {
 			t.Fatal("with one version only, a stream was not resumed")
 		}
 	}
@@ -619,7 +624,7 @@
 	f.store.mu.Lock()
 	var all sync.WaitGroup
 	for i := range 50 {
-		all.Go(func() { f.routers[0].service.Resume(context.Background(), "s", Key(i), true) })
+		all.Go(func() { f.routers[0].resume(Key(i), true) })
 	}
 	time.Sleep(20 * time.Millisecond)
 	f.store.mu.Unlock()
@@ -644,7 +649,7 @@
 			f := newFakeFleet(4)
 			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 			f.advance(time.Minute)
-			cut, ctx := f.routers[1], context.Background()
+			cut := f.routers[1]
 			cut.setCut(true)
 			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 			f.advance(8 * time.Second)
@@ -661,7 +666,7 @@
 			}
 			resumed := 0
 			for i, s := range list {
-				version, ok := f.routers[[]int{0, 2, 3}[i%3]].service.Resume(ctx, "s", s.key, true)
+				version, ok := f.routers[[]int{0, 2, 3}[i%3]].resume(s.key, true)
 				if ok && version != s.version {
 					t.Errorf("a stream of %s was resumed at %s", s.version, version)
 				}
@@ -694,7 +699,7 @@
 			f := newFakeFleet(4)
 			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 			f.advance(time.Minute)
-			cut, ctx, start := f.routers[1], context.Background(), f.now
+			cut, start := f.routers[1], f.now
 			until := func(at time.Duration) { f.advance(start.Add(at).Sub(f.now)) }
 			cut.setCut(true)
 			until(test.releaseAt)
@@ -715,7 +720,7 @@
 			}
 			until(test.resumeAt)
 			for i, s := range list {
-				if version, ok := f.routers[[]int{0, 2, 3}[i%3]].service.Resume(ctx, "s", s.key, true); ok && version != s.version {
+				if version, ok := f.routers[[]int{0, 2, 3}[i%3]].resume(s.key, true); ok && version != s.version {
 					t.Errorf("a stream of %s was resumed at %s", s.version, version)
 				}
 			}
@@ -775,7 +780,7 @@
 	f.advance(time.Minute)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 	f.advance(lifetimeOf(f.routers[0].view, "s") + clockError + time.Second)
-	ctx, begun := context.Background(), map[Key]fleet.SoftwareVersion{}
+	begun := map[Key]fleet.SoftwareVersion{}
 	for i := range 40 {
 		version, _ := f.routers[i%4].begin(Key(i))
 		begun[Key(i)] = version
@@ -785,7 +790,7 @@
 	}
 	f.advance(time.Second)
 	for key, want := range begun {
-		if got, ok := f.routers[key%4].service.Resume(ctx, "s", key, true); !ok || got != want {
+		if got, ok := f.routers[key%4].resume(key, true); !ok || got != want {
 			t.Errorf("got version %q, %t, want %s", got, ok, want)
 		}
 	}
@@ -797,7 +802,7 @@
 	f := newFakeFleet(3)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 	f.advance(time.Minute)
-	still, ctx := f.routers[0], context.Background()
+	still := f.routers[0]
 	still.setCut(true)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 	f.advance(5 * time.Second)
@@ -807,7 +812,7 @@
 	for i := range 40 {
 		key := NewKey("a", fleet.RequestID(fmt.Sprint(i)))
 		begun, _ := f.routers[1].begin(key)
-		if version, ok := still.service.Resume(ctx, "s", key, true); ok && version != begun {
+		if version, ok := still.resume(key, true); ok && version != begun {
 			t.Errorf("a stream of %s was resumed at %s", begun, version)
 		}
 	}
@@ -888,13 +893,13 @@
 		if f.store.object.Revision == 0 {
 			t.Fatalf("drill %d: the store holds no history", drill)
 		}
-		ctx, key := context.Background(), Key(100+drill)
+		key := Key(100 + drill)
 		begun, ok := f.routers[0].begin(key)
 		for i := range f.routers {
 			f.restart(i)
 		}
 		f.advance(time.Second)
-		if version, resumed := f.routers[1].service.Resume(ctx, "s", key, true); !ok || !resumed || version != begun {
+		if version, resumed := f.routers[1].resume(key, true); !ok || !resumed || version != begun {
 			t.Errorf("drill %d: got version %q, %t, want %q", drill, version, resumed, begun)
 		}
 		f.advance(time.Minute)
@@ -914,7 +919,6 @@
 			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 			f.advance(4 * time.Second)
 			var list []stream
-			ctx := context.Background()
 			for i := range 60 {
 				key := NewKey("a", fleet.RequestID(fmt.Sprint("lost-", i)))
 				if version, ok := f.routers[i%4].begin(key); ok {
@@ -930,7 +934,7 @@
 			}
 			f.advance(time.Second)
 			for i, s := range list {
-				if version, ok := f.routers[i%4].service.Resume(ctx, "s", s.key, true); ok && version != s.version {
+				if version, ok := f.routers[i%4].resume(s.key, true); ok && version != s.version {
 					t.Errorf("a stream of %s was resumed at %s", s.version, version)
 				}
 			}
@@ -946,7 +950,7 @@
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
 	f.advance(2 * discoveryTime)
 	copied := f.store.copy()
-	back, ctx := f.routers[1], context.Background()
+	back := f.routers[1]
 	back.setCut(true)
 	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
 	f.advance(4 * time.Second)
@@ -960,7 +964,7 @@
 	f.store.restore(copied)
 	f.lossy = true
 	for key, want := range begun {
-		if got, ok := back.service.Resume(ctx, "s", key, true); ok && got != want {
+		if got, ok := back.resume(key, true); ok && got != want {
 			t.Errorf("a stream of %s was resumed at %s", want, got)
 		}
 	}
