--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -232,7 +232,12 @@
 
 func (r *fakeRouter) ListPrecedence(fleet.ServiceName) int { return r.index }
 
-func (r *fakeRouter) Connected() bool { return !r.cut && !(r.fleet.halves && r.fleet.anyCut()) }
+// hearingLag is how long a router takes to notice that it does not hear the others.
+const hearingLag = 1500 * time.Millisecond
+
+func (r *fakeRouter) Connected() bool {
+	return (!r.cut || r.fleet.now.Sub(r.cutAt) < hearingLag) && !(r.fleet.halves && r.fleet.anyCut())
+}
 
 // Members implements Peers.
 func (r *fakeRouter) Members(service fleet.ServiceName) ([]Member, Readers) {
--- /dev/null
+++ b/streamversion/skew_test.go
@@ -0,0 +1,118 @@
+package streamversion
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
+)
+
+// skewTime is how long a play of TestStreamsBesideNewVersionAreNotJoined lasts after the new targets have joined.
+const skewTime = 10 * time.Second
+
+// skewedRouter is a router that is out of step between two moments of a play.
+type skewedRouter struct {
+	router      *fakeRouter
+	from, until time.Duration
+}
+
+// skewedPlay is a play of a version that joins while routers are out of step.
+type skewedPlay struct {
+	fleet   *fakeFleet
+	random  *rand.Rand
+	out     []skewedRouter
+	streams []stream
+	// joined counts the streams that were resumed at another version, resumed and refused those that were not.
+	joined, resumed, refused int
+	// notBegun counts the new streams that were refused at routers in step.
+	notBegun int
+}
+
+// TestStreamsBesideNewVersionAreNotJoined guards against streams that routers out of step resume at the only version that
+// they know, while others begin streams at a new one.
+func TestStreamsBesideNewVersionAreNotJoined(t *testing.T) {
+	total := skewedPlay{}
+	for seed := range uint64(300) {
+		p := playSkew(seed)
+		if p.joined > 0 {
+			t.Errorf("seed %d: %d streams were resumed at another version than they began at", seed, p.joined)
+		}
+		total.joined, total.resumed, total.refused, total.notBegun = total.joined+p.joined, total.resumed+p.resumed, total.refused+p.refused, total.notBegun+p.notBegun
+	}
+	t.Logf("joined %d, resumed %d, refused %d, not begun at routers in step %d", total.joined, total.resumed, total.refused, total.notBegun)
+	if total.notBegun > 0 {
+		t.Errorf("%d new streams were refused at routers in step, want none", total.notBegun)
+	}
+	if total.resumed < 4*total.refused {
+		t.Errorf("%d streams were resumed and %d refused, want four in five resumed", total.resumed, total.refused)
+	}
+}
+
+// playSkew plays one seed: one or two new versions, and routers that are out of step around their entry.
+func playSkew(seed uint64) *skewedPlay {
+	random := rand.New(rand.NewPCG(seed, 46))
+	p := &skewedPlay{fleet: newFakeFleet(3 + random.IntN(4)), random: random}
+	f := p.fleet
+	f.together = random.IntN(2) == 0
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.advance(time.Minute)
+	for _, i := range random.Perm(len(f.routers))[:1+random.IntN(2)] {
+		from := time.Duration(random.IntN(16)) * checkInterval
+		length := time.Duration(2+random.IntN(50)) * checkInterval
+		p.out = append(p.out, skewedRouter{f.routers[i], from, from + length})
+	}
+	join := time.Duration(4+random.IntN(8)) * checkInterval
+	third := join + time.Duration(5+random.IntN(25))*checkInterval
+	hasThird := random.IntN(3) == 0
+	for at := time.Duration(0); at < join+skewTime; at += checkInterval {
+		for _, o := range p.out {
+			o.router.setCut(at >= o.from && at < o.until)
+		}
+		switch {
+		case hasThird && at >= third:
+			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6, "v3": 6})
+		case at >= join:
+			f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+		}
+		f.advance(checkInterval)
+		p.begin(at)
+		p.takeUp()
+	}
+	return p
+}
+
+// begin begins some streams, mostly at routers in step.
+func (p *skewedPlay) begin(at time.Duration) {
+	for n := range 4 {
+		r := p.fleet.routers[p.random.IntN(len(p.fleet.routers))]
+		key := NewKey("a", fleet.RequestID(fmt.Sprint(at, n)))
+		version, ok := r.begin(key)
+		switch {
+		case ok:
+			p.streams = append(p.streams, stream{key, version, p.fleet.now})
+		case !r.cut && r.cutTo.IsZero():
+			p.notBegun++
+		}
+	}
+}
+
+// takeUp takes up streams at any router, those that are out of step most of all.
+func (p *skewedPlay) takeUp() {
+	for range min(8, len(p.streams)) {
+		s := p.streams[len(p.streams)-1-p.random.IntN(min(24, len(p.streams)))]
+		r := p.fleet.routers[p.random.IntN(len(p.fleet.routers))]
+		if p.random.IntN(3) > 0 {
+			r = p.out[p.random.IntN(len(p.out))].router
+		}
+		switch version, ok := r.resume(s.key, true); {
+		case !ok:
+			p.refused++
+		case version != s.version:
+			p.joined++
+		default:
+			p.resumed++
+		}
+	}
+}
