streamversion: no stream begins at a version that a router out of step cannot have missed yet

Callers got streams of two versions: a router that was just cut off resumed, at the only version that it knew, streams that others had begun at a new one a moment before.

Cause: a router takes its targets for those of the moment for 1.5 s after they were confirmed, on the ground that a new version receives no stream within that time. Nobody kept to that: the split that names the version is written some 0.1 s after its targets join.

A version that is not in the split takes part in new ones, and receives streams, only once it has been known for longer than that time. Until then new streams begin at the versions of the split. If none of these has a target left, nobody can resume at them, and the new version is used at once. The age is read before the view that it is about.

A release waits 1.6 s until streams begin at its version.

--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -49,7 +49,8 @@
 		// The version that the split gives may well be in service.
 		return "", false
 	}
-	return targets.split.VersionOf(key), true
+	version = s.beginTargets(service, targets).split.VersionOf(key)
+	return version, version != ""
 }
 
 // RecordBegun records at which version a stream began, here and, unless they can compute it, at
--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -46,9 +46,11 @@
 
 // resume is Resume with the basis of the result.
 func (s *Service) resume(ctx context.Context, service fleet.ServiceName, key Key, named bool) (fleet.SoftwareVersion, basis, bool) {
+	// The targets are at least as new as their age tells, which is why that comes first.
+	current := s.targetsCurrent()
 	view := s.cfg.View()
 	s.targetsOf(service, view)
-	if version, ok := s.soleVersion(service, view); ok {
+	if version, ok := s.soleVersion(service, view); ok && current {
 		return version, basisOnlyVersion, true
 	}
 	if origin, from, ok := s.findRecord(ctx, key, named); ok {
@@ -172,11 +174,8 @@
 }
 
 // soleVersion returns the version of all targets, if this router has known for longer than a
-// stream lasts that there is no other one.
+// stream lasts that there is no other one. The targets may be old.
 func (s *Service) soleVersion(service fleet.ServiceName, view *catalog.View) (fleet.SoftwareVersion, bool) {
-	if !s.targetsCurrent() {
-		return "", false
-	}
 	absent := s.absentLately()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -137,6 +137,8 @@
 	// since soleSince.
 	targets   targetVersions
 	soleSince time.Time
+	// versionsSince is since when each version among them has been known.
+	versionsSince map[fleet.SoftwareVersion]time.Time
 	// wantedSince is since when the split should change, zero if it suits the targets.
 	wantedSince time.Time
 	// retryAt is when the store may be written or, for streams to resume, read again after a
@@ -355,6 +357,7 @@
 	}
 	before := st.targets
 	st.targets = newTargetVersions(view, service)
+	st.observeVersions(st.targets.all, s.now())
 	if before.view == nil || before.sole != st.targets.sole {
 		st.soleSince = s.now()
 	}
@@ -362,7 +365,7 @@
 }
 
 // maxTargetsAge is the age up to which the targets are taken as current where one version
-// among them decides: a version that is not among them yet receives no stream within it.
+// among them decides: a version that is not among them yet receives no stream within it, see beginDelay.
 const maxTargetsAge = 1500 * time.Millisecond
 
 // observeStore records since when calls to the store fail.
--- a/streamversion/split.go
+++ b/streamversion/split.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,11 @@
 	return best
 }
 
+// has reports whether a version receives new streams.
+func (s Split) has(version fleet.SoftwareVersion) bool {
+	return slices.ContainsFunc(s, func(share Share) bool { return share.Version == version })
+}
+
 // fraction returns the part of the new streams that a version receives, from 0 to 1.
 func (s Split) fraction(version fleet.SoftwareVersion) float64 {
 	sum, own := 0.0, 0.0
--- a/streamversion/targets.go
+++ b/streamversion/targets.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"ragwortpond.example/ragwortpond/catalog"
 	"ragwortpond.example/ragwortpond/fleet"
@@ -11,8 +12,9 @@
 // targetVersions holds the versions of a service's targets in one view.
 type targetVersions struct {
 	view *catalog.View
-	// serving holds the versions of the targets that accept requests, split a split in
+	// all holds the versions of all targets, serving the versions of the targets that accept requests, split a split in
 	// proportion to these.
+	all     []fleet.SoftwareVersion
 	serving []fleet.SoftwareVersion
 	split   Split
 	// sole is the only version, those of leaving and evacuated targets included; empty if there are
@@ -23,13 +25,58 @@
 func newTargetVersions(view *catalog.View, service fleet.ServiceName) targetVersions {
 	serving := view.Targets[service]
 	all := slices.Concat(distinctVersions(serving), distinctVersions(view.Leaving[service]), distinctVersions(view.Evacuated[service]))
-	v := targetVersions{view: view, serving: distinctVersions(serving), split: ByTargets(serving)}
-	if slices.Sort(all); len(slices.Compact(all)) == 1 {
-		v.sole = all[0]
+	slices.Sort(all)
+	v := targetVersions{view: view, all: slices.Compact(all), serving: distinctVersions(serving), split: ByTargets(serving)}
+	if len(v.all) == 1 {
+		v.sole = v.all[0]
 	}
 	return v
 }
 
+// beginDelay is how long the first target of a version has to be known before streams begin at it. Routers that have
+// not heard of it rely on the only version that they know for maxTargetsAge at most.
+const beginDelay = maxTargetsAge + checkInterval
+
+// observeVersions records since when the versions of targets have been known without a pause.
+func (st *serviceState) observeVersions(versions []fleet.SoftwareVersion, now time.Time) {
+	before := st.versionsSince
+	st.versionsSince = make(map[fleet.SoftwareVersion]time.Time, len(versions))
+	for _, version := range versions {
+		since, ok := before[version]
+		if !ok {
+			since = now
+		}
+		st.versionsSince[version] = since
+	}
+}
+
+// mayBegin reports whether new streams may begin at a version: it is part of the newest known split, or was known for
+// beginDelay. Without a target of the split no router can resume a stream at its versions.
+func (st *serviceState) mayBegin(version fleet.SoftwareVersion, now time.Time) bool {
+	inService := func(share Share) bool { return slices.Contains(st.targets.all, share.Version) }
+	if st.split.has(version) || !slices.ContainsFunc(st.split, inService) {
+		return true
+	}
+	since, ok := st.versionsSince[version]
+	return ok && now.Sub(since) >= beginDelay
+}
+
+// beginTargets returns the versions of targets without those at which no stream may begin yet.
+func (s *Service) beginTargets(service fleet.ServiceName, targets targetVersions) targetVersions {
+	now := s.now()
+	s.mu.Lock()
+	st := s.stateOf(service)
+	isNew := func(version fleet.SoftwareVersion) bool { return !st.mayBegin(version, now) }
+	serving := slices.DeleteFunc(slices.Clone(targets.serving), isNew)
+	s.mu.Unlock()
+	if len(serving) == len(targets.serving) {
+		return targets
+	}
+	list := slices.DeleteFunc(slices.Clone(targets.view.Targets[service]), func(t *catalog.Target) bool { return !slices.Contains(serving, t.Version) })
+	targets.serving, targets.split = serving, ByTargets(list)
+	return targets
+}
+
 // distinctVersions returns the versions of targets, sorted.
 func distinctVersions(targets []*catalog.Target) []fleet.SoftwareVersion {
 	var list []fleet.SoftwareVersion
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -58,7 +58,7 @@
 	for service := range view.Config.StreamLifetimes {
 		s.observeStore(service)
 		s.announce(s.takeMoved(service))
-		if due, plan := s.changeDue(service, s.targetsOf(service, view), now); due {
+		if due, plan := s.changeDue(service, s.beginTargets(service, s.targetsOf(service, view)), now); due {
 			s.change(ctx, service, plan, now)
 		}
 		s.extendLease(service, now)
