directory, mesh: how old targets are counts from the call to the store, and is passed on

Cause: a router counted its targets as confirmed when a heartbeat of a watching router with the same targets arrived. That router notices that the store is silent after up to 4 s, and goes on sending. An answer of the store counted from its arrival, however long it took.

What a router knows of the targets now has an age of its own, counted from the call that brought it, since the answer is at least as new (or from the end of the time for which the store holds a call without a change). Heartbeats pass it on. Resuming at the only version goes by it. Earlier builds do not tell it, and confirm nothing for that purpose.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,6 +80,9 @@
 	confirmedAt map[string]time.Time
 	// targetsFrom is what confirmed the targets last.
 	targetsFrom dataSource
+	// targetsAsOf is the latest time as of which the store is known to have had no targets but those of the
+	// view and of what was read after; zero if there is none.
+	targetsAsOf time.Time
 	// callBegan is when the last store call began, by kind of object.
 	callBegan map[string]time.Time
 	// outageBegan is when the first call failed in the last outage, zero if there was none;
@@ -206,7 +209,7 @@
 	defer d.mu.Unlock()
 	d.heardBefore[kind], d.confirmedAt[kind] = d.confirmedAt[kind], d.now()
 	if kind == platform.KindTargets {
-		d.targetsAnsweredAt, d.targetsFrom = d.now(), sourceStore
+		d.targetsAnsweredAt = d.now()
 	}
 	if d.answeredSince.IsZero() {
 		d.answeredSince = d.now()
@@ -235,13 +238,34 @@
 }
 
 // ConfirmCurrent records that a router with a live watch of the store holds the
-// same configuration and targets.
-func (d *Directory) ConfirmCurrent() {
+// same configuration and targets. targetsAge is how old what that router knows of the targets is,
+// negative if it is not known.
+func (d *Directory) ConfirmCurrent(targetsAge time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	d.confirmedAt[platform.KindConfig], d.confirmedAt[platform.KindTargets] = now, now
-	d.targetsFrom = sourceRouter
+	if targetsAge >= 0 {
+		d.raiseTargetsAsOf(now.Add(-targetsAge), sourceRouter)
+	}
+}
+
+// raiseTargetsAsOf records that the view has the targets that the store had at a time; d.mu must be held.
+func (d *Directory) raiseTargetsAsOf(at time.Time, from dataSource) {
+	if at.After(d.targetsAsOf) {
+		d.targetsAsOf, d.targetsFrom = at, from
+	}
+}
+
+// TargetsAge returns how old what this router knows of the targets is: the store may have got others since.
+// It is negative if that is not known. The view must be read after it.
+func (d *Directory) TargetsAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.targetsAsOf.IsZero() {
+		return -time.Second
+	}
+	return d.now().Sub(d.targetsAsOf)
 }
 
 // TargetsFrom returns what confirmed the targets last: the store or a router.
@@ -345,7 +369,9 @@
 
 // handleTargetList applies the store's complete list of targets.
 func (d *Directory) handleTargetList(objects []platform.Object, revision uint64) {
-	if changes := d.replaceTargets(objects, revision, sourceStore); len(changes) > 0 {
+	changes := d.replaceTargets(objects, revision, sourceStore)
+	d.markTargetsRead()
+	if len(changes) > 0 {
 		d.onChange(changes)
 	}
 }
@@ -401,11 +427,32 @@
 	d.members.MarkComplete(revision)
 	d.publishLocked()
 	d.mu.Unlock()
+	d.markTargetsRead()
 	if len(applied) > 0 {
 		d.onChange(applied)
 	}
 }
 
+// markTargetsRead records that the view has what the store answered to the last call for targets. The answer
+// is at least as new as the call; how long it was on its way is not known.
+func (d *Directory) markTargetsRead() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.raiseTargetsAsOf(d.callBegan[platform.KindTargets], sourceStore)
+}
+
+// markTargetsUnchanged records that the store answered a watch call for targets without a change, which it
+// holds for a time then.
+func (d *Directory) markTargetsUnchanged(held time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.callBegan[platform.KindTargets]
+	if d.now().Sub(at) >= held {
+		at = at.Add(held)
+	}
+	d.raiseTargetsAsOf(at, sourceStore)
+}
+
 // applyLocked applies changes in order and returns those that had an effect; d.mu
 // must be held.
 func (d *Directory) applyLocked(changes []platform.Change, source dataSource) []platform.Change {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -223,7 +223,7 @@
 			d := New(func() Store { return store }, NoWatch, testPace, zerolog.Nop(), nil)
 			d.now = func() time.Time { return clock }
 			d.ApplySnapshot(Snapshot{Targets: objects, TargetsRevision: 10})
-			d.ConfirmCurrent()
+			d.ConfirmCurrent(0)
 			clock = clock.Add(time.Second)
 			d.SetWatchRole(PrimaryWatch)
 			for range calls {
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -105,9 +105,12 @@
 		return from, err
 	}
 	d.markAvailable(f.kind)
-	if len(changes) > 0 {
+	switch {
+	case len(changes) > 0:
 		f.onChanges(changes, revision)
 		_ = sleep.For(ctx, d.settleDelay())
+	case f.kind == platform.KindTargets:
+		d.markTargetsUnchanged(f.wait)
 	}
 	return revision, nil
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -13,14 +13,21 @@
 	"ragwortpond.example/ragwortpond/platform"
 )
 
+// maxPassedTargetsAge is the age from which on what a router knows of the targets confirms nothing to others.
+const maxPassedTargetsAge = time.Minute
+
 // newHeartbeat returns a plain heartbeat, which has no loads and no peers.
 func (m *Mesh) newHeartbeat() *Heartbeat {
+	targetsAge := m.cfg.Directory.TargetsAge()
 	versions, live := m.cfg.Directory.Versions(), m.cfg.Directory.HasLiveWatch()
 	hb := &Heartbeat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
 		Leaving: m.leaving.Load(), ConfigRevision: versions.Config.Revision, ConfigVersion: versions.Config.Version, TargetsDigest: versions.TargetsDigest,
 		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
 	}
+	if targetsAge >= 0 && targetsAge < maxPassedTargetsAge {
+		hb.TargetsAgeMS = uint32(targetsAge.Milliseconds()) + 1
+	}
 	if since := m.cfg.Directory.AnsweredSince(); live && !since.IsZero() {
 		hb.StoreAnsweredMS = max(ageMS(since, time.Now()), 1)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -91,6 +91,17 @@
 	// StoreAnsweredMS is for how long the store has answered all calls of the sender, if that has a
 	// live watch; zero if it is not known, as from earlier builds.
 	StoreAnsweredMS uint32 `cbor:"33,keyasint,omitempty"`
+	// TargetsAgeMS is how old what the sender knows of the targets is, plus one; zero if it is not known, as from
+	// earlier builds. The targets of TargetsDigest are at least as new.
+	TargetsAgeMS uint32 `cbor:"34,keyasint,omitempty"`
+}
+
+// targetsAge returns how old what the sender knew of the targets was, negative if it is not known.
+func (hb *Heartbeat) targetsAge() time.Duration {
+	if hb.TargetsAgeMS == 0 {
+		return -1
+	}
+	return time.Duration(hb.TargetsAgeMS) * time.Millisecond
 }
 
 // EvacuationReport is what a router knows of evacuated failure domains.
--- a/mesh/store_return_test.go
+++ b/mesh/store_return_test.go
@@ -23,6 +23,8 @@
 // storeGate is one router's way to the store, which a test can close.
 type storeGate struct {
 	closed atomic.Bool
+	// held is set if calls are held up, those in progress included.
+	held   atomic.Bool
 	proxy  *httputil.ReverseProxy
 	server *httptest.Server
 }
@@ -37,11 +39,24 @@
 			return
 		}
 		g.proxy.ServeHTTP(w, r)
+		for g.held.Load() && r.Context().Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
 	}))
 	t.Cleanup(g.server.Close)
 	return g
 }
 
+// addr returns the gate's address.
+func (g *storeGate) addr() string {
+	return strings.TrimPrefix(g.server.URL, "http://")
+}
+
+// hold holds up all calls from now on.
+func (g *storeGate) hold() {
+	g.held.Store(true)
+}
+
 // close closes the gate and cuts the calls in progress.
 func (g *storeGate) close() {
 	g.closed.Store(true)
@@ -64,7 +79,7 @@
 	seeds := []string{freeAddr(t, 0), freeAddr(t, 1)}
 	for i, domain := range []fleet.DomainName{"d", "e", "e"} {
 		f.gates = append(f.gates, newStoreGate(t, f.store))
-		f.routers = append(f.routers, startRouterInDomain(t, domain, i, platform.NewStore(strings.TrimPrefix(f.gates[i].server.URL, "http://"), nil), seeds))
+		f.routers = append(f.routers, startRouterInDomain(t, domain, i, platform.NewStore(f.gates[i].addr(), nil), seeds))
 	}
 	ids := []string{"d1", "d22", "d333", "d4444", "e1", "e22", "e333", "e4444"}
 	for _, id := range ids {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -52,7 +52,7 @@
 		m.behindSince = time.Time{}
 	}
 	if hb.Watching && versions.Config.Revision == hb.ConfigRevision && sameTargets {
-		m.cfg.Directory.ConfirmCurrent()
+		m.cfg.Directory.ConfirmCurrent(hb.targetsAge())
 	}
 	fetch := (missing || behind) && !m.fetching && now.Sub(m.behindSince) >= syncDelay
 	m.fetching = m.fetching || fetch
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 	n.directory = directory.New(func() directory.Store { return n.store.Load() }, initialWatchRole(&cfg), directory.NewPace(cfg.ChangeBound()), log, n.resetTarget)
 	n.versions = streamversion.New(streamversion.Config{
 		Store: func() streamversion.Store { return n.store.Load() }, Peers: func() streamversion.Peers { return n.mesh }, View: n.directory.View,
-		TargetsAge: n.targetsAge, TargetsFrom: n.directory.TargetsFrom, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, BootTime: stall.BootTime, Log: log,
+		TargetsAge: n.directory.TargetsAge, TargetsConfirmedAge: n.targetsConfirmedAge, TargetsFrom: n.directory.TargetsFrom, StoreLost: n.directory.StoreLost, StoodStill: n.stall.StoodStill, BootTime: stall.BootTime, Log: log,
 	})
 	limits, paths := targetlimit.NewTracker(), targetpath.NewTracker()
 	cold := targetcold.NewTracker(targetcold.Bounds{Over: cfg.ColdOver, Slack: cfg.ColdSlack}, n.started, rand.Uint64())
@@ -192,7 +192,7 @@
 			return config.Seconds()
 		},
 		TargetsAge: func() float64 {
-			return n.targetsAge().Seconds()
+			return n.targetsConfirmedAge().Seconds()
 		},
 		ClientConns:      func() float64 { return float64(n.ingress.OpenConns()) },
 		TargetConns:      func() float64 { return float64(n.relay.TargetConns()) },
@@ -242,9 +242,9 @@
 	n.metrics.StoreCalls.WithLabelValues(verb, result).Inc()
 }
 
-// targetsAge returns the time since the targets were last confirmed to be current, negative
+// targetsConfirmedAge returns the time since the targets were last confirmed to be current, negative
 // if they never were.
-func (n *Node) targetsAge() time.Duration {
+func (n *Node) targetsConfirmedAge() time.Duration {
 	_, targets := n.directory.ConfirmedAges()
 	return targets
 }
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -74,9 +74,12 @@
 	Store func() Store
 	Peers func() Peers
 	View  func() *catalog.View
-	// TargetsAge returns the time since the targets were last confirmed to be current,
-	// negative if they never were.
+	// TargetsAge returns how old what this router knows of the targets is, negative if that is not known: the store
+	// may have got others since. The view is at least as new.
 	TargetsAge func() time.Duration
+	// TargetsConfirmedAge returns the time since the store or another router last confirmed the targets,
+	// negative if they never were.
+	TargetsConfirmedAge func() time.Duration
 	// TargetsFrom returns what confirmed them, for the log; nil means that it is not known.
 	TargetsFrom func() string
 	// StoreLost reports whether calls to the store fail.
@@ -309,14 +312,18 @@
 
 // TargetsConfirmed reports whether the entries of the targets were confirmed within maxTargetsAge.
 func (s *Service) TargetsConfirmed() bool {
-	age := s.cfg.TargetsAge()
-	return !s.cfg.StoodStill() && age >= 0 && age <= maxTargetsAge
+	return s.isRecent(s.cfg.TargetsConfirmedAge())
 }
 
 // targetsCurrent reports whether this router has the targets of the moment, or learns of them
 // with most others.
 func (s *Service) targetsCurrent() bool {
-	return s.TargetsConfirmed() || (!s.cfg.StoodStill() && s.caughtUp())
+	return s.isRecent(s.cfg.TargetsAge()) || (!s.cfg.StoodStill() && s.caughtUp())
+}
+
+// isRecent reports whether an age is known and within maxTargetsAge.
+func (s *Service) isRecent(age time.Duration) bool {
+	return !s.cfg.StoodStill() && age >= 0 && age <= maxTargetsAge
 }
 
 // ambiguousTime returns how long after a change of the split streams in progress may have begun
