mesh: heartbeats that were held up confirm targets as of when they were sent

Heartbeats tell when they were sent, by the sender's boot clock. The least difference to the receiver's clock, which may drift by one in a thousand, tells how late each one is; that is added to the age of the targets that it confirms. A delay that all datagrams of a process have from its start on is not seen.

TestHeartbeatsThatAreHeldUpAreLate covers clocks apart by hours and drifting, and delays of 0.3, 3 and 30 s.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -11,6 +11,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/stall"
 )
 
 // maxPassedTargetsAge is the age from which on what a router knows of the targets confirms nothing to others.
@@ -18,7 +19,7 @@
 
 // newHeartbeat returns a plain heartbeat, which has no loads and no peers.
 func (m *Mesh) newHeartbeat() *Heartbeat {
-	targetsAge := m.cfg.Directory.TargetsAge()
+	sentAt, targetsAge := stall.BootTime(), m.cfg.Directory.TargetsAge()
 	versions, live := m.cfg.Directory.Versions(), m.cfg.Directory.HasLiveWatch()
 	hb := &Heartbeat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
@@ -26,7 +27,7 @@
 		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
 	}
 	if targetsAge >= 0 && targetsAge < maxPassedTargetsAge {
-		hb.TargetsAgeMS = uint32(targetsAge.Milliseconds()) + 1
+		hb.TargetsAgeMS, hb.SentMS = uint32(targetsAge.Milliseconds())+1, uint64(sentAt.Milliseconds())
 	}
 	if since := m.cfg.Directory.AnsweredSince(); live && !since.IsZero() {
 		hb.StoreAnsweredMS = max(ageMS(since, time.Now()), 1)
@@ -132,6 +133,7 @@
 	joined := known == nil || known.incarnation < hb.Incarnation
 	leaving := hb.Leaving && (joined || !known.leaving)
 	m.table.HandleHeartbeat(hb, from, now)
+	late, passageKnown := m.table.lateness(hb, stall.BootTime())
 	loads := m.mergeLoads(hb, now)
 	m.mu.Unlock()
 	if joined {
@@ -163,7 +165,11 @@
 		m.cfg.Directory.ApplyChanges(toPlatformChanges(hb.Changes))
 	}
 	m.mergeEvidence(hb, from, now)
-	m.syncIfBehind(ctx, hb, from, now)
+	targetsAge := time.Duration(-1)
+	if passageKnown {
+		targetsAge = hb.targetsAge(late)
+	}
+	m.syncIfBehind(ctx, hb, from, now, targetsAge)
 }
 
 // lacksView reports whether the sender has no configuration or no targets.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -94,14 +94,18 @@
 	// TargetsAgeMS is how old what the sender knows of the targets is, plus one; zero if it is not known, as from
 	// earlier builds. The targets of TargetsDigest are at least as new.
 	TargetsAgeMS uint32 `cbor:"34,keyasint,omitempty"`
+	// SentMS is when the heartbeat was sent, by the boot clock of the sender's VM; zero if it is not told, as by
+	// earlier builds.
+	SentMS uint64 `cbor:"35,keyasint,omitempty"`
 }
 
-// targetsAge returns how old what the sender knew of the targets was, negative if it is not known.
-func (hb *Heartbeat) targetsAge() time.Duration {
+// targetsAge returns how old what the sender knew of the targets is, negative if it is not known. late is by how much
+// the heartbeat is late.
+func (hb *Heartbeat) targetsAge(late time.Duration) time.Duration {
 	if hb.TargetsAgeMS == 0 {
 		return -1
 	}
-	return time.Duration(hb.TargetsAgeMS) * time.Millisecond
+	return time.Duration(hb.TargetsAgeMS)*time.Millisecond + late
 }
 
 // EvacuationReport is what a router knows of evacuated failure domains.
--- /dev/null
+++ b/mesh/passage_test.go
@@ -0,0 +1,37 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+)
+
+// TestHeartbeatsThatAreHeldUpAreLate guards against a heartbeat from before a cut that arrives during it and is taken for
+// news of the moment.
+func TestHeartbeatsThatAreHeldUpAreLate(t *testing.T) {
+	const way = 20 * time.Millisecond
+	for name, offset := range map[string]time.Duration{"sender up for longer": -time.Hour, "receiver up for longer": time.Hour} {
+		for _, drift := range []float64{-0.0005, 0, 0.0005} {
+			p := passage{}
+			sentAt := func(now time.Duration) time.Duration { return now - offset + time.Duration(drift*float64(now)) }
+			now := 2 * time.Hour
+			if _, known := p.observe(sentAt(now), now+way); known {
+				t.Errorf("%s: the way of the first heartbeat is known", name)
+			}
+			for end := now + 10*time.Minute; now < end; now += heartbeatInterval {
+				late, known := p.observe(sentAt(now), now+way)
+				if late > 5*time.Millisecond || known != (now >= 2*time.Hour+passageLearnTime) {
+					t.Fatalf("%s, drift %v: got %v late, %v, of a heartbeat in time", name, drift, late, known)
+				}
+			}
+			for _, held := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 30 * time.Second} {
+				for end := now + 31*time.Second; now < end; now += heartbeatInterval {
+					p.observe(sentAt(now), now+way)
+				}
+				late, known := p.observe(sentAt(now-held), now+way)
+				if most := held + 50*time.Millisecond; !known || late < held-50*time.Millisecond || late > most {
+					t.Errorf("%s, drift %v: got %v late, %v, of a heartbeat held up for %v", name, drift, late, known, held)
+				}
+			}
+		}
+	}
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -24,8 +24,8 @@
 // domain while no router of their own domain has a live watch: they fetch a newer
 // configuration at once, and targets that differ from those of a watching router, and
 // are not older, after syncDelay. A configuration that becomes newer during that delay
-// is fetched at its end.
-func (m *Mesh) syncIfBehind(ctx context.Context, hb *Heartbeat, from netip.AddrPort, now time.Time) {
+// is fetched at its end. targetsAge is how old what the sender knows of the targets is, negative if it is not known.
+func (m *Mesh) syncIfBehind(ctx context.Context, hb *Heartbeat, from netip.AddrPort, now time.Time, targetsAge time.Duration) {
 	versions := m.cfg.Directory.Versions()
 	missing := (versions.Config.Revision == 0 && hb.ConfigRevision > 0) || (versions.TargetsDigest == 0 && hb.TargetsDigest > 0)
 	if missing && hb.Domain != m.cfg.Domain && now.Sub(m.startedAt) < foreignViewDelay {
@@ -52,7 +52,7 @@
 		m.behindSince = time.Time{}
 	}
 	if hb.Watching && versions.Config.Revision == hb.ConfigRevision && sameTargets {
-		m.cfg.Directory.ConfirmCurrent(hb.targetsAge())
+		m.cfg.Directory.ConfirmCurrent(targetsAge)
 	}
 	fetch := (missing || behind) && !m.fetching && now.Sub(m.behindSince) >= syncDelay
 	m.fetching = m.fetching || fetch
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -57,6 +57,8 @@
 	// lastReceived is when this router last received its heartbeat; lastReported also
 	// counts heartbeats that other routers reported.
 	lastReported, lastReceived time.Time
+	// passage tells how late its heartbeats are.
+	passage passage
 	// watching is set if it has a live watch of the store, storeLost if it watches and
 	// its calls to the store fail.
 	watching, storeLost bool
@@ -123,7 +125,7 @@
 		return
 	}
 	if hb.Incarnation > m.incarnation {
-		m.splits, m.lists, m.since = nil, nil, now
+		m.splits, m.lists, m.since, m.passage = nil, nil, now, passage{}
 	}
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
@@ -145,6 +147,16 @@
 	}
 }
 
+// lateness returns by how much a heartbeat that was received at a time of the boot clock is late, or false if that is
+// not known.
+func (t *Table) lateness(hb *Heartbeat, received time.Duration) (time.Duration, bool) {
+	m := t.members[hb.From]
+	if m == nil || hb.SentMS == 0 || hb.Incarnation != m.incarnation {
+		return 0, false
+	}
+	return m.passage.observe(time.Duration(hb.SentMS)*time.Millisecond, received)
+}
+
 // mergePeer updates the record of a router that another router mentioned.
 func (t *Table) mergePeer(peer PeerInfo, now time.Time) {
 	if peer.ID == t.self || !peer.Addr.IsValid() {
