streamversion: that a router hears others does not make its targets current

Cause: hearing three others, or most, stood in for any confirmation of the targets. Those that are heard may be cut off as well, and then confirm nothing.

Only the age of the targets counts now. Where it is too high, the splits in the store decide.

--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -315,10 +315,10 @@
 	return s.isRecent(s.cfg.TargetsConfirmedAge())
 }
 
-// targetsCurrent reports whether this router has the targets of the moment, or learns of them
-// with most others.
+// targetsCurrent reports whether the targets that this router knows are recent enough to decide by the versions that
+// are not among them. That it hears others tells nothing: they may be cut off with it.
 func (s *Service) targetsCurrent() bool {
-	return s.isRecent(s.cfg.TargetsAge()) || (!s.cfg.StoodStill() && s.caughtUp())
+	return s.isRecent(s.cfg.TargetsAge())
 }
 
 // isRecent reports whether an age is known and within maxTargetsAge.
