streamversion: a split known without the store counts only once absent routers are noticed

They wait for the longer of the two: 4 s in fleets of up to 16 routers, 30 s in larger ones, where a router is heard of less often.

--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -164,6 +164,13 @@
 	return m.table.absence.from, m.table.absence.until
 }
 
+// AbsenceTime implements streamversion.Peers.
+func (m *Mesh) AbsenceTime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.permitPresence()
+}
+
 // updateAbsence records whether known routers are absent that do not leave.
 func (t *Table) updateAbsence(now time.Time) {
 	if now.Sub(t.absence.until) >= absenceMemory {
--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -158,13 +158,14 @@
 		return nil
 	}
 	s.observeStore(service)
-	absent := s.absentLately()
+	absent, absenceTime := s.absentLately(), s.cfg.Peers().AbsenceTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
 	switch {
-	case st.revision == 0, now.Sub(st.awaySince) < clockError:
-		// Another router may have written a split that this one has not heard of.
+	case st.revision == 0, now.Sub(st.awaySince) < max(clockError, absenceTime):
+		// Another router, which may have been out of reach for that long without being missed, may have
+		// written a split that this one has not heard of.
 		return nil
 	case st.history == nil && (st.alone || (now.Sub(st.knownSince) >= lifetime+leaseTime+clockError && !absent)):
 		return &History{Splits: []Entry{{Split: st.split, Revision: st.revision}}, Era: platform.EraOf(st.revision)}
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -53,6 +53,8 @@
 	// AllKnowSplit reports whether all known routers have told that they know the split of a
 	// service at a revision or a newer one.
 	AllKnowSplit(service fleet.ServiceName, revision uint64) bool
+	// AbsenceTime returns how long another router may be out of reach before it counts as absent.
+	AbsenceTime() time.Duration
 	// Absence returns the time in which other routers were lately not heard of, or this one did
 	// not hear of them, so that they may have used older splits; zero if all were present for
 	// at least recordLifetime.
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -130,7 +130,18 @@
 
 // anyCut reports whether a router is cut off.
 func (f *fakeFleet) anyCut() bool {
-	return slices.ContainsFunc(f.routers, func(r *fakeRouter) bool { return r.cut })
+	return f.cutRouters() > 0
+}
+
+// cutRouters returns the number of routers that are cut off.
+func (f *fakeFleet) cutRouters() int {
+	cut := 0
+	for _, r := range f.routers {
+		if r.cut {
+			cut++
+		}
+	}
+	return cut
 }
 
 // fakeRouter is one router of a fakeFleet; it implements Peers.
@@ -146,6 +157,8 @@
 	startedAt    time.Time
 	// refreshedAt is when it last read the targets.
 	refreshedAt time.Time
+	// listDelay is how long after a cut it reads the targets again.
+	listDelay time.Duration
 	// process is that of its process.
 	process int64
 }
@@ -183,7 +196,7 @@
 
 // refresh gives a router the targets of the moment, if the store can be read.
 func (f *fakeFleet) refresh(r *fakeRouter) {
-	if f.store.down || r.cut {
+	if f.store.down || r.cut || f.now.Sub(r.cutTo) < r.listDelay {
 		return
 	}
 	route := &catalog.Route{Name: "r", RunPolicy: catalog.Resumable, Timeout: modelTimeout, WeightedServices: []catalog.WeightedService{{Service: "s", Weight: 1}}}
@@ -236,7 +249,12 @@
 const hearingLag = 1500 * time.Millisecond
 
 func (r *fakeRouter) Connected() bool {
-	return (!r.cut || r.fleet.now.Sub(r.cutAt) < hearingLag) && !(r.fleet.halves && r.fleet.anyCut())
+	lag := hearingLag
+	if r.fleet.together && r.fleet.cutRouters() > 1 {
+		// It goes on hearing the others of its side, and counts the rest as present.
+		lag = presence
+	}
+	return (!r.cut || r.fleet.now.Sub(r.cutAt) < lag) && !(r.fleet.halves && r.fleet.anyCut())
 }
 
 // Members implements Peers.
@@ -310,6 +328,9 @@
 	r.cut = cut
 }
 
+// AbsenceTime implements Peers.
+func (r *fakeRouter) AbsenceTime() time.Duration { return presence }
+
 // Absence implements Peers.
 func (r *fakeRouter) Absence() (from, until time.Time) {
 	now := r.fleet.now
