streamversion: a router whose targets are old does not change the split

Each change makes the version of streams in progress ambiguous, so that they are refused.

A split is changed only by a router whose targets are recent.

--- a/streamversion/skew_test.go
+++ b/streamversion/skew_test.go
@@ -28,6 +28,10 @@
 	joined, resumed, refused int
 	// notBegun counts the new streams that were refused at routers in step.
 	notBegun int
+	// split is the revision of the newest split.
+	split uint64
+	// withdrawn counts the splits without a version whose targets are all there.
+	withdrawn int
 }
 
 // TestStreamsBesideNewVersionAreNotJoined guards against streams that routers out of step resume at the only version that
@@ -39,6 +43,9 @@
 		if p.joined > 0 {
 			t.Errorf("seed %d: %d streams were resumed at another version than they began at", seed, p.joined)
 		}
+		if p.withdrawn > 0 {
+			t.Errorf("seed %d: a split lacks a version of which all targets are there, %d times", seed, p.withdrawn)
+		}
 		total.joined, total.resumed, total.refused, total.notBegun = total.joined+p.joined, total.resumed+p.resumed, total.refused+p.refused, total.notBegun+p.notBegun
 	}
 	t.Logf("joined %d, resumed %d, refused %d, not begun at routers in step %d", total.joined, total.resumed, total.refused, total.notBegun)
@@ -62,6 +69,7 @@
 		from := time.Duration(random.IntN(16)) * checkInterval
 		length := time.Duration(2+random.IntN(50)) * checkInterval
 		p.out = append(p.out, skewedRouter{f.routers[i], from, from + length})
+		f.routers[i].listDelay = time.Duration(random.IntN(10)) * checkInterval
 	}
 	join := time.Duration(4+random.IntN(8)) * checkInterval
 	third := join + time.Duration(5+random.IntN(25))*checkInterval
@@ -79,10 +87,25 @@
 		f.advance(checkInterval)
 		p.begin(at)
 		p.takeUp()
+		p.checkSplit()
 	}
 	return p
 }
 
+// checkSplit counts a split that lacks a version which the one before had.
+func (p *skewedPlay) checkSplit() {
+	history, err := ParseHistory(p.fleet.store.object.Spec)
+	if err != nil || len(history.Splits) < 2 || p.fleet.store.object.Revision == p.split {
+		return
+	}
+	p.split = p.fleet.store.object.Revision
+	for _, share := range history.Splits[1].Split {
+		if !history.Current().has(share.Version) {
+			p.withdrawn++
+		}
+	}
+}
+
 // begin begins some streams, mostly at routers in step.
 func (p *skewedPlay) begin(at time.Duration) {
 	for n := range 4 {
--- a/streamversion/update.go
+++ b/streamversion/update.go
@@ -86,6 +86,10 @@
 func (s *Service) changeDue(service fleet.ServiceName, targets targetVersions, now time.Time) (bool, Plan) {
 	_, split, _ := s.known(service)
 	plan := newPlan(split, targets)
+	if plan.Change && !s.targetsCurrent() {
+		// Targets may have joined or left that this router does not know of.
+		plan.Change, plan.Urgent = false, false
+	}
 	precedence, connected := 0, false
 	if plan.Change || s.lostByStore(service) {
 		precedence, connected = s.cfg.Peers().Precedence(service), s.cfg.Peers().Connected()
