streamversion: new streams wait while all versions in service are new

Such a stream now waits until the delay is over, 1.6 s at most, if its deadline allows, and is refused at once if not.

--- a/relay/stream_version.go
+++ b/relay/stream_version.go
@@ -73,6 +73,8 @@
 	if s.route.RunPolicy != catalog.Resumable {
 		return true
 	}
+	ctx, cancel := context.WithDeadlineCause(ctx, s.deadline, errRequestDeadline)
+	defer cancel()
 	versions := s.relay.cfg.StreamVersions
 	key, named := s.streamKey()
 	if !s.call.TakesUp {
--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -15,7 +15,7 @@
 // Begin returns the version of a new stream, or an empty one if the service has no target. It
 // returns false if the split may have been replaced, so that others would resume the stream at
 // another version: it is neither leased, nor do others wait for this router to tell that it knows
-// the next one. It reads the store if that may tell.
+// the next one. It reads the store if that may tell, and waits for up to beginDelay if all versions in service are new.
 func (s *Service) Begin(ctx context.Context, service fleet.ServiceName, key Key) (fleet.SoftwareVersion, bool) {
 	view := s.cfg.View()
 	targets := s.targetsOf(service, view)
@@ -49,8 +49,32 @@
 		// The version that the split gives may well be in service.
 		return "", false
 	}
-	version = s.beginTargets(service, targets).split.VersionOf(key)
-	return version, version != ""
+	if version = s.beginTargets(service, targets).split.VersionOf(key); version != "" {
+		return version, true
+	}
+	if !s.awaitBeginTargets(ctx, service, targets) {
+		return "", false
+	}
+	return s.Begin(ctx, service, key)
+}
+
+// awaitBeginTargets waits until streams may begin at one of the versions in service, all of which are new. It returns
+// false at once if ctx ends before, and if that is not known.
+func (s *Service) awaitBeginTargets(ctx context.Context, service fleet.ServiceName, targets targetVersions) bool {
+	now := s.now()
+	s.mu.Lock()
+	st := s.stateOf(service)
+	wait := beginDelay
+	for _, version := range targets.serving {
+		if since, ok := st.versionsSince[version]; ok {
+			wait = min(wait, beginDelay-now.Sub(since))
+		}
+	}
+	s.mu.Unlock()
+	if end, ok := ctx.Deadline(); ok && end.Sub(now) <= wait {
+		return false
+	}
+	return s.sleep(ctx, wait) == nil
 }
 
 // RecordBegun records at which version a stream began, here and, unless they can compute it, at
--- a/streamversion/service.go
+++ b/streamversion/service.go
@@ -11,6 +11,7 @@
 	"ragwortpond.example/ragwortpond/event"
 	"ragwortpond.example/ragwortpond/fleet"
 	"ragwortpond.example/ragwortpond/platform"
+	"ragwortpond.example/ragwortpond/sleep"
 )
 
 // Kind is the kind of the objects that hold histories in the store, one a service.
@@ -100,7 +101,9 @@
 	cfg      Config
 	registry *Registry
 	now      func() time.Time
-	started  time.Time
+	// sleep waits for a time and returns an error if the context ends before.
+	sleep   func(context.Context, time.Duration) error
+	started time.Time
 
 	mu       sync.Mutex
 	services map[fleet.ServiceName]*serviceState
@@ -166,10 +169,10 @@
 
 // New returns a service that knows no split.
 func New(cfg Config) *Service {
-	return newWithClock(cfg, time.Now)
+	return newWithClock(cfg, time.Now, sleep.For)
 }
 
-func newWithClock(cfg Config, now func() time.Time) *Service {
+func newWithClock(cfg Config, now func() time.Time, sleep func(context.Context, time.Duration) error) *Service {
 	if cfg.StoodStill == nil {
 		cfg.StoodStill = func() bool { return false }
 	}
@@ -180,7 +183,7 @@
 	if cfg.BootTime == nil {
 		cfg.BootTime = func() time.Duration { return now().Sub(started) }
 	}
-	return &Service{cfg: cfg, registry: NewRegistry(), now: now, started: started, services: map[fleet.ServiceName]*serviceState{}}
+	return &Service{cfg: cfg, registry: NewRegistry(), now: now, sleep: sleep, started: started, services: map[fleet.ServiceName]*serviceState{}}
 }
 
 // Registry returns the records of where streams began, this router's own and those that
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -19,6 +19,9 @@
 
 var errStoreDown = errors.New("store is down")
 
+// errNoWaiting ends all waiting of routers, whose clock stands still meanwhile.
+var errNoWaiting = errors.New("no waiting on this clock")
+
 // fakeStore is a store with the objects of service "s": its history, the settled split, and the list of
 // routers.
 type fakeStore struct {
@@ -109,6 +112,8 @@
 	now     time.Time
 	store   *fakeStore
 	targets []*catalog.Target
+	// leaving are targets that accept no requests any more.
+	leaving []*catalog.Target
 	routers []*fakeRouter
 	// lossy drops messages between routers.
 	lossy bool
@@ -190,7 +195,7 @@
 	r.service = newWithClock(Config{
 		Store: func() Store { return cutStore{r} }, Peers: func() Peers { return r }, View: func() *catalog.View { return r.view },
 		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut },
-	}, func() time.Time { return f.now })
+	}, func() time.Time { return f.now }, func(context.Context, time.Duration) error { return errNoWaiting })
 	f.refresh(r)
 }
 
@@ -202,7 +207,7 @@
 	route := &catalog.Route{Name: "r", RunPolicy: catalog.Resumable, Timeout: modelTimeout, WeightedServices: []catalog.WeightedService{{Service: "s", Weight: 1}}}
 	config := catalog.NewConfig(1, 1, catalog.Limits{}, []*catalog.Route{route}, nil, nil)
 	r.refreshedAt = f.now
-	r.view = &catalog.View{Config: config, Targets: catalog.Targets{"s": f.targets}, TargetsLoaded: true}
+	r.view = &catalog.View{Config: config, Targets: catalog.Targets{"s": f.targets}, Leaving: catalog.Targets{"s": f.leaving}, TargetsLoaded: true}
 }
 
 // advance lets time pass in steps of the check interval, with news between the routers.
