--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -45,7 +45,7 @@
 	if slices.Contains(targets.serving, version) {
 		return version, true
 	}
-	if !leased || !s.targetsCurrent() {
+	if !leased || !(s.targetsCurrent() || s.tellsOthers()) {
 		// The version that the split gives may well be in service.
 		return "", false
 	}
@@ -58,6 +58,11 @@
 	return s.Begin(ctx, service, key)
 }
 
+// tellsOthers reports whether most other routers receive the records of streams that begin here.
+func (s *Service) tellsOthers() bool {
+	return !s.cfg.StoodStill() && s.caughtUp()
+}
+
 // awaitBeginTargets waits until streams may begin at one of the versions in service, all of which are new. It returns
 // false at once if ctx ends before, and if that is not known.
 func (s *Service) awaitBeginTargets(ctx context.Context, service fleet.ServiceName, targets targetVersions) bool {
