mesh: who is heard late is not heard now

A router that gets what others sent before a cut during it counted as connected to them, and the confirmations of splits that they passed on as younger than they were, by the delay. Both extend what it may do out of step: the lease under which it begins streams, and the use of a split without the store.

Each heartbeat tells when it was sent. Its lateness counts for both.

TestRouterThatHearsOthersLateIsNotConnected failed before (connected by heartbeats that were 2 and 10 s late) and passes.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -24,10 +24,10 @@
 	hb := &Heartbeat{
 		From: m.cfg.Self, Domain: m.cfg.Domain, Incarnation: m.incarnation, Watching: live, StoreLost: !live && m.cfg.Directory.StoreLost(),
 		Leaving: m.leaving.Load(), ConfigRevision: versions.Config.Revision, ConfigVersion: versions.Config.Version, TargetsDigest: versions.TargetsDigest,
-		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength,
+		TargetsRevision: versions.TargetsRevision, Strength: m.cfg.Strength, SentMS: uint64(sentAt.Milliseconds()),
 	}
 	if targetsAge >= 0 && targetsAge < maxPassedTargetsAge {
-		hb.TargetsAgeMS, hb.SentMS = uint32(targetsAge.Milliseconds())+1, uint64(sentAt.Milliseconds())
+		hb.TargetsAgeMS = uint32(targetsAge.Milliseconds()) + 1
 	}
 	if since := m.cfg.Directory.AnsweredSince(); live && !since.IsZero() {
 		hb.StoreAnsweredMS = max(ageMS(since, time.Now()), 1)
@@ -133,7 +133,7 @@
 	joined := known == nil || known.incarnation < hb.Incarnation
 	leaving := hb.Leaving && (joined || !known.leaving)
 	m.table.HandleHeartbeat(hb, from, now)
-	late, passageKnown := m.table.lateness(hb, stall.BootTime())
+	late, passageKnown := m.table.observePassage(hb, stall.BootTime())
 	loads := m.mergeLoads(hb, now)
 	m.mu.Unlock()
 	if joined {
@@ -147,7 +147,7 @@
 	}
 	m.mergeLimits(hb.Limits, now)
 	m.mergeSplits(hb.Splits, now)
-	m.mergeConfirmations(hb.Confirmations)
+	m.mergeConfirmations(hb.Confirmations, late)
 	m.mergeLists(hb)
 	m.mergeStreams(hb.Streams, now)
 	m.mergeBrittle(hb.Brittle, now)
--- a/mesh/passage_test.go
+++ b/mesh/passage_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"ragwortpond.example/ragwortpond/fleet"
 )
 
 // TestHeartbeatsThatAreHeldUpAreLate guards against a heartbeat from before a cut that arrives during it and is taken for
@@ -35,3 +38,31 @@
 		}
 	}
 }
+
+// TestRouterThatHearsOthersLateIsNotConnected guards against a router that takes what others sent before a cut for contact
+// during it.
+func TestRouterThatHearsOthersLateIsNotConnected(t *testing.T) {
+	now, clock := time.Unix(1000, 0), time.Hour
+	table := heardTable(now)
+	hear := func(late time.Duration) {
+		now, clock = now.Add(heartbeatInterval), clock+heartbeatInterval
+		for i := range 5 {
+			hb := testHeartbeat(i, false)
+			hb.Domain, hb.SentMS = fleet.DomainName(fmt.Sprint("d", i%3)), uint64((clock - late).Milliseconds())
+			table.HandleHeartbeat(hb, testAddr(i), now)
+			table.observePassage(hb, clock)
+		}
+	}
+	for range 20 {
+		hear(0)
+	}
+	for _, test := range []struct {
+		late time.Duration
+		want bool
+	}{{200 * time.Millisecond, true}, {2 * time.Second, false}, {10 * time.Second, false}, {0, true}} {
+		hear(test.late)
+		if got := table.Connected(now); got != test.want {
+			t.Errorf("heartbeats %v late: got connected %t, want %t", test.late, got, test.want)
+		}
+	}
+}
--- a/mesh/streams.go
+++ b/mesh/streams.go
@@ -105,7 +105,7 @@
 		}
 		present++
 		domains[m.domain] = true
-		if now.Sub(m.lastReceived) < hearingTimeout {
+		if now.Sub(m.lastReceived)+m.late < hearingTimeout {
 			heard++
 			heardDomains[m.domain] = true
 		}
@@ -382,11 +382,11 @@
 	return list
 }
 
-// mergeConfirmations passes on the confirmations that another router knows.
-func (m *Mesh) mergeConfirmations(list []SplitConfirmation) {
+// mergeConfirmations passes on the confirmations that another router knows, from a heartbeat that is late by a time.
+func (m *Mesh) mergeConfirmations(list []SplitConfirmation, late time.Duration) {
 	for _, c := range list[:min(len(list), maxSplits)] {
 		m.cfg.StreamVersions.MergeConfirmation(streamversion.Confirmation{
-			Service: c.Service, Revision: c.Revision, Age: time.Duration(c.AgeMS) * time.Millisecond, Alone: c.Alone,
+			Service: c.Service, Revision: c.Revision, Age: time.Duration(c.AgeMS)*time.Millisecond + late, Alone: c.Alone,
 		})
 	}
 }
--- a/mesh/table.go
+++ b/mesh/table.go
@@ -57,8 +57,9 @@
 	// lastReceived is when this router last received its heartbeat; lastReported also
 	// counts heartbeats that other routers reported.
 	lastReported, lastReceived time.Time
-	// passage tells how late its heartbeats are.
+	// passage tells how late its heartbeats are, late how late the last one was.
 	passage passage
+	late    time.Duration
 	// watching is set if it has a live watch of the store, storeLost if it watches and
 	// its calls to the store fail.
 	watching, storeLost bool
@@ -125,7 +126,7 @@
 		return
 	}
 	if hb.Incarnation > m.incarnation {
-		m.splits, m.lists, m.since, m.passage = nil, nil, now, passage{}
+		m.splits, m.lists, m.since, m.passage, m.late = nil, nil, now, passage{}, 0
 	}
 	m.domain, m.addr, m.incarnation = hb.Domain, addr, hb.Incarnation
 	m.lastReported, m.lastReceived = now, now
@@ -147,14 +148,16 @@
 	}
 }
 
-// lateness returns by how much a heartbeat that was received at a time of the boot clock is late, or false if that is
-// not known.
-func (t *Table) lateness(hb *Heartbeat, received time.Duration) (time.Duration, bool) {
+// observePassage records and returns by how much a heartbeat that was received at a time of the boot clock is late, and
+// whether that is known.
+func (t *Table) observePassage(hb *Heartbeat, received time.Duration) (late time.Duration, known bool) {
 	m := t.members[hb.From]
 	if m == nil || hb.SentMS == 0 || hb.Incarnation != m.incarnation {
 		return 0, false
 	}
-	return m.passage.observe(time.Duration(hb.SentMS)*time.Millisecond, received)
+	late, known = m.passage.observe(time.Duration(hb.SentMS)*time.Millisecond, received)
+	m.late = late
+	return late, known
 }
 
 // mergePeer updates the record of a router that another router mentioned.
