streamversion: a router without the store refuses while others may have it

Cause: that this router has not reached the store for long was taken for the store being away. Others may reach it, write splits, and begin streams under them.

The age of the targets tells whether anyone heard reaches the store. A split known without the store counts only once nobody has for as long as it takes to notice absent routers.

--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -158,12 +158,16 @@
 		return nil
 	}
 	s.observeStore(service)
-	absent, absenceTime := s.absentLately(), s.cfg.Peers().AbsenceTime()
+	absent, noticeTime := s.absentLately(), max(clockError, s.cfg.Peers().AbsenceTime())
+	if age := s.cfg.TargetsAge(); age >= 0 && age < noticeTime {
+		// A router that this one hears, or heard until a moment ago, reaches the store.
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, now := s.stateOf(service), s.now()
 	switch {
-	case st.revision == 0, now.Sub(st.awaySince) < max(clockError, absenceTime):
+	case st.revision == 0, now.Sub(st.awaySince) < noticeTime:
 		// Another router, which may have been out of reach for that long without being missed, may have
 		// written a split that this one has not heard of.
 		return nil
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -94,14 +94,14 @@
 type cutStore struct{ router *fakeRouter }
 
 func (s cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	if s.router.cut {
+	if s.router.cut || s.router.withoutStore {
 		return platform.Object{}, errStoreDown
 	}
 	return s.router.fleet.store.Get(ctx, kind, name)
 }
 
 func (s cutStore) Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error) {
-	if s.router.cut {
+	if s.router.cut || s.router.withoutStore {
 		return platform.Object{}, errStoreDown
 	}
 	return s.router.fleet.store.Put(ctx, kind, o)
@@ -159,6 +159,8 @@
 	// absence becomes known to the others after presence.
 	cut          bool
 	cutAt, cutTo time.Time
+	// withoutStore hides the store from it, while it hears the others, whose targets it gets.
+	withoutStore bool
 	startedAt    time.Time
 	// refreshedAt is when it last read the targets.
 	refreshedAt time.Time
@@ -194,7 +196,7 @@
 	r.view, r.startedAt, r.refreshedAt, r.process = &catalog.View{}, f.now, time.Time{}, f.processes
 	r.service = newWithClock(Config{
 		Store: func() Store { return cutStore{r} }, Peers: func() Peers { return r }, View: func() *catalog.View { return r.view },
-		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut },
+		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut || r.withoutStore },
 	}, func() time.Time { return f.now }, func(context.Context, time.Duration) error { return errNoWaiting })
 	f.refresh(r)
 }
--- a/streamversion/skew_test.go
+++ b/streamversion/skew_test.go
@@ -139,3 +139,34 @@
 		}
 	}
 }
+
+// TestRoutersThatLostTheStoreFirstJoinNoStreams guards against routers that have been without the store for long when they
+// are cut off from those that have it, and go on by the split that they know.
+func TestRoutersThatLostTheStoreFirstJoinNoStreams(t *testing.T) {
+	f := newFakeFleet(7)
+	f.together = true
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.advance(time.Minute)
+	out := f.routers[4:]
+	for _, r := range out {
+		r.withoutStore = true
+	}
+	f.advance(10 * time.Second)
+	for _, r := range out {
+		r.setCut(true)
+	}
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+	joined, begun := 0, map[Key]fleet.SoftwareVersion{}
+	for i := range Key(100) {
+		f.advance(checkInterval)
+		begun[i], _ = f.routers[i%4].begin(i)
+		for key, want := range begun {
+			if version, ok := out[key%3].resume(key, true); ok && version != want {
+				joined++
+			}
+		}
+	}
+	if joined > 0 {
+		t.Errorf("%d streams were resumed at another version than they began at", joined)
+	}
+}
