--- a/streamversion/skew_test.go
+++ b/streamversion/skew_test.go
@@ -170,3 +170,42 @@
 		t.Errorf("%d streams were resumed at another version than they began at", joined)
 	}
 }
+
+// TestRouterBackAtDrillDoesNotTrustTargetsOfCopy guards against a router that was cut off while a version joined, and is back
+// as the store comes back from a copy that lacks the targets of that version.
+func TestRouterBackAtDrillDoesNotTrustTargetsOfCopy(t *testing.T) {
+	for _, cut := range []time.Duration{3 * time.Second, 6 * time.Second} {
+		playDrillAfterCut(t, cut)
+	}
+}
+
+// playDrillAfterCut plays a cut of a time, and a drill at its end.
+func playDrillAfterCut(t *testing.T, cut time.Duration) {
+	t.Helper()
+	f := newFakeFleet(4)
+	old := targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.targets = old
+	f.advance(time.Minute)
+	copied, back := f.store.copy(), f.routers[1]
+	back.setCut(true)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6, "v2": 6})
+	f.advance(cut)
+	begun := map[Key]fleet.SoftwareVersion{}
+	for i := range Key(60) {
+		if version, ok := f.routers[0].begin(i); ok {
+			begun[i] = version
+		}
+	}
+	back.setCut(false)
+	f.store.restore(copied)
+	// The other routers keep the targets that the copy lacks for a while.
+	both := f.targets
+	f.targets = old
+	f.refresh(back)
+	f.targets = both
+	for key, want := range begun {
+		if got, ok := back.resume(key, true); ok && got != want {
+			t.Errorf("cut of %v: a stream of %s was resumed at %s", cut, want, got)
+		}
+	}
+}
