--- a/soak/skew.go
+++ b/soak/skew.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"ragwortpond.example/ragwortpond/fleet"
-	"ragwortpond.example/ragwortpond/platform/standin"
 )
 
 const (
@@ -130,14 +125,14 @@
 
 // skew is one change of the versions of a service, by drawn moments since its beginning.
 type skew struct {
-	n       int
-	steps   []step
-	join    time.Duration
-	spread  time.Duration
-	third   time.Duration
-	oldest  time.Duration
-	length  time.Duration
-	routers int
+	// n is the number of the service, routers that of the routers.
+	n, routers int
+	steps      []step
+	// join is when the targets of the second version join, within spread. third is when those of a third one do, oldest
+	// when those of the first one begin to leave; zero if they do not.
+	join, spread, third, oldest time.Duration
+	// length is the time for which clients begin streams.
+	length time.Duration
 }
 
 // drawSkew draws the moments of a skew.
@@ -350,139 +345,3 @@
 	defer c.mu.Unlock()
 	f(&c.result)
 }
-
-// skewedClient reads one stream, which it breaks off and takes up at routers that are out of step and at others.
-type skewedClient struct {
-	environment *environment
-	random      *rand.Rand
-	skew        *skew
-	counts      *skewCounts
-	record      func(Request)
-	id          string
-	tries       atomic.Int64
-}
-
-// skewedTransport keeps connections to the routers open.
-var skewedTransport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}
-
-func (c *skewedClient) run(ctx context.Context) {
-	first, events := "", 0
-	refusedSince := false
-	c.counts.add(func(s *SkewedStreams) { s.Asked++ })
-	for try := range skewedTries {
-		router, out := c.pickRouter(try)
-		cutAfter := 0
-		if try < 2 {
-			cutAfter = 1 + c.random.IntN(4)
-		}
-		r := c.request(router, first, events, cutAfter)
-		c.record(r)
-		got := strings.Count(r.Body, "\n\n")
-		if first == "" && got > 0 {
-			first = r.ID
-			c.counts.add(func(s *SkewedStreams) { s.Begun++ })
-		}
-		events += got
-		refused := r.Status == http.StatusServiceUnavailable
-		refusedSince = refused
-		c.counts.add(func(s *SkewedStreams) {
-			switch {
-			case r.Resumes == "" && refused:
-				s.NotBegun++
-			case r.Resumes != "" && out:
-				s.TakenUp++
-				if refused {
-					s.Refused++
-				}
-			}
-		})
-		if events >= eventsPerStream {
-			c.counts.add(func(s *SkewedStreams) { s.Complete++ })
-			return
-		}
-		pause := time.Duration(c.random.Int64N(int64(60 * time.Millisecond)))
-		if refused {
-			pause = max(pause, min(r.RetryAfter, 300*time.Millisecond))
-		}
-		if !sleep(ctx, pause) {
-			return
-		}
-	}
-	if first != "" && refusedSince {
-		c.counts.add(func(s *SkewedStreams) { s.Stranded++ })
-	}
-}
-
-// pickRouter returns the router of a try, and whether it is out of step at some time of the skew.
-func (c *skewedClient) pickRouter(try int) (int, bool) {
-	out := c.skew.outOfStep()
-	isOut := func(router int) bool {
-		for _, o := range out {
-			if o == router {
-				return true
-			}
-		}
-		return false
-	}
-	toOut := (try == 0 && c.random.IntN(10) == 0) || (try == 1 && c.random.IntN(4) > 0) || (try >= 2 && c.random.IntN(4) == 0)
-	if toOut {
-		return out[c.random.IntN(len(out))], true
-	}
-	router := c.random.IntN(c.skew.routers)
-	for range 8 {
-		if !isOut(router) {
-			break
-		}
-		router = c.random.IntN(c.skew.routers)
-	}
-	return router, isOut(router)
-}
-
-// request sends one request of the stream that began with the request first.
-func (c *skewedClient) request(router int, first string, events, cutAfter int) Request {
-	env, kind := c.environment, skewedKind(c.skew.n)
-	dest := env.routers[router]
-	r := Request{ID: fmt.Sprintf("%s-%d", c.id, c.tries.Add(1)), Kind: kind, Account: "account-0", Router: dest.name, Sent: time.Now(), Resumes: first, After: events}
-	timeout := 1500*time.Millisecond + time.Duration(c.random.Int64N(int64(1500*time.Millisecond)))
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dest.clientAddr()+kind.Path+"x", strings.NewReader("prompt"))
-	if err != nil {
-		r.Err = err.Error()
-		return r
-	}
-	request.Host = routeHost
-	if first != "" {
-		standin.SetResumes(request, first)
-	}
-	standin.SetRequestHeaders(request, r.ID, env.accounts[r.Account], timeout, events)
-	c.receive(request, &r, cutAfter)
-	r.Ended = time.Now()
-	return r
-}
-
-// receive reads the answer, and breaks it off after cutAfter events if that is not zero.
-func (c *skewedClient) receive(request *http.Request, r *Request, cutAfter int) {
-	response, err := skewedTransport.RoundTrip(request)
-	if err != nil {
-		r.Err = err.Error()
-		return
-	}
-	defer response.Body.Close()
-	var body []byte
-	if cutAfter > 0 && response.StatusCode == http.StatusOK {
-		body, err = readEvents(response.Body, cutAfter)
-		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-			err = nil
-		}
-	} else {
-		body, err = io.ReadAll(response.Body)
-	}
-	r.Status, r.Seal, r.RetryAfter = response.StatusCode, standin.Signature(response), retryAfter(response.Header)
-	if response.StatusCode == http.StatusOK {
-		r.Body = string(body)
-	}
-	if err != nil {
-		r.Err = err.Error()
-	}
-}
