--- a/soak/skew.go
+++ b/soak/skew.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// sleepUntilTick waits for a tick. It returns false if ctx ends before.
+// sleepUntilTick waits for the next tick. It returns false if ctx ends before.
 func sleepUntilTick(ctx context.Context, ticker *time.Ticker) bool {
 	select {
 	case <-ctx.Done():
@@ -117,10 +117,13 @@
 	// routers are the indexes of the routers, from and length the time since the beginning of the skew.
 	routers      []int
 	from, length time.Duration
-	delay        time.Duration
+	// delay is how long messages to them are held up.
+	delay time.Duration
 }
 
-// stepKinds are the ways of being out of step.
+// stepKinds are the ways of being out of step: cut off from the store and the others, silently or with resets; hearing
+// nobody, or heard by nobody; without the store alone, or without the others; with messages held up, also before a cut;
+// stopped; and cut off, or without the store, with all of the failure domain.
 var stepKinds = []string{"cut", "cut-refused", "deaf", "mute", "store-silent", "peers", "delayed", "delayed-cut", "stopped", "domain-cut", "domain-store"}
 
 // skew is one change of the versions of a service, by drawn moments since its beginning.
