--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -166,6 +166,27 @@
 	}
 }
 
+// TestSoakThroughLossOfAllWithoutStore ends all routers while the store is silent, and guards against targets that crash on a
+// part which the routers knew to crash them.
+func TestSoakThroughLossOfAllWithoutStore(t *testing.T) {
+	program := buildRouter(t, "")
+	for _, seed := range []uint64{4636} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			o := options(program, seed)
+			o.CrashingRequest, o.Limits, o.Versions, o.KillAll = false, false, true, true
+			o.Clients, o.Duration = 24, 12*time.Second
+			r, err := Play(t.Context(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", r)
+			if r.Violations > 0 {
+				t.Errorf("got violations %+v, want none", r.Found)
+			}
+		})
+	}
+}
+
 // plantedClients is the number of clients of the play with the planted fault: few of their requests
 // meet a fault after they have run.
 const plantedClients = 64
