streamversion: a stream begins at the versions in service while they are confirmed

Where streams may begin rests on the confirmation of the targets again, as before this change, or on contact. What a router resumes, and what it makes of a split, goes by the age.

--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -45,7 +45,7 @@
 	if slices.Contains(targets.serving, version) {
 		return version, true
 	}
-	if !leased || !(s.targetsCurrent() || s.tellsOthers()) {
+	if !leased || !(s.TargetsConfirmed() || s.tellsOthers()) {
 		// The version that the split gives may well be in service.
 		return "", false
 	}
--- a/streamversion/service_test.go
+++ b/streamversion/service_test.go
@@ -196,7 +196,7 @@
 	r.view, r.startedAt, r.refreshedAt, r.process = &catalog.View{}, f.now, time.Time{}, f.processes
 	r.service = newWithClock(Config{
 		Store: func() Store { return cutStore{r} }, Peers: func() Peers { return r }, View: func() *catalog.View { return r.view },
-		TargetsAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut || r.withoutStore },
+		TargetsAge: r.targetsAge, TargetsConfirmedAge: r.targetsAge, StoreLost: func() bool { return f.store.down || r.cut || r.withoutStore },
 	}, func() time.Time { return f.now }, func(context.Context, time.Duration) error { return errNoWaiting })
 	f.refresh(r)
 }
