--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,20 @@
 	return Options{Program: program, Seed: seed, Duration: 14 * time.Second, Routers: 6, Clients: 16, FaultLanes: 3, CrashingPart: true, CrashingRequest: true, Limits: true}
 }
 
+// playWithoutViolation plays a soak, logs its report and fails the test if a guarantee was violated.
+func playWithoutViolation(t *testing.T, o Options) *Report {
+	t.Helper()
+	r, err := Play(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Violations > 0 {
+		t.Errorf("got violations %+v, want none", r.Found)
+	}
+	return r
+}
+
 // failedSeeds are the seeds that have found a fault.
 var failedSeeds = []uint64{
 	// The stand-in sent plain bodies instead of streams for its MismatchedFirst and ExtraResponse
@@ -39,14 +53,7 @@
 	program := buildRouter(t, "")
 	for _, seed := range append([]uint64{1}, failedSeeds...) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			r, err := Play(t.Context(), options(program, seed))
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", r)
-			if r.Violations > 0 {
-				t.Errorf("got violations %+v, want none", r.Found)
-			}
+			r := playWithoutViolation(t, options(program, seed))
 			if r.Requests < 500 || r.Served*4 < r.Requests {
 				t.Errorf("served %d of %d requests, want at least a quarter of at least 500", r.Served, r.Requests)
 			}
@@ -69,14 +76,7 @@
 			o := options(program, 0)
 			o.CrashingPart, o.CrashingRequest, o.Versions = false, false, true
 			lose(&o)
-			r, err := Play(t.Context(), o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", r)
-			if r.Violations > 0 {
-				t.Errorf("got violations %+v, want none", r.Found)
-			}
+			playWithoutViolation(t, o)
 		})
 	}
 }
@@ -85,14 +85,7 @@
 func TestSoakOfColdTargets(t *testing.T) {
 	o := options(buildRouter(t, ""), 5)
 	o.CrashingPart, o.CrashingRequest, o.Limits, o.Cold = false, false, false, true
-	r, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", r)
-	if r.Violations > 0 {
-		t.Errorf("got violations %+v, want none", r.Found)
-	}
+	r := playWithoutViolation(t, o)
 	if r.Planned["cold"] < 2 {
 		t.Errorf("got %d turns of cold targets, want some", r.Planned["cold"])
 	}
@@ -104,14 +97,7 @@
 	o := options(buildRouter(t, ""), 1)
 	o.CrashingPart, o.CrashingRequest, o.Limits, o.FaultLanes = false, false, false, 0
 	o.Stops, o.Duration = true, 24*time.Second
-	r, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", r)
-	if r.Violations > 0 {
-		t.Errorf("got violations %+v, want none", r.Found)
-	}
+	r := playWithoutViolation(t, o)
 	if s := r.StoppedStreams; s.Stops < 2 || s.Complete+s.Refused == 0 {
 		t.Errorf("got %+v, want streams late in two stops or more", s)
 	}
@@ -129,14 +115,7 @@
 	o.CrashingPart, o.CrashingRequest, o.Limits, o.Versions, o.FaultLanes = false, false, false, true, 0
 	o.RouterCut, o.Duration = cut, listedAfter+cut+20*time.Second
 	o.Clients = longCutClients
-	r, err := Play(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", r)
-	if r.Violations > 0 {
-		t.Errorf("got violations %+v, want none", r.Found)
-	}
+	r := playWithoutViolation(t, o)
 	if c := r.CutStreams; c.Asked < 20 || c.Begun*10 < c.Asked*9 {
 		t.Errorf("got %d streams begun of %d that the cut-off router was asked for, want nine in ten of at least 20", c.Begun, c.Asked)
 	}
@@ -151,14 +130,7 @@
 			o := options(program, seed)
 			o.CrashingPart, o.CrashingRequest, o.Limits, o.FaultLanes = false, false, false, 0
 			o.Clients, o.Routers, o.Skews, o.Duration = 4, 12, 5, skewStart+60*time.Second
-			r, err := Play(t.Context(), o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", r)
-			if r.Violations > 0 {
-				t.Errorf("got violations %+v, want none", r.Found)
-			}
+			r := playWithoutViolation(t, o)
 			if s := r.SkewedStreams; s.Skews < 4 || s.TakenUp < 500 || s.Complete*10 < s.Begun*9 {
 				t.Errorf("got %+v, want at least 500 streams taken up in four skews, and nine in ten complete", s)
 			}
@@ -175,14 +147,7 @@
 			o := options(program, seed)
 			o.CrashingRequest, o.Limits, o.Versions, o.KillAll = false, false, true, true
 			o.Clients, o.Duration = 24, 12*time.Second
-			r, err := Play(t.Context(), o)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", r)
-			if r.Violations > 0 {
-				t.Errorf("got violations %+v, want none", r.Found)
-			}
+			playWithoutViolation(t, o)
 		})
 	}
 }
--- a/streamversion/begin.go
+++ b/streamversion/begin.go
@@ -64,7 +64,7 @@
 }
 
 // awaitBeginTargets waits until streams may begin at one of the versions in service, all of which are new. It returns
-// false at once if ctx ends before, and if that is not known.
+// false at once if ctx ends before that.
 func (s *Service) awaitBeginTargets(ctx context.Context, service fleet.ServiceName, targets targetVersions) bool {
 	now := s.now()
 	s.mu.Lock()
