streamversion: the only version of a service counts only in the store's era

Cause: the targets of the copy are new by their age, but not those of the moment; the split that the router knows is of the era before, and was not compared with the store's.

Change: until the split of the new era is read, the record of the stream or the history decides.

--- a/streamversion/resume.go
+++ b/streamversion/resume.go
@@ -190,6 +190,9 @@
 	switch {
 	case sole == "", st.revision > 0 && !st.allTold(lifetime, now):
 		return "", false
+	case st.revision > 0 && s.cfg.Store().Era() > platform.EraOf(st.revision):
+		// The store came back from a copy, which may lack targets of another version.
+		return "", false
 	case st.revision > 0 && st.alone:
 		return sole, len(st.split) == 1 && st.split[0].Version == sole && now.Sub(st.soleSince) >= lifetime
 	case now.Sub(st.soleSince) < certainAfter:
--- a/streamversion/skew_test.go
+++ b/streamversion/skew_test.go
@@ -209,3 +209,23 @@
 		}
 	}
 }
+
+// TestStreamsOfOnlyVersionGoOnAfterDrill guards against refusing streams after a drill of a service that has one version.
+func TestStreamsOfOnlyVersionGoOnAfterDrill(t *testing.T) {
+	f := newFakeFleet(9)
+	f.targets = targetsOf(map[fleet.SoftwareVersion]int{"v1": 6})
+	f.advance(3 * time.Minute)
+	copied := f.store.copy()
+	f.advance(5 * time.Second)
+	f.store.restore(copied)
+	for range 10 {
+		for _, r := range f.routers {
+			for key := range Key(10) {
+				if version, ok := r.resume(key, true); version != "v1" || !ok {
+					t.Errorf("router %d resumed stream %d at %q, %v, want v1", r.index, key, version, ok)
+				}
+			}
+		}
+		f.advance(checkInterval)
+	}
+}
