--- a/cmd/ragwort-router/process_test.go
+++ b/cmd/ragwort-router/process_test.go
@@ -173,6 +173,28 @@
 	return len(entries)
 }
 
+// watchStandstill returns a function that ends the watch and returns the longest time for which the process of the tests,
+// which is the client, did not run.
+func watchStandstill() func() time.Duration {
+	stop, longest := make(chan struct{}), make(chan time.Duration, 1)
+	go func() {
+		var most time.Duration
+		for last := time.Now(); ; last = time.Now() {
+			select {
+			case <-stop:
+				longest <- max(most, time.Since(last))
+				return
+			case <-time.After(10 * time.Millisecond):
+				most = max(most, time.Since(last))
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(stop)
+		return <-longest
+	}
+}
+
 // post sends a client's request to a path and returns the status and the body.
 func (p *routerProcess) post(path, id string, timeout time.Duration) (int, string, error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+clientPort+path, strings.NewReader("body"))
