--- a/soak/outofstep_test.go
+++ b/soak/outofstep_test.go
@@ -185,8 +185,7 @@
 	old.Close()
 	next := &target{Target: &standin.Target{ID: old.ID, Service: old.Service, Zone: old.Zone, Version: "v2", Events: old.Events, EventInterval: old.EventInterval}, proxy: old.proxy}
 	if err := next.Start(addr); err != nil {
-		p.t.Error(err)
-		return nil
+		p.t.Fatal(err)
 	}
 	p.t.Cleanup(next.Close)
 	p.env.putTarget(next, "ready")
@@ -200,7 +199,7 @@
 	evacuated = domainName(2)
 	env.setEvacuated(evacuated, true)
 	limited.setLimit(limitPerSecond)
-	engines := p.targetsOf(engineName)
+	engines := env.targetsOf(engineName)
 	engines[0].leaves.Store(true)
 	env.markLeaving(engines[0])
 	env.putTarget(engines[0], "draining")
@@ -217,18 +216,6 @@
 	return restarted, evacuated
 }
 
-func (p *outOfStepPlay) targetsOf(service string) []*target {
-	p.env.mu.Lock()
-	defer p.env.mu.Unlock()
-	var list []*target
-	for _, t := range p.env.active {
-		if t.Service == service {
-			list = append(list, t)
-		}
-	}
-	return list
-}
-
 // outOfStepEvents are the moments of a play.
 type outOfStepEvents struct {
 	changed, back time.Time
@@ -254,7 +241,7 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	e.changed = time.Now()
-	e.limited = p.targetsOf(plainName)[0]
+	e.limited = p.env.targetsOf(plainName)[0]
 	e.restarted, e.evacuated = p.changes(e.limited)
 	time.Sleep(length - time.Since(e.changed))
 	if stopped {
@@ -336,7 +323,7 @@
 // checkEvacuation checks that the evacuated domain gets no requests once the router must know of it.
 func (p *outOfStepPlay) checkEvacuation(e *outOfStepEvents) {
 	evacuated, got := map[string]bool{}, map[string]int{}
-	for _, t := range p.targetsOf(plainName) {
+	for _, t := range p.env.targetsOf(plainName) {
 		evacuated[t.ID] = t.Zone == e.evacuated
 	}
 	for _, a := range p.answers["plain "+p.out.name] {
--- a/soak/skew.go
+++ b/soak/skew.go
@@ -72,11 +72,16 @@
 
 // skewedOf returns the targets of a skewed service.
 func (env *environment) skewedOf(n int) []*target {
+	return env.targetsOf(skewedService(n))
+}
+
+// targetsOf returns the targets of a service that are in the store.
+func (env *environment) targetsOf(service string) []*target {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	var list []*target
 	for _, t := range env.active {
-		if t.Service == skewedService(n) {
+		if t.Service == service {
 			list = append(list, t)
 		}
 	}
