tests: a failed test of floods prints what became of other clients' requests

Callers: nothing.

The reason is not in the 4 KB of the log that the test printed, so that it is not traced: known red. The test prints the log lines of the last such request now; its checks are the same.

--- a/cmd/ragwort-router/process_test.go
+++ b/cmd/ragwort-router/process_test.go
@@ -29,6 +29,8 @@
 	cmd  *exec.Cmd
 	ip   string
 	exit chan error
+	// lastFailed is the ID of the last request of serveMeanwhile that failed, whose log lines a failed test prints.
+	lastFailed string
 }
 
 var (
@@ -124,6 +126,11 @@
 		if t.Failed() {
 			tail, _ := os.ReadFile(log.Name())
 			t.Logf("log of %s: %s", ip, tail[max(0, len(tail)-4<<10):])
+			for line := range strings.Lines(string(tail)) {
+				if p.lastFailed != "" && strings.Contains(line, `"`+p.lastFailed+`"`) {
+					t.Logf("the last request of another client that failed: %s", line)
+				}
+			}
 		}
 	})
 	await.Until(t, "the router to be ready", func() bool {
@@ -221,12 +228,13 @@
 	go func() {
 		defer close(done)
 		for n := 0; ; n++ {
-			status, body, err := p.post("/sound/x", fmt.Sprintf("sound-%s-%d", p.ip, n), 5*time.Second)
+			id := fmt.Sprintf("sound-%s-%d", p.ip, n)
+			status, body, err := p.post("/sound/x", id, 5*time.Second)
 			if err == nil && status == http.StatusOK && body == target.ResponseBody() {
 				served++
 			} else {
 				failed++
-				last = fmt.Sprint(status, err)
+				last, p.lastFailed = fmt.Sprint(status, err), id
 			}
 			select {
 			case <-stop:
